--- /dev/null
+++ b/crates/burdockroad-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! `burdockroad`, the operators' command-line tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/burdockroad-daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! `burdockroadd`, the daemon that runs on every entry host.
+
+fn main() {}
--- /dev/null
+++ b/crates/burdockroad-daemon/src/ownership.rs
@@ -0,0 +1,91 @@
+//! Which host serves which partition.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use burdockroad::{Epoch, HostId, Incarnation, PartitionId};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+/// Number of partitions; fixed, since program ids carry their partition.
+pub const PARTITIONS: PartitionId = 256;
+
+/// The ownership map as this host knows it, and every change of it.
+pub type OwnershipReceiver = watch::Receiver<Arc<OwnershipView>>;
+
+/// Peers that this host has heard from lately, and every change of them.
+pub type PeersReceiver = watch::Receiver<Arc<PeersView>>;
+
+/// The ownership map, as seen by one host.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OwnershipView {
+    /// This process.
+    pub me: Process,
+    /// Version of the map; a higher one replaces a lower one.
+    pub version: u64,
+    /// Owner of each partition, by the partition's number; empty before the first map.
+    pub owners: Vec<Owner>,
+    /// Whether this process may still act as an owner: it has not been fenced.
+    pub serving: bool,
+}
+
+/// Owner of one partition.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owner {
+    /// The owning process.
+    pub process: Process,
+    /// Grows with each change of the owner.
+    pub epoch: Epoch,
+}
+
+/// One run of a daemon on a host.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Process {
+    /// The host.
+    pub host_id: HostId,
+    /// The run.
+    pub incarnation: Incarnation,
+}
+
+/// Peers that a host has heard from lately.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PeersView {
+    /// The peers by their hosts, this host left out.
+    pub peers: BTreeMap<HostId, PeerView>,
+}
+
+/// One peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerView {
+    /// The peer's process.
+    pub process: Process,
+    /// Where it is reached.
+    pub address: String,
+    /// Failure domain that it stands in.
+    pub failure_domain: String,
+    /// Whether it is being taken away.
+    pub leaving: bool,
+    /// Whether it was heard from within the suspicion time.
+    pub alive: bool,
+}
+
+impl OwnershipView {
+    /// The owner of a partition; none before the first map.
+    pub fn owner(&self, partition: PartitionId) -> Option<&Owner> {
+        self.owners.get(usize::from(partition))
+    }
+
+    /// Whether this process owns a partition and may act as its owner.
+    pub fn owns(&self, partition: PartitionId) -> bool {
+        self.serving
+            && self
+                .owner(partition)
+                .is_some_and(|owner| owner.process == self.me)
+    }
+
+    /// The partitions that this process owns.
+    pub fn own_partitions(&self) -> Vec<PartitionId> {
+        (0..PARTITIONS)
+            .filter(|&partition| self.owns(partition))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/burdockroad-daemon/src/peer/clients.rs
@@ -0,0 +1,52 @@
+//! Connections to other daemons, one for each address.
+
+use std::{collections::HashMap, sync::Mutex, time::Duration};
+
+use burdockroad_proto::peer::peer_client::PeerClient;
+use tonic::transport::{Channel, Endpoint};
+
+/// Time within which a connection to a peer must stand.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest message between peers, in bytes.
+const MESSAGE_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// Clients of all peers, connected when first used and again after a break.
+#[derive(Debug, Default)]
+pub struct PeerClients {
+    channels: Mutex<HashMap<String, Channel>>,
+}
+
+impl PeerClients {
+    /// Makes an empty set of clients.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns a client of the peer at an IP number and port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is not of that form; a peer that is down is found out by the call.
+    pub fn get(&self, address: &str) -> Result<PeerClient<Channel>, tonic::transport::Error> {
+        let mut channels = self
+            .channels
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        if let Some(channel) = channels.get(address) {
+            return Ok(client(channel.clone()));
+        }
+        let channel = Endpoint::from_shared(format!("http://{address}"))?
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .connect_lazy();
+        channels.insert(address.to_owned(), channel.clone());
+        Ok(client(channel))
+    }
+}
+
+fn client(channel: Channel) -> PeerClient<Channel> {
+    PeerClient::new(channel)
+        .max_decoding_message_size(MESSAGE_MAX_BYTES)
+        .max_encoding_message_size(MESSAGE_MAX_BYTES)
+}
--- /dev/null
+++ b/crates/burdockroad/src/ids.rs
@@ -0,0 +1,43 @@
+//! Names of entities, and the numbers that order them.
+
+/// Name of a client account, as the document gives it.
+pub type AccountId = String;
+
+/// Position of a call in its program, from 1.
+pub type CallNumber = u32;
+
+/// Version of the configuration document; each accepted change adds one.
+pub type DocumentVersion = u64;
+
+/// Name of an endpoint, as the document gives it.
+pub type EndpointId = String;
+
+/// Number that grows each time a partition changes its owner.
+pub type Epoch = u64;
+
+/// Name of a host, as its settings give it.
+pub type HostId = String;
+
+/// Random number that tells one run of a daemon from every other run on the same host.
+pub type Incarnation = u64;
+
+/// Public part of a caller's key, safe to log.
+pub type KeyId = String;
+
+/// Share of the programs and accounts that has one owner at a time.
+pub type PartitionId = u16;
+
+/// Name of an endpoint set, whose endpoints share one queue.
+pub type PoolId = String;
+
+/// Name of a program: `p-`, four hexadecimal digits of its partition, `-`, and a random part.
+pub type ProgramId = String;
+
+/// Name of a route, as the document gives it.
+pub type RouteId = String;
+
+/// Position of a segment in a journal, from 1.
+pub type SegmentNumber = u64;
+
+/// Name of a site, as the document gives it.
+pub type SiteId = String;
--- /dev/null
+++ b/crates/burdockroad/src/lib.rs
@@ -0,0 +1,30 @@
+//! Coordination parts of a scheduler for agent programs.
+//!
+//! An agent program is a chain of dependent calls to model engines and to plain services. The parts
+//! here decide in which order calls run, within which budget, at which endpoint and for which client
+//! account, and what has to be recorded before a call may leave a host. They open no socket, read no
+//! clock and start no thread: events, the current time and a seeded generator go in, decisions come
+//! out. The daemon `burdockroadd` is one program that carries those decisions out; others can embed
+//! the parts they need.
+//!
+//! # Guide
+//!
+//! * [`program`] keeps the order, history and budget of programs, and writes [`Record`]s of it.
+//! * [`config`] holds the one configuration [`Document`] and its checks.
+//!
+//! Entities stand in tables, and systems run over the tables each tick.
+
+pub mod config;
+mod error;
+mod ids;
+pub mod program;
+
+pub use crate::{
+    config::Document,
+    error::{Error, Result},
+    ids::{
+        AccountId, CallNumber, DocumentVersion, EndpointId, Epoch, HostId, Incarnation, KeyId, PartitionId,
+        PoolId, ProgramId, RouteId, SegmentNumber, SiteId,
+    },
+    program::Record,
+};
