Add the clients of the key-value service and of the host list

Cause: the daemon had the borders of the platform and nothing behind them. Change: an embedded store on redb, a client of the etcd v3 interface over tonic with a breaker, a store in memory with scripted faults for tests, and the host list by HTTP or fixed. Ruled out: retrying an ambiguous compare-and-swap inside the client, since only the caller can tell its own write from another's. Tests: the contract table key_value runs against the embedded and the memory store.

--- a/crates/burdockroad-daemon/src/platform.rs
+++ b/crates/burdockroad-daemon/src/platform.rs
@@ -1,5 +1,12 @@
 //! What the platform gives: a small key-value service, and a list of hosts.
 
+mod breaker;
+mod embedded;
+mod etcd;
+mod host_list;
+mod memory;
+mod watches;
+
 use std::{fmt, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
@@ -8,6 +15,66 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
+pub use self::{
+    breaker::Breaker,
+    embedded::EmbeddedKeyValue,
+    etcd::EtcdKeyValue,
+    host_list::{FixedHostList, HttpHostList, connect_host_list},
+    memory::{Fault, MemoryKeyValue},
+};
+use crate::settings::StoreSettings;
+
+/// Largest value that the key-value service takes, in bytes.
+pub const VALUE_MAX_BYTES: usize = 1_000_000;
+
+/// Time within which a call to the platform ends, one way or the other.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Opens the store that the settings name.
+///
+/// A service that is down is no error here: calls to it fail until it is back.
+///
+/// # Errors
+///
+/// Fails when an address is not of the form `http://IP:PORT`, or the data folder cannot be used.
+pub fn connect(settings: &StoreSettings) -> Result<SharedKeyValue, PlatformError> {
+    match settings {
+        StoreSettings::Service { addresses } => Ok(Arc::new(EtcdKeyValue::new(addresses)?)),
+        StoreSettings::Embedded { data_folder } => Ok(Arc::new(EmbeddedKeyValue::open(data_folder)?)),
+    }
+}
+
+/// Why a part of the platform cannot be used with these settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlatformError {
+    /// No address of the service was given.
+    NoAddress,
+    /// An address is malformed.
+    Address {
+        /// The address.
+        address: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// The data folder cannot be used.
+    DataFolder {
+        /// What the file system or the embedded store says.
+        reason: String,
+    },
+}
+
+impl fmt::Display for PlatformError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoAddress => f.write_str("no address of the key-value service is given"),
+            Self::Address { address, reason } => write!(f, "address {address:?} is malformed: {reason}"),
+            Self::DataFolder { reason } => write!(f, "the data folder cannot be used: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for PlatformError {}
+
 /// Revision of a key, as the key-value service counts changes.
 pub type Revision = i64;
 
@@ -87,6 +154,17 @@
     Revision(Revision),
 }
 
+impl Expected {
+    /// Whether a key that holds `entry` is as expected.
+    pub fn matches(self, entry: Option<&Entry>) -> bool {
+        match (self, entry) {
+            (Self::Absent, None) => true,
+            (Self::Revision(revision), Some(entry)) => entry.revision == revision,
+            (Self::Absent, Some(_)) | (Self::Revision(_), None) => false,
+        }
+    }
+}
+
 /// Result of a write that reached the service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Put {
@@ -122,6 +200,16 @@
     },
 }
 
+impl StoreError {
+    /// Says that the call may have taken effect, with the same reason.
+    #[must_use]
+    pub fn into_ambiguous(self) -> Self {
+        match self {
+            Self::Unavailable { reason, .. } | Self::Ambiguous { reason } => Self::Ambiguous { reason },
+        }
+    }
+}
+
 impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- /dev/null
+++ b/crates/burdockroad-daemon/src/platform/embedded.rs
@@ -0,0 +1,224 @@
+//! A key-value store inside the process, kept in the data folder, for a single host.
+
+use std::{
+    fs,
+    path::Path,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use redb::{Database, ReadableDatabase, ReadableTable, Table, TableDefinition, TableError};
+use tokio::{sync::mpsc, task::spawn_blocking};
+
+use crate::platform::{
+    Entry, Expected, KeyValue, Listing, PlatformError, Put, Revision, StoreError, VALUE_MAX_BYTES,
+    WatchEvent, watches::Watches,
+};
+
+/// Name of the store's file in the data folder.
+const FILE_NAME: &str = "store.redb";
+
+/// When to try again after the disk failed.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Keys, with the revision of the last change and the value.
+const ENTRIES: TableDefinition<'_, &str, (Revision, &[u8])> = TableDefinition::new("entries");
+
+/// Counters of the store.
+const COUNTERS: TableDefinition<'_, &str, Revision> = TableDefinition::new("counters");
+
+/// Name of the counter of changes.
+const REVISION: &str = "revision";
+
+/// A key-value store kept on disk; each write is on disk before it is confirmed.
+#[derive(Clone, Debug)]
+pub struct EmbeddedKeyValue {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    database: Database,
+    watches: Watches,
+    /// Held from the start of a write until it is published, so that watches see changes in their order.
+    writing: Mutex<()>,
+}
+
+impl EmbeddedKeyValue {
+    /// Opens the store in a folder, which is made if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder cannot be used, or another process has the store open.
+    pub fn open(data_folder: &Path) -> Result<Self, PlatformError> {
+        let unusable = |reason: String| PlatformError::DataFolder { reason };
+        fs::create_dir_all(data_folder).map_err(|cause| unusable(cause.to_string()))?;
+        let database =
+            Database::create(data_folder.join(FILE_NAME)).map_err(|cause| unusable(cause.to_string()))?;
+        let inner = Inner {
+            database,
+            watches: Watches::new(),
+            writing: Mutex::new(()),
+        };
+        Ok(Self {
+            inner: Arc::new(inner),
+        })
+    }
+
+    async fn run<T: Send + 'static>(
+        &self,
+        job: impl FnOnce(&Inner) -> Result<T, redb::Error> + Send + 'static,
+    ) -> Result<T, StoreError> {
+        let inner = Arc::clone(&self.inner);
+        let done = spawn_blocking(move || job(&inner)).await;
+        match done {
+            Ok(result) => result.map_err(|cause| unavailable(cause.to_string())),
+            Err(cause) => Err(unavailable(cause.to_string())),
+        }
+    }
+}
+
+#[async_trait]
+impl KeyValue for EmbeddedKeyValue {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        let key = key.to_owned();
+        self.run(move |inner| {
+            let transaction = inner.database.begin_read()?;
+            match transaction.open_table(ENTRIES) {
+                Ok(table) => read(&table, &key),
+                Err(TableError::TableDoesNotExist(_)) => Ok(None),
+                Err(cause) => Err(cause.into()),
+            }
+        })
+        .await
+    }
+
+    async fn list(&self, prefix: &str, listing: Listing) -> Result<Vec<Entry>, StoreError> {
+        let prefix = prefix.to_owned();
+        self.run(move |inner| {
+            let transaction = inner.database.begin_read()?;
+            match transaction.open_table(ENTRIES) {
+                Ok(table) => read_all(&table, &prefix, listing),
+                Err(TableError::TableDoesNotExist(_)) => Ok(Vec::new()),
+                Err(cause) => Err(cause.into()),
+            }
+        })
+        .await
+    }
+
+    async fn put(&self, key: &str, value: Bytes, expected: Expected) -> Result<Put, StoreError> {
+        if value.len() > VALUE_MAX_BYTES {
+            return Err(unavailable("the value is too large".to_owned()));
+        }
+        let name = key.to_owned();
+        self.run(move |inner| inner.write(name, value, expected))
+            .await
+            .map_err(StoreError::into_ambiguous)
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), StoreError> {
+        let name = key.to_owned();
+        self.run(move |inner| inner.remove(&name))
+            .await
+            .map_err(StoreError::into_ambiguous)
+    }
+
+    async fn watch(&self, key: &str) -> Result<mpsc::Receiver<WatchEvent>, StoreError> {
+        Ok(self.inner.watches.watch(key))
+    }
+}
+
+fn read(
+    table: &impl ReadableTable<&'static str, (Revision, &'static [u8])>,
+    key: &str,
+) -> Result<Option<Entry>, redb::Error> {
+    let held = table.get(key)?;
+    Ok(held.map(|held| {
+        let (revision, value) = held.value();
+        entry(key, revision, value)
+    }))
+}
+
+fn read_all(
+    table: &impl ReadableTable<&'static str, (Revision, &'static [u8])>,
+    prefix: &str,
+    listing: Listing,
+) -> Result<Vec<Entry>, redb::Error> {
+    let mut entries = Vec::new();
+    for item in table.range(prefix..)? {
+        let (key, held) = item?;
+        if !key.value().starts_with(prefix) {
+            break;
+        }
+        let (revision, value) = held.value();
+        let value = match listing {
+            Listing::Entries => value,
+            Listing::Keys => &[],
+        };
+        entries.push(entry(key.value(), revision, value));
+    }
+    Ok(entries)
+}
+
+impl Inner {
+    fn write(&self, key: String, value: Bytes, expected: Expected) -> Result<Put, redb::Error> {
+        let _writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
+        let transaction = self.database.begin_write()?;
+        let revision = {
+            let mut entries = transaction.open_table(ENTRIES)?;
+            let held = read(&entries, &key)?;
+            if !expected.matches(held.as_ref()) {
+                return Ok(Put::Conflict(held));
+            }
+            let revision = next_revision(&mut transaction.open_table(COUNTERS)?)?;
+            entries.insert(key.as_str(), (revision, &*value))?;
+            revision
+        };
+        transaction.commit()?;
+        let entry = Entry { key, value, revision };
+        self.watches.publish(&entry.key.clone(), Some(entry));
+        Ok(Put::Done(revision))
+    }
+
+    fn remove(&self, key: &str) -> Result<(), redb::Error> {
+        let _writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
+        let transaction = self.database.begin_write()?;
+        let removed = {
+            let mut entries = transaction.open_table(ENTRIES)?;
+            let removed = entries.remove(key)?.is_some();
+            if removed {
+                next_revision(&mut transaction.open_table(COUNTERS)?)?;
+            }
+            removed
+        };
+        transaction.commit()?;
+        if removed {
+            self.watches.publish(key, None);
+        }
+        Ok(())
+    }
+}
+
+fn next_revision(counters: &mut Table<'_, &'static str, Revision>) -> Result<Revision, redb::Error> {
+    let last = counters.get(REVISION)?.map_or(0, |held| held.value());
+    let next = last + 1;
+    counters.insert(REVISION, next)?;
+    Ok(next)
+}
+
+fn entry(key: &str, revision: Revision, value: &[u8]) -> Entry {
+    Entry {
+        key: key.to_owned(),
+        value: Bytes::copy_from_slice(value),
+        revision,
+    }
+}
+
+fn unavailable(reason: String) -> StoreError {
+    StoreError::Unavailable {
+        reason,
+        retry_after: RETRY_AFTER,
+    }
+}
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/key_value.rs
@@ -0,0 +1,186 @@
+//! Contract of the key-value service: each case runs against every implementation.
+
+use std::{collections::HashMap, fs, path::Path, sync::Arc, time::Duration};
+
+use burdockroad_daemon::platform::{
+    EmbeddedKeyValue, Entry, Expected, Listing, MemoryKeyValue, Put, Revision, SharedKeyValue, WatchEvent,
+};
+use serde::Deserialize;
+use tokio::{runtime::Runtime, sync::mpsc, time::timeout};
+
+/// Longest wait for an event of a watch.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Deserialize)]
+#[serde(tag = "do", rename_all = "snake_case", deny_unknown_fields)]
+enum Step {
+    Put {
+        key: String,
+        value: String,
+        /// Name given to a revision by an earlier step; none for a key that must be absent.
+        revision: Option<String>,
+        /// Name to give to the new revision.
+        name: Option<String>,
+        conflict: Option<Held>,
+    },
+    Get {
+        key: String,
+        value: Option<String>,
+    },
+    List {
+        prefix: String,
+        entries: Vec<(String, String)>,
+    },
+    Delete {
+        key: String,
+    },
+    Watch {
+        key: String,
+    },
+    Changed {
+        key: String,
+        value: Option<String>,
+    },
+    Progress {
+        key: String,
+    },
+    Reopen,
+}
+
+#[derive(Debug, Deserialize)]
+struct Held {
+    value: Option<String>,
+}
+
+struct Run {
+    store: SharedKeyValue,
+    revisions: HashMap<String, Revision>,
+    watches: HashMap<String, mpsc::Receiver<WatchEvent>>,
+}
+
+impl Run {
+    fn new(store: SharedKeyValue) -> Self {
+        Self {
+            store,
+            revisions: HashMap::new(),
+            watches: HashMap::new(),
+        }
+    }
+
+    async fn step(&mut self, step: &Step) {
+        match step {
+            Step::Put {
+                key,
+                value,
+                revision,
+                name,
+                conflict,
+            } => {
+                let expected = match revision {
+                    Some(revision) => Expected::Revision(self.revisions[revision]),
+                    None => Expected::Absent,
+                };
+                let put = self.store.put(key, value.clone().into(), expected).await.unwrap();
+                match (put, conflict) {
+                    (Put::Done(revision), None) => self.name(name.as_deref(), revision),
+                    (Put::Conflict(held), Some(conflict)) => assert_eq!(text(held.as_ref()), conflict.value),
+                    (put, _) => panic!("unexpected result {put:?}"),
+                }
+            }
+            Step::Get { key, value } => {
+                assert_eq!(text(self.store.get(key).await.unwrap().as_ref()), *value);
+            }
+            Step::List { prefix, entries } => self.list(prefix, entries).await,
+            Step::Delete { key } => self.store.delete(key).await.unwrap(),
+            Step::Watch { key } => {
+                let watch = self.store.watch(key).await.unwrap();
+                self.watches.insert(key.clone(), watch);
+            }
+            Step::Changed { key, value } => {
+                let WatchEvent::Changed(held) = self.event(key, |event| *event != WatchEvent::Progress).await
+                else {
+                    unreachable!("progress was passed over")
+                };
+                assert_eq!(text(held.as_ref()), *value);
+            }
+            Step::Progress { key } => {
+                self.event(key, |event| *event == WatchEvent::Progress).await;
+            }
+            Step::Reopen => {}
+        }
+    }
+
+    fn name(&mut self, name: Option<&str>, revision: Revision) {
+        let highest = self.revisions.values().max().copied().unwrap_or(0);
+        assert!(revision > highest, "revision {revision} after {highest}");
+        if let Some(name) = name {
+            self.revisions.insert(name.to_owned(), revision);
+        }
+    }
+
+    async fn list(&self, prefix: &str, expected: &[(String, String)]) {
+        let entries = self.store.list(prefix, Listing::Entries).await.unwrap();
+        let found: Vec<_> = entries
+            .iter()
+            .map(|entry| (entry.key.clone(), text(Some(entry)).unwrap()))
+            .collect();
+        assert_eq!(found, expected);
+        let keys = self.store.list(prefix, Listing::Keys).await.unwrap();
+        assert!(keys.iter().all(|entry| entry.value.is_empty()));
+        assert!(
+            keys.iter()
+                .map(|entry| &entry.key)
+                .eq(expected.iter().map(|(key, _)| key))
+        );
+    }
+
+    async fn event(&mut self, key: &str, wanted: impl Fn(&WatchEvent) -> bool) -> WatchEvent {
+        let watch = self.watches.get_mut(key).unwrap();
+        loop {
+            let event = timeout(EVENT_TIMEOUT, watch.recv())
+                .await
+                .expect("an event in time");
+            let event = event.expect("the watch stands");
+            if wanted(&event) {
+                return event;
+            }
+        }
+    }
+}
+
+fn text(entry: Option<&Entry>) -> Option<String> {
+    entry.map(|entry| String::from_utf8(entry.value.to_vec()).unwrap())
+}
+
+async fn run_embedded(steps: &[Step]) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut run = Run::new(Arc::new(EmbeddedKeyValue::open(folder.path()).unwrap()));
+    for step in steps {
+        if matches!(step, Step::Reopen) {
+            // The store has to be closed before it is opened again.
+            run.watches.clear();
+            run.store = Arc::new(MemoryKeyValue::new());
+            run.store = Arc::new(EmbeddedKeyValue::open(folder.path()).unwrap());
+        }
+        run.step(step).await;
+    }
+}
+
+async fn run_memory(steps: &[Step]) {
+    let mut run = Run::new(Arc::new(MemoryKeyValue::new()));
+    for step in steps {
+        run.step(step).await;
+    }
+}
+
+fn key_value(path: &Path) -> datatest_stable::Result<()> {
+    let steps: Vec<Step> = serde_json::from_str(&fs::read_to_string(path)?)?;
+    let runtime = Runtime::new()?;
+    runtime.block_on(run_memory(&steps));
+    runtime.block_on(run_embedded(&steps));
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = key_value, root = "tests/key_value", pattern = r"\.json$" },
+}
