--- a/crates/burdockroad-daemon/src/journal.rs
+++ b/crates/burdockroad-daemon/src/journal.rs
@@ -6,6 +6,8 @@
 use burdockroad::{PartitionId, ProgramId, Record, program::Tree};
 use tokio::sync::oneshot;
 
+use crate::{ownership::Process, platform::StoreError};
+
 /// Appends records in the order in which it is called.
 pub trait Journal: fmt::Debug + Send + Sync {
     /// Queues records, and reports once they are as durable as asked.
@@ -14,6 +16,19 @@
     /// [`JournalError::Unavailable`], and reach the key-value service when it is back; a caller that
     /// gives up appends a record that says so.
     fn append(&self, records: Vec<Record>, durability: Durability) -> Appended;
+
+    /// Tells whether records of that durability can be taken now, before anything is changed for them.
+    ///
+    /// New work is refused on an error here, so that the queue stays bounded while the key-value
+    /// service is down; [`append`](Self::append) itself always queues.
+    ///
+    /// # Errors
+    ///
+    /// As [`append`](Self::append) would fail.
+    fn admit(&self, durability: Durability) -> Result<(), JournalError> {
+        let _any = durability;
+        Ok(())
+    }
 }
 
 /// Resolves once the appended records are durable, or cannot be made so in time.
@@ -40,12 +55,15 @@
         /// When a later try may succeed.
         retry_after: Duration,
     },
+    /// A record is larger than any journal takes; none of the records was queued.
+    TooLarge,
 }
 
 impl fmt::Display for JournalError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Fenced => f.write_str("another host has sealed this journal"),
+            Self::TooLarge => f.write_str("a record is larger than a journal takes"),
             Self::Unavailable { retry_after } => {
                 write!(
                     f,
@@ -59,6 +77,89 @@
 
 impl std::error::Error for JournalError {}
 
+/// Reads and removes the journals of processes that are gone.
+#[async_trait]
+pub trait Recovery: fmt::Debug + Send + Sync {
+    /// Seals the journal of a process against its writer, and returns all that is held of it.
+    ///
+    /// Sealing again, also by another successor, is harmless. After an error nothing is known of the
+    /// journal, and the caller tries again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key-value service cannot be reached, or a segment is damaged.
+    async fn seal_and_read(&self, dead: &Process) -> Result<Recovered, RecoveryError>;
+
+    /// Removes a sealed journal, after another one holds all that is needed of it.
+    ///
+    /// Its writer stays fenced. Removing again is harmless.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key-value service cannot be reached; what is left is removed by a later call.
+    async fn remove(&self, dead: &Process) -> Result<(), RecoveryError>;
+
+    /// Lists the processes that have a journal, this one included.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key-value service cannot be reached.
+    async fn journals(&self) -> Result<Vec<Process>, RecoveryError>;
+}
+
+/// What is held of a sealed journal.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Recovered {
+    /// The records in their order, for replay.
+    pub records: Vec<Record>,
+    /// Whether records that only a peer held are among them.
+    pub tail: RecoveredTail,
+}
+
+/// What became of the records that were not in the key-value service yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecoveredTail {
+    /// No peer held copies: every record that anybody waited for was in the key-value service.
+    NotKept,
+    /// The peer that held the copies has sealed them and handed them over.
+    Sealed,
+    /// The peer did not answer: a later try may find more, and the old writer may still add to it.
+    Unreached,
+    /// The peer has restarted since, and its copies are gone.
+    Lost,
+}
+
+/// Why a journal could not be sealed, read or removed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RecoveryError {
+    /// The key-value service failed.
+    Store(StoreError),
+    /// A segment cannot be understood, or one is missing between others.
+    Damaged {
+        /// Key of the segment.
+        key: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+impl fmt::Display for RecoveryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store(cause) => write!(f, "{cause}"),
+            Self::Damaged { key, reason } => write!(f, "segment {key} is damaged: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for RecoveryError {}
+
+impl From<StoreError> for RecoveryError {
+    fn from(cause: StoreError) -> Self {
+        Self::Store(cause)
+    }
+}
+
 /// The program trees that a host keeps in memory, as the journal and the ownership see them.
 #[async_trait]
 pub trait Trees: fmt::Debug + Send + Sync {
