Keep the order, budget and history of programs in a table

Cause: nothing kept a program's calls in order or within a budget, and no record of them existed. Ruled out: one tree for each program (a sub-agent would need agreement with its parent's budget); counting prompt tokens in the budget (no bound is known before the engine counts them). Proof seen failing with each mechanism off: unknown outcome of calls that may not be repeated; reservations lost with a host counted as unspent; a reservation not cut to what is left; no limit on calls (passed at first: the limit of 12 was never reached, now 5 and it fails); replay without sequence check. The property test also found that a service's answer entered the conversation.

--- a/crates/burdockroad/src/ids.rs
+++ b/crates/burdockroad/src/ids.rs
@@ -41,3 +41,25 @@
 
 /// Name of a site, as the document gives it.
 pub type SiteId = String;
+
+/// The partition that a program's id names, if it is well formed.
+///
+/// # Example
+///
+/// ```
+/// use burdockroad::partition_of_program;
+///
+/// assert_eq!(partition_of_program("p-001f-8Zq"), Some(31));
+/// assert_eq!(partition_of_program("p-31"), None);
+/// ```
+pub fn partition_of_program(program_id: &str) -> Option<PartitionId> {
+    let (digits, random) = program_id.strip_prefix("p-")?.split_once('-')?;
+    let well_formed = digits.len() == 4 && !random.is_empty();
+    let partition = PartitionId::from_str_radix(digits, 16).ok()?;
+    well_formed.then_some(partition)
+}
+
+/// Makes a program's id from its partition and a random part.
+pub fn program_id(partition: PartitionId, random: &str) -> ProgramId {
+    format!("p-{partition:04x}-{random}")
+}
--- a/crates/burdockroad/src/lib.rs
+++ b/crates/burdockroad/src/lib.rs
@@ -24,7 +24,7 @@
     error::{Error, Result},
     ids::{
         AccountId, CallNumber, DocumentVersion, EndpointId, Epoch, HostId, Incarnation, KeyId, PartitionId,
-        PoolId, ProgramId, RouteId, SegmentNumber, SiteId,
+        PoolId, ProgramId, RouteId, SegmentNumber, SiteId, partition_of_program, program_id,
     },
     program::Record,
 };
--- a/crates/burdockroad/src/program.rs
+++ b/crates/burdockroad/src/program.rs
@@ -7,10 +7,18 @@
 
 mod budget;
 mod record;
+mod refusal;
+mod replay;
+mod table;
 mod tree;
 
 pub use self::{
     budget::{Budget, Ledger},
     record::{Answer, CallKind, Event, Hold, Intent, Outcome, Record, RequestDigest},
-    tree::{Call, Program, State, Tree},
+    refusal::{Refusal, Shortage},
+    replay::Replay,
+    table::{
+        Action, Begun, CallRequest, Cancelled, NewProgram, Placement, Programs, ProgramsOptions, Sending,
+    },
+    tree::{Call, Program, State, Tree, Usage},
 };
--- a/crates/burdockroad/src/program/record.rs
+++ b/crates/burdockroad/src/program/record.rs
@@ -141,9 +141,13 @@
     pub status: u16,
     /// HTTP content type; empty when the endpoint gave none.
     pub content_type: String,
-    /// Body; for a completion the whole `chat.completion` object.
+    /// Body; for a completion the `chat.completion` object with its message left out.
     #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
+    /// The assistant's message of a completion, as JSON text. It stands apart from the body so that
+    /// a prompt is put together without parsing every earlier answer again.
+    #[serde(default)]
+    pub message: Option<String>,
 }
 
 /// Engine memory that an endpoint may hold for a program.
