--- a/crates/burdockroad-daemon/src/journal.rs
+++ b/crates/burdockroad-daemon/src/journal.rs
@@ -26,7 +26,7 @@
     ///
     /// As [`append`](Self::append) would fail.
     fn admit(&self, durability: Durability) -> Result<(), JournalError> {
-        let _any = durability;
+        _ = durability;
         Ok(())
     }
 }
