--- /dev/null
+++ b/crates/burdockroad-daemon/src/calls.rs
@@ -0,0 +1,175 @@
+//! Calls from their admission to the end of their answer, at the host that runs them.
+//!
+//! A call passes its account's rate, waits for a slot, is recorded, is sent, and its result is recorded
+//! before the end of the answer is passed on. It runs to its end even if its caller has gone, since the
+//! caller may ask again under the same number.
+
+mod attempt;
+mod completion;
+mod program_call;
+mod service;
+mod single_call;
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant as StdInstant},
+};
+
+use burdockroad::{
+    AccountId, KeyId, PoolId, RouteId,
+    program::{CallKind, RequestDigest},
+};
+use rand::Rng;
+use tokio::time::Instant;
+
+pub use self::{
+    completion::{
+        CompletionRequest, EVENT_STREAM_CONTENT_TYPE, JSON_CONTENT_TYPE, stream_body, whole_body,
+    },
+    service::{ServiceRequest, answer_headers, service_headers, service_target},
+};
+use crate::{
+    config_watch::InForceReceiver,
+    dispatch::Dispatcher,
+    endpoint::Endpoints,
+    problem::{Problem, ProblemKind},
+    programs::ProgramsHandle,
+    quota::Quota,
+};
+
+/// Tries that an idempotent call gets at different endpoints before its caller is told.
+const ATTEMPTS_MAX: u32 = 3;
+
+/// Shortest and longest wait before another try of a call, drawn at random between them.
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(50));
+
+/// On whose behalf a call runs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Caller {
+    /// The account; empty on an open route without a key.
+    pub account_id: AccountId,
+    /// The key that came with the call.
+    pub key_id: Option<KeyId>,
+}
+
+/// A call, ready to run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// On whose behalf it runs.
+    pub caller: Caller,
+    /// Route that it takes.
+    pub route_id: RouteId,
+    /// Pools that serve the route, the preferred ones first.
+    pub pool_ids: Vec<PoolId>,
+    /// Whether a repeated run does no harm.
+    pub idempotent: bool,
+    /// Digest of the request.
+    pub digest: RequestDigest,
+    /// What is asked of the endpoint.
+    pub work: Work,
+    /// When the call must have ended.
+    pub deadline: Instant,
+    /// Value of the caller's `traceparent` header.
+    pub traceparent: Option<http::HeaderValue>,
+}
+
+/// What is asked of an endpoint.
+#[derive(Clone, Debug)]
+pub enum Work {
+    /// A chat completion.
+    Completion(CompletionRequest),
+    /// A request to a plain service.
+    Service(ServiceRequest),
+}
+
+impl Work {
+    /// Kind of the call.
+    pub fn kind(&self) -> CallKind {
+        match self {
+            Self::Completion(_) => CallKind::Completion,
+            Self::Service(_) => CallKind::Service,
+        }
+    }
+}
+
+/// Limits of calls.
+#[derive(Clone, Copy, Debug)]
+pub struct CallLimits {
+    /// Longest wait for the account's rate and for a slot together.
+    pub queue_timeout: Duration,
+    /// Largest answer of a plain service, in bytes.
+    pub answer_max_bytes: usize,
+    /// Tokens set aside for a completion whose caller states no limit.
+    pub completion_max_tokens: u64,
+}
+
+/// Runs calls at this host.
+#[derive(Clone, Debug)]
+pub struct CallRunner {
+    /// The programs of this host.
+    pub programs: ProgramsHandle,
+    /// Rates and bursts.
+    pub quota: Arc<dyn Quota>,
+    /// Slots at endpoints.
+    pub dispatcher: Arc<dyn Dispatcher>,
+    /// Requests to endpoints.
+    pub endpoints: Arc<dyn Endpoints>,
+    /// The document in force.
+    pub in_force: InForceReceiver,
+    /// Limits of calls.
+    pub limits: CallLimits,
+}
+
+impl CallRunner {
+    /// When a call that arrived now must have its slot.
+    fn latest_start(&self, plan: &Plan) -> Instant {
+        plan.deadline.min(Instant::now() + self.limits.queue_timeout)
+    }
+
+    /// Tokens that a completion may have generated at most; 0 for a service.
+    fn wanted_tokens(&self, work: &Work) -> u64 {
+        match work {
+            Work::Completion(request) => request.max_tokens.unwrap_or(self.limits.completion_max_tokens),
+            Work::Service(_) => 0,
+        }
+    }
+
+    /// Whether the key that a call came with still works.
+    fn key_works(&self, caller: &Caller) -> bool {
+        caller.key_id.as_ref().is_none_or(|key_id| self.in_force.borrow().has_key(&caller.account_id, key_id))
+    }
+
+    /// Waits until the key that a call came with no longer works.
+    async fn key_withdrawn(&self, caller: &Caller) {
+        let mut in_force = self.in_force.clone();
+        loop {
+            if !self.key_works(caller) {
+                return;
+            }
+            if in_force.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+}
+
+/// The problem of a call whose key was withdrawn while it ran or waited.
+fn withdrawn() -> Problem {
+    Problem::new(ProblemKind::InvalidKey, "the key was withdrawn")
+}
+
+/// Time to wait before another try.
+fn back_off() -> Duration {
+    let (shortest, longest) = BACK_OFF;
+    rand::rng().random_range(shortest..longest)
+}
+
+/// Random name of one attempt, by which an engine's stream is cancelled or resumed.
+fn request_id() -> String {
+    format!("{:032x}", rand::rng().random::<u128>())
+}
+
+/// Starts a clock for a figure in the log or a metric.
+fn clock() -> StdInstant {
+    StdInstant::now()
+}
--- /dev/null
+++ b/crates/burdockroad-daemon/src/calls/completion.rs
@@ -0,0 +1,407 @@
+//! Chat completions: what a caller asks, what an engine is sent, and the answer put together.
+
+use std::collections::BTreeMap;
+
+use burdockroad::program::Answer;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::{Map, Value, json, value::RawValue};
+
+use crate::problem::{Problem, ProblemKind};
+
+/// Media type of a whole completion.
+pub const JSON_CONTENT_TYPE: &str = "application/json";
+
+/// Media type of a streamed completion.
+pub const EVENT_STREAM_CONTENT_TYPE: &str = "text/event-stream";
+
+/// Data of the event that ends a stream.
+pub const STREAM_END: &str = "[DONE]";
+
+/// A chat completion as a caller asks for it.
+#[derive(Clone, Debug)]
+pub struct CompletionRequest {
+    /// Model that the caller names.
+    pub model: String,
+    /// New messages, each as JSON text.
+    pub messages: Vec<String>,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Whether a stream ends with the usage.
+    pub include_usage: bool,
+    /// Most tokens that the caller wants.
+    pub max_tokens: Option<u64>,
+    /// All other fields, passed on as they are.
+    pub fields: Map<String, Value>,
+}
+
+/// The fields that are read here.
+#[derive(Deserialize)]
+struct Known {
+    model: String,
+    messages: Vec<Box<RawValue>>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    stream_options: Option<StreamOptions>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    n: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+impl CompletionRequest {
+    /// Reads a request body in the OpenAI format.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a body that is not JSON, lacks a field, or asks for several choices.
+    pub fn parse(body: &[u8]) -> Result<Self, Problem> {
+        let known: Known = serde_json::from_slice(body).map_err(|error| invalid(&error.to_string()))?;
+        let mut fields: Map<String, Value> =
+            serde_json::from_slice(body).map_err(|error| invalid(&error.to_string()))?;
+        if known.messages.is_empty() {
+            return Err(invalid("messages is empty"));
+        }
+        if known.n.is_some_and(|choices| choices != 1) {
+            return Err(invalid("n must be 1: one call has one answer"));
+        }
+        if !known.messages.iter().all(|message| message.get().starts_with('{')) {
+            return Err(invalid("each of messages must be an object"));
+        }
+        for replaced in ["messages", "stream", "stream_options", "max_tokens", "max_completion_tokens"] {
+            fields.remove(replaced);
+        }
+        Ok(Self {
+            model: known.model,
+            messages: known.messages.iter().map(|message| message.get().to_owned()).collect(),
+            stream: known.stream.unwrap_or(false),
+            include_usage: known.stream_options.is_some_and(|options| options.include_usage),
+            max_tokens: known.max_completion_tokens.or(known.max_tokens),
+            fields,
+        })
+    }
+
+    /// The body that an engine is sent.
+    ///
+    /// The engine always streams and always reports usage, whatever the caller asked for: only so is it
+    /// known how much was generated when an answer is cut short.
+    pub fn engine_body(&self, prompt: &[String], max_tokens: u64) -> Bytes {
+        let mut fields = self.fields.clone();
+        fields.insert("stream".to_owned(), Value::Bool(true));
+        fields.insert("stream_options".to_owned(), json!({ "include_usage": true }));
+        fields.insert("max_tokens".to_owned(), max_tokens.into());
+        let head = Value::Object(fields).to_string();
+        let messages = prompt.join(",");
+        // The messages go in as the texts that they are, so that a caller's number or key order
+        // reaches the engine unchanged and its prefix cache matches.
+        let open = head.strip_suffix('}').unwrap_or(&head);
+        Bytes::from(format!("{open},\"messages\":[{messages}]}}"))
+    }
+
+    /// Rough number of tokens in a prompt of so many bytes.
+    pub fn estimated_tokens(bytes: u64) -> u64 {
+        bytes.div_ceil(4)
+    }
+}
+
+fn invalid(detail: &str) -> Problem {
+    Problem::new(ProblemKind::InvalidRequest, format!("the body is not a chat completion request: {detail}"))
+}
+
+/// Tokens of one call, as its engine counted them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineUsage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the prompt that were cached.
+    pub cached_tokens: u64,
+    /// Tokens generated.
+    pub completion_tokens: u64,
+}
+
+/// One chunk of a streamed completion.
+#[derive(Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    id: String,
+    #[serde(default)]
+    created: u64,
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    choices: Vec<ChunkChoice>,
+    #[serde(default)]
+    usage: Option<ChunkUsage>,
+}
+
+#[derive(Deserialize)]
+struct ChunkChoice {
+    #[serde(default)]
+    delta: Delta,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+#[derive(Default, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: Option<String>,
+    #[serde(default)]
+    refusal: Option<String>,
+    #[serde(default)]
+    tool_calls: Vec<ToolCallDelta>,
+}
+
+#[derive(Deserialize)]
+struct ToolCallDelta {
+    #[serde(default)]
+    index: u64,
+    #[serde(default)]
+    id: Option<String>,
+    #[serde(default)]
+    function: FunctionDelta,
+}
+
+#[derive(Default, Deserialize)]
+struct FunctionDelta {
+    #[serde(default)]
+    name: Option<String>,
+    #[serde(default)]
+    arguments: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ChunkUsage {
+    #[serde(default)]
+    prompt_tokens: u64,
+    #[serde(default)]
+    completion_tokens: u64,
+    #[serde(default)]
+    prompt_tokens_details: Option<PromptTokensDetails>,
+}
+
+#[derive(Deserialize)]
+struct PromptTokensDetails {
+    #[serde(default)]
+    cached_tokens: u64,
+}
+
+/// Puts a streamed completion together.
+#[derive(Debug, Default)]
+pub struct Assembly {
+    id: String,
+    created: u64,
+    model: String,
+    content: Option<String>,
+    refusal: Option<String>,
+    tool_calls: BTreeMap<u64, ToolCall>,
+    finish_reason: Option<String>,
+    usage: Option<EngineUsage>,
+    ended: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ToolCall {
+    id: String,
+    name: String,
+    arguments: String,
+}
+
+/// What one event of a stream is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventKind {
+    /// Part of the answer.
+    Part,
+    /// The usage.
+    Usage,
+    /// The end of the stream.
+    End,
+}
+
+impl Assembly {
+    /// Takes the data of the next event.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the data is not a chunk in the OpenAI format.
+    pub fn add(&mut self, data: &str) -> Result<EventKind, serde_json::Error> {
+        if data == STREAM_END {
+            self.ended = true;
+            return Ok(EventKind::End);
+        }
+        let chunk: Chunk = serde_json::from_str(data)?;
+        self.id = chunk.id;
+        self.created = chunk.created;
+        self.model = chunk.model;
+        if let Some(usage) = chunk.usage {
+            self.usage = Some(engine_usage(&usage));
+        }
+        let is_usage = chunk.choices.is_empty() && self.usage.is_some();
+        for choice in chunk.choices {
+            self.add_choice(choice);
+        }
+        Ok(if is_usage { EventKind::Usage } else { EventKind::Part })
+    }
+
+    /// Whether the whole answer has arrived: a finish reason, and the end of the stream.
+    pub fn is_whole(&self) -> bool {
+        self.ended && self.finish_reason.is_some()
+    }
+
+    /// Tokens, if the engine reported them.
+    pub fn usage(&self) -> Option<EngineUsage> {
+        self.usage
+    }
+
+    /// The answer to be recorded: the body without its message, and the message.
+    pub fn answer(&self) -> Answer {
+        let usage = self.usage.unwrap_or_default();
+        let body = json!({
+            "id": self.id,
+            "object": "chat.completion",
+            "created": self.created,
+            "model": self.model,
+            "choices": [{ "index": 0, "finish_reason": self.finish_reason }],
+            "usage": usage_json(usage),
+        });
+        Answer {
+            status: 200,
+            content_type: JSON_CONTENT_TYPE.to_owned(),
+            body: body.to_string().into_bytes(),
+            message: Some(self.message().to_string()),
+        }
+    }
+
+    fn add_choice(&mut self, choice: ChunkChoice) {
+        append(&mut self.content, choice.delta.content);
+        append(&mut self.refusal, choice.delta.refusal);
+        for delta in choice.delta.tool_calls {
+            let call = self.tool_calls.entry(delta.index).or_default();
+            call.id.push_str(&delta.id.unwrap_or_default());
+            call.name.push_str(&delta.function.name.unwrap_or_default());
+            call.arguments.push_str(&delta.function.arguments.unwrap_or_default());
+        }
+        if choice.finish_reason.is_some() {
+            self.finish_reason = choice.finish_reason;
+        }
+    }
+
+    fn message(&self) -> Value {
+        let mut message = Map::new();
+        message.insert("role".to_owned(), "assistant".into());
+        message.insert("content".to_owned(), self.content.clone().into());
+        if let Some(refusal) = &self.refusal {
+            message.insert("refusal".to_owned(), refusal.clone().into());
+        }
+        if !self.tool_calls.is_empty() {
+            let calls: Vec<Value> = self.tool_calls.values().map(ToolCall::to_json).collect();
+            message.insert("tool_calls".to_owned(), calls.into());
+        }
+        Value::Object(message)
+    }
+}
+
+impl ToolCall {
+    fn to_json(&self) -> Value {
+        json!({
+            "id": self.id,
+            "type": "function",
+            "function": { "name": self.name, "arguments": self.arguments },
+        })
+    }
+}
+
+/// The whole `chat.completion` object of a recorded answer.
+pub fn whole_body(answer: &Answer) -> Bytes {
+    let parsed: Result<Value, _> = serde_json::from_slice(&answer.body);
+    let message = answer.message.as_deref().and_then(|text| serde_json::from_str::<Value>(text).ok());
+    match (parsed, message) {
+        (Ok(mut body), Some(message)) => {
+            body["choices"][0]["message"] = message;
+            Bytes::from(body.to_string())
+        }
+        _ => Bytes::from(answer.body.clone()),
+    }
+}
+
+/// The events of a recorded answer, for a caller that asked for a stream.
+pub fn stream_body(answer: &Answer, include_usage: bool) -> Bytes {
+    let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    let mut delta: Value =
+        answer.message.as_deref().and_then(|text| serde_json::from_str(text).ok()).unwrap_or_default();
+    number_tool_calls(&mut delta);
+    let finish_reason = body["choices"][0]["finish_reason"].clone();
+    let chunk = |choices: Value, usage: Value| {
+        json!({
+            "id": body["id"], "object": "chat.completion.chunk", "created": body["created"],
+            "model": body["model"], "choices": choices, "usage": usage,
+        })
+    };
+    let mut text = String::new();
+    let whole = json!([{ "index": 0, "delta": delta, "finish_reason": Value::Null }]);
+    push_event(&mut text, &chunk(whole, Value::Null).to_string());
+    let finish = json!([{ "index": 0, "delta": {}, "finish_reason": finish_reason }]);
+    push_event(&mut text, &chunk(finish, Value::Null).to_string());
+    if include_usage {
+        push_event(&mut text, &chunk(json!([]), body["usage"].clone()).to_string());
+    }
+    push_event(&mut text, STREAM_END);
+    Bytes::from(text)
+}
+
+/// One event of a stream.
+pub fn event(data: &str) -> Bytes {
+    let mut text = String::with_capacity(data.len() + 8);
+    push_event(&mut text, data);
+    Bytes::from(text)
+}
+
+fn push_event(text: &mut String, data: &str) {
+    text.push_str("data: ");
+    text.push_str(data);
+    text.push_str("\n\n");
+}
+
+/// A delta names the position of each tool call, which a whole message leaves out.
+fn number_tool_calls(delta: &mut Value) {
+    let Some(calls) = delta.get_mut("tool_calls").and_then(Value::as_array_mut) else {
+        return;
+    };
+    for (index, call) in calls.iter_mut().enumerate() {
+        call["index"] = index.into();
+    }
+}
+
+fn append(whole: &mut Option<String>, part: Option<String>) {
+    let Some(part) = part else {
+        return;
+    };
+    whole.get_or_insert_default().push_str(&part);
+}
+
+fn engine_usage(usage: &ChunkUsage) -> EngineUsage {
+    let cached_tokens = usage.prompt_tokens_details.as_ref().map_or(0, |details| details.cached_tokens);
+    EngineUsage {
+        prompt_tokens: usage.prompt_tokens,
+        cached_tokens,
+        completion_tokens: usage.completion_tokens,
+    }
+}
+
+fn usage_json(usage: EngineUsage) -> Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": { "cached_tokens": usage.cached_tokens },
+    })
+}
--- /dev/null
+++ b/crates/burdockroad-daemon/src/programs/actor.rs
@@ -0,0 +1,272 @@
+//! The actor itself: one message, one change of the table, one append.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use burdockroad::{
+    ProgramId, Record,
+    program::{
+        Action, Begun, CallRequest, Cancelled, Hold, NewProgram, Outcome, Placement, Programs, Refusal, Sending,
+    },
+};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::watch;
+
+use crate::{
+    answer::AnswerLog,
+    journal::{Appended, Durability},
+    problem::{Problem, ProblemKind, Ran},
+    programs::{ProgramView, ProgramsMessage, ProgramsParts, Records, RunningCall, Settlement, Taken, now},
+};
+
+/// Reason that a program's history gives when its caller ended it.
+const ENDED_BY_CALLER: &str = "its caller ended it";
+
+/// Time after which a program that moved can be expected elsewhere.
+const MOVED_RETRY: Duration = Duration::from_secs(1);
+
+/// The actor.
+#[derive(Debug)]
+pub(super) struct ProgramsActor;
+
+/// What the actor starts with.
+#[derive(Debug)]
+pub(super) struct ProgramsArguments {
+    pub(super) table: Programs,
+    pub(super) parts: ProgramsParts,
+}
+
+/// What the actor owns.
+#[derive(Debug)]
+pub(super) struct ProgramsState {
+    table: Programs,
+    parts: ProgramsParts,
+    running: HashMap<ProgramId, Running>,
+}
+
+/// A call that runs, with the request that began it.
+#[derive(Debug)]
+struct Running {
+    request: CallRequest,
+    log: Arc<AnswerLog>,
+    stop: watch::Sender<bool>,
+}
+
+impl Actor for ProgramsActor {
+    type Msg = ProgramsMessage;
+    type State = ProgramsState;
+    type Arguments = ProgramsArguments;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        arguments: Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        let ProgramsArguments { table, parts } = arguments;
+        Ok(ProgramsState { table, parts, running: HashMap::new() })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Self::Msg>,
+        message: Self::Msg,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        // A reply that nobody waits for any more is dropped: the change stands all the same.
+        let replied = match message {
+            ProgramsMessage::Create(new, port) => port.send(state.create(new)).is_ok(),
+            ProgramsMessage::Get(account_id, program_id, port) => {
+                let found = state.table.get(&account_id, &program_id);
+                port.send(found.map(|(tree, _)| ProgramView { tree: tree.clone(), program_id: program_id.clone() }))
+                    .is_ok()
+            }
+            ProgramsMessage::Contains(program_id, port) => {
+                port.send(state.table.contains(&program_id)).is_ok()
+            }
+            ProgramsMessage::Begin(request, port) => port.send(state.begin(request)).is_ok(),
+            ProgramsMessage::Reopen(request, log, port) => port.send(state.reopen(request, log)).is_ok(),
+            ProgramsMessage::Send(program_id, placement, port) => {
+                port.send(state.send(&program_id, placement)).is_ok()
+            }
+            ProgramsMessage::Settle(settlement, port) => port.send(state.settle(settlement)).is_ok(),
+            ProgramsMessage::End(account_id, program_id, port) => {
+                let ended = state.table.end(&account_id, &program_id, ENDED_BY_CALLER, now());
+                port.send(ended.map(|actions| state.perform(&myself, actions))).is_ok()
+            }
+            ProgramsMessage::Adopt(trees, port) => {
+                let records = state.table.adopt(trees, now());
+                port.send(state.append_later(records)).is_ok()
+            }
+            ProgramsMessage::Freeze(partitions, port) => port.send(state.table.freeze(&partitions)).is_ok(),
+            ProgramsMessage::Export(partitions, port) => {
+                let idle = !state.table.has_open(&partitions);
+                port.send(if idle { Some(state.table.export(&partitions)) } else { None }).is_ok()
+            }
+            ProgramsMessage::Forget(partitions, port) => {
+                let records = state.table.forget(&partitions);
+                port.send(state.append_later(records)).is_ok()
+            }
+            ProgramsMessage::Clear(port) => port.send(state.clear()).is_ok(),
+            ProgramsMessage::Snapshot(root_ids, port) => {
+                let records = state.table.snapshots(&root_ids);
+                port.send(state.append_later(records)).is_ok()
+            }
+            ProgramsMessage::OpenCalls(port) => port.send(state.table.open_calls()).is_ok(),
+            ProgramsMessage::List(port) => port.send(state.table.trees().cloned().collect()).is_ok(),
+            other => {
+                state.take_note(&myself, other);
+                true
+            }
+        };
+        if !replied {
+            log::debug!("event=reply_unwanted");
+        }
+        Ok(())
+    }
+}
+
+impl ProgramsState {
+    /// Handles messages that nobody waits for.
+    fn take_note(&mut self, myself: &ActorRef<ProgramsMessage>, message: ProgramsMessage) {
+        match message {
+            ProgramsMessage::Withdraw(program_id) => {
+                self.table.withdraw(&program_id);
+                self.running.remove(&program_id);
+            }
+            ProgramsMessage::Released(hold) => {
+                let record = self.table.released(&hold);
+                self.append_later(record.into_iter().collect());
+            }
+            ProgramsMessage::Tick => {
+                let actions = self.table.tick(now());
+                self.perform(myself, actions);
+            }
+            ProgramsMessage::Thaw(partitions) => self.table.thaw(&partitions),
+            other => log::error!("event=message_unhandled message={other:?}"),
+        }
+    }
+
+    fn create(&mut self, new: NewProgram) -> Result<Appended, Refusal> {
+        let record = self.table.create(new, now())?;
+        Ok(self.append(vec![record], Durability::Replicated))
+    }
+
+    fn begin(&mut self, request: CallRequest) -> Result<Taken, Refusal> {
+        if let Some(running) = self.running.get(&request.program_id)
+            && running.request == request
+        {
+            return Ok(Taken::Attach(Arc::clone(&running.log)));
+        }
+        match self.table.begin(request.clone(), now())? {
+            Begun::Run(usage, prefix_endpoint_id) => {
+                let call = self.open(request, AnswerLog::new());
+                Ok(Taken::Run { call, usage, prefix_endpoint_id })
+            }
+            Begun::Attach => Err(Refusal::NotOwner),
+            Begun::Answered(answer) => Ok(Taken::Answered(answer)),
+        }
+    }
+
+    fn reopen(&mut self, request: CallRequest, log: Arc<AnswerLog>) -> Option<RunningCall> {
+        match self.table.begin(request.clone(), now()) {
+            Ok(Begun::Run(..)) => Some(self.open(request, log)),
+            Ok(Begun::Attach | Begun::Answered(_)) | Err(_) => None,
+        }
+    }
+
+    fn open(&mut self, request: CallRequest, log: Arc<AnswerLog>) -> RunningCall {
+        let (stop, stopped) = watch::channel(false);
+        let call = RunningCall { log: Arc::clone(&log), stop: stopped };
+        self.running.insert(request.program_id.clone(), Running { request, log, stop });
+        call
+    }
+
+    fn send(
+        &mut self,
+        program_id: &ProgramId,
+        placement: Placement,
+    ) -> Result<(Sending, Appended), Refusal> {
+        let sending = match self.table.send(program_id, placement, now()) {
+            Ok(sending) => sending,
+            Err(refusal) => {
+                self.running.remove(program_id);
+                return Err(refusal);
+            }
+        };
+        let repeatable = self.running.get(program_id).is_some_and(|running| running.request.idempotent);
+        let durability = if repeatable { Durability::Replicated } else { Durability::Stored };
+        let appended = self.append(vec![sending.record.clone()], durability);
+        Ok((sending, appended))
+    }
+
+    fn settle(&mut self, settlement: Settlement) -> Option<Appended> {
+        let Settlement { program_id, outcome, spent_tokens } = settlement;
+        let durability = match outcome {
+            Outcome::Answered(_) => Durability::Replicated,
+            Outcome::NotRun | Outcome::Failed { .. } | Outcome::Unknown { .. } => Durability::Queued,
+        };
+        let record = self.table.settle(&program_id, outcome, spent_tokens)?;
+        self.running.remove(&program_id);
+        Some(self.append(vec![record], durability))
+    }
+
+    fn clear(&mut self) {
+        for hold in self.table.clear() {
+            self.release_once(hold);
+        }
+        for (_, running) in self.running.drain() {
+            running.stop.send_replace(true);
+            let moved = Problem::new(ProblemKind::Moving, "the program has moved to another host");
+            running.log.fail(&moved.ran(Ran::Unknown).retry_after(MOVED_RETRY));
+        }
+    }
+
+    /// Carries out what the table asks for; the returned append is the last of its records.
+    fn perform(&mut self, myself: &ActorRef<ProgramsMessage>, actions: Vec<Action>) -> Appended {
+        let mut records = Vec::new();
+        for action in actions {
+            match action {
+                Action::Append(record) => records.push(record),
+                Action::Cancel(cancelled) => self.cancel(&cancelled),
+                Action::Release(hold) => self.release(myself.clone(), hold),
+            }
+        }
+        self.append(records, Durability::Replicated)
+    }
+
+    fn cancel(&self, cancelled: &Cancelled) {
+        if let Some(running) = self.running.get(&cancelled.program_id) {
+            running.stop.send_replace(true);
+        }
+    }
+
+    fn release(&self, myself: ActorRef<ProgramsMessage>, hold: Hold) {
+        let releaser = Arc::clone(&self.parts.releaser);
+        tokio::spawn(async move {
+            if releaser.release(&hold).await && myself.cast(ProgramsMessage::Released(hold)).is_err() {
+                log::debug!("event=programs_stopped");
+            }
+        });
+    }
+
+    /// Frees what calls of a fenced table may have caused to be held; its programs' new owner does
+    /// not know of calls that left after it had replayed the journal.
+    fn release_once(&self, hold: Hold) {
+        let releaser = Arc::clone(&self.parts.releaser);
+        tokio::spawn(async move {
+            if !releaser.release(&hold).await {
+                log::warn!("event=hold_left program={} endpoint={}", hold.program_id, hold.endpoint_id);
+            }
+        });
+    }
+
+    fn append(&self, records: Records, durability: Durability) -> Appended {
+        self.parts.journal.append(records, durability)
+    }
+
+    /// Appends records that nobody waits for.
+    fn append_later(&self, records: Vec<Record>) {
+        if !records.is_empty() {
+            drop(self.append(records, Durability::Queued));
+        }
+    }
+}
