Check the whole configuration document and find callers' keys in it

A serde derive stops at the first fault and knows no place, so the text is read over the syntax tree of jsonc-parser and every fault is noted with line, column, path and nearest known name.

Ruled out: repeating the found text for a hash, which may be a pasted key.

--- a/crates/burdockroad/src/config.rs
+++ b/crates/burdockroad/src/config.rs
@@ -1,7 +1,39 @@
 //! The one configuration document, which alone changes what the system does.
+//!
+//! [`parse`] reads its text, [`diff`] tells two documents apart, [`VersionedDocument`] is its form in
+//! the store, and [`KeyTable`] finds the account of a caller's key.
+//!
+//! # Example
+//!
+//! ```
+//! use burdockroad::config;
+//!
+//! let findings = config::parse(r#"{ "sites": [], "acounts": [], "routes": [], "endpoint_sets": [] }"#)
+//!     .unwrap_err();
+//! assert_eq!(findings[0].to_string(), "1:1: $: the field `accounts` is missing");
+//! assert_eq!(
+//!     findings[1].to_string(),
+//!     "1:16: $.acounts: there is no field `acounts`; did you mean `accounts`?"
+//! );
+//! ```
 
+mod check;
+mod diff;
 mod document;
+mod finding;
+mod keys;
+mod names;
+pub mod reader;
+mod versioned;
 
-pub use self::document::{
-    Access, Account, BudgetDefaults, Document, Endpoint, EndpointSet, Fencing, Key, Route, RouteKind, Site,
+pub use self::{
+    check::parse,
+    diff::{Change, diff},
+    document::{
+        Access, Account, BudgetDefaults, Document, Endpoint, EndpointSet, Fencing, Key, Route, RouteKind,
+        Site,
+    },
+    finding::Finding,
+    keys::{IssuedKey, KeyMatch, KeyTable, key_hash, new_key},
+    versioned::VersionedDocument,
 };
--- a/crates/burdockroad/src/config/document.rs
+++ b/crates/burdockroad/src/config/document.rs
@@ -172,6 +172,6 @@
     }
 }
 
-fn default_weight() -> f64 {
+pub(super) fn default_weight() -> f64 {
     1.0
 }
--- /dev/null
+++ b/crates/burdockroad/tests/config.rs
@@ -0,0 +1,126 @@
+//! Keys, differences and stored form of documents, and texts that are no documents.
+
+use burdockroad::{
+    Document,
+    config::{self, KeyMatch, KeyTable, VersionedDocument},
+};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha20Rng;
+
+const VALID: &str = include_str!("documents/valid.jsonc");
+
+fn valid() -> Document {
+    config::parse(VALID).expect("the document is valid")
+}
+
+#[test]
+fn new_key_lookup() {
+    let mut rng = ChaCha20Rng::seed_from_u64(7);
+    let issued = config::new_key(&mut rng);
+    let mut document = valid();
+    document.accounts[0].keys.push(issued.entry.clone());
+    let expected = KeyMatch {
+        account_id: "trust-duty".to_owned(),
+        key_id: issued.entry.id.clone(),
+    };
+    assert_eq!(KeyTable::new(&document).lookup(&issued.secret), Some(expected));
+    assert_eq!(KeyTable::new(&document).lookup(&issued.entry.sha256), None);
+}
+
+#[test]
+fn new_key_form() {
+    let mut rng = ChaCha20Rng::seed_from_u64(8);
+    let (first, second) = (config::new_key(&mut rng), config::new_key(&mut rng));
+    let random = first
+        .secret
+        .strip_prefix(&format!("brk_{}_", first.entry.id))
+        .expect("the key begins with its id");
+    assert_eq!(random.len(), 43);
+    assert_ne!(first.secret, second.secret);
+    assert!(!format!("{first:?}").contains(random));
+}
+
+#[test]
+fn lookup_withdrawn() {
+    let mut document = valid();
+    document.accounts[0].keys[0].sha256 = config::key_hash("test");
+    document.accounts[0].keys[0].withdrawn = false;
+    assert!(KeyTable::new(&document).lookup("test").is_some());
+    document.accounts[0].keys[0].withdrawn = true;
+    assert!(KeyTable::new(&document).lookup("test").is_none());
+}
+
+#[test]
+fn diff_entities_by_name() {
+    let before = valid();
+    let mut after = before.clone();
+    after.sites.reverse();
+    assert_eq!(config::diff(&before, &after), []);
+    after.accounts[0].burst = 11;
+    after.accounts[0].keys.clear();
+    after.endpoint_sets[1].endpoints = after.endpoint_sets[0].endpoints.split_off(0);
+    let changes = config::diff(&before, &after);
+    let paths: Vec<&str> = changes.iter().map(|change| change.path.as_str()).collect();
+    let expected = [
+        "accounts.trust-duty.burst",
+        "accounts.trust-duty.keys.k1",
+        "endpoint_sets.planner.endpoints.planner-1",
+        "endpoint_sets.tides.endpoints.planner-1",
+    ];
+    assert_eq!(paths, expected);
+    assert_eq!(changes[0].to_string(), "~ accounts.trust-duty.burst: 10 -> 11");
+}
+
+#[test]
+fn versioned_document_refuses() {
+    let cases = [
+        "",
+        "[]",
+        r#"{"version":1}"#,
+        r#"{"version":-1,"text":"{}"}"#,
+        r#"{"version":1,"text":"{}"}"#,
+    ];
+    for bytes in cases {
+        assert!(
+            VersionedDocument::from_bytes(bytes.as_bytes()).is_err(),
+            "{bytes}"
+        );
+    }
+}
+
+#[test]
+fn parse_too_large() {
+    let fits = format!("{VALID}//{}", "x".repeat(900_000));
+    let too_large = format!("{VALID}//{}", "\"".repeat(500_000));
+    assert!(config::parse(&fits).is_ok());
+    let findings = config::parse(&too_large).expect_err("the stored form exceeds the limit");
+    assert!(
+        findings[0].message.contains("allowed: up to 1000000"),
+        "{findings:?}"
+    );
+}
+
+proptest! {
+    #[test]
+    fn parse_arbitrary_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let text = String::from_utf8_lossy(&bytes);
+        let _ = config::parse(&text);
+        let _ = VersionedDocument::from_bytes(&bytes);
+    }
+
+    /// Damage to a valid document gives a document or findings whose places lie within the text.
+    #[test]
+    fn parse_damaged_document(at in 0..VALID.len(), removed in 0..40_usize, added in "[\\[\\]{},:\"0-9a-zä\n]{0,6}") {
+        let end = (at + removed).min(VALID.len());
+        let text = format!("{}{added}{}", &VALID[..at], &VALID[end..]);
+        if let Err(findings) = config::parse(&text) {
+            prop_assert!(!findings.is_empty());
+            for finding in findings {
+                let line = text.split('\n').nth(finding.line - 1);
+                let columns = line.map_or(0, |line| line.chars().count() + 1);
+                prop_assert!(finding.column <= columns, "{finding}");
+            }
+        }
+    }
+}
