Keep rate and burst over all hosts by granted tokens

Change: quota::Bucket at the owner, quota::Holder at each host. Outstanding tokens count as still in the bucket; holders report what they spent and still hold, so a rate far above burst / grant life is reached, and what they never spend goes back at once. A request carries a sequence number, and only the answer to the one under way counts. Ruled out: counting all granted tokens until they expire, without reports; it would limit an account to burst / grant life calls a second.

--- a/crates/burdockroad-daemon/src/ownership.rs
+++ b/crates/burdockroad-daemon/src/ownership.rs
@@ -6,8 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-/// Number of partitions; fixed, since program ids carry their partition.
-pub const PARTITIONS: PartitionId = 256;
+pub use burdockroad::PARTITIONS;
 
 /// The ownership map as this host knows it, and every change of it.
 pub type OwnershipReceiver = watch::Receiver<Arc<OwnershipView>>;
--- a/crates/burdockroad-daemon/src/quota.rs
+++ b/crates/burdockroad-daemon/src/quota.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use async_trait::async_trait;
-use burdockroad::AccountId;
+use burdockroad::{AccountId, quota::Limits};
 use tokio::time::Instant;
 
 /// Admits calls within each account's rate and burst.
@@ -17,6 +17,24 @@
     async fn admit(&self, account_id: &AccountId, latest: Instant) -> Result<(), QuotaRefusal>;
 }
 
+/// Tells whether this process may still act as the owner that the ownership map names.
+///
+/// It may while it has heard lately from most hosts, so that an owner that was paused or cut off stops
+/// before another host can take its place.
+pub trait OwnerLease: fmt::Debug + Send + Sync {
+    /// Whether this process may act as an owner at `now`.
+    fn holds(&self, now: std::time::Instant) -> bool;
+}
+
+/// Gives the limits of accounts, as the document in force has them.
+pub trait AccountLimits: fmt::Debug + Send + Sync {
+    /// The limits of an account; none for one that the document does not name.
+    fn limits(&self, account_id: &AccountId) -> Option<Limits>;
+
+    /// The account's share of the endpoints under contention.
+    fn weight(&self, account_id: &AccountId) -> f64;
+}
+
 /// Why a call was not admitted. It did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuotaRefusal {
--- a/crates/burdockroad/src/lib.rs
+++ b/crates/burdockroad/src/lib.rs
@@ -10,6 +10,7 @@
 //! # Guide
 //!
 //! * [`program`] keeps the order, history and budget of programs, and writes [`Record`]s of it.
+//! * [`quota`] keeps rate and burst of client accounts over all hosts.
 //! * [`config`] holds the one configuration [`Document`] and its checks.
 //!
 //! Entities stand in tables, and systems run over the tables each tick.
@@ -18,13 +19,14 @@
 mod error;
 mod ids;
 pub mod program;
+pub mod quota;
 
 pub use crate::{
     config::Document,
     error::{Error, Result},
     ids::{
-        AccountId, CallNumber, DocumentVersion, EndpointId, Epoch, HostId, Incarnation, KeyId, PartitionId,
-        PoolId, ProgramId, RouteId, SegmentNumber, SiteId,
+        AccountId, CallNumber, DocumentVersion, EndpointId, Epoch, HostId, Incarnation, KeyId, PARTITIONS,
+        PartitionId, PoolId, ProgramId, RouteId, SegmentNumber, SiteId, partition_of,
     },
     program::Record,
 };
