--- a/crates/burdockroad/src/lib.rs
+++ b/crates/burdockroad/src/lib.rs
@@ -26,7 +26,8 @@
     error::{Error, Result},
     ids::{
         AccountId, CallNumber, DocumentVersion, EndpointId, Epoch, HostId, Incarnation, KeyId, PARTITIONS,
-        PartitionId, PoolId, ProgramId, RouteId, SegmentNumber, SiteId, partition_of,
+        PartitionId, PoolId, ProgramId, RouteId, SegmentNumber, SiteId, partition_of, partition_of_program,
+        program_id,
     },
     program::Record,
 };
