--- a/crates/burdockroad-daemon/src/answer.rs
+++ b/crates/burdockroad-daemon/src/answer.rs
@@ -51,7 +51,10 @@
 impl AnswerLog {
     /// Starts an empty answer.
     pub fn new() -> Arc<Self> {
-        Arc::new(Self { frames: Mutex::new(Vec::new()), length: watch::Sender::new(0) })
+        Arc::new(Self {
+            frames: Mutex::new(Vec::new()),
+            length: watch::Sender::new(0),
+        })
     }
 
     /// Makes a whole answer with one piece of body.
@@ -107,7 +110,11 @@
 
     /// Reads the answer from its first frame.
     pub fn reader(self: &Arc<Self>) -> AnswerReader {
-        AnswerReader { log: Arc::clone(self), length: self.length.subscribe(), next: 0 }
+        AnswerReader {
+            log: Arc::clone(self),
+            length: self.length.subscribe(),
+            next: 0,
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Frame>> {
--- a/crates/burdockroad-daemon/src/calls.rs
+++ b/crates/burdockroad-daemon/src/calls.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod completion;
+mod engine_stream;
 mod program_call;
 mod service;
 mod single_call;
@@ -17,16 +18,17 @@
 
 use burdockroad::{
     AccountId, KeyId, PoolId, RouteId,
+    config::KeyMatch,
     program::{CallKind, RequestDigest},
 };
-use rand::Rng;
+use rand::RngExt;
 use tokio::time::Instant;
 
+pub(crate) use self::program_call::recorded;
 pub use self::{
-    completion::{
-        CompletionRequest, EVENT_STREAM_CONTENT_TYPE, JSON_CONTENT_TYPE, stream_body, whole_body,
-    },
-    service::{ServiceRequest, answer_headers, service_headers, service_target},
+    completion::{CompletionRequest, EVENT_STREAM_CONTENT_TYPE, JSON_CONTENT_TYPE, stream_body, whole_body},
+    program_call::ProgramPosition,
+    service::{ServiceRequest, headers_without_key, service_headers, target_without_key},
 };
 use crate::{
     config_watch::InForceReceiver,
@@ -65,6 +67,8 @@
     pub idempotent: bool,
     /// Digest of the request.
     pub digest: RequestDigest,
+    /// Whether a later call of the same program will begin with this one's conversation.
+    pub keeps_prefix: bool,
     /// What is asked of the endpoint.
     pub work: Work,
     /// When the call must have ended.
@@ -136,19 +140,34 @@
 
     /// Whether the key that a call came with still works.
     fn key_works(&self, caller: &Caller) -> bool {
-        caller.key_id.as_ref().is_none_or(|key_id| self.in_force.borrow().has_key(&caller.account_id, key_id))
+        key_works(&self.in_force, caller)
     }
 
     /// Waits until the key that a call came with no longer works.
     async fn key_withdrawn(&self, caller: &Caller) {
-        let mut in_force = self.in_force.clone();
-        loop {
-            if !self.key_works(caller) {
-                return;
-            }
-            if in_force.changed().await.is_err() {
-                std::future::pending::<()>().await;
-            }
+        key_withdrawn(&self.in_force, caller).await;
+    }
+}
+
+/// Whether the key that a call came with still works.
+fn key_works(in_force: &InForceReceiver, caller: &Caller) -> bool {
+    let Some(key_id) = caller.key_id.clone() else {
+        return true;
+    };
+    let account_id = caller.account_id.clone();
+    in_force.borrow().keys.contains(&KeyMatch { account_id, key_id })
+}
+
+/// Waits until the key that a call came with no longer works; for ever when it came with none.
+pub(crate) async fn key_withdrawn(in_force: &InForceReceiver, caller: &Caller) {
+    let mut in_force = in_force.clone();
+    loop {
+        in_force.mark_unchanged();
+        if !key_works(&in_force, caller) {
+            return;
+        }
+        if in_force.changed().await.is_err() {
+            std::future::pending::<()>().await;
         }
     }
 }
--- a/crates/burdockroad-daemon/src/calls/completion.rs
+++ b/crates/burdockroad-daemon/src/calls/completion.rs
@@ -74,15 +74,29 @@
         if known.n.is_some_and(|choices| choices != 1) {
             return Err(invalid("n must be 1: one call has one answer"));
         }
-        if !known.messages.iter().all(|message| message.get().starts_with('{')) {
+        if !known
+            .messages
+            .iter()
+            .all(|message| message.get().starts_with('{'))
+        {
             return Err(invalid("each of messages must be an object"));
         }
-        for replaced in ["messages", "stream", "stream_options", "max_tokens", "max_completion_tokens"] {
+        for replaced in [
+            "messages",
+            "stream",
+            "stream_options",
+            "max_tokens",
+            "max_completion_tokens",
+        ] {
             fields.remove(replaced);
         }
         Ok(Self {
             model: known.model,
-            messages: known.messages.iter().map(|message| message.get().to_owned()).collect(),
+            messages: known
+                .messages
+                .iter()
+                .map(|message| message.get().to_owned())
+                .collect(),
             stream: known.stream.unwrap_or(false),
             include_usage: known.stream_options.is_some_and(|options| options.include_usage),
             max_tokens: known.max_completion_tokens.or(known.max_tokens),
@@ -114,10 +128,17 @@
 }
 
 fn invalid(detail: &str) -> Problem {
-    Problem::new(ProblemKind::InvalidRequest, format!("the body is not a chat completion request: {detail}"))
+    Problem::new(
+        ProblemKind::InvalidRequest,
+        format!("the body is not a chat completion request: {detail}"),
+    )
 }
 
 /// Tokens of one call, as its engine counted them.
+#[expect(
+    clippy::struct_field_names,
+    reason = "the names are those of the OpenAI format"
+)]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineUsage {
     /// Tokens of the prompt.
@@ -206,6 +227,7 @@
     tool_calls: BTreeMap<u64, ToolCall>,
     finish_reason: Option<String>,
     usage: Option<EngineUsage>,
+    tokens: u64,
     ended: bool,
 }
 
@@ -249,7 +271,11 @@
         for choice in chunk.choices {
             self.add_choice(choice);
         }
-        Ok(if is_usage { EventKind::Usage } else { EventKind::Part })
+        Ok(if is_usage {
+            EventKind::Usage
+        } else {
+            EventKind::Part
+        })
     }
 
     /// Whether the whole answer has arrived: a finish reason, and the end of the stream.
@@ -257,6 +283,11 @@
         self.ended && self.finish_reason.is_some()
     }
 
+    /// Parts of the content so far; engines send one for each token, and resume by that number.
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
     /// Tokens, if the engine reported them.
     pub fn usage(&self) -> Option<EngineUsage> {
         self.usage
@@ -282,13 +313,22 @@
     }
 
     fn add_choice(&mut self, choice: ChunkChoice) {
+        if choice
+            .delta
+            .content
+            .as_ref()
+            .is_some_and(|content| !content.is_empty())
+        {
+            self.tokens += 1;
+        }
         append(&mut self.content, choice.delta.content);
         append(&mut self.refusal, choice.delta.refusal);
         for delta in choice.delta.tool_calls {
             let call = self.tool_calls.entry(delta.index).or_default();
             call.id.push_str(&delta.id.unwrap_or_default());
             call.name.push_str(&delta.function.name.unwrap_or_default());
-            call.arguments.push_str(&delta.function.arguments.unwrap_or_default());
+            call.arguments
+                .push_str(&delta.function.arguments.unwrap_or_default());
         }
         if choice.finish_reason.is_some() {
             self.finish_reason = choice.finish_reason;
@@ -323,7 +363,10 @@
 /// The whole `chat.completion` object of a recorded answer.
 pub fn whole_body(answer: &Answer) -> Bytes {
     let parsed: Result<Value, _> = serde_json::from_slice(&answer.body);
-    let message = answer.message.as_deref().and_then(|text| serde_json::from_str::<Value>(text).ok());
+    let message = answer
+        .message
+        .as_deref()
+        .and_then(|text| serde_json::from_str::<Value>(text).ok());
     match (parsed, message) {
         (Ok(mut body), Some(message)) => {
             body["choices"][0]["message"] = message;
@@ -336,8 +379,11 @@
 /// The events of a recorded answer, for a caller that asked for a stream.
 pub fn stream_body(answer: &Answer, include_usage: bool) -> Bytes {
     let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
-    let mut delta: Value =
-        answer.message.as_deref().and_then(|text| serde_json::from_str(text).ok()).unwrap_or_default();
+    let mut delta: Value = answer
+        .message
+        .as_deref()
+        .and_then(|text| serde_json::from_str(text).ok())
+        .unwrap_or_default();
     number_tool_calls(&mut delta);
     let finish_reason = body["choices"][0]["finish_reason"].clone();
     let chunk = |choices: Value, usage: Value| {
@@ -389,7 +435,10 @@
 }
 
 fn engine_usage(usage: &ChunkUsage) -> EngineUsage {
-    let cached_tokens = usage.prompt_tokens_details.as_ref().map_or(0, |details| details.cached_tokens);
+    let cached_tokens = usage
+        .prompt_tokens_details
+        .as_ref()
+        .map_or(0, |details| details.cached_tokens);
     EngineUsage {
         prompt_tokens: usage.prompt_tokens,
         cached_tokens,
--- a/crates/burdockroad-daemon/src/calls/program_call.rs
+++ b/crates/burdockroad-daemon/src/calls/program_call.rs
@@ -5,7 +5,7 @@
 
 use burdockroad::{
     CallNumber, ProgramId,
-    program::{Answer, CallRequest, Outcome, Placement, Usage},
+    program::{Answer, CallKind, CallRequest, Outcome, Placement, Usage},
 };
 use bytes::Bytes;
 use tokio::time::Instant;
@@ -65,12 +65,24 @@
         match self.programs.begin(request).await? {
             Taken::Attach(log) => Ok(log.reader()),
             Taken::Answered(answer) => Ok(repeat(&plan, &answer).reader()),
-            Taken::Run { call, usage, prefix_endpoint_id } => {
+            Taken::Run {
+                call,
+                usage,
+                prefix_endpoint_id,
+            } => {
                 let reader = call.log.reader();
                 let latest = self.latest_start(&plan);
                 let log = Arc::clone(&call.log);
                 let excluded = Vec::new();
-                let started = ProgramCall { plan, position, log, usage, prefix_endpoint_id, latest, excluded };
+                let started = ProgramCall {
+                    plan,
+                    position,
+                    log,
+                    usage,
+                    prefix_endpoint_id,
+                    latest,
+                    excluded,
+                };
                 let runner = self.clone();
                 // A task of its own: the call goes on when its caller is gone.
                 tokio::spawn(async move { runner.run_program_call(started, call).await });
@@ -119,7 +131,10 @@
             endpoint_id: slot.endpoint_id.clone(),
             wanted_tokens: self.wanted_tokens(&call.plan.work),
         };
-        let sent = self.programs.send(call.position.program_id.clone(), placement).await;
+        let sent = self
+            .programs
+            .send(call.position.program_id.clone(), placement)
+            .await;
         let (sending, appended) = sent.map_err(|refusal| Retry::Never(refusal.into()))?;
         if let Err(problem) = recorded(appended).await {
             guard.close(SlotReport::default());
@@ -129,7 +144,7 @@
         let attempt = Attempt {
             plan: &call.plan,
             slot: &slot,
-            program_id: Some(&call.position.program_id),
+            program_id: Some(&call.position.program_id).filter(|_| call.plan.keeps_prefix),
             prompt: &sending.prompt,
             max_tokens: sending.reserved_tokens,
             attained_tokens: call.usage.attained_tokens,
@@ -207,11 +222,15 @@
     ) -> Result<Vec<Frame>, Retry> {
         let program_id = call.position.program_id.clone();
         let outcome = outcome(&call.plan, &end);
-        let settlement = Settlement { program_id, outcome, spent_tokens: end.spent_tokens };
+        let settlement = Settlement {
+            program_id,
+            outcome,
+            spent_tokens: end.spent_tokens,
+        };
         let settled = self.programs.settle(settlement).await;
         let Whole { rest, .. } = match end.result {
             Ok(whole) => whole,
-            Err(failure) => return Err(self.retry(call, failure, progress)),
+            Err(failure) => return Err(retry(call, failure, progress)),
         };
         let Some(appended) = settled else {
             return Err(Retry::Never(moved_after_run()));
@@ -222,15 +241,6 @@
         }
     }
 
-    fn retry(&self, call: &ProgramCall, failure: Failure, progress: Progress) -> Retry {
-        let tries = u32::try_from(call.excluded.len()).unwrap_or(u32::MAX);
-        let again = progress == Progress::Sent
-            && tries < ATTEMPTS_MAX
-            && Instant::now() < call.latest
-            && may_repeat(&call.plan, &failure, &call.log);
-        if again { Retry::Elsewhere(failure.problem) } else { Retry::Never(failure.problem) }
-    }
-
     /// Opens the call again for another attempt; none when the program no longer takes it.
     async fn reopen(&self, call: &ProgramCall) -> Option<RunningCall> {
         let request = call_request(&call.plan, &call.position);
@@ -260,8 +270,22 @@
     Elsewhere(Problem),
 }
 
+/// Whether a failed pass is followed by another.
+fn retry(call: &ProgramCall, failure: Failure, progress: Progress) -> Retry {
+    let tries = u32::try_from(call.excluded.len()).unwrap_or(u32::MAX);
+    let again = progress == Progress::Sent
+        && tries < ATTEMPTS_MAX
+        && Instant::now() < call.latest
+        && may_repeat(&call.plan, &failure, &call.log);
+    if again {
+        Retry::Elsewhere(failure.problem)
+    } else {
+        Retry::Never(failure.problem)
+    }
+}
+
 /// Waits until an append is durable.
-pub(super) async fn recorded(appended: Appended) -> Result<(), Problem> {
+pub(crate) async fn recorded(appended: Appended) -> Result<(), Problem> {
     match appended.await {
         Ok(Ok(())) => Ok(()),
         Ok(Err(error)) => Err(error.into()),
@@ -284,13 +308,22 @@
 }
 
 fn stopped_end(problem: Problem, spent_tokens: u64) -> AttemptEnd {
-    let failure = Failure { problem, elsewhere: false };
-    AttemptEnd { result: Err(failure), spent_tokens, report: SlotReport::default() }
+    let failure = Failure {
+        problem,
+        elsewhere: false,
+    };
+    AttemptEnd {
+        result: Err(failure),
+        spent_tokens,
+        report: SlotReport::default(),
+    }
 }
 
 fn moved_after_run() -> Problem {
     let detail = "the program moved to another host while the call ran";
-    Problem::new(ProblemKind::Moving, detail).ran(Ran::Yes).retry_after(std::time::Duration::from_secs(1))
+    Problem::new(ProblemKind::Moving, detail)
+        .ran(Ran::Yes)
+        .retry_after(std::time::Duration::from_secs(1))
 }
 
 fn finish(log: &AnswerLog, rest: Vec<Frame>) {
@@ -314,6 +347,7 @@
         kind: plan.work.kind(),
         idempotent: plan.idempotent,
         messages,
+        keeps_prefix: plan.keeps_prefix && plan.work.kind() == CallKind::Completion,
     }
 }
 
--- a/crates/burdockroad-daemon/src/calls/single_call.rs
+++ b/crates/burdockroad-daemon/src/calls/single_call.rs
@@ -43,9 +43,13 @@
         }
         let mut excluded = Vec::new();
         loop {
-            let slot = self.dispatcher.acquire(self.single_slot(plan, excluded.clone(), latest)).await?;
+            let slot = self
+                .dispatcher
+                .acquire(self.single_slot(plan, excluded.clone(), latest))
+                .await?;
             if !self.key_works(&plan.caller) {
-                self.dispatcher.release(slot, crate::dispatch::SlotReport::default());
+                self.dispatcher
+                    .release(slot, crate::dispatch::SlotReport::default());
                 return Err(withdrawn());
             }
             excluded.push(slot.endpoint_id.clone());
@@ -94,12 +98,7 @@
         Ok(())
     }
 
-    fn single_slot(
-        &self,
-        plan: &Plan,
-        excluded: Vec<String>,
-        latest: tokio::time::Instant,
-    ) -> SlotRequest {
+    fn single_slot(&self, plan: &Plan, excluded: Vec<String>, latest: tokio::time::Instant) -> SlotRequest {
         SlotRequest {
             pool_ids: plan.pool_ids.clone(),
             account_id: plan.caller.account_id.clone(),
@@ -144,7 +143,10 @@
 
 impl<'a> SlotGuard<'a> {
     pub(super) fn new(runner: &'a CallRunner, slot: Slot) -> Self {
-        Self { runner, slot: Some(slot) }
+        Self {
+            runner,
+            slot: Some(slot),
+        }
     }
 
     /// Gives the slot back with what was seen on it.
@@ -158,7 +160,9 @@
 impl Drop for SlotGuard<'_> {
     fn drop(&mut self) {
         if let Some(slot) = self.slot.take() {
-            self.runner.dispatcher.release(slot, crate::dispatch::SlotReport::default());
+            self.runner
+                .dispatcher
+                .release(slot, crate::dispatch::SlotReport::default());
         }
     }
 }
--- /dev/null
+++ b/crates/burdockroad-daemon/src/edge/serve.rs
@@ -0,0 +1,276 @@
+//! Requests at the host that owns their program.
+
+use std::time::Duration;
+
+use burdockroad::{
+    ProgramId,
+    config::{Document, Route, RouteKind},
+    program::{Budget, NewProgram, Refusal},
+};
+use bytes::Bytes;
+use serde_json::json;
+
+use crate::{
+    answer::{AnswerLog, AnswerReader, Head},
+    calls::{
+        CompletionRequest, JSON_CONTENT_TYPE, Plan, ProgramPosition, ServiceRequest, Work, recorded,
+        service_headers,
+    },
+    edge::{Edge, EdgeRequest, program_json},
+    http::{NewProgramRequest, Target, digest},
+    problem::{Problem, ProblemKind},
+};
+
+/// Time for which the answer to an idempotency key is kept.
+const IDEMPOTENCY_WINDOW: Duration = Duration::from_hours(24);
+
+impl Edge {
+    /// Serves a request whose program this host owns, or that has none.
+    pub(super) async fn serve_here(&self, request: &EdgeRequest) -> Result<AnswerReader, Problem> {
+        match &request.operation.target {
+            Target::Models => Ok(self.models()),
+            Target::CreateProgram => self.create_program(request).await,
+            Target::ShowProgram(id) => self.show_program(request, id).await,
+            Target::EndProgram(id) => self.end_program(request, id).await,
+            Target::Completion => {
+                let work = Work::Completion(CompletionRequest::parse(&request.body)?);
+                self.call(request, work).await
+            }
+            Target::Service { rest, .. } => {
+                let work = Work::Service(service_request(request, rest));
+                self.call(request, work).await
+            }
+        }
+    }
+
+    fn models(&self) -> AnswerReader {
+        let in_force = self.in_force.borrow();
+        let models = in_force
+            .document
+            .routes
+            .iter()
+            .filter(|route| route.kind == RouteKind::Model);
+        let data: Vec<_> = models
+            .map(
+                |route| json!({ "id": route.id, "object": "model", "created": 0, "owned_by": "burdockroad" }),
+            )
+            .collect();
+        json_answer(200, &json!({ "object": "list", "data": data }))
+    }
+
+    async fn create_program(&self, request: &EdgeRequest) -> Result<AnswerReader, Problem> {
+        let asked = NewProgramRequest::parse(&request.body)?;
+        let budget = asked.budget(&self.in_force.borrow().document.budget_defaults)?;
+        let Some(program_id) = request.new_program_id.clone() else {
+            return Err(Problem::new(ProblemKind::Internal, "the new program has no id"));
+        };
+        let new = NewProgram {
+            program_id: program_id.clone(),
+            account_id: request.caller.account_id.clone(),
+            parent_id: asked.parent,
+            budget,
+        };
+        self.ensure_program(new).await?;
+        let view = self
+            .runner
+            .programs
+            .get(request.caller.account_id.clone(), program_id)
+            .await?;
+        Ok(json_answer(201, &program_json::program(&view)))
+    }
+
+    async fn show_program(&self, request: &EdgeRequest, id: &ProgramId) -> Result<AnswerReader, Problem> {
+        let view = self
+            .runner
+            .programs
+            .get(request.caller.account_id.clone(), id.clone())
+            .await?;
+        Ok(json_answer(200, &program_json::program(&view)))
+    }
+
+    async fn end_program(&self, request: &EdgeRequest, id: &ProgramId) -> Result<AnswerReader, Problem> {
+        let account_id = request.caller.account_id.clone();
+        let ended = self.runner.programs.end(account_id.clone(), id.clone()).await?;
+        recorded(ended).await?;
+        let view = self.runner.programs.get(account_id, id.clone()).await?;
+        Ok(json_answer(200, &program_json::program(&view)))
+    }
+
+    async fn call(&self, request: &EdgeRequest, work: Work) -> Result<AnswerReader, Problem> {
+        let route = self.route(request, &work)?;
+        let mut plan = self.plan(request, route, work);
+        let call = &request.operation.call;
+        if let Some((program_id, number)) = call.position.clone() {
+            return self
+                .runner
+                .program_call(plan, ProgramPosition { program_id, number })
+                .await;
+        }
+        let Some(program_id) = request.new_program_id.clone() else {
+            return Ok(self.runner.single_call(plan));
+        };
+        plan.keeps_prefix = false;
+        self.ensure_program(self.keyed_program(request, program_id.clone()))
+            .await?;
+        self.runner
+            .program_call(
+                plan,
+                ProgramPosition {
+                    program_id,
+                    number: 1,
+                },
+            )
+            .await
+    }
+
+    /// The program of one call that an idempotency key stands for.
+    fn keyed_program(&self, request: &EdgeRequest, program_id: ProgramId) -> NewProgram {
+        let defaults = self.in_force.borrow().document.budget_defaults.clone();
+        let budget = Budget {
+            max_tokens: defaults.max_tokens,
+            max_calls: defaults.max_calls,
+            max_duration: IDEMPOTENCY_WINDOW,
+        };
+        NewProgram {
+            program_id,
+            account_id: request.caller.account_id.clone(),
+            parent_id: None,
+            budget,
+        }
+    }
+
+    /// Creates a program unless an earlier try of the same request has.
+    async fn ensure_program(&self, new: NewProgram) -> Result<(), Problem> {
+        let programs = &self.runner.programs;
+        if programs.contains(new.program_id.clone()).await {
+            programs.get(new.account_id, new.program_id).await?;
+            return Ok(());
+        }
+        match programs.create(new.clone()).await {
+            Ok(created) => recorded(created).await,
+            // Another try of the same request was quicker.
+            Err(Refusal::DifferentRequest) => {
+                programs.get(new.account_id, new.program_id).await?;
+                Ok(())
+            }
+            Err(refusal) => Err(refusal.into()),
+        }
+    }
+
+    fn route(&self, request: &EdgeRequest, work: &Work) -> Result<Route, Problem> {
+        let in_force = self.in_force.borrow();
+        let wanted = match (work, &request.operation.target) {
+            (Work::Completion(completion), _) => (completion.model.as_str(), RouteKind::Model),
+            (Work::Service(_), Target::Service { route_id, .. }) => (route_id.as_str(), RouteKind::Service),
+            (Work::Service(_), _) => return Err(unknown_route("")),
+        };
+        find_route(&in_force.document, wanted.0, wanted.1).cloned()
+    }
+
+    fn plan(&self, request: &EdgeRequest, route: Route, work: Work) -> Plan {
+        let in_force = self.in_force.borrow();
+        let pool_ids = preferred_pools(&in_force.document, &route, request.partition_seed());
+        Plan {
+            caller: request.caller.clone(),
+            idempotent: route.idempotent || route.kind == RouteKind::Model,
+            route_id: route.id,
+            pool_ids,
+            digest: digest(&request.method, &request.target, &request.body),
+            keeps_prefix: true,
+            work,
+            deadline: request.deadline,
+            traceparent: request.headers.get("traceparent").cloned(),
+        }
+    }
+}
+
+impl EdgeRequest {
+    /// Number that is the same for all calls of one program, and random from program to program.
+    fn partition_seed(&self) -> u64 {
+        let position = self.operation.call.position.as_ref().map(|(id, _)| id);
+        match position.or(self.new_program_id.as_ref()) {
+            Some(id) => xxhash_rust::xxh3::xxh3_64(id.as_bytes()),
+            None => rand::random(),
+        }
+    }
+}
+
+/// The route of a name and kind.
+///
+/// # Errors
+///
+/// Fails when the document has none.
+pub(crate) fn find_route<'a>(
+    document: &'a Document,
+    id: &str,
+    kind: RouteKind,
+) -> Result<&'a Route, Problem> {
+    let found = document
+        .routes
+        .iter()
+        .find(|route| route.id == id && route.kind == kind);
+    found.ok_or_else(|| unknown_route(id))
+}
+
+fn unknown_route(id: &str) -> Problem {
+    Problem::new(
+        ProblemKind::UnknownRoute,
+        format!("there is no route or model {id:?}"),
+    )
+}
+
+/// Pools of a route, those of one site first; the site is drawn by the sites' weights.
+///
+/// The draw depends on the program alone, so a program's calls stay at one site while the weights
+/// stay as they are, and a share of the programs moves when they change.
+fn preferred_pools(document: &Document, route: &Route, seed: u64) -> Vec<String> {
+    let site = draw_site(document, route, seed);
+    let mut pools = route.endpoint_sets.clone();
+    pools.sort_by_key(|pool| site_of(document, pool) != site);
+    pools
+}
+
+fn draw_site<'a>(document: &'a Document, route: &Route, seed: u64) -> Option<&'a str> {
+    let serves = |site: &str| {
+        route
+            .endpoint_sets
+            .iter()
+            .any(|pool| site_of(document, pool) == Some(site))
+    };
+    let sites: Vec<_> = document.sites.iter().filter(|site| serves(&site.id)).collect();
+    let total: u64 = sites.iter().map(|site| u64::from(site.weight)).sum();
+    if total == 0 {
+        return sites.first().map(|site| site.id.as_str());
+    }
+    let mut drawn = seed % total;
+    for site in sites {
+        let weight = u64::from(site.weight);
+        if drawn < weight {
+            return Some(&site.id);
+        }
+        drawn -= weight;
+    }
+    None
+}
+
+fn site_of<'a>(document: &'a Document, pool: &str) -> Option<&'a str> {
+    let set = document.endpoint_sets.iter().find(|set| set.id == pool)?;
+    Some(&set.site)
+}
+
+fn service_request(request: &EdgeRequest, rest: &str) -> ServiceRequest {
+    ServiceRequest {
+        method: request.method.clone(),
+        target: rest.to_owned(),
+        headers: service_headers(&request.headers),
+        body: request.body.clone(),
+    }
+}
+
+fn json_answer(status: u16, body: &serde_json::Value) -> AnswerReader {
+    AnswerLog::whole(
+        Head::new(status, JSON_CONTENT_TYPE),
+        Bytes::from(body.to_string()),
+    )
+    .reader()
+}
--- a/crates/burdockroad-daemon/src/endpoint.rs
+++ b/crates/burdockroad-daemon/src/endpoint.rs
@@ -106,7 +106,10 @@
             whole.extend_from_slice(&part);
             if whole.len() > max_bytes {
                 let reason = format!("the answer is larger than {max_bytes} bytes");
-                return Err(SendError { reason, ran: Ran::Yes });
+                return Err(SendError {
+                    reason,
+                    ran: Ran::Yes,
+                });
             }
         }
         Ok(Bytes::from(whole))
@@ -129,7 +132,10 @@
 impl HttpEndpoints {
     /// Makes a client without connections.
     pub fn new() -> Self {
-        Self { pooled: client(usize::MAX), fresh: client(0) }
+        Self {
+            pooled: client(usize::MAX),
+            fresh: client(0),
+        }
     }
 }
 
@@ -161,12 +167,26 @@
             .method(request.method)
             .uri(uri)
             .body(Full::new(request.body))
-            .map_err(|error| SendError { reason: error.to_string(), ran: Ran::No })?;
+            .map_err(|error| SendError {
+                reason: error.to_string(),
+                ran: Ran::No,
+            })?;
         *outgoing.headers_mut() = request.headers;
-        let client = if request.fresh_connection { &self.fresh } else { &self.pooled };
-        let response = client.request(outgoing).await.map_err(|error| not_answered(&error))?;
+        let client = if request.fresh_connection {
+            &self.fresh
+        } else {
+            &self.pooled
+        };
+        let response = client
+            .request(outgoing)
+            .await
+            .map_err(|error| not_answered(&error))?;
         let (head, body) = Response::into_parts(response);
-        Ok(EndpointAnswer { status: head.status.as_u16(), headers: head.headers, body })
+        Ok(EndpointAnswer {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body,
+        })
     }
 }
 
@@ -174,11 +194,17 @@
     // Only a connection that never stood proves that no byte left. A pooled connection that was
     // closed proves nothing: bytes may have been written before the close was seen.
     let ran = if error.is_connect() { Ran::No } else { Ran::Unknown };
-    SendError { reason: with_causes(error), ran }
+    SendError {
+        reason: with_causes(error),
+        ran,
+    }
 }
 
 fn cut_short(error: &hyper::Error) -> SendError {
-    SendError { reason: with_causes(error), ran: Ran::Unknown }
+    SendError {
+        reason: with_causes(error),
+        ran: Ran::Unknown,
+    }
 }
 
 fn with_causes(error: &dyn std::error::Error) -> String {
--- a/crates/burdockroad-daemon/src/http.rs
+++ b/crates/burdockroad-daemon/src/http.rs
@@ -5,6 +5,6 @@
 mod server;
 
 pub use self::{
-    operation::{CallHeaders, NewProgramRequest, Operation, Target},
+    operation::{BudgetRequest, CallHeaders, NewProgramRequest, Operation, Target, digest},
     server::{CallerServer, CallerServerParts},
 };
--- a/crates/burdockroad-daemon/src/http/operation.rs
+++ b/crates/burdockroad-daemon/src/http/operation.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use burdockroad::{CallNumber, ProgramId, RouteId, program::Budget};
+use burdockroad::{CallNumber, ProgramId, RouteId, config::BudgetDefaults, program::Budget};
 use http::{HeaderMap, Method};
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
@@ -18,6 +18,9 @@
 /// Header that makes a repeated call outside a program known as such.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
+/// Longest time that a budget may give a program. State of programs without end would never go away.
+const DURATION_MAX: Duration = Duration::from_hours(30 * 24);
+
 /// Longest idempotency key, in bytes.
 const IDEMPOTENCY_KEY_MAX_BYTES: usize = 255;
 
@@ -87,7 +90,10 @@
             "/v1/chat/completions" => only(method, &Method::POST, Self::Completion),
             "/v1/models" => only(method, &Method::GET, Self::Models),
             "/v1/programs" => only(method, &Method::POST, Self::CreateProgram),
-            _ => Err(Problem::new(ProblemKind::UnknownRoute, "there is nothing at this path")),
+            _ => Err(Problem::new(
+                ProblemKind::UnknownRoute,
+                "there is nothing at this path",
+            )),
         }
     }
 
@@ -97,8 +103,15 @@
         if route_id.is_empty() {
             return Err(Problem::new(ProblemKind::UnknownRoute, "the path names no route"));
         }
-        let rest = if below.starts_with('/') { below.to_owned() } else { format!("/{below}") };
-        Ok(Self::Service { route_id: route_id.to_owned(), rest })
+        let rest = if below.starts_with('/') {
+            below.to_owned()
+        } else {
+            format!("/{below}")
+        };
+        Ok(Self::Service {
+            route_id: route_id.to_owned(),
+            rest,
+        })
     }
 
     fn parse_program(method: &Method, id: &str) -> Result<Self, Problem> {
@@ -111,20 +124,30 @@
 }
 
 fn only(method: &Method, allowed: &Method, target: Target) -> Result<Target, Problem> {
-    if method == allowed { Ok(target) } else { Err(method_not_allowed(allowed.as_str())) }
+    if method == allowed {
+        Ok(target)
+    } else {
+        Err(method_not_allowed(allowed.as_str()))
+    }
 }
 
 fn method_not_allowed(allowed: &str) -> Problem {
-    Problem::new(ProblemKind::MethodNotAllowed, format!("this path takes {allowed}"))
+    Problem::new(
+        ProblemKind::MethodNotAllowed,
+        format!("this path takes {allowed}"),
+    )
 }
 
 impl CallHeaders {
     fn parse(headers: &HeaderMap) -> Result<Self, Problem> {
         let program_id = text(headers, PROGRAM_ID_HEADER)?;
-        let number = text(headers, CALL_NUMBER_HEADER)?.map(|digits| parse_number(&digits)).transpose()?;
+        let number = text(headers, CALL_NUMBER_HEADER)?
+            .map(|digits| parse_number(&digits))
+            .transpose()?;
         let idempotency_key = text(headers, IDEMPOTENCY_KEY_HEADER)?;
-        let too_long =
-            idempotency_key.as_ref().is_some_and(|key| key.is_empty() || key.len() > IDEMPOTENCY_KEY_MAX_BYTES);
+        let too_long = idempotency_key
+            .as_ref()
+            .is_some_and(|key| key.is_empty() || key.len() > IDEMPOTENCY_KEY_MAX_BYTES);
         if too_long {
             return Err(invalid_header(IDEMPOTENCY_KEY_HEADER, "must hold 1 to 255 bytes"));
         }
@@ -134,7 +157,10 @@
             (Some(_), None) => return Err(invalid_header(CALL_NUMBER_HEADER, "must come with Program-Id")),
             (None, Some(_)) => return Err(invalid_header(PROGRAM_ID_HEADER, "must come with Call-Number")),
         };
-        Ok(Self { position, idempotency_key })
+        Ok(Self {
+            position,
+            idempotency_key,
+        })
     }
 }
 
@@ -155,7 +181,10 @@
 fn parse_number(digits: &str) -> Result<CallNumber, Problem> {
     match digits.parse() {
         Ok(number) if number >= 1 => Ok(number),
-        Ok(_) | Err(_) => Err(invalid_header(CALL_NUMBER_HEADER, "must be a whole number from 1")),
+        Ok(_) | Err(_) => Err(invalid_header(
+            CALL_NUMBER_HEADER,
+            "must be a whole number from 1",
+        )),
     }
 }
 
@@ -164,8 +193,7 @@
 }
 
 /// Body of `POST /v1/programs`.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct NewProgramRequest {
     /// Budget of a new root.
@@ -175,8 +203,7 @@
 }
 
 /// A budget; what it leaves out is taken from the document.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct BudgetRequest {
     /// Tokens that engines may generate.
@@ -198,7 +225,10 @@
             return Ok(Self::default());
         }
         let request: Self = serde_json::from_slice(body).map_err(|error| {
-            Problem::new(ProblemKind::InvalidRequest, format!("the body does not describe a program: {error}"))
+            Problem::new(
+                ProblemKind::InvalidRequest,
+                format!("the body does not describe a program: {error}"),
+            )
         })?;
         if request.parent.is_some() && request.budget.is_some() {
             let detail = "a sub-agent shares its parent's budget and has none of its own";
@@ -207,17 +237,31 @@
         Ok(request)
     }
 
-    /// The budget, filled up from the defaults and cut to them.
+    /// The budget, filled up from the defaults.
     ///
-    /// The defaults are upper limits too: time without end would keep a program's state for ever.
-    pub fn budget(&self, defaults: &burdockroad::config::BudgetDefaults) -> Budget {
+    /// # Errors
+    ///
+    /// Refuses a duration of more than thirty days, and a budget of nothing.
+    pub fn budget(&self, defaults: &BudgetDefaults) -> Result<Budget, Problem> {
         let asked = self.budget.clone().unwrap_or_default();
-        let max_duration_s = asked.max_duration_s.unwrap_or(defaults.max_duration_s);
-        Budget {
-            max_tokens: asked.max_tokens.unwrap_or(defaults.max_tokens).min(defaults.max_tokens),
-            max_calls: asked.max_calls.unwrap_or(defaults.max_calls).min(defaults.max_calls),
-            max_duration: Duration::from_secs(max_duration_s.min(defaults.max_duration_s)),
+        let budget = Budget {
+            max_tokens: asked.max_tokens.unwrap_or(defaults.max_tokens),
+            max_calls: asked.max_calls.unwrap_or(defaults.max_calls),
+            max_duration: Duration::from_secs(asked.max_duration_s.unwrap_or(defaults.max_duration_s)),
+        };
+        if budget.max_duration > DURATION_MAX {
+            return Err(Problem::new(
+                ProblemKind::InvalidRequest,
+                "max_duration_s must be at most 2592000",
+            ));
+        }
+        if budget.max_calls == 0 || budget.max_duration.is_zero() {
+            return Err(Problem::new(
+                ProblemKind::InvalidRequest,
+                "a budget must allow a call and some time",
+            ));
         }
+        Ok(budget)
     }
 }
 
--- /dev/null
+++ b/crates/burdockroad-daemon/src/http/server.rs
@@ -0,0 +1,251 @@
+//! The HTTP server that callers reach.
+
+use std::{convert::Infallible, io, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt, stream};
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{
+    body::{Frame as BodyFrame, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+};
+
+use crate::{
+    answer::{Frame, Head},
+    calls::{Caller, EVENT_STREAM_CONTENT_TYPE},
+    config_watch::InForceReceiver,
+    edge::{Edge, Frames},
+    http::intake::{self, IntakeLimits},
+    problem::{PROBLEM_CONTENT_TYPE, Problem, ProblemKind, Ran},
+    settings::LimitSettings,
+};
+
+/// Body of a response to a caller.
+type ResponseBody = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Time after which a caller should ask another host.
+const STOPPING_RETRY: Duration = Duration::from_secs(1);
+
+/// What the server works with.
+#[derive(Clone, Debug)]
+pub struct CallerServerParts {
+    /// Serves requests.
+    pub edge: Edge,
+    /// The document in force.
+    pub in_force: InForceReceiver,
+    /// Limits towards callers.
+    pub limits: LimitSettings,
+}
+
+/// The server that callers reach.
+#[derive(Debug)]
+pub struct CallerServer {
+    stop: watch::Sender<bool>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl CallerServer {
+    /// Starts to serve a listener.
+    pub fn start(listener: TcpListener, parts: CallerServerParts) -> Self {
+        let (stop, stopped) = watch::channel(false);
+        let task = tokio::spawn(accept(listener, parts, stopped));
+        Self { stop, task }
+    }
+
+    /// Takes no further request, and waits for the answers under way up to a time limit.
+    pub async fn close(self, patience: Duration) {
+        self.stop.send_replace(true);
+        if tokio::time::timeout(patience, self.task).await.is_err() {
+            log::warn!("event=shutdown_cut_short waited_ms={}", patience.as_millis());
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, parts: CallerServerParts, mut stopped: watch::Receiver<bool>) {
+    let free = Arc::new(Semaphore::new(parts.limits.connections_max));
+    let graceful = GracefulShutdown::new();
+    let parts = Arc::new(parts);
+    loop {
+        let permit = tokio::select! {
+            permit = Arc::clone(&free).acquire_owned() => permit,
+            _ = stopped.wait_for(|stopped| *stopped) => break,
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stopped| *stopped) => break,
+        };
+        match accepted {
+            Ok((socket, _)) => {
+                let connection = connection(socket, Arc::clone(&parts), stopped.clone());
+                let watched = graceful.watch(connection);
+                tokio::spawn(async move {
+                    if let Err(error) = watched.await {
+                        log::debug!("event=connection_ended reason=\"{error}\"");
+                    }
+                    drop(permit);
+                });
+            }
+            // Accepting fails for a while when the process is out of descriptors.
+            Err(error) => {
+                log::warn!("event=accept_failed reason=\"{error}\"");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn connection(
+    socket: TcpStream,
+    parts: Arc<CallerServerParts>,
+    stopped: watch::Receiver<bool>,
+) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> {
+    if let Err(error) = socket.set_nodelay(true) {
+        log::debug!("event=nodelay_failed reason=\"{error}\"");
+    }
+    let limits = parts.limits.clone();
+    let service = service_fn(move |request| {
+        let parts = Arc::clone(&parts);
+        let stopping = *stopped.borrow();
+        async move { Ok::<_, Infallible>(respond(request, &parts, stopping).await) }
+    });
+    http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_secs(limits.head_timeout_s))
+        .max_buf_size(limits.head_max_bytes.max(8 * 1024))
+        .serve_connection(TokioIo::new(socket), service)
+}
+
+async fn respond(
+    request: Request<Incoming>,
+    parts: &CallerServerParts,
+    stopping: bool,
+) -> Response<ResponseBody> {
+    if stopping {
+        let problem = Problem::new(ProblemKind::Stopping, "this host is stopping; ask again");
+        return problem_response(&problem.retry_after(STOPPING_RETRY));
+    }
+    match serve(request, parts).await {
+        Ok((caller, frames)) => answer_response(parts, caller, frames).await,
+        Err(problem) => problem_response(&problem),
+    }
+}
+
+async fn serve(request: Request<Incoming>, parts: &CallerServerParts) -> Result<(Caller, Frames), Problem> {
+    let in_force = Arc::clone(&parts.in_force.borrow());
+    let limits = IntakeLimits {
+        body_max_bytes: parts.limits.body_max_bytes,
+        body_timeout: Duration::from_secs(parts.limits.body_timeout_s),
+        call_timeout: Duration::from_secs(parts.limits.call_timeout_s),
+    };
+    let request = intake::read(request, &in_force, limits).await?;
+    let caller = request.caller.clone();
+    let frames = parts.edge.serve(request).await?;
+    Ok((caller, frames))
+}
+
+async fn answer_response(
+    parts: &CallerServerParts,
+    caller: Caller,
+    frames: Frames,
+) -> Response<ResponseBody> {
+    let mut frames = cut_when_withdrawn(frames, caller, parts.in_force.clone()).boxed();
+    let head = match frames.next().await {
+        Some(Frame::Head(head)) => head,
+        Some(Frame::Cut(problem)) => return problem_response(&problem),
+        Some(Frame::Data(_) | Frame::End) | None => {
+            let problem = Problem::new(ProblemKind::Internal, "the answer has no head");
+            return problem_response(&problem.ran(Ran::Unknown));
+        }
+    };
+    let body = StreamBody::new(body_frames(frames, is_event_stream(&head)));
+    response(head, BodyExt::boxed_unsync(body))
+}
+
+/// Cuts an answer off as soon as the key that it was asked for with no longer works.
+fn cut_when_withdrawn(
+    frames: Frames,
+    caller: Caller,
+    in_force: InForceReceiver,
+) -> impl Stream<Item = Frame> + Send {
+    let withdrawn = stream::once(async move {
+        crate::calls::key_withdrawn(&in_force, &caller).await;
+        let problem = Problem::new(ProblemKind::InvalidKey, "the key was withdrawn");
+        Frame::Cut(problem.ran(Ran::Unknown))
+    });
+    let end = stream::once(async { None });
+    let frames = frames.map(Some).chain(end);
+    let mut ended = false;
+    stream::select(frames, withdrawn.map(Some))
+        .take_while(move |frame| {
+            let go_on = !ended && frame.is_some();
+            ended = ended || matches!(frame, Some(Frame::Cut(_) | Frame::End) | None);
+            std::future::ready(go_on)
+        })
+        .filter_map(std::future::ready)
+}
+
+/// The body of an answer; one that was cut short ends with an error, never as if it were whole.
+fn body_frames(
+    frames: impl Stream<Item = Frame> + Send + 'static,
+    is_event_stream: bool,
+) -> impl Stream<Item = Result<BodyFrame<Bytes>, io::Error>> + Send {
+    frames.flat_map(move |frame| {
+        let parts = match frame {
+            Frame::Data(data) => vec![Ok(BodyFrame::data(data))],
+            Frame::Head(_) | Frame::End => Vec::new(),
+            Frame::Cut(problem) => cut(&problem, is_event_stream),
+        };
+        stream::iter(parts)
+    })
+}
+
+fn cut(problem: &Problem, is_event_stream: bool) -> Vec<Result<BodyFrame<Bytes>, io::Error>> {
+    let broken = Err(io::Error::other(problem.detail.clone()));
+    if !is_event_stream {
+        return vec![broken];
+    }
+    let mut text = b"data: ".to_vec();
+    text.extend_from_slice(&problem.to_json());
+    text.extend_from_slice(b"\n\n");
+    vec![Ok(BodyFrame::data(Bytes::from(text))), broken]
+}
+
+fn is_event_stream(head: &Head) -> bool {
+    let content_type = head
+        .headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    content_type.is_some_and(|value| value.starts_with(EVENT_STREAM_CONTENT_TYPE))
+}
+
+fn problem_response(problem: &Problem) -> Response<ResponseBody> {
+    let mut head = Head::new(problem.kind.status(), PROBLEM_CONTENT_TYPE);
+    if let Some(after_s) = problem.retry_after_s() {
+        head.headers.insert(header::RETRY_AFTER, after_s.into());
+    }
+    if problem.kind == ProblemKind::InvalidKey {
+        head.headers
+            .insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    }
+    let body = Full::new(problem.to_json()).map_err(|never| match never {});
+    response(head, BodyExt::boxed_unsync(body))
+}
+
+fn response(head: Head, body: ResponseBody) -> Response<ResponseBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = http::StatusCode::from_u16(head.status).unwrap_or(http::StatusCode::BAD_GATEWAY);
+    *response.headers_mut() = head.headers;
+    response
+}
--- a/crates/burdockroad-daemon/src/lib.rs
+++ b/crates/burdockroad-daemon/src/lib.rs
@@ -6,10 +6,19 @@
 //! (slots at endpoints) and [`peer`] (the other daemons). [`settings`] holds what a process is told
 //! when it starts.
 
+pub mod answer;
+pub mod calls;
+pub mod config_watch;
 pub mod dispatch;
+pub mod edge;
+pub mod endpoint;
+pub mod http;
 pub mod journal;
+pub mod memory;
 pub mod ownership;
 pub mod peer;
 pub mod platform;
+pub mod problem;
+pub mod programs;
 pub mod quota;
 pub mod settings;
--- a/crates/burdockroad-daemon/src/problem.rs
+++ b/crates/burdockroad-daemon/src/problem.rs
@@ -32,8 +32,7 @@
 }
 
 /// Whether a request ran at an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ran {
     /// It certainly did not.
@@ -71,6 +70,8 @@
     DifferentRequest,
     /// The budget does not allow the call.
     OverBudget,
+    /// The program's history has no room for the call.
+    HistoryFull,
     /// The account is over its rate.
     OverRate,
     /// No endpoint is free in time.
@@ -118,6 +119,7 @@
             Self::WrongCallNumber => ("wrong-call-number", 409),
             Self::DifferentRequest => ("different-request", 409),
             Self::OverBudget => ("over-budget", 402),
+            Self::HistoryFull => ("history-full", 413),
             Self::OverRate => ("over-rate", 429),
             Self::Overloaded => ("overloaded", 503),
             Self::Moving => ("moving", 503),
@@ -135,7 +137,12 @@
 impl Problem {
     /// Makes a problem of a request that did not run and that a later try does not help.
     pub fn new(kind: ProblemKind, detail: impl Into<String>) -> Self {
-        Self { kind, detail: detail.into(), ran: Ran::No, retry_after: None }
+        Self {
+            kind,
+            detail: detail.into(),
+            ran: Ran::No,
+            retry_after: None,
+        }
     }
 
     /// Says whether the request ran.
@@ -147,12 +154,22 @@
     /// Says when a later try may succeed.
     #[must_use]
     pub fn retry_after(self, retry_after: Duration) -> Self {
-        Self { retry_after: Some(retry_after), ..self }
+        Self {
+            retry_after: Some(retry_after),
+            ..self
+        }
     }
 
     /// Whole seconds for the `Retry-After` header, rounded up.
     pub fn retry_after_s(&self) -> Option<u64> {
-        self.retry_after.map(|after| after.as_millis().div_ceil(1_000).max(1).try_into().unwrap_or(u64::MAX))
+        self.retry_after.map(|after| {
+            after
+                .as_millis()
+                .div_ceil(1_000)
+                .max(1)
+                .try_into()
+                .unwrap_or(u64::MAX)
+        })
     }
 
     /// The problem as JSON, with the `error` object that clients of the OpenAI format show.
@@ -183,11 +200,18 @@
             Refusal::OutcomeUnknown { .. } => {
                 Self::new(ProblemKind::OutcomeUnknown, detail).ran(Ran::Unknown)
             }
-            Refusal::OverBudget { retry_after, shortage } => {
+            Refusal::HistoryFull { .. } => Self::new(ProblemKind::HistoryFull, detail),
+            Refusal::OverBudget {
+                retry_after,
+                shortage,
+            } => {
                 let kind = match shortage {
                     Shortage::Tokens | Shortage::Calls | Shortage::Duration => ProblemKind::OverBudget,
                 };
-                Self { retry_after, ..Self::new(kind, detail) }
+                Self {
+                    retry_after,
+                    ..Self::new(kind, detail)
+                }
             }
         }
     }
@@ -198,7 +222,10 @@
         let (kind, detail) = if refusal.over_rate {
             (ProblemKind::OverRate, "the account is over its rate")
         } else {
-            (ProblemKind::Overloaded, "the account's rate cannot be checked now")
+            (
+                ProblemKind::Overloaded,
+                "the account's rate cannot be checked now",
+            )
         };
         Self::new(kind, detail).retry_after(refusal.retry_after)
     }
@@ -213,11 +240,15 @@
 impl From<JournalError> for Problem {
     fn from(error: JournalError) -> Self {
         match error {
-            JournalError::Fenced => {
-                Self::new(ProblemKind::Moving, "the program has moved to another host").retry_after(MOVING_RETRY)
-            }
+            JournalError::Fenced => Self::new(ProblemKind::Moving, "the program has moved to another host")
+                .retry_after(MOVING_RETRY),
+            JournalError::TooLarge => Self::new(
+                ProblemKind::BodyTooLarge,
+                "the call is larger than a record of it may be",
+            ),
             JournalError::Unavailable { retry_after } => {
-                Self::new(ProblemKind::NotRecordable, "the call cannot be recorded now").retry_after(retry_after)
+                Self::new(ProblemKind::NotRecordable, "the call cannot be recorded now")
+                    .retry_after(retry_after)
             }
         }
     }
--- a/crates/burdockroad-daemon/src/programs.rs
+++ b/crates/burdockroad-daemon/src/programs.rs
@@ -15,8 +15,8 @@
 use burdockroad::{
     AccountId, PartitionId, ProgramId, Record,
     program::{
-        Answer, CallRequest, Hold, NewProgram, Outcome, Placement, Programs, ProgramsOptions, Refusal, Sending,
-        Tree, Usage,
+        Answer, CallRequest, Hold, NewProgram, Outcome, Placement, Programs, ProgramsOptions, Refusal,
+        Sending, Tree, Usage,
     },
 };
 use ractor::{Actor, ActorRef, RpcReplyPort, SpawnErr, rpc::CallResult};
@@ -88,7 +88,11 @@
     /// Take a call again for another attempt, with the answer that was begun.
     Reopen(CallRequest, Arc<AnswerLog>, RpcReplyPort<Option<RunningCall>>),
     /// Record where a call is sent.
-    Send(ProgramId, Placement, RpcReplyPort<Result<(Sending, Appended), Refusal>>),
+    Send(
+        ProgramId,
+        Placement,
+        RpcReplyPort<Result<(Sending, Appended), Refusal>>,
+    ),
     /// Record how a call ended.
     Settle(Settlement, RpcReplyPort<Option<Appended>>),
     /// Close a call that was not sent.
@@ -154,7 +158,10 @@
     ///
     /// Fails when the actor cannot be started.
     pub async fn start(parts: ProgramsParts) -> Result<Self, SpawnErr> {
-        let arguments = ProgramsArguments { table: Programs::new(parts.options), parts };
+        let arguments = ProgramsArguments {
+            table: Programs::new(parts.options),
+            parts,
+        };
         let (actor, _) = Actor::spawn(None, ProgramsActor, arguments).await?;
         Ok(Self { actor })
     }
@@ -170,7 +177,9 @@
     ///
     /// As [`Programs::create`].
     pub async fn create(&self, new: NewProgram) -> Result<Appended, Refusal> {
-        self.ask(|port| ProgramsMessage::Create(new, port)).await.unwrap_or(Err(Refusal::NotOwner))
+        self.ask(|port| ProgramsMessage::Create(new, port))
+            .await
+            .unwrap_or(Err(Refusal::NotOwner))
     }
 
     /// Shows a program.
@@ -179,13 +188,17 @@
     ///
     /// As [`Programs::get`].
     pub async fn get(&self, account_id: AccountId, program_id: ProgramId) -> Result<ProgramView, Refusal> {
-        let asked = self.ask(|port| ProgramsMessage::Get(account_id, program_id, port)).await;
+        let asked = self
+            .ask(|port| ProgramsMessage::Get(account_id, program_id, port))
+            .await;
         asked.unwrap_or(Err(Refusal::NotOwner))
     }
 
     /// Whether a program exists here, whoever's it is.
     pub async fn contains(&self, program_id: ProgramId) -> bool {
-        self.ask(|port| ProgramsMessage::Contains(program_id, port)).await.unwrap_or(true)
+        self.ask(|port| ProgramsMessage::Contains(program_id, port))
+            .await
+            .unwrap_or(true)
     }
 
     /// Takes a call, or tells what became of an earlier try of it.
@@ -194,12 +207,16 @@
     ///
     /// As [`Programs::begin`].
     pub async fn begin(&self, request: CallRequest) -> Result<Taken, Refusal> {
-        self.ask(|port| ProgramsMessage::Begin(request, port)).await.unwrap_or(Err(Refusal::NotOwner))
+        self.ask(|port| ProgramsMessage::Begin(request, port))
+            .await
+            .unwrap_or(Err(Refusal::NotOwner))
     }
 
     /// Takes a call again for another attempt; none when its program no longer takes it.
     pub async fn reopen(&self, request: CallRequest, log: Arc<AnswerLog>) -> Option<RunningCall> {
-        self.ask(|port| ProgramsMessage::Reopen(request, log, port)).await.flatten()
+        self.ask(|port| ProgramsMessage::Reopen(request, log, port))
+            .await
+            .flatten()
     }
 
     /// Records where a call is to be sent.
@@ -212,13 +229,17 @@
         program_id: ProgramId,
         placement: Placement,
     ) -> Result<(Sending, Appended), Refusal> {
-        let asked = self.ask(|port| ProgramsMessage::Send(program_id, placement, port)).await;
+        let asked = self
+            .ask(|port| ProgramsMessage::Send(program_id, placement, port))
+            .await;
         asked.unwrap_or(Err(Refusal::NotOwner))
     }
 
     /// Records how a call ended; none when this host has lost the call meanwhile.
     pub async fn settle(&self, settlement: Settlement) -> Option<Appended> {
-        self.ask(|port| ProgramsMessage::Settle(settlement, port)).await.flatten()
+        self.ask(|port| ProgramsMessage::Settle(settlement, port))
+            .await
+            .flatten()
     }
 
     /// Closes a call that was not sent.
@@ -232,7 +253,9 @@
     ///
     /// As [`Programs::end`].
     pub async fn end(&self, account_id: AccountId, program_id: ProgramId) -> Result<Appended, Refusal> {
-        let asked = self.ask(|port| ProgramsMessage::End(account_id, program_id, port)).await;
+        let asked = self
+            .ask(|port| ProgramsMessage::End(account_id, program_id, port))
+            .await;
         asked.unwrap_or(Err(Refusal::NotOwner))
     }
 
@@ -280,7 +303,10 @@
         let latest = Instant::now() + patience;
         loop {
             let asked = partitions.clone();
-            let exported = self.ask(|port| ProgramsMessage::Export(asked, port)).await.flatten();
+            let exported = self
+                .ask(|port| ProgramsMessage::Export(asked, port))
+                .await
+                .flatten();
             if exported.is_some() {
                 return exported;
             }
--- a/crates/burdockroad-daemon/src/programs/actor.rs
+++ b/crates/burdockroad-daemon/src/programs/actor.rs
@@ -3,12 +3,13 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use burdockroad::{
-    ProgramId, Record,
+    AccountId, PartitionId, ProgramId, Record,
     program::{
-        Action, Begun, CallRequest, Cancelled, Hold, NewProgram, Outcome, Placement, Programs, Refusal, Sending,
+        Action, Begun, CallRequest, Cancelled, Hold, NewProgram, Outcome, Placement, Programs, Refusal,
+        Sending, Tree,
     },
 };
-use ractor::{Actor, ActorProcessingErr, ActorRef};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::sync::watch;
 
 use crate::{
@@ -59,10 +60,14 @@
     async fn pre_start(
         &self,
         _myself: ActorRef<Self::Msg>,
-        arguments: Self::Arguments,
+        args: Self::Arguments,
     ) -> Result<Self::State, ActorProcessingErr> {
-        let ProgramsArguments { table, parts } = arguments;
-        Ok(ProgramsState { table, parts, running: HashMap::new() })
+        let ProgramsArguments { table, parts } = args;
+        Ok(ProgramsState {
+            table,
+            parts,
+            running: HashMap::new(),
+        })
     }
 
     async fn handle(
@@ -71,80 +76,109 @@
         message: Self::Msg,
         state: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
-        // A reply that nobody waits for any more is dropped: the change stands all the same.
-        let replied = match message {
-            ProgramsMessage::Create(new, port) => port.send(state.create(new)).is_ok(),
+        state.handle(&myself, message);
+        Ok(())
+    }
+}
+
+impl ProgramsState {
+    fn handle(&mut self, myself: &ActorRef<ProgramsMessage>, message: ProgramsMessage) {
+        match message {
+            ProgramsMessage::Create(new, port) => reply(port, self.create(new)),
             ProgramsMessage::Get(account_id, program_id, port) => {
-                let found = state.table.get(&account_id, &program_id);
-                port.send(found.map(|(tree, _)| ProgramView { tree: tree.clone(), program_id: program_id.clone() }))
-                    .is_ok()
+                reply(port, self.get(&account_id, &program_id));
             }
-            ProgramsMessage::Contains(program_id, port) => {
-                port.send(state.table.contains(&program_id)).is_ok()
-            }
-            ProgramsMessage::Begin(request, port) => port.send(state.begin(request)).is_ok(),
-            ProgramsMessage::Reopen(request, log, port) => port.send(state.reopen(request, log)).is_ok(),
+            ProgramsMessage::Contains(program_id, port) => reply(port, self.table.contains(&program_id)),
+            ProgramsMessage::Begin(request, port) => reply(port, self.begin(request)),
+            ProgramsMessage::Reopen(request, log, port) => reply(port, self.reopen(request, log)),
             ProgramsMessage::Send(program_id, placement, port) => {
-                port.send(state.send(&program_id, placement)).is_ok()
+                reply(port, self.send(&program_id, placement));
             }
-            ProgramsMessage::Settle(settlement, port) => port.send(state.settle(settlement)).is_ok(),
+            ProgramsMessage::Settle(settlement, port) => reply(port, self.settle(settlement)),
+            ProgramsMessage::Withdraw(program_id) => self.withdraw(&program_id),
             ProgramsMessage::End(account_id, program_id, port) => {
-                let ended = state.table.end(&account_id, &program_id, ENDED_BY_CALLER, now());
-                port.send(ended.map(|actions| state.perform(&myself, actions))).is_ok()
+                reply(port, self.end(myself, &account_id, &program_id));
             }
+            ProgramsMessage::Released(hold) => self.released(&hold),
+            ProgramsMessage::Tick => self.tick(myself),
+            ProgramsMessage::OpenCalls(port) => reply(port, self.table.open_calls()),
+            ProgramsMessage::List(port) => reply(port, self.table.trees().cloned().collect()),
+            moved => self.handle_move(moved),
+        }
+    }
+
+    /// Handles what concerns trees on the move between hosts or journal segments.
+    fn handle_move(&mut self, message: ProgramsMessage) {
+        match message {
             ProgramsMessage::Adopt(trees, port) => {
-                let records = state.table.adopt(trees, now());
-                port.send(state.append_later(records)).is_ok()
+                let records = self.table.adopt(trees, now());
+                self.append_later(records);
+                reply(port, ());
             }
-            ProgramsMessage::Freeze(partitions, port) => port.send(state.table.freeze(&partitions)).is_ok(),
-            ProgramsMessage::Export(partitions, port) => {
-                let idle = !state.table.has_open(&partitions);
-                port.send(if idle { Some(state.table.export(&partitions)) } else { None }).is_ok()
+            ProgramsMessage::Freeze(partitions, port) => {
+                self.table.freeze(&partitions);
+                reply(port, ());
             }
+            ProgramsMessage::Export(partitions, port) => reply(port, self.export(&partitions)),
+            ProgramsMessage::Thaw(partitions) => self.table.thaw(&partitions),
             ProgramsMessage::Forget(partitions, port) => {
-                let records = state.table.forget(&partitions);
-                port.send(state.append_later(records)).is_ok()
+                let records = self.table.forget(&partitions);
+                self.append_later(records);
+                reply(port, ());
             }
-            ProgramsMessage::Clear(port) => port.send(state.clear()).is_ok(),
-            ProgramsMessage::Snapshot(root_ids, port) => {
-                let records = state.table.snapshots(&root_ids);
-                port.send(state.append_later(records)).is_ok()
+            ProgramsMessage::Clear(port) => {
+                self.clear();
+                reply(port, ());
             }
-            ProgramsMessage::OpenCalls(port) => port.send(state.table.open_calls()).is_ok(),
-            ProgramsMessage::List(port) => port.send(state.table.trees().cloned().collect()).is_ok(),
-            other => {
-                state.take_note(&myself, other);
-                true
+            ProgramsMessage::Snapshot(root_ids, port) => {
+                let records = self.table.snapshots(&root_ids);
+                self.append_later(records);
+                reply(port, ());
             }
-        };
-        if !replied {
-            log::debug!("event=reply_unwanted");
+            other => log::error!("event=message_unhandled message={other:?}"),
         }
-        Ok(())
     }
-}
 
-impl ProgramsState {
-    /// Handles messages that nobody waits for.
-    fn take_note(&mut self, myself: &ActorRef<ProgramsMessage>, message: ProgramsMessage) {
-        match message {
-            ProgramsMessage::Withdraw(program_id) => {
-                self.table.withdraw(&program_id);
-                self.running.remove(&program_id);
-            }
-            ProgramsMessage::Released(hold) => {
-                let record = self.table.released(&hold);
-                self.append_later(record.into_iter().collect());
-            }
-            ProgramsMessage::Tick => {
-                let actions = self.table.tick(now());
-                self.perform(myself, actions);
-            }
-            ProgramsMessage::Thaw(partitions) => self.table.thaw(&partitions),
-            other => log::error!("event=message_unhandled message={other:?}"),
+    fn get(&self, account_id: &AccountId, program_id: &ProgramId) -> Result<ProgramView, Refusal> {
+        let (tree, _) = self.table.get(account_id, program_id)?;
+        Ok(ProgramView {
+            tree: tree.clone(),
+            program_id: program_id.clone(),
+        })
+    }
+
+    fn withdraw(&mut self, program_id: &ProgramId) {
+        self.table.withdraw(program_id);
+        self.running.remove(program_id);
+    }
+
+    fn end(
+        &mut self,
+        myself: &ActorRef<ProgramsMessage>,
+        account_id: &AccountId,
+        program_id: &ProgramId,
+    ) -> Result<Appended, Refusal> {
+        let actions = self.table.end(account_id, program_id, ENDED_BY_CALLER, now())?;
+        Ok(self.perform(myself, actions))
+    }
+
+    fn released(&mut self, hold: &Hold) {
+        let record = self.table.released(hold);
+        self.append_later(record.into_iter().collect());
+    }
+
+    fn tick(&mut self, myself: &ActorRef<ProgramsMessage>) {
+        let actions = self.table.tick(now());
+        if !actions.is_empty() {
+            drop(self.perform(myself, actions));
         }
     }
 
+    fn export(&self, partitions: &[PartitionId]) -> Option<Vec<Tree>> {
+        let idle = !self.table.has_open(partitions);
+        idle.then(|| self.table.export(partitions))
+    }
+
     fn create(&mut self, new: NewProgram) -> Result<Appended, Refusal> {
         let record = self.table.create(new, now())?;
         Ok(self.append(vec![record], Durability::Replicated))
@@ -159,7 +193,11 @@
         match self.table.begin(request.clone(), now())? {
             Begun::Run(usage, prefix_endpoint_id) => {
                 let call = self.open(request, AnswerLog::new());
-                Ok(Taken::Run { call, usage, prefix_endpoint_id })
+                Ok(Taken::Run {
+                    call,
+                    usage,
+                    prefix_endpoint_id,
+                })
             }
             Begun::Attach => Err(Refusal::NotOwner),
             Begun::Answered(answer) => Ok(Taken::Answered(answer)),
@@ -175,16 +213,16 @@
 
     fn open(&mut self, request: CallRequest, log: Arc<AnswerLog>) -> RunningCall {
         let (stop, stopped) = watch::channel(false);
-        let call = RunningCall { log: Arc::clone(&log), stop: stopped };
-        self.running.insert(request.program_id.clone(), Running { request, log, stop });
+        let call = RunningCall {
+            log: Arc::clone(&log),
+            stop: stopped,
+        };
+        self.running
+            .insert(request.program_id.clone(), Running { request, log, stop });
         call
     }
 
-    fn send(
-        &mut self,
-        program_id: &ProgramId,
-        placement: Placement,
-    ) -> Result<(Sending, Appended), Refusal> {
+    fn send(&mut self, program_id: &ProgramId, placement: Placement) -> Result<(Sending, Appended), Refusal> {
         let sending = match self.table.send(program_id, placement, now()) {
             Ok(sending) => sending,
             Err(refusal) => {
@@ -192,14 +230,25 @@
                 return Err(refusal);
             }
         };
-        let repeatable = self.running.get(program_id).is_some_and(|running| running.request.idempotent);
-        let durability = if repeatable { Durability::Replicated } else { Durability::Stored };
+        let repeatable = self
+            .running
+            .get(program_id)
+            .is_some_and(|running| running.request.idempotent);
+        let durability = if repeatable {
+            Durability::Replicated
+        } else {
+            Durability::Stored
+        };
         let appended = self.append(vec![sending.record.clone()], durability);
         Ok((sending, appended))
     }
 
     fn settle(&mut self, settlement: Settlement) -> Option<Appended> {
-        let Settlement { program_id, outcome, spent_tokens } = settlement;
+        let Settlement {
+            program_id,
+            outcome,
+            spent_tokens,
+        } = settlement;
         let durability = match outcome {
             Outcome::Answered(_) => Durability::Replicated,
             Outcome::NotRun | Outcome::Failed { .. } | Outcome::Unknown { .. } => Durability::Queued,
@@ -216,7 +265,9 @@
         for (_, running) in self.running.drain() {
             running.stop.send_replace(true);
             let moved = Problem::new(ProblemKind::Moving, "the program has moved to another host");
-            running.log.fail(&moved.ran(Ran::Unknown).retry_after(MOVED_RETRY));
+            running
+                .log
+                .fail(&moved.ran(Ran::Unknown).retry_after(MOVED_RETRY));
         }
     }
 
@@ -254,7 +305,11 @@
         let releaser = Arc::clone(&self.parts.releaser);
         tokio::spawn(async move {
             if !releaser.release(&hold).await {
-                log::warn!("event=hold_left program={} endpoint={}", hold.program_id, hold.endpoint_id);
+                log::warn!(
+                    "event=hold_left program={} endpoint={}",
+                    hold.program_id,
+                    hold.endpoint_id
+                );
             }
         });
     }
@@ -270,3 +325,10 @@
         }
     }
 }
+
+/// Answers; a reply that nobody waits for any more is dropped, and the change stands all the same.
+fn reply<T>(port: RpcReplyPort<T>, value: T) {
+    if port.send(value).is_err() {
+        log::debug!("event=reply_unwanted");
+    }
+}
--- a/crates/burdockroad/src/config/keys.rs
+++ b/crates/burdockroad/src/config/keys.rs
@@ -1,7 +1,7 @@
 //! Callers' keys: how they are made, and whose they are.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     fmt::{self, Write},
 };
 
@@ -30,10 +30,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct KeyTable {
     matches: HashMap<KeyDigest, KeyMatch>,
+    valid: HashSet<KeyMatch>,
 }
 
 /// Whose a key is.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct KeyMatch {
     /// Account that the key belongs to.
     pub account_id: AccountId,
@@ -65,9 +66,14 @@
             };
             digest_from_hex(&key.sha256).map(|digest| (digest, key_match))
         });
-        Self {
-            matches: matches.collect(),
-        }
+        let matches: HashMap<KeyDigest, KeyMatch> = matches.collect();
+        let valid = matches.values().cloned().collect();
+        Self { matches, valid }
+    }
+
+    /// Whether a key that was looked up before is still valid for its account.
+    pub fn contains(&self, key_match: &KeyMatch) -> bool {
+        self.valid.contains(key_match)
     }
 
     /// Returns whose a presented key is; none when it is unknown or withdrawn.
--- a/crates/burdockroad/src/program/record.rs
+++ b/crates/burdockroad/src/program/record.rs
@@ -104,6 +104,8 @@
     pub endpoint_id: EndpointId,
     /// Tokens set aside.
     pub reserved_tokens: u64,
+    /// Whether the engine is told to keep the program's prefix for its next call.
+    pub keeps_prefix: bool,
 }
 
 /// Kind of endpoint that a call is for.
@@ -134,6 +136,17 @@
     },
 }
 
+impl Outcome {
+    /// Bytes of an answer; 0 without one.
+    pub fn bytes(&self) -> u64 {
+        let Self::Answered(answer) = self else {
+            return 0;
+        };
+        let message_bytes = answer.message.as_ref().map_or(0, String::len);
+        (answer.body.len() + message_bytes) as u64
+    }
+}
+
 /// An endpoint's whole answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
--- a/crates/burdockroad/src/program/refusal.rs
+++ b/crates/burdockroad/src/program/refusal.rs
@@ -28,6 +28,11 @@
         /// Why, in a few words for the caller.
         reason: String,
     },
+    /// The history of the program's tree has no room for the call.
+    HistoryFull {
+        /// Most bytes that a tree's history may hold.
+        max_bytes: u64,
+    },
     /// The budget does not allow the call.
     OverBudget {
         /// What is short.
@@ -57,6 +62,12 @@
             Self::WrongNumber { expected } => write!(f, "the program's next call has number {expected}"),
             Self::DifferentRequest => f.write_str("this call number was used for a different request"),
             Self::OutcomeUnknown { reason } => write!(f, "the call may have run: {reason}"),
+            Self::HistoryFull { max_bytes } => {
+                write!(
+                    f,
+                    "the histories of the program and its relatives may hold {max_bytes} bytes together"
+                )
+            }
             Self::OverBudget { shortage, .. } => write!(f, "the budget has no {shortage} left"),
         }
     }
--- a/crates/burdockroad/src/program/table.rs
+++ b/crates/burdockroad/src/program/table.rs
@@ -31,12 +31,15 @@
 pub struct ProgramsOptions {
     /// Time for which an ended tree's history stays readable.
     pub retention: Duration,
+    /// Most bytes of messages and answers in one tree, so that a snapshot fits into a record.
+    pub history_max_bytes: u64,
 }
 
 impl Default for ProgramsOptions {
     fn default() -> Self {
         Self {
             retention: Duration::from_mins(10),
+            history_max_bytes: 16 * 1024 * 1024,
         }
     }
 }
@@ -96,6 +99,8 @@
     pub idempotent: bool,
     /// New messages of a completion, as JSON texts.
     pub messages: Vec<String>,
+    /// Whether the engine is told to keep the program's prefix for its next call.
+    pub keeps_prefix: bool,
 }
 
 /// What to do with a call.
@@ -247,6 +252,7 @@
         }
         check_next(program, request.number)?;
         check_budget(tree, request.kind, now)?;
+        check_history(tree, &request, self.options.history_max_bytes)?;
         let begun = Begun::Run(usage(tree, program), program.prefix_endpoint_id().cloned());
         self.check_partition(&request.program_id)?;
         self.open
@@ -458,6 +464,7 @@
             pool_id: placement.pool_id,
             endpoint_id: placement.endpoint_id,
             reserved_tokens,
+            keeps_prefix: request.keeps_prefix,
         };
         self.release_elsewhere(&root_id, &program_id, &intent.endpoint_id, now);
         let record = self.change(
@@ -748,6 +755,14 @@
     Ok(())
 }
 
+fn check_history(tree: &Tree, request: &CallRequest, max_bytes: u64) -> std::result::Result<(), Refusal> {
+    let new_bytes: u64 = request.messages.iter().map(|message| message.len() as u64).sum();
+    if tree.history_bytes + new_bytes > max_bytes {
+        return Err(Refusal::HistoryFull { max_bytes });
+    }
+    Ok(())
+}
+
 fn usage(tree: &Tree, program: &Program) -> Usage {
     let history_bytes = program.messages().map(|message| message.len() as u64).sum();
     Usage {
--- a/crates/burdockroad/src/program/tree.rs
+++ b/crates/burdockroad/src/program/tree.rs
@@ -25,6 +25,8 @@
     pub programs: BTreeMap<ProgramId, Program>,
     /// Engine memory that endpoints may hold for the programs.
     pub holds: Vec<Hold>,
+    /// Bytes of all messages and answers.
+    pub history_bytes: u64,
 }
 
 /// One program.
@@ -131,6 +133,7 @@
             sequence: 1,
             programs: BTreeMap::from([(program_id.clone(), root)]),
             holds: Vec::new(),
+            history_bytes: 0,
         })
     }
 
@@ -252,9 +255,12 @@
         if program.running().is_some() {
             return Err(Error::new(format!("call {number} of {program_id} runs already")));
         }
+        let before = program.messages_bytes(number);
         program.open(intent);
+        let after = program.messages_bytes(number);
+        self.history_bytes = self.history_bytes.saturating_sub(before) + after;
         self.ledger.reserve(intent.reserved_tokens);
-        if intent.kind == CallKind::Completion {
+        if intent.keeps_prefix {
             self.add_hold(program_id, intent);
         }
         Ok(())
@@ -285,6 +291,7 @@
         call.outcome = Some(outcome.clone());
         call.spent_tokens += spent_tokens;
         let reserved_tokens = call.intent.reserved_tokens;
+        self.history_bytes += outcome.bytes();
         if matches!(outcome, Outcome::NotRun) {
             self.ledger.cancel(reserved_tokens);
         } else {
@@ -354,14 +361,19 @@
 
     /// Endpoint that served the last completion, which may still hold the program's prefix.
     pub fn prefix_endpoint_id(&self) -> Option<&EndpointId> {
-        let completions = self
-            .calls
-            .iter()
-            .rev()
-            .filter(|call| call.intent.kind == CallKind::Completion);
+        let completions = self.calls.iter().rev().filter(|call| call.intent.keeps_prefix);
         completions.map(|call| &call.intent.endpoint_id).next()
     }
 
+    /// Bytes of the new messages of a call.
+    fn messages_bytes(&self, number: CallNumber) -> u64 {
+        let messages = self
+            .call(number)
+            .into_iter()
+            .flat_map(|call| &call.intent.messages);
+        messages.map(|message| message.len() as u64).sum()
+    }
+
     fn open(&mut self, intent: &Intent) {
         match self
             .calls
--- a/crates/burdockroad/tests/program_rules.rs
+++ b/crates/burdockroad/tests/program_rules.rs
@@ -68,6 +68,7 @@
         kind,
         idempotent,
         messages,
+        keeps_prefix: idempotent,
     }
 }
 
@@ -471,6 +472,33 @@
     assert_eq!(programs.begin(call(CHILD, 1, 0, true), start()), Err(spent));
 }
 
+#[test]
+fn begin_history_full() {
+    let options = ProgramsOptions {
+        history_max_bytes: 40,
+        ..ProgramsOptions::default()
+    };
+    let mut programs = Programs::new(options);
+    let root = NewProgram {
+        program_id: ROOT.to_owned(),
+        account_id: ACCOUNT.to_owned(),
+        parent_id: None,
+        budget: budget(),
+    };
+    programs.create(root, start()).expect("a new root");
+    programs
+        .begin(call(ROOT, 1, 0, true), start())
+        .expect("an empty history");
+    programs
+        .send(&ROOT.to_owned(), placement(0, 1), start())
+        .expect("within the budget");
+    programs
+        .settle(&ROOT.to_owned(), answer(ROOT, 1), 1)
+        .expect("an open call");
+    let refused = programs.begin(call(ROOT, 2, 0, true), start());
+    assert_eq!(refused, Err(Refusal::HistoryFull { max_bytes: 40 }));
+}
+
 #[test]
 fn adopt_closes_calls_whose_end_nobody_saw() {
     let mut records = Vec::new();
