Decide whether a host may rely on its document

The rule of DESIGN.md as pure code over what the host asked and heard. Every confirmation is dated by the moment its question was sent: a paused process finds old answers in its buffers, and a watch's progress event has no question, so neither counts as new. A host without a document takes one only from a peer that can confirm it, since before its restart it may have had a higher version.

--- a/crates/burdockroad/src/config.rs
+++ b/crates/burdockroad/src/config.rs
@@ -1,7 +1,8 @@
 //! The one configuration document, which alone changes what the system does.
 //!
 //! [`parse`] reads its text, [`diff`] tells two documents apart, [`VersionedDocument`] is its form in
-//! the store, and [`KeyTable`] finds the account of a caller's key.
+//! the store, [`KeyTable`] finds the account of a caller's key, and [`FreshnessTracker`] decides whether a
+//! host may still rely on its document.
 //!
 //! # Example
 //!
@@ -21,6 +22,7 @@
 mod diff;
 mod document;
 mod finding;
+mod freshness;
 mod keys;
 mod names;
 pub mod reader;
@@ -34,6 +36,7 @@
         Site,
     },
     finding::Finding,
+    freshness::{Freshness, FreshnessLimits, FreshnessTracker},
     keys::{IssuedKey, KeyMatch, KeyTable, key_hash, new_key},
     versioned::VersionedDocument,
 };
