--- a/crates/burdockroad-daemon/src/lib.rs
+++ b/crates/burdockroad-daemon/src/lib.rs
@@ -6,6 +6,7 @@
 //! (slots at endpoints) and [`peer`] (the other daemons). [`settings`] holds what a process is told
 //! when it starts.
 
+pub mod config_watch;
 pub mod dispatch;
 pub mod journal;
 pub mod ownership;
