Give out slots fairly, where the prefix is, within deadlines

Change: dispatch::Pool with fairness (start-time fair queueing by service), placement (cost of computing the prefix against waiting for its holder), health (ejection that one account cannot cause) and kv_cache (what engines hold; keep, release or export in a pause). A decision looks at heads of ordered tables and at the endpoints, never at all waiting calls. Found by the interleavings: an ejected endpoint without slots got a trial call; its slots now bound it. Also: an endpoint that had served nothing looked ten times faster than it was; it takes the times of its pool until it shows its own.

--- a/crates/burdockroad/src/lib.rs
+++ b/crates/burdockroad/src/lib.rs
@@ -10,12 +10,14 @@
 //! # Guide
 //!
 //! * [`program`] keeps the order, history and budget of programs, and writes [`Record`]s of it.
+//! * [`dispatch`] gives out slots at endpoints: fairness, placement, health, prefix caches.
 //! * [`quota`] keeps rate and burst of client accounts over all hosts.
 //! * [`config`] holds the one configuration [`Document`] and its checks.
 //!
 //! Entities stand in tables, and systems run over the tables each tick.
 
 pub mod config;
+pub mod dispatch;
 mod error;
 mod ids;
 pub mod program;
