Add a stand-in of the key-value service

Cause: the client of the platform and the daemon's tests need a service that speaks the etcd v3 interface, counts calls, keeps to rates and fails as told.

Ruled out: etcd itself (a process that tests would have to install, and that loses no replies on request); a mock of our own trait (it would not test the client). A lost reply has the same code as a service that is down, so that a client cannot tell them apart.

Change: kv::KvStandin in-process, and the binary burdockroad-standin.

Conclusion: others can test against it.

--- /dev/null
+++ b/crates/burdockroad-standins/src/bin/burdockroad-standin/main.rs
@@ -0,0 +1,53 @@
+//! Runs one stand-in as a process of its own, until it is told to end.
+//!
+//! The first line on the standard output is `address=IP:PORT`, followed by `control=IP:PORT` where the
+//! stand-in takes control requests.
+
+use anyhow::{Context, bail};
+use pico_args::Arguments;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::running::Running;
+
+mod running;
+
+const HELP: &str = "\
+Usage: burdockroad-standin KIND [--listen 127.0.0.1:0] [--control-listen 127.0.0.1:0] [OPTIONS]
+
+Kinds and their options:
+  kv      key-value service    --reads-per-s N --writes-per-s N
+";
+
+fn main() -> anyhow::Result<()> {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let kind = arguments.subcommand()?.context("KIND is missing; see --help")?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()?;
+    runtime.block_on(run(&kind, arguments))
+}
+
+/// Worker threads of a stand-in; several of them share a machine in a test.
+const WORKER_THREADS: usize = 2;
+
+async fn run(kind: &str, mut arguments: Arguments) -> anyhow::Result<()> {
+    let mut terminated = signal(SignalKind::terminate())?;
+    let running = running::start(kind, &mut arguments).await?;
+    let unused = arguments.finish();
+    if !unused.is_empty() {
+        bail!("unknown arguments {unused:?}; see --help");
+    }
+    println!("{}", running.first_line());
+    tokio::select! {
+        _ = terminated.recv() => {}
+        interrupted = tokio::signal::ctrl_c() => interrupted?,
+    }
+    let Running { closing, .. } = running;
+    closing.await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/burdockroad-standins/tests/kv_contract.rs
@@ -0,0 +1,515 @@
+//! Contract of the key-value stand-in, as etcd's published v3 interface gives it.
+
+use std::time::Duration;
+
+use burdockroad_proto::{
+    etcdserverpb::{
+        Compare, DeleteRangeRequest, LeaseGrantRequest, LeaseKeepAliveRequest, LeaseRevokeRequest,
+        PutRequest, RangeRequest, RequestOp, TxnRequest, WatchCancelRequest, WatchCreateRequest,
+        WatchProgressRequest, WatchRequest, WatchResponse,
+        compare::{CompareResult, CompareTarget, TargetUnion},
+        kv_client::KvClient,
+        lease_client::LeaseClient,
+        request_op::Request as Op,
+        watch_client::WatchClient,
+        watch_request::RequestUnion,
+    },
+    mvccpb::event::EventType,
+};
+use burdockroad_standins::kv::{KvFaults, KvOptions, KvStandin, LoseReplies};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Code, Streaming, transport::Channel};
+
+/// Longest wait for something that has to come; a wait that ends by it is a failure.
+const DEADLINE: Duration = Duration::from_secs(20);
+
+struct Fixture {
+    standin: KvStandin,
+    keys: KvClient<Channel>,
+    leases: LeaseClient<Channel>,
+    watches: WatchClient<Channel>,
+}
+
+async fn start(options: KvOptions) -> Fixture {
+    let standin = KvStandin::start(options).await.unwrap();
+    let target = format!("http://{}", standin.address());
+    Fixture {
+        standin,
+        keys: KvClient::connect(target.clone()).await.unwrap(),
+        leases: LeaseClient::connect(target.clone()).await.unwrap(),
+        watches: WatchClient::connect(target).await.unwrap(),
+    }
+}
+
+struct WatchHandle {
+    requests: mpsc::Sender<WatchRequest>,
+    responses: Streaming<WatchResponse>,
+}
+
+impl WatchHandle {
+    async fn send(&self, request: RequestUnion) {
+        let request_union = Some(request);
+        self.requests.send(WatchRequest { request_union }).await.unwrap();
+    }
+
+    async fn next(&mut self) -> Result<Option<WatchResponse>, tonic::Status> {
+        tokio::time::timeout(DEADLINE, self.responses.message())
+            .await
+            .unwrap()
+    }
+}
+
+async fn open_watch(fixture: &mut Fixture, create: WatchCreateRequest) -> WatchHandle {
+    let (requests, receiver) = mpsc::channel(8);
+    let request_union = Some(RequestUnion::CreateRequest(create));
+    requests.send(WatchRequest { request_union }).await.unwrap();
+    let stream = fixture
+        .watches
+        .watch(ReceiverStream::new(receiver))
+        .await
+        .unwrap();
+    let mut handle = WatchHandle {
+        requests,
+        responses: stream.into_inner(),
+    };
+    assert!(handle.next().await.unwrap().unwrap().created);
+    handle
+}
+
+fn put(key: &str, value: &str) -> PutRequest {
+    PutRequest {
+        key: key.into(),
+        value: value.into(),
+        ..PutRequest::default()
+    }
+}
+
+fn range(key: &str, range_end: &[u8]) -> RangeRequest {
+    RangeRequest {
+        key: key.into(),
+        range_end: range_end.to_vec(),
+        ..RangeRequest::default()
+    }
+}
+
+fn op(request: Op) -> RequestOp {
+    RequestOp {
+        request: Some(request),
+    }
+}
+
+#[tokio::test]
+async fn range_table() {
+    let mut fixture = start(KvOptions::default()).await;
+    // Revision 1 is the empty store, so these are 2, 3, 4 and 5.
+    for (key, value) in [("a", "1"), ("b", "2"), ("c", "3"), ("a", "4")] {
+        fixture.keys.put(put(key, value)).await.unwrap();
+    }
+    let limited = RangeRequest {
+        limit: 2,
+        ..range("a", &[0])
+    };
+    let keys_only = RangeRequest {
+        keys_only: true,
+        ..range("a", b"c")
+    };
+    let count_only = RangeRequest {
+        count_only: true,
+        ..range("a", &[0])
+    };
+    let old = RangeRequest {
+        revision: 3,
+        ..range("a", &[0])
+    };
+    // Request, then keys and values, `more` and `count`.
+    let cases = [
+        (range("a", &[]), "a=4", false, 1),
+        (range("x", &[]), "", false, 0),
+        (range("a", b"c"), "a=4 b=2", false, 2),
+        (range("b", &[0]), "b=2 c=3", false, 2),
+        (limited, "a=4 b=2", true, 3),
+        (keys_only, "a= b=", false, 2),
+        (count_only, "", false, 3),
+        (old, "a=1 b=2", false, 2),
+    ];
+    for (request, expected, more, count) in cases {
+        let response = fixture.keys.range(request.clone()).await.unwrap().into_inner();
+        let found: Vec<_> = response
+            .kvs
+            .iter()
+            .map(|entry| format!("{}={}", text(&entry.key), text(&entry.value)))
+            .collect();
+        assert_eq!(found.join(" "), expected, "{request:?}");
+        assert_eq!((response.more, response.count), (more, count), "{request:?}");
+        assert_eq!(response.header.unwrap().revision, 5);
+    }
+    let entry = fixture
+        .keys
+        .range(range("a", &[]))
+        .await
+        .unwrap()
+        .into_inner()
+        .kvs
+        .remove(0);
+    assert_eq!(
+        (entry.create_revision, entry.mod_revision, entry.version),
+        (2, 5, 2)
+    );
+    fixture.standin.close().await;
+}
+
+#[tokio::test]
+async fn refusal_table() {
+    let mut fixture = start(KvOptions::default()).await;
+    let with_lease = PutRequest {
+        lease: 77,
+        ..put("a", "1")
+    };
+    let twice = vec![
+        op(Op::RequestPut(put("a", "1"))),
+        op(Op::RequestPut(put("a", "2"))),
+    ];
+    let delete = DeleteRangeRequest {
+        key: b"a".to_vec(),
+        ..DeleteRangeRequest::default()
+    };
+    let put_and_delete = vec![
+        op(Op::RequestPut(put("a", "1"))),
+        op(Op::RequestDeleteRange(delete)),
+    ];
+    let too_large = put("a", &"x".repeat((1 << 20) + 1));
+    let largest = put("a", &"x".repeat(1 << 20));
+    let puts = [
+        (put("", "1"), Code::InvalidArgument),
+        (with_lease, Code::NotFound),
+        (too_large, Code::InvalidArgument),
+        (largest, Code::Ok),
+    ];
+    for (request, code) in puts {
+        assert_eq!(code_of(fixture.keys.put(request).await), code);
+    }
+    for success in [twice, put_and_delete] {
+        let txn = TxnRequest {
+            success,
+            ..TxnRequest::default()
+        };
+        assert_eq!(code_of(fixture.keys.txn(txn).await), Code::InvalidArgument);
+    }
+    let future = RangeRequest {
+        revision: 99,
+        ..range("a", &[])
+    };
+    assert_eq!(code_of(fixture.keys.range(future).await), Code::OutOfRange);
+    // Only the largest value that is allowed took effect.
+    let header = fixture
+        .keys
+        .range(range("a", &[]))
+        .await
+        .unwrap()
+        .into_inner()
+        .header;
+    assert_eq!(header.unwrap().revision, 2);
+    fixture.standin.close().await;
+}
+
+#[tokio::test]
+async fn txn_compare_table() {
+    use CompareResult::{Equal, Greater, Less, NotEqual};
+    use CompareTarget::{Create, Lease, Mod, Value, Version};
+    let mut fixture = start(KvOptions::default()).await;
+    let lease = LeaseGrantRequest { id: 9, ttl: 600 };
+    fixture.leases.lease_grant(lease).await.unwrap();
+    fixture.keys.put(put("a", "1")).await.unwrap();
+    // Create revision 2, mod revision 3, version 2, value 2, lease 9.
+    fixture
+        .keys
+        .put(PutRequest {
+            lease: 9,
+            ..put("a", "2")
+        })
+        .await
+        .unwrap();
+    let cases = [
+        ("a", Version, Equal, TargetUnion::Version(2), true),
+        ("a", Version, Less, TargetUnion::Version(2), false),
+        ("a", Create, Equal, TargetUnion::CreateRevision(2), true),
+        ("a", Create, Greater, TargetUnion::CreateRevision(1), true),
+        ("a", Mod, Equal, TargetUnion::ModRevision(3), true),
+        ("a", Mod, NotEqual, TargetUnion::ModRevision(3), false),
+        ("a", Mod, Less, TargetUnion::ModRevision(4), true),
+        ("a", Value, Equal, TargetUnion::Value(b"2".to_vec()), true),
+        ("a", Value, Greater, TargetUnion::Value(b"1".to_vec()), true),
+        ("a", Value, NotEqual, TargetUnion::Value(b"2".to_vec()), false),
+        ("a", Lease, Equal, TargetUnion::Lease(9), true),
+        ("a", Lease, Equal, TargetUnion::Lease(0), false),
+        ("x", Version, Equal, TargetUnion::Version(0), true),
+        ("x", Create, Equal, TargetUnion::CreateRevision(0), true),
+        ("x", Mod, Greater, TargetUnion::ModRevision(0), false),
+        ("x", Value, NotEqual, TargetUnion::Value(b"2".to_vec()), false),
+    ];
+    for (key, target, result, union, expected) in cases {
+        let compare = Compare {
+            result: result.into(),
+            target: target.into(),
+            key: key.into(),
+            target_union: Some(union),
+        };
+        let txn = TxnRequest {
+            compare: vec![compare.clone()],
+            success: vec![op(Op::RequestRange(range("a", &[])))],
+            failure: vec![],
+        };
+        let response = fixture.keys.txn(txn).await.unwrap().into_inner();
+        assert_eq!(response.succeeded, expected, "{compare:?}");
+        assert_eq!(response.responses.len(), usize::from(expected), "{compare:?}");
+    }
+    fixture.standin.close().await;
+}
+
+#[tokio::test]
+async fn txn_one_revision() {
+    let mut fixture = start(KvOptions::default()).await;
+    let nested = TxnRequest {
+        success: vec![op(Op::RequestPut(put("c", "3")))],
+        ..TxnRequest::default()
+    };
+    let txn = TxnRequest {
+        success: vec![
+            op(Op::RequestPut(put("a", "1"))),
+            op(Op::RequestPut(put("b", "2"))),
+            op(Op::RequestTxn(nested)),
+        ],
+        ..TxnRequest::default()
+    };
+    let response = fixture.keys.txn(txn).await.unwrap().into_inner();
+    assert_eq!(response.header.unwrap().revision, 2);
+    let kvs = fixture
+        .keys
+        .range(range("a", &[0]))
+        .await
+        .unwrap()
+        .into_inner()
+        .kvs;
+    let revisions: Vec<_> = kvs.iter().map(|entry| entry.mod_revision).collect();
+    assert_eq!(revisions, [2, 2, 2]);
+    fixture.standin.close().await;
+}
+
+#[tokio::test]
+async fn watch_from_revision() {
+    let mut fixture = start(KvOptions::default()).await;
+    for (key, value) in [("a", "1"), ("a", "2"), ("x", "3")] {
+        fixture.keys.put(put(key, value)).await.unwrap();
+    }
+    let create = WatchCreateRequest {
+        key: b"a".to_vec(),
+        start_revision: 3,
+        prev_kv: true,
+        watch_id: 5,
+        ..WatchCreateRequest::default()
+    };
+    let mut watch = open_watch(&mut fixture, create).await;
+    let response = watch.next().await.unwrap().unwrap();
+    assert_eq!((response.watch_id, response.events.len()), (5, 1));
+    assert_eq!(text(&response.events[0].kv.as_ref().unwrap().value), "2");
+    assert_eq!(text(&response.events[0].prev_kv.as_ref().unwrap().value), "1");
+    let delete = DeleteRangeRequest {
+        key: b"a".to_vec(),
+        ..DeleteRangeRequest::default()
+    };
+    fixture.keys.delete_range(delete).await.unwrap();
+    let response = watch.next().await.unwrap().unwrap();
+    assert_eq!(response.events[0].r#type(), EventType::Delete);
+    assert_eq!(response.events[0].kv.as_ref().unwrap().mod_revision, 5);
+    watch
+        .send(RequestUnion::ProgressRequest(WatchProgressRequest {}))
+        .await;
+    let progress = watch.next().await.unwrap().unwrap();
+    assert_eq!((progress.watch_id, progress.events.len()), (-1, 0));
+    assert_eq!(progress.header.unwrap().revision, 5);
+    assert_eq!(fixture.standin.counts().watches_waiting, 1);
+    watch
+        .send(RequestUnion::CancelRequest(WatchCancelRequest { watch_id: 5 }))
+        .await;
+    assert!(watch.next().await.unwrap().unwrap().canceled);
+    assert_eq!(fixture.standin.counts().watches_waiting, 0);
+    fixture.standin.close().await;
+}
+
+#[tokio::test]
+async fn lease_life() {
+    let mut fixture = start(KvOptions::default()).await;
+    for (id, ttl) in [(1, 3), (2, 600)] {
+        let granted = fixture
+            .leases
+            .lease_grant(LeaseGrantRequest { id, ttl })
+            .await
+            .unwrap();
+        assert_eq!((granted.get_ref().id, granted.get_ref().ttl), (id, ttl));
+    }
+    let again = LeaseGrantRequest { id: 2, ttl: 600 };
+    assert_eq!(
+        code_of(fixture.leases.lease_grant(again).await),
+        Code::FailedPrecondition
+    );
+    let create = WatchCreateRequest {
+        key: b"short".to_vec(),
+        ..WatchCreateRequest::default()
+    };
+    let mut watch = open_watch(&mut fixture, create).await;
+    fixture
+        .keys
+        .put(PutRequest {
+            lease: 1,
+            ..put("short", "1")
+        })
+        .await
+        .unwrap();
+    fixture
+        .keys
+        .put(PutRequest {
+            lease: 2,
+            ..put("long", "1")
+        })
+        .await
+        .unwrap();
+    assert_eq!(
+        watch.next().await.unwrap().unwrap().events[0].r#type(),
+        EventType::Put
+    );
+    // The lease runs out without anything being done.
+    assert_eq!(
+        watch.next().await.unwrap().unwrap().events[0].r#type(),
+        EventType::Delete
+    );
+    let requests = tokio_stream::iter([1, 2].map(|id| LeaseKeepAliveRequest { id }));
+    let mut answers = fixture
+        .leases
+        .lease_keep_alive(requests)
+        .await
+        .unwrap()
+        .into_inner();
+    assert_eq!(answers.message().await.unwrap().unwrap().ttl, 0);
+    assert_eq!(answers.message().await.unwrap().unwrap().ttl, 600);
+    fixture
+        .leases
+        .lease_revoke(LeaseRevokeRequest { id: 2 })
+        .await
+        .unwrap();
+    let left = fixture.keys.range(range("a", &[0])).await.unwrap().into_inner();
+    assert_eq!(left.count, 0);
+    let unknown = LeaseRevokeRequest { id: 2 };
+    assert_eq!(
+        code_of(fixture.leases.lease_revoke(unknown).await),
+        Code::NotFound
+    );
+    fixture.standin.close().await;
+}
+
+#[tokio::test]
+async fn faults_down() {
+    let mut fixture = start(KvOptions::default()).await;
+    let create = WatchCreateRequest {
+        key: b"a".to_vec(),
+        ..WatchCreateRequest::default()
+    };
+    let mut watch = open_watch(&mut fixture, create).await;
+    fixture.standin.set_faults(KvFaults {
+        down: true,
+        ..KvFaults::default()
+    });
+    assert_eq!(watch.next().await.unwrap_err().code(), Code::Unavailable);
+    assert_eq!(code_of(fixture.keys.put(put("a", "1")).await), Code::Unavailable);
+    assert_eq!(
+        code_of(fixture.keys.range(range("a", &[])).await),
+        Code::Unavailable
+    );
+    fixture.standin.set_faults(KvFaults::default());
+    let found = fixture.keys.range(range("a", &[])).await.unwrap().into_inner();
+    assert_eq!(found.count, 0);
+    fixture.standin.close().await;
+}
+
+#[tokio::test]
+async fn faults_lose_replies() {
+    let mut fixture = start(KvOptions::default()).await;
+    // Which replies are lost, and the codes of three writes.
+    let cases = [
+        (
+            LoseReplies::Next(2),
+            [Code::Unavailable, Code::Unavailable, Code::Ok],
+        ),
+        (LoseReplies::Probability(1.0), [Code::Unavailable; 3]),
+        (LoseReplies::Probability(0.0), [Code::Ok; 3]),
+    ];
+    for (number, (lose_replies, codes)) in cases.into_iter().enumerate() {
+        fixture.standin.set_faults(KvFaults {
+            lose_replies,
+            ..KvFaults::default()
+        });
+        for code in codes {
+            assert_eq!(
+                code_of(fixture.keys.put(put("a", "1")).await),
+                code,
+                "{lose_replies:?}"
+            );
+        }
+        // The writes took effect all the same.
+        let entry = fixture
+            .keys
+            .range(range("a", &[]))
+            .await
+            .unwrap()
+            .into_inner()
+            .kvs
+            .remove(0);
+        assert_eq!(entry.version, 3 * (i64::try_from(number).unwrap() + 1));
+    }
+    fixture.standin.close().await;
+}
+
+#[tokio::test]
+async fn faults_break_watches() {
+    let mut fixture = start(KvOptions::default()).await;
+    let create = WatchCreateRequest {
+        key: b"a".to_vec(),
+        ..WatchCreateRequest::default()
+    };
+    let mut watch = open_watch(&mut fixture, create.clone()).await;
+    fixture.standin.set_faults(KvFaults {
+        break_watches: true,
+        ..KvFaults::default()
+    });
+    assert_eq!(watch.next().await.unwrap_err().code(), Code::Unavailable);
+    let mut watch = open_watch(&mut fixture, create).await;
+    fixture.keys.put(put("a", "1")).await.unwrap();
+    assert_eq!(watch.next().await.unwrap().unwrap().events.len(), 1);
+    fixture.standin.close().await;
+}
+
+#[tokio::test]
+async fn rates_refuse() {
+    let options = KvOptions {
+        writes_per_s: 0,
+        ..KvOptions::default()
+    };
+    let mut fixture = start(options).await;
+    assert_eq!(
+        code_of(fixture.keys.put(put("a", "1")).await),
+        Code::ResourceExhausted
+    );
+    let found = fixture.keys.range(range("a", &[])).await.unwrap().into_inner();
+    assert_eq!(found.count, 0);
+    let counts = fixture.standin.counts();
+    assert_eq!((counts.reads, counts.writes, counts.refused), (1, 0, 1));
+    fixture.standin.close().await;
+}
+
+fn code_of<T>(result: Result<T, tonic::Status>) -> Code {
+    result.map_or_else(|status| status.code(), |_| Code::Ok)
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
