Decide on membership and ownership over tables

Cause: hosts have to agree on who serves which partition, and to tell a dead host from a cut or a pause, without a consensus group.

Change: an ownership map with epochs and a change id, first map, rebalance with the fewest moves, rendezvous ranks; a table of hosts from the lagging list and from heartbeats, suspicion, and an owner's lease.

Ruled out: counting voters over the listed hosts. The list lags, so after one takeover of three hosts the second could never start; the hosts of the map are agreed on by compare-and-swap. Hosts that the list has dropped and that send nothing do not count.

Conclusion: the two majorities share a host, and the lease time is shorter than the suspicion time, so a lease has ended before a takeover starts (test lease_until_before_takeover).

--- a/crates/burdockroad/src/ids.rs
+++ b/crates/burdockroad/src/ids.rs
@@ -1,5 +1,7 @@
 //! Names of entities, and the numbers that order them.
 
+use xxhash_rust::xxh3::xxh3_64;
+
 /// Name of a client account, as the document gives it.
 pub type AccountId = String;
 
@@ -41,3 +43,24 @@
 
 /// Name of a site, as the document gives it.
 pub type SiteId = String;
+
+/// Number of partitions; fixed, since program ids carry their partition.
+pub const PARTITIONS: PartitionId = 256;
+
+/// The partition that an account or a pool belongs to; the same on every host.
+///
+/// # Example
+///
+/// ```
+/// use burdockroad::{PARTITIONS, partition_of};
+///
+/// assert!(partition_of("account-a") < PARTITIONS);
+/// assert_eq!(partition_of("account-a"), partition_of("account-a"));
+/// ```
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "a remainder of PARTITIONS fits its type"
+)]
+pub fn partition_of(name: &str) -> PartitionId {
+    (xxh3_64(name.as_bytes()) % u64::from(PARTITIONS)) as PartitionId
+}
--- a/crates/burdockroad/src/lib.rs
+++ b/crates/burdockroad/src/lib.rs
@@ -10,6 +10,7 @@
 //! # Guide
 //!
 //! * [`program`] keeps the order, history and budget of programs, and writes [`Record`]s of it.
+//! * [`membership`] tells which hosts are up, and [`ownership`] which of them serves what.
 //! * [`config`] holds the one configuration [`Document`] and its checks.
 //!
 //! Entities stand in tables, and systems run over the tables each tick.
@@ -17,14 +18,16 @@
 pub mod config;
 mod error;
 mod ids;
+pub mod membership;
+pub mod ownership;
 pub mod program;
 
 pub use crate::{
     config::Document,
     error::{Error, Result},
     ids::{
-        AccountId, CallNumber, DocumentVersion, EndpointId, Epoch, HostId, Incarnation, KeyId, PartitionId,
-        PoolId, ProgramId, RouteId, SegmentNumber, SiteId,
+        AccountId, CallNumber, DocumentVersion, EndpointId, Epoch, HostId, Incarnation, KeyId, PARTITIONS,
+        PartitionId, PoolId, ProgramId, RouteId, SegmentNumber, SiteId, partition_of,
     },
     program::Record,
 };
--- /dev/null
+++ b/crates/burdockroad/tests/membership.rs
@@ -0,0 +1,231 @@
+//! Decisions over the table of hosts.
+
+use std::time::{Duration, Instant};
+
+use burdockroad::{
+    membership::{ListedMember, Member, Options, Sighting, Table},
+    ownership::Process,
+};
+
+/// Time between two steps of a case.
+const STEP: Duration = Duration::from_millis(250);
+
+fn process(host: usize, incarnation: u64) -> Process {
+    Process {
+        host_id: format!("host-{host}"),
+        incarnation,
+    }
+}
+
+fn member(host: usize, incarnation: u64) -> Member {
+    Member {
+        process: process(host, incarnation),
+        address: format!("127.0.0.1:{}", 9_000 + host),
+        failure_domain: format!("domain-{}", host % 3),
+        leaving: false,
+    }
+}
+
+fn listed(hosts: usize) -> Vec<ListedMember> {
+    (0..hosts)
+        .map(|host| ListedMember {
+            host_id: process(host, 1).host_id,
+            address: member(host, 1).address,
+            failure_domain: member(host, 1).failure_domain,
+            leaving: false,
+        })
+        .collect()
+}
+
+/// Host 0 of a fleet whose hosts all own something.
+struct Case {
+    table: Table,
+    now: Instant,
+    hosts: usize,
+}
+
+impl Case {
+    fn new(hosts: usize) -> Self {
+        let now = Instant::now();
+        let mut table = Table::new(member(0, 1), Options::default(), now);
+        table.set_listed(listed(hosts));
+        table.set_owners((0..hosts).map(|host| process(host, 1)).collect());
+        Self { table, now, hosts }
+    }
+
+    /// Lets time pass while `reaches(a, b)` tells whether host `a` hears host `b`.
+    fn run(&mut self, steps: u32, reaches: impl Fn(usize, usize) -> bool) {
+        for _ in 0..steps {
+            self.now += STEP;
+            self.table.tick(self.now);
+            for host in (1..self.hosts).filter(|&host| reaches(0, host)) {
+                let heard = (0..self.hosts)
+                    .filter(|&other| other != host && reaches(host, other))
+                    .map(|other| process(other, 1))
+                    .collect();
+                let member = member(host, 1);
+                self.table.observe(Sighting { member, heard }, self.now);
+                if reaches(host, 0) {
+                    self.table.acknowledge(&process(host, 1), self.now);
+                }
+            }
+        }
+    }
+
+    fn gone(&self) -> Vec<Process> {
+        let gone = self.table.gone(self.now);
+        gone.into_iter().map(|gone| gone.process).collect()
+    }
+
+    fn may_act(&self) -> bool {
+        let until = self.table.lease_until();
+        until.is_ok_and(|until| until.is_none_or(|until| until > self.now))
+    }
+}
+
+#[test]
+fn gone_table_of_cuts() {
+    type Hears = fn(usize, usize) -> bool;
+    let cases: [(&str, usize, Hears, &[usize], bool); 8] = [
+        ("all well", 7, |_, _| true, &[], true),
+        ("one killed", 7, |a, b| a != 6 && b != 6, &[6], true),
+        ("one of two killed", 2, |a, b| a != 1 && b != 1, &[1], false),
+        ("one of three killed", 3, |a, b| a != 2 && b != 2, &[2], true),
+        ("cut between two hosts", 7, |a, b| !(a == 0 && b == 6), &[], true),
+        ("this host is cut off", 7, |a, b| a != 0 && b != 0, &[], false),
+        ("on the smaller side", 7, |a, b| (a < 3) == (b < 3), &[], false),
+        (
+            "on the larger side",
+            7,
+            |a, b| (a < 4) == (b < 4),
+            &[4, 5, 6],
+            true,
+        ),
+    ];
+    for (name, hosts, hears, expected, may_act) in cases {
+        let mut case = Case::new(hosts);
+        case.run(20, |_, _| true);
+        assert!(case.may_act(), "{name}: before");
+        case.run(20, hears);
+        let expected: Vec<Process> = expected.iter().map(|&host| process(host, 1)).collect();
+        assert_eq!(case.gone(), expected, "{name}");
+        assert_eq!(case.may_act(), may_act, "{name}: lease");
+    }
+}
+
+#[test]
+fn gone_replaced_incarnation_at_once() {
+    let mut case = Case::new(3);
+    case.run(20, |_, _| true);
+    let sighting = |incarnation| Sighting {
+        member: member(2, incarnation),
+        heard: Vec::new(),
+    };
+    assert!(case.table.observe(sighting(2), case.now));
+    assert_eq!(case.gone(), [process(2, 1)]);
+    // A late heartbeat of the former process does not bring it back.
+    assert!(!case.table.observe(sighting(1), case.now));
+    assert_eq!(case.gone(), [process(2, 1)]);
+}
+
+#[test]
+fn gone_own_former_incarnation() {
+    let mut case = Case::new(3);
+    case.table.rejoin(process(0, 2));
+    assert_eq!(case.gone(), [process(0, 1)]);
+}
+
+#[test]
+fn gone_word_of_new_process_does_not_count() {
+    let mut case = Case::new(3);
+    case.run(20, |_, _| true);
+    case.run(7, |a, b| a != 2 && b != 2 && !(a == 0 && b == 1));
+    let sighting = Sighting {
+        member: member(1, 2),
+        heard: Vec::new(),
+    };
+    case.table.observe(sighting, case.now);
+    assert!(!case.gone().contains(&process(2, 1)));
+}
+
+#[test]
+fn tick_after_pause() {
+    let mut case = Case::new(7);
+    case.run(20, |_, _| true);
+    case.now += Duration::from_mins(1);
+    assert!(!case.may_act());
+    assert!(case.table.tick(case.now));
+    assert_eq!(case.gone(), []);
+    assert_eq!(case.table.heard(case.now).len(), 6);
+    case.run(8, |_, _| false);
+    assert_eq!(case.table.heard(case.now), []);
+}
+
+#[test]
+fn observe_unlisted_host() {
+    let mut case = Case::new(2);
+    let sighting = Sighting {
+        member: member(5, 1),
+        heard: Vec::new(),
+    };
+    case.table.observe(sighting, case.now);
+    let targets = case.table.targets();
+    assert!(targets.iter().any(|target| target.host_id == "host-5"));
+}
+
+#[test]
+fn targets_bounded_in_large_fleet() {
+    let hosts = 60;
+    let options = Options::default();
+    let mut receivers = vec![0; hosts];
+    for me in 0..hosts {
+        let mut table = Table::new(member(me, 1), options.clone(), Instant::now());
+        table.set_listed(listed(hosts));
+        for target in table.targets() {
+            let host: usize = target.host_id["host-".len()..].parse().unwrap();
+            receivers[host] += 1;
+        }
+    }
+    let most = receivers.iter().max().unwrap();
+    let least = receivers.iter().min().unwrap();
+    assert!(*least >= options.monitors_per_host, "{least}");
+    assert!(*most <= 4 * options.monitors_per_host, "{most}");
+}
+
+/// The lease of a process that nobody hears has ended when the first other host may take it over.
+#[test]
+fn lease_until_before_takeover() {
+    let hosts = 7;
+    // Host 0 is the owner that is cut off, seen from itself and from host 1.
+    let mut owner = Case::new(hosts);
+    let mut other = Case::new(hosts);
+    other.table = Table::new(member(1, 1), Options::default(), other.now);
+    other.table.set_listed(listed(hosts));
+    other
+        .table
+        .set_owners((0..hosts).map(|host| process(host, 1)).collect());
+    let cut_at = 20;
+    for step in 0..60 {
+        let cut = step >= cut_at;
+        owner.run(1, |a, b| !cut || (a != 0 && b != 0));
+        other.now = owner.now;
+        other.table.tick(other.now);
+        for host in (0..hosts).filter(|&host| host != 1 && !(cut && host == 0)) {
+            // The others hear the owner for the whole suspicion time after its last heartbeat.
+            let hears_owner = step < cut_at + 6;
+            let heard = (0..hosts)
+                .filter(|&other| other != host && (other != 0 || hears_owner))
+                .map(|other| process(other, 1))
+                .collect();
+            let member = member(host, 1);
+            other.table.observe(Sighting { member, heard }, other.now);
+        }
+        let taken = other
+            .table
+            .gone(other.now)
+            .iter()
+            .any(|gone| gone.process == process(0, 1));
+        assert!(!(taken && owner.may_act()), "step {step}");
+        assert!(taken || step < cut_at + 8, "step {step}: never taken over");
+    }
+}
