--- a/crates/burdockroad/src/lib.rs
+++ b/crates/burdockroad/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! * [`program`] keeps the order, history and budget of programs, and writes [`Record`]s of it.
 //! * [`membership`] tells which hosts are up, and [`ownership`] which of them serves what.
+//! * [`quota`] keeps rate and burst of client accounts over all hosts.
 //! * [`config`] holds the one configuration [`Document`] and its checks.
 //!
 //! Entities stand in tables, and systems run over the tables each tick.
@@ -21,13 +22,15 @@
 pub mod membership;
 pub mod ownership;
 pub mod program;
+pub mod quota;
 
 pub use crate::{
     config::Document,
     error::{Error, Result},
     ids::{
         AccountId, CallNumber, DocumentVersion, EndpointId, Epoch, HostId, Incarnation, KeyId, PARTITIONS,
-        PartitionId, PoolId, ProgramId, RouteId, SegmentNumber, SiteId, partition_of,
+        PartitionId, PoolId, ProgramId, RouteId, SegmentNumber, SiteId, partition_of, partition_of_program,
+        program_id,
     },
     program::Record,
 };
--- a/crates/burdockroad/src/membership/table.rs
+++ b/crates/burdockroad/src/membership/table.rs
@@ -133,12 +133,19 @@
         paused
     }
 
-    /// Where heartbeats are due.
-    pub fn targets(&self) -> Vec<Target> {
-        self.contacts
-            .iter()
-            .filter_map(|host_id| self.target(host_id))
-            .collect()
+    /// Where heartbeats are due: to the hosts that this one monitors or that monitor it, and, to ask
+    /// about a silent one, to the others that monitor that.
+    pub fn targets(&self, now: Instant) -> Vec<Target> {
+        let mut hosts = self.contacts.clone();
+        let me = &self.me.process.host_id;
+        for process in self.owners.iter().filter(|process| !self.hears(process, now)) {
+            let voters = self.voters(&process.host_id);
+            if voters.contains(me) {
+                hosts.extend(voters);
+            }
+        }
+        hosts.remove(me);
+        hosts.iter().filter_map(|host_id| self.target(host_id)).collect()
     }
 
     /// The processes that were heard from within the suspicion time.
--- a/crates/burdockroad/tests/membership.rs
+++ b/crates/burdockroad/tests/membership.rs
@@ -169,7 +169,7 @@
         heard: Vec::new(),
     };
     case.table.observe(sighting, case.now);
-    let targets = case.table.targets();
+    let targets = case.table.targets(case.now);
     assert!(targets.iter().any(|target| target.host_id == "host-5"));
 }
 
@@ -181,7 +181,7 @@
     for me in 0..hosts {
         let mut table = Table::new(member(me, 1), options.clone(), Instant::now());
         table.set_listed(listed(hosts));
-        for target in table.targets() {
+        for target in table.targets(Instant::now()) {
             let host: usize = target.host_id["host-".len()..].parse().unwrap();
             receivers[host] += 1;
         }
