--- a/crates/burdockroad/src/lib.rs
+++ b/crates/burdockroad/src/lib.rs
@@ -10,6 +10,7 @@
 //! # Guide
 //!
 //! * [`program`] keeps the order, history and budget of programs, and writes [`Record`]s of it.
+//! * [`membership`] tells which hosts are up, and [`ownership`] which of them serves what.
 //! * [`quota`] keeps rate and burst of client accounts over all hosts.
 //! * [`config`] holds the one configuration [`Document`] and its checks.
 //!
@@ -18,6 +19,8 @@
 pub mod config;
 mod error;
 mod ids;
+pub mod membership;
+pub mod ownership;
 pub mod program;
 pub mod quota;
 
