--- a/crates/burdockroad/src/lib.rs
+++ b/crates/burdockroad/src/lib.rs
@@ -10,14 +10,19 @@
 //! # Guide
 //!
 //! * [`program`] keeps the order, history and budget of programs, and writes [`Record`]s of it.
+//! * [`dispatch`] gives out slots at endpoints: fairness, placement, health, prefix caches.
+//! * [`membership`] tells which hosts are up, and [`ownership`] which of them serves what.
 //! * [`quota`] keeps rate and burst of client accounts over all hosts.
 //! * [`config`] holds the one configuration [`Document`] and its checks.
 //!
 //! Entities stand in tables, and systems run over the tables each tick.
 
 pub mod config;
+pub mod dispatch;
 mod error;
 mod ids;
+pub mod membership;
+pub mod ownership;
 pub mod program;
 pub mod quota;
 
