Add a stand-in of a model engine

Cause: the daemon and the measurements need an engine whose batching, cache, streams and orders can be foreseen, and which records what it was sent.

Ruled out: sending tokens from a timer for each sequence (the batch would not slow down as it grows); a cache that counts tokens only (a history that was mixed up would look cached). Closing a connection suspends the stream, so that it can be resumed; only a cancel ends it for good.

Change: engine::EngineStandin and 'burdockroad-standin engine'.

Conclusion: thin for orders, which do not interrupt calls under way.

--- a/crates/burdockroad-standins/src/bin/burdockroad-standin/running.rs
+++ b/crates/burdockroad-standins/src/bin/burdockroad-standin/running.rs
@@ -1,11 +1,17 @@
 //! Starts a stand-in from its command line.
 
-use std::{net::SocketAddr, pin::Pin};
+use std::{net::SocketAddr, pin::Pin, time::Duration};
 
 use anyhow::bail;
-use burdockroad_standins::kv::{KvOptions, KvStandin};
+use burdockroad_standins::{
+    engine::{EngineOptions, EngineStandin, Fencing},
+    kv::{KvOptions, KvStandin},
+};
 use pico_args::Arguments;
 
+const MS_PER_S: f64 = 1e3;
+const US_PER_S: f64 = 1e6;
+
 /// A started stand-in, whatever its kind.
 pub(crate) struct Running {
     address: SocketAddr,
@@ -28,6 +34,7 @@
 pub(crate) async fn start(kind: &str, arguments: &mut Arguments) -> anyhow::Result<Running> {
     match kind {
         "kv" => start_kv(arguments).await,
+        "engine" => start_engine(arguments).await,
         _ => bail!("unknown kind {kind:?}; see --help"),
     }
 }
@@ -46,6 +53,72 @@
     })
 }
 
+async fn start_engine(arguments: &mut Arguments) -> anyhow::Result<Running> {
+    let mut options = EngineOptions::default();
+    set(arguments, "--listen", &mut options.listen)?;
+    set(arguments, "--control-listen", &mut options.control_listen)?;
+    options.models = arguments.values_from_str("--model")?;
+    set(arguments, "--slots", &mut options.slots)?;
+    set_ms(arguments, "--token-ms", &mut options.token_time)?;
+    set(arguments, "--batch-slowdown", &mut options.batch_slowdown)?;
+    set_us(
+        arguments,
+        "--prefill-us-per-token",
+        &mut options.prefill_per_token,
+    )?;
+    set(arguments, "--cache-tokens", &mut options.cache_tokens)?;
+    set_us(
+        arguments,
+        "--transfer-us-per-token",
+        &mut options.transfer_per_token,
+    )?;
+    options.answer_tokens = arguments.opt_value_from_str("--answer-tokens")?;
+    set_ms(arguments, "--event-lag-ms", &mut options.event_lag)?;
+    set(
+        arguments,
+        "--event-gap-probability",
+        &mut options.event_gap_probability,
+    )?;
+    set_ms(arguments, "--load-lag-ms", &mut options.load_lag)?;
+    if let Some(fencing) = arguments.opt_value_from_fn("--fencing", read_fencing)? {
+        options.fencing = fencing;
+    }
+    set_ms(arguments, "--load-ms", &mut options.load_time)?;
+    options.weight_store = arguments.opt_value_from_str("--weight-store")?;
+    set(arguments, "--record-limit", &mut options.record_limit)?;
+    set(arguments, "--seed", &mut options.seed)?;
+    let engine = EngineStandin::start(options).await?;
+    Ok(Running {
+        address: engine.address(),
+        control: Some(engine.control_address()),
+        closing: Box::pin(engine.close()),
+    })
+}
+
+fn read_fencing(text: &str) -> anyhow::Result<Fencing> {
+    match text {
+        "refused" => Ok(Fencing::Refused),
+        "ignored" => Ok(Fencing::Ignored),
+        _ => bail!("--fencing is refused or ignored, not {text:?}"),
+    }
+}
+
+/// Puts a time in milliseconds, which may have a fraction, in place of the default.
+fn set_ms(arguments: &mut Arguments, name: &'static str, field: &mut Duration) -> anyhow::Result<()> {
+    if let Some(milliseconds) = arguments.opt_value_from_str::<_, f64>(name)? {
+        *field = Duration::try_from_secs_f64(milliseconds / MS_PER_S)?;
+    }
+    Ok(())
+}
+
+/// Puts a time in microseconds, which may have a fraction, in place of the default.
+fn set_us(arguments: &mut Arguments, name: &'static str, field: &mut Duration) -> anyhow::Result<()> {
+    if let Some(microseconds) = arguments.opt_value_from_str::<_, f64>(name)? {
+        *field = Duration::try_from_secs_f64(microseconds / US_PER_S)?;
+    }
+    Ok(())
+}
+
 /// Puts the value of an option, where it is given, in place of the default.
 fn set<T>(arguments: &mut Arguments, name: &'static str, field: &mut T) -> anyhow::Result<()>
 where
--- /dev/null
+++ b/crates/burdockroad-standins/src/engine/api.rs
@@ -0,0 +1,266 @@
+//! Requests to the engine stand-in that callers of an engine may send.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use tokio::time::Instant;
+
+use crate::{
+    engine::{
+        Shared,
+        answer::Reader,
+        batch::{NewSequence, Phase},
+        cache::ExportedPrefix,
+        chat::{self, AnswerHead, ChatRequest, FinishReason},
+        orders::OrderRequest,
+        text,
+    },
+    http_server::{self, Answer, AnswerBody, Handler, Received},
+    request_faults::RequestFault,
+};
+
+const REQUEST_ID: &str = "x-request-id";
+const PROGRAM_ID: &str = "x-program-id";
+const PRIORITY: &str = "x-priority";
+
+type Refused = Box<Response<AnswerBody>>;
+
+/// Answers the requests of the engine's own address.
+pub(crate) struct Api {
+    pub(crate) shared: Arc<Shared>,
+}
+
+#[async_trait]
+impl Handler for Api {
+    async fn handle(&self, request: Received) -> Answer {
+        self.shared.recorder.record(&request);
+        let (method, path) = request.route();
+        let response = match (method, path.as_slice()) {
+            ("POST", ["v1", "chat", "completions"]) => return self.complete(&request).await,
+            ("GET", ["v1", "models"]) => chat::model_list(&self.shared.state().orders.models),
+            ("POST", ["streams", id, "cancel"]) => self.cancel(id),
+            ("GET", ["streams", id]) => self.resume(id, &request),
+            ("GET", ["cache"]) => http_server::json(StatusCode::OK, &self.shared.state().cache.held()),
+            ("GET", ["cache", "events"]) => self.cache_events(&request),
+            ("DELETE", ["cache", id]) => self.free(id),
+            ("GET", ["cache", id, "export"]) => self.export(id).await,
+            ("PUT", ["cache", id]) => self.import(id, &request).await,
+            ("GET", ["load"]) => http_server::json(StatusCode::OK, &self.shared.state().load(Instant::now())),
+            ("POST", ["orders"]) => self.order(&request),
+            ("GET", ["orders"]) => http_server::json(StatusCode::OK, &self.shared.state().orders),
+            _ => chat::error(StatusCode::NOT_FOUND, "not_found", "no such request"),
+        };
+        Ok(response)
+    }
+}
+
+impl Api {
+    async fn complete(&self, request: &Received) -> Answer {
+        let (fault, delay) = self.shared.next_fault();
+        tokio::time::sleep(delay).await;
+        let cut_after = match fault {
+            RequestFault::None => None,
+            RequestFault::Cut { after_tokens } => Some(after_tokens),
+            RequestFault::Hang => return std::future::pending().await,
+            RequestFault::Fail => {
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                return Ok(chat::error(status, "failed", "the engine was told to fail"));
+            }
+        };
+        let (chat, stream_id, reader) = match self.queue(request) {
+            Ok(queued) => queued,
+            Err(refused) => return Ok(*refused),
+        };
+        let reader = match cut_after {
+            Some(tokens) => reader.cut_after(tokens),
+            None => reader,
+        };
+        let head = AnswerHead::new(&stream_id, &chat.model, chat.include_usage());
+        let response = if chat.stream {
+            event_stream(reader, head)
+        } else {
+            reader.completion(head).await?
+        };
+        Ok(with_stream_id(response, &stream_id))
+    }
+
+    /// Checks a request and queues it.
+    fn queue(&self, request: &Received) -> Result<(ChatRequest, String, Reader), Refused> {
+        let chat: ChatRequest = serde_json::from_slice(&request.body)
+            .map_err(|error| Box::new(bad_request("invalid_json", &error.to_string())))?;
+        chat.check()
+            .map_err(|reason| Box::new(bad_request("invalid_value", reason)))?;
+        let priority = read_priority(request)?;
+        self.check_model(&chat.model)?;
+        let stream_id = match request.header(REQUEST_ID) {
+            Some(id) => id.to_owned(),
+            None => self.shared.new_stream_id(),
+        };
+        let prompt = chat.prompt();
+        let wanted = self
+            .shared
+            .answer_tokens
+            .unwrap_or_else(|| text::answer_tokens(prompt.digest()));
+        let allowed = chat.max_output_tokens().unwrap_or(u64::MAX);
+        let finish_reason = if allowed < wanted {
+            FinishReason::Length
+        } else {
+            FinishReason::Stop
+        };
+        let new = NewSequence {
+            stream_id: stream_id.clone(),
+            program_id: request.header(PROGRAM_ID).map(str::to_owned),
+            priority,
+            prompt,
+            answer_tokens: wanted.min(allowed),
+            finish_reason,
+        };
+        let queued = self.shared.state().batch.queue(new);
+        let number = queued.map_err(|_running| {
+            let message = "a stream of this name is being computed";
+            Box::new(chat::error(StatusCode::CONFLICT, "stream_running", message))
+        })?;
+        self.shared.wake();
+        let reader = Reader::new(&self.shared, stream_id.clone(), number, 0);
+        Ok((chat, stream_id, reader))
+    }
+
+    fn check_model(&self, model: &str) -> Result<(), Refused> {
+        let state = self.shared.state();
+        let models = &state.orders.models;
+        if models.is_empty() || models.iter().any(|name| name == model) {
+            return Ok(());
+        }
+        let message = format!("the model {model:?} is not loaded");
+        let refused = chat::error(StatusCode::NOT_FOUND, "model_not_found", &message);
+        Err(Box::new(refused))
+    }
+
+    fn cancel(&self, stream_id: &str) -> Response<AnswerBody> {
+        let mut state = self.shared.state();
+        if state.batch.sequence(stream_id).is_none() {
+            return no_such_stream();
+        }
+        state.stop(stream_id, Phase::Cancelled, Instant::now());
+        drop(state);
+        self.shared.wake();
+        http_server::empty(StatusCode::NO_CONTENT)
+    }
+
+    fn resume(&self, stream_id: &str, request: &Received) -> Response<AnswerBody> {
+        let from = match request.query("from").unwrap_or("0").parse() {
+            Ok(from) => from,
+            Err(_not_a_number) => return bad_request("invalid_value", "from is no token number"),
+        };
+        let mut state = self.shared.state();
+        let phase = state.batch.sequence(stream_id).map(|sequence| sequence.phase);
+        if phase == Some(Phase::Cancelled) {
+            return chat::error(StatusCode::GONE, "stream_cancelled", "the stream was cancelled");
+        }
+        let Some(number) = state.batch.resume(stream_id) else {
+            return no_such_stream();
+        };
+        drop(state);
+        self.shared.wake();
+        let reader = Reader::new(&self.shared, stream_id.to_owned(), number, from);
+        let head = AnswerHead::new(stream_id, "", true);
+        with_stream_id(event_stream(reader, head), stream_id)
+    }
+
+    fn cache_events(&self, request: &Received) -> Response<AnswerBody> {
+        let since = request.query("since").unwrap_or("0").parse();
+        match since {
+            Ok(since) => {
+                let events = self.shared.state().cache.events.since(since, Instant::now());
+                http_server::json(StatusCode::OK, &events)
+            }
+            Err(_not_a_number) => bad_request("invalid_value", "since is no event number"),
+        }
+    }
+
+    fn free(&self, program_id: &str) -> Response<AnswerBody> {
+        let now = Instant::now();
+        let mut state = self.shared.state();
+        state.cache.free(program_id, now);
+        state.sample_load(now);
+        http_server::empty(StatusCode::NO_CONTENT)
+    }
+
+    async fn export(&self, program_id: &str) -> Response<AnswerBody> {
+        let exported = self.shared.state().cache.export(program_id);
+        let Some(exported) = exported else {
+            let message = "nothing is held of this program";
+            return chat::error(StatusCode::NOT_FOUND, "not_held", message);
+        };
+        self.shared.transfer(exported.prompt.tokens()).await;
+        http_server::json(StatusCode::OK, &exported)
+    }
+
+    async fn import(&self, program_id: &str, request: &Received) -> Response<AnswerBody> {
+        let exported: ExportedPrefix = match request.json() {
+            Ok(exported) => exported,
+            Err(refused) => return *refused,
+        };
+        self.shared.transfer(exported.prompt.tokens()).await;
+        let now = Instant::now();
+        let mut state = self.shared.state();
+        let held = state.cache.hold(program_id, exported.prompt, now);
+        state.sample_load(now);
+        match held {
+            Ok(()) => http_server::empty(StatusCode::NO_CONTENT),
+            Err(_too_large) => {
+                let message = "the prefix is larger than the cache";
+                chat::error(StatusCode::INSUFFICIENT_STORAGE, "too_large", message)
+            }
+        }
+    }
+
+    fn order(&self, request: &Received) -> Response<AnswerBody> {
+        let order: OrderRequest = match request.json() {
+            Ok(order) => order,
+            Err(refused) => return *refused,
+        };
+        let accepted = self.shared.state().orders.accept(order, self.shared.fencing);
+        match accepted {
+            Ok(place) => {
+                self.shared.carry_out(place);
+                http_server::empty(StatusCode::ACCEPTED)
+            }
+            Err(_old) => {
+                let message = "the fencing number is lower than one seen before";
+                chat::error(StatusCode::CONFLICT, "old_fencing_number", message)
+            }
+        }
+    }
+}
+
+fn read_priority(request: &Received) -> Result<i64, Refused> {
+    let text = request.header(PRIORITY).unwrap_or("0");
+    text.parse()
+        .map_err(|_not_a_number| Box::new(bad_request("invalid_value", "X-Priority is no whole number")))
+}
+
+fn event_stream(reader: Reader, head: AnswerHead) -> Response<AnswerBody> {
+    let mut response = Response::new(http_server::streamed(reader.events(head)));
+    let media_type = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, media_type);
+    response
+}
+
+fn with_stream_id(mut response: Response<AnswerBody>, stream_id: &str) -> Response<AnswerBody> {
+    if let Ok(value) = HeaderValue::from_str(stream_id) {
+        response
+            .headers_mut()
+            .insert(HeaderName::from_static(REQUEST_ID), value);
+    }
+    response
+}
+
+fn bad_request(code: &str, message: &str) -> Response<AnswerBody> {
+    chat::error(StatusCode::BAD_REQUEST, code, message)
+}
+
+fn no_such_stream() -> Response<AnswerBody> {
+    chat::error(StatusCode::NOT_FOUND, "stream_not_found", "no such stream")
+}
--- a/crates/burdockroad-standins/src/http_server.rs
+++ b/crates/burdockroad-standins/src/http_server.rs
@@ -1,12 +1,16 @@
-//! HTTP for the stand-ins: handlers, answers in JSON, and a record of what was received.
+//! HTTP for the stand-ins: handlers, and answers in JSON.
 
 use std::{fmt, net::SocketAddr, pin::Pin, sync::Arc};
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
-use hyper::{body::Incoming, service::Service};
+use futures_util::{Stream, TryStreamExt};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{
+    body::{Frame, Incoming},
+    service::Service,
+};
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{error::Result, server::Server};
@@ -41,6 +45,7 @@
 pub(crate) struct Received {
     pub(crate) method: Method,
     pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
 }
 
@@ -51,6 +56,19 @@
         (self.method.as_str(), path.split('/').collect())
     }
 
+    /// Returns the first value of a parameter of the query.
+    pub(crate) fn query(&self, name: &str) -> Option<&str> {
+        let pairs = self.uri.query()?.split('&');
+        pairs
+            .filter_map(|pair| pair.split_once('='))
+            .find_map(|(key, value)| (key == name).then_some(value))
+    }
+
+    /// Returns a header's value as text.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
     /// Reads the body as JSON, or makes the answer that refuses it.
     pub(crate) fn json<T: DeserializeOwned>(&self) -> std::result::Result<T, Box<Response<AnswerBody>>> {
         serde_json::from_slice(&self.body)
@@ -85,6 +103,7 @@
             let received = Received {
                 method: head.method,
                 uri: head.uri,
+                headers: head.headers,
                 body,
             };
             handler.handle(received).await
@@ -112,6 +131,14 @@
     typed(status, "text/plain; charset=utf-8", message.to_owned())
 }
 
+/// Makes a body that is sent as a stream makes its pieces; an error cuts the connection.
+pub(crate) fn streamed<S>(pieces: S) -> AnswerBody
+where
+    S: Stream<Item = std::result::Result<Bytes, Cut>> + Send + 'static,
+{
+    StreamBody::new(pieces.map_ok(Frame::data)).boxed_unsync()
+}
+
 /// Answers without a body.
 pub(crate) fn empty(status: StatusCode) -> Response<AnswerBody> {
     let mut response = Response::new(full(Bytes::new()));
--- a/crates/burdockroad-standins/src/lib.rs
+++ b/crates/burdockroad-standins/src/lib.rs
@@ -6,10 +6,20 @@
 //! | module | what it stands in for |
 //! |---|---|
 //! | [`kv`] | the platform's key-value service: the etcd v3 interface, in memory |
+//! | [`engine`] | a model engine |
+//!
+//! [`http_client`] helps tests to drive them.
 
-pub use crate::error::{Result, StandinError};
+pub use crate::{
+    error::{Result, StandinError},
+    record::{HeaderField, Recorded},
+};
 
+pub mod engine;
 mod error;
+pub mod http_client;
 mod http_server;
 pub mod kv;
+mod record;
+mod request_faults;
 mod server;
--- /dev/null
+++ b/crates/burdockroad-standins/tests/engine_contract.rs
@@ -0,0 +1,599 @@
+//! Contract of the engine stand-in: chat completions as published, streams, cache, load and orders.
+
+use std::time::Duration;
+
+use burdockroad_standins::{
+    engine::{
+        CacheEvent, CacheEventKind, EngineFaults, EngineOptions, EngineStandin, Fencing, HeldProgram, Load,
+        Order, OrderRequest, OrderState, OrdersReport,
+    },
+    http_client::{self, HttpAnswer, HttpClient, HttpStream},
+};
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Method, Request};
+use http_body_util::Full;
+use serde_json::{Value, json};
+
+/// Longest wait for something that has to come; a wait that ends by it is a failure.
+const DEADLINE: Duration = Duration::from_secs(20);
+/// Wait after which a request that must never be answered counts as hanging.
+const HANG: Duration = Duration::from_millis(300);
+
+struct Fixture {
+    engine: EngineStandin,
+    client: HttpClient,
+}
+
+impl Fixture {
+    async fn start(options: EngineOptions) -> Self {
+        Self {
+            engine: EngineStandin::start(options).await.unwrap(),
+            client: HttpClient::new(),
+        }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.engine.address())
+    }
+
+    fn chat(&self, headers: &[(&'static str, &str)], body: &Value) -> Request<Full<Bytes>> {
+        let url = self.url("/v1/chat/completions");
+        let mut request = http_client::json_request(Method::POST, &url, body).unwrap();
+        for (name, value) in headers {
+            let value = HeaderValue::from_str(value).unwrap();
+            request.headers_mut().insert(HeaderName::from_static(name), value);
+        }
+        request
+    }
+
+    async fn complete(&self, headers: &[(&'static str, &str)], body: &Value) -> HttpAnswer {
+        self.client.send(self.chat(headers, body)).await.unwrap()
+    }
+
+    async fn open(&self, headers: &[(&'static str, &str)], body: &Value) -> HttpStream {
+        self.client.open(self.chat(headers, body)).await.unwrap()
+    }
+
+    async fn send(&self, method: Method, path: &str) -> HttpAnswer {
+        let request = http_client::request(method, &self.url(path), Bytes::new()).unwrap();
+        self.client.send(request).await.unwrap()
+    }
+
+    async fn wait_for_load(&self, expected: impl Fn(Load) -> bool) {
+        let reached = async {
+            while !expected(self.engine.load()) {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        tokio::time::timeout(DEADLINE, reached).await.unwrap();
+    }
+}
+
+fn body(text: &str, max_tokens: u64) -> Value {
+    json!({"model": "m", "max_tokens": max_tokens, "messages": [{"role": "user", "content": text}]})
+}
+
+fn streaming(mut body: Value) -> Value {
+    body["stream"] = json!(true);
+    body["stream_options"] = json!({"include_usage": true});
+    body
+}
+
+fn answer_text(answer: &HttpAnswer) -> String {
+    let answer: Value = answer.json().unwrap();
+    answer["choices"][0]["message"]["content"]
+        .as_str()
+        .unwrap()
+        .to_owned()
+}
+
+/// Returns the events of a body, without the end mark.
+fn events(text: &str) -> Vec<Value> {
+    let events = text
+        .split("\n\n")
+        .filter_map(|event| event.strip_prefix("data: "));
+    events
+        .filter_map(|event| serde_json::from_str(event).ok())
+        .collect()
+}
+
+fn streamed_text(events: &[Value]) -> String {
+    let contents = events
+        .iter()
+        .filter_map(|event| event["choices"][0]["delta"]["content"].as_str());
+    contents.collect()
+}
+
+/// Reads events until there are `number` of them, or the answer ends or is cut.
+async fn read_events(stream: &mut HttpStream, number: usize) -> (Vec<Value>, bool) {
+    let mut text = String::new();
+    loop {
+        match stream.next().await {
+            Ok(Some(bytes)) => text.push_str(&String::from_utf8_lossy(&bytes)),
+            Ok(None) => return (events(&text), true),
+            Err(_cut) => return (events(&text), false),
+        }
+        if events(&text).len() >= number {
+            return (events(&text), true);
+        }
+    }
+}
+
+#[tokio::test]
+async fn complete_refusal_table() {
+    let options = EngineOptions {
+        models: vec!["m".to_owned()],
+        ..EngineOptions::default()
+    };
+    let fixture = Fixture::start(options).await;
+    let cases = [
+        (body("hello", 0), &[][..], 400, "invalid_value"),
+        (json!({"model": "m", "messages": []}), &[], 400, "invalid_value"),
+        (json!({"model": "m"}), &[], 400, "invalid_json"),
+        (
+            json!({"model": "m", "n": 2, "messages": [{"role": "user", "content": "x"}]}),
+            &[],
+            400,
+            "invalid_value",
+        ),
+        (
+            json!({"model": "x", "messages": [{"role": "user", "content": "x"}]}),
+            &[],
+            404,
+            "model_not_found",
+        ),
+        (body("hello", 1), &[("x-priority", "high")], 400, "invalid_value"),
+    ];
+    for (request, headers, status, code) in cases {
+        let answer = fixture.complete(headers, &request).await;
+        assert_eq!(answer.status, status, "{request}");
+        assert_eq!(
+            answer.json::<Value>().unwrap()["error"]["code"],
+            code,
+            "{request}"
+        );
+    }
+    assert_eq!(fixture.engine.stats().generated, 0);
+    assert_eq!(fixture.engine.recorded().len(), 6);
+    fixture.engine.close().await;
+}
+
+#[tokio::test]
+async fn complete_lengths() {
+    let options = EngineOptions {
+        answer_tokens: Some(10),
+        ..EngineOptions::default()
+    };
+    let fixture = Fixture::start(options).await;
+    // Text, limit, tokens of the prompt, tokens of the answer, reason of its end.
+    let cases = [
+        ("hello", 3, 2, 3, "length"),
+        ("abcd", 10, 1, 10, "stop"),
+        ("abcde fgh", 50, 3, 10, "stop"),
+    ];
+    for (text, limit, prompt_tokens, tokens, reason) in cases {
+        let answer: Value = fixture.complete(&[], &body(text, limit)).await.json().unwrap();
+        assert_eq!(answer["object"], "chat.completion");
+        assert_eq!(answer["choices"][0]["finish_reason"], reason);
+        let content = answer["choices"][0]["message"]["content"].as_str().unwrap();
+        assert_eq!(content.len(), 4 * tokens);
+        let usage = json!({
+            "prompt_tokens": prompt_tokens, "completion_tokens": tokens, "total_tokens": prompt_tokens + tokens,
+            "prompt_tokens_details": {"cached_tokens": 0},
+        });
+        assert_eq!(answer["usage"], usage);
+    }
+    fixture.engine.close().await;
+}
+
+#[tokio::test]
+async fn complete_streamed() {
+    let fixture = Fixture::start(EngineOptions::default()).await;
+    let whole = answer_text(&fixture.complete(&[], &body("same prompt", 12)).await);
+    let other = answer_text(&fixture.complete(&[], &body("same prompt.", 12)).await);
+    assert_ne!(whole, other);
+    let answer = fixture.complete(&[], &streaming(body("same prompt", 12))).await;
+    assert_eq!(answer.headers["content-type"], "text/event-stream");
+    assert!(answer.text().ends_with("data: [DONE]\n\n"));
+    let events = events(&answer.text());
+    assert_eq!(streamed_text(&events), whole);
+    // One event a token, one for the reason, one for the usage.
+    assert_eq!(events.len(), 12 + 2);
+    assert_eq!(events[0]["choices"][0]["delta"]["role"], "assistant");
+    assert_eq!(events[0]["usage"], Value::Null);
+    assert_eq!(events[12]["choices"][0]["finish_reason"], "length");
+    assert_eq!(events[13]["choices"], json!([]));
+    assert_eq!(events[13]["usage"]["completion_tokens"], 12);
+    fixture.engine.close().await;
+}
+
+#[tokio::test]
+async fn cache_prefix() {
+    let fixture = Fixture::start(EngineOptions::default()).await;
+    let program = [("x-program-id", "p1")];
+    let first = answer_text(&fixture.complete(&program, &body("first question", 5)).await);
+    // 14 bytes are 4 tokens; the answer is 5.
+    let turn = |question: &str| {
+        json!({"model": "m", "max_tokens": 1, "messages": [
+            {"role": "user", "content": question}, {"role": "assistant", "content": first},
+            {"role": "user", "content": "second"}]})
+    };
+    let cached = async |request: Value| -> u64 {
+        let answer: Value = fixture.complete(&program, &request).await.json().unwrap();
+        answer["usage"]["prompt_tokens_details"]["cached_tokens"]
+            .as_u64()
+            .unwrap()
+    };
+    assert_eq!(cached(turn("first question")).await, 9);
+    assert_eq!(cached(turn("first question")).await, 11);
+    assert_eq!(cached(turn("another question")).await, 0);
+    for _ in 0..2 {
+        assert_eq!(fixture.send(Method::DELETE, "/cache/p1").await.status, 204);
+    }
+    assert_eq!(fixture.engine.held_programs(), []);
+    assert_eq!(cached(turn("another question")).await, 0);
+    assert_eq!(fixture.engine.stats().prompt_tokens_cached, 20);
+    fixture.engine.close().await;
+}
+
+#[tokio::test]
+async fn cache_eviction_and_events() {
+    let options = EngineOptions {
+        cache_tokens: 10,
+        ..EngineOptions::default()
+    };
+    let fixture = Fixture::start(options).await;
+    for (program, text) in [("a", "aaaa"), ("b", "bbbb"), ("a", "cccc"), ("c", "dddd")] {
+        fixture
+            .complete(&[("x-program-id", program)], &body(text, 3))
+            .await;
+    }
+    let held = |program_id: &str| HeldProgram {
+        program_id: program_id.to_owned(),
+        tokens: 4,
+    };
+    let answer = fixture.send(Method::GET, "/cache").await;
+    assert_eq!(answer.json::<Vec<HeldProgram>>().unwrap(), [held("a"), held("c")]);
+    let answer = fixture.send(Method::GET, "/cache/events?since=2").await;
+    let events: Vec<_> = answer.json::<Vec<CacheEvent>>().unwrap();
+    let events: Vec<_> = events
+        .iter()
+        .map(|event| (event.sequence, event.kind, event.program_id.as_str()))
+        .collect();
+    let expected = [
+        (3, CacheEventKind::Held, "a"),
+        (4, CacheEventKind::Evicted, "b"),
+        (5, CacheEventKind::Held, "c"),
+    ];
+    assert_eq!(events, expected);
+    fixture
+        .complete(&[("x-program-id", "large")], &body(&"x".repeat(80), 3))
+        .await;
+    assert!(fixture.engine.load().cache_tokens_used <= 10);
+    fixture.engine.close().await;
+}
+
+#[tokio::test]
+async fn cache_events_late_and_lost() {
+    let late = EngineOptions {
+        event_lag: Duration::from_hours(1),
+        ..EngineOptions::default()
+    };
+    let lost = EngineOptions {
+        event_gap_probability: 1.0,
+        ..EngineOptions::default()
+    };
+    let some = EngineOptions {
+        event_gap_probability: 0.5,
+        seed: 7,
+        ..EngineOptions::default()
+    };
+    // Options, then the least and the most events of 20 that are seen.
+    for (options, least, most) in [(late, 0, 0), (lost, 0, 0), (some, 1, 19)] {
+        let fixture = Fixture::start(options).await;
+        for number in 0..20 {
+            let program = number.to_string();
+            fixture
+                .complete(&[("x-program-id", &program)], &body("x", 1))
+                .await;
+        }
+        let answer = fixture.send(Method::GET, "/cache/events").await;
+        let seen = answer.json::<Vec<CacheEvent>>().unwrap().len();
+        assert!((least..=most).contains(&seen), "{seen} of {least}..={most}");
+        fixture.engine.close().await;
+    }
+}
+
+#[tokio::test]
+async fn cache_export_import() {
+    let from = Fixture::start(EngineOptions::default()).await;
+    let to = Fixture::start(EngineOptions::default()).await;
+    let small = Fixture::start(EngineOptions {
+        cache_tokens: 3,
+        ..EngineOptions::default()
+    })
+    .await;
+    from.complete(&[("x-program-id", "p")], &body("a long question", 2))
+        .await;
+    assert_eq!(from.send(Method::GET, "/cache/none/export").await.status, 404);
+    let exported: Value = from.send(Method::GET, "/cache/p/export").await.json().unwrap();
+    for (fixture, status, held_tokens) in [(&to, 204, 6), (&small, 507, 0)] {
+        let url = fixture.url("/cache/p");
+        let answer = fixture
+            .client
+            .send_json(Method::PUT, &url, &exported)
+            .await
+            .unwrap();
+        assert_eq!(answer.status, status);
+        assert_eq!(fixture.engine.load().cache_tokens_used, held_tokens);
+    }
+    let answer = to
+        .complete(&[("x-program-id", "p")], &body("a long question", 2))
+        .await;
+    let usage = &answer.json::<Value>().unwrap()["usage"];
+    assert_eq!(usage["prompt_tokens_details"]["cached_tokens"], 4);
+    for fixture in [from, to, small] {
+        fixture.engine.close().await;
+    }
+}
+
+#[tokio::test]
+async fn priority_order() {
+    // An answer too long to end by itself holds the only slot until the others have come.
+    let options = EngineOptions {
+        slots: 1,
+        answer_tokens: Some(10_000_000),
+        ..EngineOptions::default()
+    };
+    let fixture = Fixture::start(options).await;
+    let holder = fixture
+        .open(
+            &[("x-request-id", "holder")],
+            &streaming(body("hold", 10_000_000)),
+        )
+        .await;
+    let (ended, mut order) = tokio::sync::mpsc::unbounded_channel();
+    for (position, priority) in ["5", "1", "0", "1"].into_iter().enumerate() {
+        let client = fixture.client.clone();
+        let request = fixture.chat(&[("x-priority", priority)], &body(&format!("q{position}"), 1));
+        let ended = ended.clone();
+        tokio::spawn(async move {
+            let answer = client.send(request).await.unwrap();
+            ended.send((position, answer.status)).unwrap();
+        });
+        fixture
+            .wait_for_load(|load| load.waiting == position as u64 + 1)
+            .await;
+    }
+    assert_eq!(
+        fixture.send(Method::POST, "/streams/holder/cancel").await.status,
+        204
+    );
+    let mut positions = Vec::new();
+    for _ in 0..4 {
+        let (position, status) = order.recv().await.unwrap();
+        assert_eq!(status, 200);
+        positions.push(position);
+    }
+    // Each answer takes one step, so the answers leave in the order in which the slot was given.
+    assert_eq!(positions, [2, 1, 3, 0]);
+    drop(holder);
+    fixture.engine.close().await;
+}
+
+#[tokio::test]
+async fn stream_close_and_resume() {
+    let options = EngineOptions {
+        answer_tokens: Some(300),
+        ..EngineOptions::default()
+    };
+    let fixture = Fixture::start(options).await;
+    let whole = answer_text(&fixture.complete(&[], &body("question", 300)).await);
+    let named = [("x-request-id", "s"), ("x-program-id", "p")];
+    let mut stream = fixture.open(&named, &streaming(body("question", 300))).await;
+    let (first, _) = read_events(&mut stream, 1).await;
+    drop(stream);
+    fixture.wait_for_load(|load| load.running == 0).await;
+    let received = first.len();
+    let answer = fixture
+        .send(Method::GET, &format!("/streams/s?from={received}"))
+        .await;
+    let rest = events(&answer.text());
+    assert_eq!(streamed_text(&first) + &streamed_text(&rest), whole);
+    assert_eq!(rest.last().unwrap()["usage"]["completion_tokens"], 300);
+    // A stream that has ended can be read again.
+    let answer = fixture.send(Method::GET, "/streams/s?from=298").await;
+    assert_eq!(streamed_text(&events(&answer.text())), whole[298 * 4..]);
+    assert_eq!(
+        fixture.send(Method::GET, "/streams/none?from=0").await.status,
+        404
+    );
+    fixture.engine.close().await;
+}
+
+#[tokio::test]
+async fn stream_cancel() {
+    let options = EngineOptions {
+        answer_tokens: Some(10_000_000),
+        ..EngineOptions::default()
+    };
+    let fixture = Fixture::start(options).await;
+    let long = streaming(body("question", 10_000_000));
+    let mut stream = fixture.open(&[("x-request-id", "s")], &long).await;
+    assert_eq!(
+        fixture.complete(&[("x-request-id", "s")], &long).await.status,
+        409
+    );
+    assert_eq!(fixture.send(Method::POST, "/streams/s/cancel").await.status, 204);
+    let (_, whole) = read_events(&mut stream, usize::MAX).await;
+    assert!(!whole, "a cancelled answer must not look like a whole one");
+    assert_eq!(fixture.engine.load().running, 0);
+    assert_eq!(fixture.send(Method::GET, "/streams/s?from=0").await.status, 410);
+    assert_eq!(
+        fixture.send(Method::POST, "/streams/none/cancel").await.status,
+        404
+    );
+    fixture.engine.close().await;
+}
+
+#[tokio::test]
+async fn load_lag() {
+    let lagging = EngineOptions {
+        load_lag: Duration::from_hours(1),
+        answer_tokens: Some(10_000_000),
+        ..EngineOptions::default()
+    };
+    let fresh = EngineOptions {
+        load_lag: Duration::ZERO,
+        ..lagging.clone()
+    };
+    for (options, running, age_ms) in [(lagging, 0, 3_600_000), (fresh, 1, 0)] {
+        let fixture = Fixture::start(options).await;
+        let stream = fixture.open(&[], &streaming(body("question", 10_000_000))).await;
+        fixture.wait_for_load(|load| load.running == 1).await;
+        let load: Load = fixture.send(Method::GET, "/load").await.json().unwrap();
+        assert_eq!((load.running, load.slots, load.age_ms), (running, 8, age_ms));
+        drop(stream);
+        fixture.engine.close().await;
+    }
+}
+
+#[tokio::test]
+async fn orders_table() {
+    let order = |fencing_number, order| OrderRequest {
+        fencing_number,
+        order,
+    };
+    let orders = [
+        order(5, Order::LoadModel("n".to_owned())),
+        order(4, Order::LoadAdapter("a".to_owned())),
+        order(5, Order::LoadVersion("v2".to_owned())),
+        order(6, Order::SetRole("prefill".to_owned())),
+    ];
+    let cases = [
+        (Fencing::Refused, [202, 409, 202, 202], vec!["n"]),
+        (Fencing::Ignored, [202; 4], vec!["n", "a"]),
+    ];
+    for (fencing, statuses, models) in cases {
+        let options = EngineOptions {
+            fencing,
+            models: vec!["m".to_owned()],
+            ..EngineOptions::default()
+        };
+        let fixture = Fixture::start(options).await;
+        for (order, status) in orders.iter().zip(statuses) {
+            let url = fixture.url("/orders");
+            let answer = fixture.client.send_json(Method::POST, &url, order).await.unwrap();
+            assert_eq!(answer.status, status, "{fencing:?} {order:?}");
+        }
+        let done = async {
+            loop {
+                let report: OrdersReport = fixture.send(Method::GET, "/orders").await.json().unwrap();
+                if report.orders.iter().all(|order| order.state == OrderState::Done) {
+                    return report;
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let report = tokio::time::timeout(DEADLINE, done).await.unwrap();
+        assert_eq!(report.models, models);
+        assert_eq!((report.version.as_str(), report.role.as_str()), ("v2", "prefill"));
+        assert_eq!(report.highest_fencing_number, 6);
+        assert_eq!(fixture.complete(&[], &body("question", 1)).await.status, 404);
+        fixture.engine.close().await;
+    }
+}
+
+#[tokio::test]
+async fn faults_table() {
+    let options = EngineOptions {
+        answer_tokens: Some(20),
+        ..EngineOptions::default()
+    };
+    let fixture = Fixture::start(options).await;
+    let request = streaming(body("question", 20));
+
+    fixture.engine.set_faults(EngineFaults {
+        fail_next: 1,
+        ..EngineFaults::default()
+    });
+    assert_eq!(fixture.complete(&[], &request).await.status, 500);
+
+    fixture.engine.set_faults(EngineFaults {
+        hang_next: 1,
+        ..EngineFaults::default()
+    });
+    let hanging = fixture.client.send(fixture.chat(&[], &request));
+    tokio::time::timeout(HANG, hanging).await.unwrap_err();
+    assert_eq!(fixture.engine.stats().generated, 0, "neither of them may run");
+
+    fixture.engine.set_faults(EngineFaults {
+        cut_next: 1,
+        cut_after_tokens: 7,
+        ..EngineFaults::default()
+    });
+    let mut stream = fixture.open(&[("x-request-id", "cut")], &request).await;
+    let (events, whole) = read_events(&mut stream, usize::MAX).await;
+    assert_eq!((events.len(), whole), (7, false));
+
+    fixture.engine.set_faults(EngineFaults {
+        cut_next: 1,
+        ..EngineFaults::default()
+    });
+    let cut = fixture
+        .client
+        .send(fixture.chat(&[], &body("question", 20)))
+        .await;
+    assert!(cut.is_err(), "{cut:?}");
+
+    let mut stream = fixture.open(&[], &request).await;
+    assert!(read_events(&mut stream, usize::MAX).await.1);
+    fixture.engine.close().await;
+}
+
+#[tokio::test]
+async fn control_apart() {
+    let fixture = Fixture::start(EngineOptions::default()).await;
+    for (method, path) in [
+        (Method::GET, "/recorded"),
+        (Method::GET, "/stats"),
+        (Method::POST, "/faults"),
+    ] {
+        assert_eq!(fixture.send(method, path).await.status, 404);
+    }
+    fixture
+        .complete(&[("authorization", "Bearer k")], &body("seen", 1))
+        .await;
+    let control = format!("http://{}", fixture.engine.control_address());
+    let recorded: Vec<Value> = fixture
+        .client
+        .get_json(&format!("{control}/recorded"))
+        .await
+        .unwrap();
+    assert_eq!(recorded.len(), 4);
+    assert_eq!(recorded[3]["target"], "/v1/chat/completions");
+    assert!(recorded[3]["headers"].to_string().contains("Bearer k"));
+    assert!(recorded[3]["body"].as_str().unwrap().contains("seen"));
+    let stats: Value = fixture
+        .client
+        .get_json(&format!("{control}/stats"))
+        .await
+        .unwrap();
+    assert_eq!(stats["generated"], 1);
+    let faults = json!({"fail_next": 1});
+    let answer = fixture
+        .client
+        .send_json(Method::POST, &format!("{control}/faults"), &faults)
+        .await
+        .unwrap();
+    assert_eq!(answer.status, 204);
+    assert_eq!(fixture.complete(&[], &body("seen", 1)).await.status, 500);
+    let unknown = json!({"fail_nxet": 1});
+    let answer = fixture
+        .client
+        .send_json(Method::POST, &format!("{control}/faults"), &unknown)
+        .await
+        .unwrap();
+    assert_eq!(answer.status, 400);
+    fixture.engine.close().await;
+}
