Coordinate membership, ownership, takeover and handoff in the daemon

Cause: the parts that decide need a daemon that carries the decisions out.

Ruled out: settling a lost reply by reading the key back alone. A write that is still on its way could take effect after the reading; the same write is made again until it succeeds or conflicts, which settles it.

--- a/crates/burdockroad-daemon/src/journal.rs
+++ b/crates/burdockroad-daemon/src/journal.rs
@@ -17,6 +17,11 @@
     /// gives up appends a record that says so.
     fn append(&self, records: Vec<Record>, durability: Durability) -> Appended;
 
+    /// Whether the journal is known to be sealed, so that this process owns nothing any more.
+    fn is_fenced(&self) -> bool {
+        false
+    }
+
     /// Tells whether records of that durability can be taken now, before anything is changed for them.
     ///
     /// New work is refused on an error here, so that the queue stays bounded while the key-value
--- a/crates/burdockroad-daemon/src/lib.rs
+++ b/crates/burdockroad-daemon/src/lib.rs
@@ -5,11 +5,18 @@
 //! [`ownership`] (which host serves which partition), [`quota`] (rates and bursts), [`dispatch`]
 //! (slots at endpoints) and [`peer`] (the other daemons). [`settings`] holds what a process is told
 //! when it starts.
+//!
+//! [`coordinator`] keeps a host in the fleet: [`membership`] tells which hosts are up; [`takeover`] takes over from a process that is gone, and
+//! [`handoff`] moves partitions between processes that are up.
 
+pub mod coordinator;
 pub mod dispatch;
+pub mod handoff;
 pub mod journal;
+pub mod membership;
 pub mod ownership;
 pub mod peer;
 pub mod platform;
 pub mod quota;
 pub mod settings;
+pub mod takeover;
--- /dev/null
+++ b/crates/burdockroad-daemon/src/membership.rs
@@ -0,0 +1,16 @@
+//! Heartbeats between the daemons, and what follows from them.
+//!
+//! The decisions stand in [`burdockroad::membership`]; here an actor sends the heartbeats, reads the
+//! platform's host list, and publishes which peers are up and which processes are gone.
+
+mod actor;
+mod gossip;
+mod lease;
+mod wire;
+
+pub use self::{
+    actor::{MembershipArguments, MembershipHandle, Standing},
+    gossip::{DocumentGossip, NoDocument},
+    lease::Lease,
+    wire::{host_ref, process_of},
+};
--- a/crates/burdockroad-daemon/src/ownership.rs
+++ b/crates/burdockroad-daemon/src/ownership.rs
@@ -1,12 +1,24 @@
 //! Which host serves which partition.
 
+mod actor;
+mod staging;
+mod store;
+
 use std::{collections::BTreeMap, sync::Arc};
 
-use burdockroad::{Epoch, HostId, Incarnation, PartitionId};
-use serde::{Deserialize, Serialize};
+use burdockroad::{HostId, PartitionId, ownership::OwnershipMap};
 use tokio::sync::watch;
 
-pub use burdockroad::PARTITIONS;
+pub use burdockroad::{
+    PARTITIONS,
+    ownership::{Owner, Process},
+};
+
+pub use self::{
+    actor::{ChangeError, OwnershipArguments, OwnershipHandle},
+    staging::{StageError, StageOrder, Staging},
+    store::{MapError, MapStore, OWNERSHIP_KEY, Swap, VersionedMap},
+};
 
 /// The ownership map as this host knows it, and every change of it.
 pub type OwnershipReceiver = watch::Receiver<Arc<OwnershipView>>;
@@ -27,24 +39,6 @@
     pub serving: bool,
 }
 
-/// Owner of one partition.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Owner {
-    /// The owning process.
-    pub process: Process,
-    /// Grows with each change of the owner.
-    pub epoch: Epoch,
-}
-
-/// One run of a daemon on a host.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Process {
-    /// The host.
-    pub host_id: HostId,
-    /// The run.
-    pub incarnation: Incarnation,
-}
-
 /// Peers that a host has heard from lately.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PeersView {
@@ -68,6 +62,16 @@
 }
 
 impl OwnershipView {
+    /// What a process sees of a map.
+    pub fn new(me: Process, map: &OwnershipMap, serving: bool) -> Self {
+        Self {
+            me,
+            version: map.version,
+            owners: map.owners.clone(),
+            serving,
+        }
+    }
+
     /// The owner of a partition; none before the first map.
     pub fn owner(&self, partition: PartitionId) -> Option<&Owner> {
         self.owners.get(usize::from(partition))
--- /dev/null
+++ b/crates/burdockroad-daemon/src/takeover/recovery.rs
@@ -0,0 +1,66 @@
+//! The border to the journals of other processes.
+
+use std::fmt;
+
+use async_trait::async_trait;
+use burdockroad::{Record, ownership::Process};
+
+use crate::platform::StoreError;
+
+/// Seals, reads and removes journals that other processes wrote.
+#[async_trait]
+pub trait JournalRecovery: fmt::Debug + Send + Sync {
+    /// Seals a journal against its writer, and returns all its records in their order, those included
+    /// that only a peer has yet; sealing again, also for another successor, returns them again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key-value service cannot be reached, or the journal is damaged.
+    async fn seal_and_read(&self, gone: &Process, successor: &Process) -> Result<Vec<Record>, RecoveryError>;
+
+    /// Removes a sealed journal.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key-value service cannot be reached.
+    async fn remove(&self, gone: &Process) -> Result<(), RecoveryError>;
+
+    /// The processes that have a journal.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key-value service cannot be reached.
+    async fn writers(&self) -> Result<Vec<Process>, RecoveryError>;
+}
+
+/// Why a journal could not be sealed, read or removed.
+#[derive(Clone, Debug)]
+pub enum RecoveryError {
+    /// The key-value service cannot be reached.
+    Store(StoreError),
+    /// The journal cannot be read.
+    Damaged(burdockroad::Error),
+}
+
+impl fmt::Display for RecoveryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store(cause) => cause.fmt(f),
+            Self::Damaged(cause) => write!(f, "the journal cannot be read: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for RecoveryError {}
+
+impl From<StoreError> for RecoveryError {
+    fn from(cause: StoreError) -> Self {
+        Self::Store(cause)
+    }
+}
+
+impl From<burdockroad::Error> for RecoveryError {
+    fn from(cause: burdockroad::Error) -> Self {
+        Self::Damaged(cause)
+    }
+}
