--- a/crates/burdockroad-daemon/tests/caller_input.rs
+++ b/crates/burdockroad-daemon/tests/caller_input.rs
@@ -56,7 +56,8 @@
 #[test]
 fn parse_refusals() {
     let post = "/v1/chat/completions";
-    let cases: [(Method, &str, &[(&'static str, &str)], ProblemKind); 10] = [
+    type Pairs = &'static [(&'static str, &'static str)];
+    let cases: [(Method, &str, Pairs, ProblemKind); 10] = [
         (Method::GET, post, &[], ProblemKind::MethodNotAllowed),
         (
             Method::PATCH,
