--- a/crates/burdockroad-daemon/tests/caller_input.rs
+++ b/crates/burdockroad-daemon/tests/caller_input.rs
@@ -11,6 +11,9 @@
 
 const KEY: &str = "brk_k1_0123456789abcdefghijklmnopqrstuvwxyzABCDEFG";
 
+/// Names and values of headers.
+type Pairs = &'static [(&'static str, &'static str)];
+
 fn headers(pairs: &[(&'static str, &str)]) -> HeaderMap {
     let parsed = pairs.iter().map(|(name, value)| {
         let value = HeaderValue::from_str(value).expect("a header value");
@@ -56,7 +59,6 @@
 #[test]
 fn parse_refusals() {
     let post = "/v1/chat/completions";
-    type Pairs = &'static [(&'static str, &'static str)];
     let cases: [(Method, &str, Pairs, ProblemKind); 10] = [
         (Method::GET, post, &[], ProblemKind::MethodNotAllowed),
         (
