Admit calls by tokens that the owners of accounts grant

Change: quota::EscrowQuota, one actor that owns this host's buckets and the tokens it holds. It grants only with the lease, only for the partitions of its map, and not to a holder that knows a newer map; a bucket that it came to own starts empty one grant life later.

--- a/crates/burdockroad-daemon/src/quota.rs
+++ b/crates/burdockroad-daemon/src/quota.rs
@@ -1,11 +1,17 @@
 //! Rates and bursts of client accounts, over all hosts together.
 
+mod asking;
+mod escrow;
+mod table;
+
 use std::{fmt, time::Duration};
 
 use async_trait::async_trait;
 use burdockroad::{AccountId, quota::Limits};
 use tokio::time::Instant;
 
+pub use self::escrow::{EscrowQuota, QuotaParts};
+
 /// Admits calls within each account's rate and burst.
 #[async_trait]
 pub trait Quota: fmt::Debug + Send + Sync {
--- /dev/null
+++ b/crates/burdockroad-daemon/src/quota/asking.rs
@@ -0,0 +1,99 @@
+//! Requests for tokens to the owners of accounts.
+
+use std::{sync::Arc, time::Duration};
+
+use burdockroad::{
+    AccountId,
+    quota::{Ask, Grant},
+};
+use burdockroad_proto::peer::{GrantRequest, GrantResponse, HostRef};
+
+use crate::{ownership::Process, peer::PeerClients};
+
+/// Time within which an owner must answer.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Outcome of one request for tokens.
+#[derive(Clone, Debug)]
+pub(super) struct Answered {
+    pub(super) account_id: AccountId,
+    pub(super) sequence: u64,
+    /// None when the owner did not answer in time, or may not grant.
+    pub(super) grant: Option<Grant>,
+}
+
+/// Asks an owner at another host.
+pub(super) async fn ask_peer(clients: Arc<PeerClients>, address: String, request: GrantRequest) -> Answered {
+    let account_id = request.account_id.clone();
+    let sequence = request.sequence;
+    let grant = send(&clients, &address, request)
+        .await
+        .and_then(|response| to_grant(&response));
+    Answered {
+        account_id,
+        sequence,
+        grant,
+    }
+}
+
+async fn send(clients: &PeerClients, address: &str, request: GrantRequest) -> Option<GrantResponse> {
+    let mut client = clients.get(address).ok()?;
+    let answer = tokio::time::timeout(GRANT_TIMEOUT, client.grant(request)).await;
+    Some(answer.ok()?.ok()?.into_inner())
+}
+
+/// Writes a holder's request as a message.
+pub(super) fn to_request(
+    from: &Process,
+    account_id: &AccountId,
+    ownership_version: u64,
+    ask: &Ask,
+) -> GrantRequest {
+    GrantRequest {
+        from: Some(HostRef {
+            host_id: from.host_id.clone(),
+            incarnation: from.incarnation,
+        }),
+        account_id: account_id.clone(),
+        wanted: ask.wanted,
+        ownership_version,
+        sequence: ask.sequence,
+        spent_total: ask.spent_total,
+        unspent: ask.unspent,
+        ahead: ask.ahead,
+    }
+}
+
+/// Reads a holder's request from a message.
+pub(super) fn to_ask(request: &GrantRequest) -> Ask {
+    Ask {
+        sequence: request.sequence,
+        wanted: request.wanted,
+        ahead: request.ahead,
+        spent_total: request.spent_total,
+        unspent: request.unspent,
+    }
+}
+
+/// Writes an owner's answer as a message.
+pub(super) fn to_response(grant: Grant, epoch: u64) -> GrantResponse {
+    GrantResponse {
+        granted: grant.granted,
+        expires_after_ms: millis(grant.expires_after),
+        retry_after_ms: millis(grant.retry_after),
+        not_owner: false,
+        epoch,
+    }
+}
+
+fn to_grant(response: &GrantResponse) -> Option<Grant> {
+    (!response.not_owner).then(|| Grant {
+        granted: response.granted,
+        expires_after: Duration::from_millis(response.expires_after_ms),
+        retry_after: Duration::from_millis(response.retry_after_ms),
+    })
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
