--- a/crates/burdockroad/src/lib.rs
+++ b/crates/burdockroad/src/lib.rs
@@ -10,6 +10,7 @@
 //! # Guide
 //!
 //! * [`program`] keeps the order, history and budget of programs, and writes [`Record`]s of it.
+//! * [`journal`] makes records durable, and reads them back after a host is gone.
 //! * [`config`] holds the one configuration [`Document`] and its checks.
 //!
 //! Entities stand in tables, and systems run over the tables each tick.
@@ -17,6 +18,8 @@
 pub mod config;
 mod error;
 mod ids;
+pub mod journal;
+mod process;
 pub mod program;
 
 pub use crate::{
@@ -26,5 +29,6 @@
         AccountId, CallNumber, DocumentVersion, EndpointId, Epoch, HostId, Incarnation, KeyId, PartitionId,
         PoolId, ProgramId, RouteId, SegmentNumber, SiteId, partition_of_program, program_id,
     },
+    process::Process,
     program::Record,
 };
