--- a/crates/burdockroad-daemon/src/ownership.rs
+++ b/crates/burdockroad-daemon/src/ownership.rs
@@ -2,12 +2,13 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use burdockroad::{Epoch, HostId, Incarnation, PartitionId};
-use serde::{Deserialize, Serialize};
+use burdockroad::{HostId, PartitionId};
 use tokio::sync::watch;
 
-/// Number of partitions; fixed, since program ids carry their partition.
-pub const PARTITIONS: PartitionId = 256;
+pub use burdockroad::{
+    PARTITIONS,
+    ownership::{Owner, Process},
+};
 
 /// The ownership map as this host knows it, and every change of it.
 pub type OwnershipReceiver = watch::Receiver<Arc<OwnershipView>>;
@@ -28,24 +29,6 @@
     pub serving: bool,
 }
 
-/// Owner of one partition.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Owner {
-    /// The owning process.
-    pub process: Process,
-    /// Grows with each change of the owner.
-    pub epoch: Epoch,
-}
-
-/// One run of a daemon on a host.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Process {
-    /// The host.
-    pub host_id: HostId,
-    /// The run.
-    pub incarnation: Incarnation,
-}
-
 /// Peers that a host has heard from lately.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PeersView {
--- a/crates/burdockroad/src/journal.rs
+++ b/crates/burdockroad/src/journal.rs
@@ -1,6 +1,6 @@
 //! Durable records of programs: segments, their writer, and what is read back from them.
 //!
-//! A journal belongs to one [`Process`](crate::Process). Its [`Writer`] gathers records into groups,
+//! A journal belongs to one [`Process`](crate::ownership::Process). Its [`Writer`] gathers records into groups,
 //! says when to write each group as the next [`Segment`], and keeps copies of what is not written yet
 //! at one peer. A successor puts a [`Seal`] in place of the next segment and [`join`]s what it reads.
 //! Nothing here opens a socket or reads a clock: replies and the current time go in, [`Action`]s come
--- a/crates/burdockroad/src/journal/segment.rs
+++ b/crates/burdockroad/src/journal/segment.rs
@@ -5,7 +5,7 @@
 use crate::{
     error::{Error, Result},
     journal::{Position, WriterId},
-    process::Process,
+    ownership::Process,
 };
 
 /// First byte of every stored segment.
--- a/crates/burdockroad/src/journal/writer.rs
+++ b/crates/burdockroad/src/journal/writer.rs
@@ -29,7 +29,7 @@
     error::Result,
     ids::SegmentNumber,
     journal::{Durability, JournalError, Position, RECORD_MAX_BYTES, StoredSegment},
-    process::Process,
+    ownership::Process,
     program::{Event, Record},
 };
 
--- a/crates/burdockroad/src/journal/writer/action.rs
+++ b/crates/burdockroad/src/journal/writer/action.rs
@@ -5,7 +5,7 @@
 use crate::{
     ids::{ProgramId, SegmentNumber},
     journal::{JournalError, Position, Ticket},
-    process::Process,
+    ownership::Process,
 };
 
 /// What the caller is to do.
--- a/crates/burdockroad/src/journal/writer/options.rs
+++ b/crates/burdockroad/src/journal/writer/options.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{journal::WriterId, process::Process};
+use crate::{journal::WriterId, ownership::Process};
 
 /// How a writer goes about its work.
 #[derive(Clone, Debug)]
--- a/crates/burdockroad/src/journal/writer/queue.rs
+++ b/crates/burdockroad/src/journal/writer/queue.rs
@@ -6,7 +6,7 @@
     error::Result,
     ids::{ProgramId, SegmentNumber},
     journal::{Piece, Position, SEGMENT_MAX_BYTES, Segment, StoredSegment, WriterId},
-    process::Process,
+    ownership::Process,
 };
 
 /// Room for the head of a segment, in bytes.
--- a/crates/burdockroad/src/journal/writer/tail.rs
+++ b/crates/burdockroad/src/journal/writer/tail.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     journal::{Peer, Position, writer::queue::Group},
-    process::Process,
+    ownership::Process,
 };
 
 /// Failures in a row after which a peer is passed over.
