--- a/crates/burdockroad-daemon/src/journal.rs
+++ b/crates/burdockroad-daemon/src/journal.rs
@@ -1,12 +1,24 @@
 //! Durable records of the programs that a host owns.
 
+mod actor;
+mod keys;
+mod recovery;
+mod store_journal;
+mod tail;
+
 use std::{fmt, time::Duration};
 
 use async_trait::async_trait;
 use burdockroad::{PartitionId, ProgramId, Record, program::Tree};
 use tokio::sync::oneshot;
 
+pub use self::{
+    recovery::StoreRecovery,
+    store_journal::{JournalParts, StoreJournal, writer_options},
+    tail::TailStore,
+};
 use crate::{ownership::Process, platform::StoreError};
+pub use burdockroad::journal::{Durability, JournalError};
 
 /// Appends records in the order in which it is called.
 pub trait Journal: fmt::Debug + Send + Sync {
@@ -34,49 +46,6 @@
 /// Resolves once the appended records are durable, or cannot be made so in time.
 pub type Appended = oneshot::Receiver<Result<(), JournalError>>;
 
-/// How durable a record has to be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Durability {
-    /// Queued only: it will be written with the next group.
-    Queued,
-    /// A peer in another failure domain has a copy, or the key-value service has it.
-    Replicated,
-    /// The key-value service has it, so that a writer that was replaced can no longer add it.
-    Stored,
-}
-
-/// Why records are not durable.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum JournalError {
-    /// Another host has sealed the journal: this process owns nothing any more.
-    Fenced,
-    /// Neither the key-value service nor, where that suffices, a peer took the records in time.
-    Unavailable {
-        /// When a later try may succeed.
-        retry_after: Duration,
-    },
-    /// A record is larger than any journal takes; none of the records was queued.
-    TooLarge,
-}
-
-impl fmt::Display for JournalError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Fenced => f.write_str("another host has sealed this journal"),
-            Self::TooLarge => f.write_str("a record is larger than a journal takes"),
-            Self::Unavailable { retry_after } => {
-                write!(
-                    f,
-                    "records cannot be made durable now, retry_after_ms={}",
-                    retry_after.as_millis()
-                )
-            }
-        }
-    }
-}
-
-impl std::error::Error for JournalError {}
-
 /// Reads and removes the journals of processes that are gone.
 #[async_trait]
 pub trait Recovery: fmt::Debug + Send + Sync {
@@ -112,7 +81,12 @@
 pub struct Recovered {
     /// The records in their order, for replay.
     pub records: Vec<Record>,
-    /// Whether records that only a peer held are among them.
+    /// How many of them, at the end, only a peer held.
+    ///
+    /// A call that may not be repeated never left the host if its intent is one of these, since it
+    /// waits until its intent is in the key-value service.
+    pub tail_count: usize,
+    /// What became of the records that were not in the key-value service yet.
     pub tail: RecoveredTail,
 }
 
--- a/crates/burdockroad-daemon/src/platform.rs
+++ b/crates/burdockroad-daemon/src/platform.rs
@@ -108,6 +108,22 @@
     /// may have taken effect, which the caller settles by reading the key back.
     async fn put(&self, key: &str, value: Bytes, expected: Expected) -> Result<Put, StoreError>;
 
+    /// Creates a key, if it does not exist and `predecessor` does.
+    ///
+    /// A missing predecessor is a conflict in which the key holds nothing.
+    ///
+    /// # Errors
+    ///
+    /// As for [`put`](Self::put).
+    async fn create_after(&self, key: &str, value: Bytes, predecessor: &str) -> Result<Put, StoreError>;
+
+    /// Removes all keys from `from` up to, not including, `to` at once.
+    ///
+    /// # Errors
+    ///
+    /// As for [`put`](Self::put); removing again is harmless.
+    async fn delete_range(&self, from: &str, to: &str) -> Result<(), StoreError>;
+
     /// Removes one key, whatever it holds; a key that is absent is no error.
     ///
     /// # Errors
--- a/crates/burdockroad-daemon/src/platform/embedded.rs
+++ b/crates/burdockroad-daemon/src/platform/embedded.rs
@@ -113,7 +113,24 @@
             return Err(unavailable("the value is too large".to_owned()));
         }
         let name = key.to_owned();
-        self.run(move |inner| inner.write(name, value, expected))
+        self.run(move |inner| inner.write(name, value, expected, None))
+            .await
+            .map_err(StoreError::into_ambiguous)
+    }
+
+    async fn create_after(&self, key: &str, value: Bytes, predecessor: &str) -> Result<Put, StoreError> {
+        if value.len() > VALUE_MAX_BYTES {
+            return Err(unavailable("the value is too large".to_owned()));
+        }
+        let (name, predecessor) = (key.to_owned(), predecessor.to_owned());
+        self.run(move |inner| inner.write(name, value, Expected::Absent, Some(&predecessor)))
+            .await
+            .map_err(StoreError::into_ambiguous)
+    }
+
+    async fn delete_range(&self, from: &str, to: &str) -> Result<(), StoreError> {
+        let (from, to) = (from.to_owned(), to.to_owned());
+        self.run(move |inner| inner.remove_range(&from, &to))
             .await
             .map_err(StoreError::into_ambiguous)
     }
@@ -163,7 +180,13 @@
 }
 
 impl Inner {
-    fn write(&self, key: String, value: Bytes, expected: Expected) -> Result<Put, redb::Error> {
+    fn write(
+        &self,
+        key: String,
+        value: Bytes,
+        expected: Expected,
+        predecessor: Option<&str>,
+    ) -> Result<Put, redb::Error> {
         let _writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
         let transaction = self.database.begin_write()?;
         let revision = {
@@ -172,6 +195,11 @@
             if !expected.matches(held.as_ref()) {
                 return Ok(Put::Conflict(held));
             }
+            if let Some(predecessor) = predecessor
+                && entries.get(predecessor)?.is_none()
+            {
+                return Ok(Put::Conflict(None));
+            }
             let revision = next_revision(&mut transaction.open_table(COUNTERS)?)?;
             entries.insert(key.as_str(), (revision, &*value))?;
             revision
@@ -183,19 +211,26 @@
     }
 
     fn remove(&self, key: &str) -> Result<(), redb::Error> {
+        // The smallest key after this one ends with a zero byte more.
+        self.remove_range(key, &format!("{key}\0"))
+    }
+
+    fn remove_range(&self, from: &str, to: &str) -> Result<(), redb::Error> {
         let _writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
         let transaction = self.database.begin_write()?;
-        let removed = {
+        let mut removed = Vec::new();
+        {
             let mut entries = transaction.open_table(ENTRIES)?;
-            let removed = entries.remove(key)?.is_some();
-            if removed {
+            for item in entries.extract_from_if(from..to, |_, _| true)? {
+                removed.push(item?.0.value().to_owned());
+            }
+            if !removed.is_empty() {
                 next_revision(&mut transaction.open_table(COUNTERS)?)?;
             }
-            removed
-        };
+        }
         transaction.commit()?;
-        if removed {
-            self.watches.publish(key, None);
+        for key in removed {
+            self.watches.publish(&key, None);
         }
         Ok(())
     }
--- a/crates/burdockroad-daemon/src/platform/etcd.rs
+++ b/crates/burdockroad-daemon/src/platform/etcd.rs
@@ -12,7 +12,9 @@
 };
 
 use async_trait::async_trait;
-use burdockroad_proto::etcdserverpb::{kv_client::KvClient, watch_client::WatchClient};
+use burdockroad_proto::etcdserverpb::{
+    DeleteRangeRequest, TxnRequest, kv_client::KvClient, watch_client::WatchClient,
+};
 use bytes::Bytes;
 use tokio::{sync::mpsc, time::timeout};
 use tonic::{
@@ -112,6 +114,26 @@
         })
     }
 
+    async fn write(&self, request: TxnRequest) -> Result<Put, StoreError> {
+        let response = self
+            .call(false, |channel| {
+                let request = request.clone();
+                async move { kv(channel).txn(request).await }
+            })
+            .await?;
+        Ok(requests::put_result(response))
+    }
+
+    async fn remove(&self, request: DeleteRangeRequest) -> Result<(), StoreError> {
+        // Removing again is harmless, so a further address may be tried after any failure.
+        self.call(true, |channel| {
+            let request = request.clone();
+            async move { kv(channel).delete_range(request).await }
+        })
+        .await?;
+        Ok(())
+    }
+
     fn admit(&self) -> Result<(), StoreError> {
         let admitted = self.breaker().admit(Instant::now());
         admitted.map_err(|retry_after| StoreError::Unavailable {
@@ -161,25 +183,22 @@
         if value.len() > VALUE_MAX_BYTES {
             return Err(StoreError::unavailable("the value is too large"));
         }
-        let request = requests::put(key, value, expected);
-        let response = self
-            .call(false, |channel| {
-                let request = request.clone();
-                async move { kv(channel).txn(request).await }
-            })
-            .await?;
-        Ok(requests::put_result(response))
+        self.write(requests::put(key, value, expected)).await
+    }
+
+    async fn create_after(&self, key: &str, value: Bytes, predecessor: &str) -> Result<Put, StoreError> {
+        if value.len() > VALUE_MAX_BYTES {
+            return Err(StoreError::unavailable("the value is too large"));
+        }
+        self.write(requests::create_after(key, value, predecessor)).await
+    }
+
+    async fn delete_range(&self, from: &str, to: &str) -> Result<(), StoreError> {
+        self.remove(requests::delete_range(from, to)).await
     }
 
     async fn delete(&self, key: &str) -> Result<(), StoreError> {
-        let request = requests::delete(key);
-        // Removing again is harmless, so a further address may be tried after any failure.
-        self.call(true, |channel| {
-            let request = request.clone();
-            async move { kv(channel).delete_range(request).await }
-        })
-        .await?;
-        Ok(())
+        self.remove(requests::delete(key)).await
     }
 
     async fn watch(&self, key: &str) -> Result<mpsc::Receiver<WatchEvent>, StoreError> {
--- a/crates/burdockroad-daemon/src/platform/etcd/requests.rs
+++ b/crates/burdockroad-daemon/src/platform/etcd/requests.rs
@@ -38,6 +38,26 @@
     }
 }
 
+pub(super) fn delete_range(from: &str, to: &str) -> DeleteRangeRequest {
+    DeleteRangeRequest {
+        key: from.into(),
+        range_end: to.into(),
+        ..DeleteRangeRequest::default()
+    }
+}
+
+/// As [`put`] of an absent key, and compares in the same transaction that the predecessor exists.
+pub(super) fn create_after(key: &str, value: Bytes, predecessor: &str) -> TxnRequest {
+    let mut request = put(key, value, Expected::Absent);
+    request.compare.push(Compare {
+        result: CompareResult::Greater.into(),
+        target: CompareTarget::Create.into(),
+        key: predecessor.into(),
+        target_union: Some(TargetUnion::CreateRevision(0)),
+    });
+    request
+}
+
 /// One transaction: it compares, then writes or reads what stands in the way.
 pub(super) fn put(key: &str, value: Bytes, expected: Expected) -> TxnRequest {
     let (target, target_union) = match expected {
--- a/crates/burdockroad-daemon/src/platform/memory.rs
+++ b/crates/burdockroad-daemon/src/platform/memory.rs
@@ -183,6 +183,33 @@
             .await
     }
 
+    async fn create_after(&self, key: &str, value: Bytes, predecessor: &str) -> Result<Put, StoreError> {
+        if value.len() > VALUE_MAX_BYTES {
+            return Err(refused());
+        }
+        let watches = self.watches.clone();
+        self.write(|table| {
+            let follows = table.entries.contains_key(predecessor);
+            if !follows && !table.entries.contains_key(key) {
+                return Put::Conflict(None);
+            }
+            table.put(&watches, key, value, Expected::Absent)
+        })
+        .await
+    }
+
+    async fn delete_range(&self, from: &str, to: &str) -> Result<(), StoreError> {
+        let watches = self.watches.clone();
+        self.write(|table| {
+            let held = table.entries.range(from.to_owned()..to.to_owned());
+            let keys: Vec<_> = held.map(|(key, _)| key.clone()).collect();
+            for key in keys {
+                table.delete(&watches, &key);
+            }
+        })
+        .await
+    }
+
     async fn delete(&self, key: &str) -> Result<(), StoreError> {
         let watches = self.watches.clone();
         self.write(|table| table.delete(&watches, key)).await
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/journal.rs
@@ -0,0 +1,254 @@
+//! Contract of journal and recovery under faults: hosts in one process, over loopback, on one store.
+
+#[path = "journal/host.rs"]
+mod host;
+
+use std::{collections::BTreeMap, fs, path::Path, time::Duration};
+
+use burdockroad::{
+    Record,
+    journal::{Durability, JournalError},
+    program::Event,
+};
+use burdockroad_daemon::{
+    journal::{Journal, RecoveredTail, Recovery},
+    platform::{Fault, MemoryKeyValue},
+};
+use serde::Deserialize;
+use tokio::{runtime::Runtime, time::timeout};
+
+use self::host::Host;
+
+/// Longest wait for anything that is to happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+#[derive(Debug, Deserialize)]
+#[serde(tag = "do", rename_all = "snake_case", deny_unknown_fields)]
+enum Step {
+    /// Starts a host, or starts it again as a new process without any copies.
+    Start { host: String, domain: String },
+    /// Opens the journal of a host.
+    Open { host: String },
+    /// Appends records and waits for the answer.
+    Append {
+        host: String,
+        numbers: Vec<u64>,
+        #[serde(default)]
+        size_bytes: usize,
+        durability: Level,
+        then: Answer,
+    },
+    /// Waits until one more append with that durability is answered so; earlier answers are passed over.
+    Until {
+        host: String,
+        number: u64,
+        durability: Level,
+        then: Answer,
+    },
+    /// Tells a host which others are alive.
+    Alive { host: String, others: Vec<String> },
+    /// Stops or resumes answering peers, without forgetting anything.
+    Mute { host: String, muted: bool },
+    /// Sets the faults of a host's next writes to the store.
+    Script { host: String, writes: Vec<StoreFault> },
+    /// Sets the fault of all of a host's calls to the store.
+    Store { host: String, fault: StoreFault },
+    /// Seals and reads the journal of a host as it was opened last.
+    Recover {
+        by: String,
+        of: String,
+        numbers: Vec<u64>,
+        tail: Tail,
+    },
+    /// Removes that journal.
+    Remove { by: String, of: String },
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Level {
+    Queued,
+    Replicated,
+    Stored,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Answer {
+    Durable,
+    Unavailable,
+    Fenced,
+    TooLarge,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum StoreFault {
+    None,
+    Refused,
+    RequestLost,
+    ReplyLost,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Tail {
+    NotKept,
+    Sealed,
+    Unreached,
+    Lost,
+}
+
+struct Run {
+    store: MemoryKeyValue,
+    hosts: BTreeMap<String, Host>,
+}
+
+impl Run {
+    async fn step(&mut self, step: &Step) {
+        match step {
+            Step::Start { host, domain } => self.start(host, domain).await,
+            Step::Open { host } => self.host_mut(host).open().await,
+            Step::Append {
+                host,
+                numbers,
+                size_bytes,
+                durability,
+                then,
+            } => {
+                let answer = self.append(host, numbers, *size_bytes, *durability).await;
+                assert_eq!(answer, *then);
+            }
+            Step::Until {
+                host,
+                number,
+                durability,
+                then,
+            } => {
+                while self.append(host, &[*number], 0, *durability).await != *then {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+            Step::Alive { host, others } => {
+                let view = host::view(&self.hosts, host, others);
+                self.host(host).set_peers(view);
+            }
+            Step::Mute { host, muted } => self.host(host).mute(*muted),
+            Step::Script { host, writes } => {
+                self.host(host)
+                    .store
+                    .script(writes.iter().map(|&fault| fault.into()));
+            }
+            Step::Store { host, fault } => self.host(host).store.set_fault((*fault).into()),
+            Step::Recover {
+                by,
+                of,
+                numbers,
+                tail,
+            } => {
+                let dead = self.host(of).process.clone();
+                let recovered = self.host(by).recovery().seal_and_read(&dead).await.unwrap();
+                let found: Vec<_> = recovered.records.iter().map(|record| record.sequence).collect();
+                assert_eq!(found, *numbers);
+                assert_eq!(recovered.tail, (*tail).into());
+            }
+            Step::Remove { by, of } => {
+                let dead = self.host(of).process.clone();
+                self.host(by).recovery().remove(&dead).await.unwrap();
+            }
+        }
+    }
+
+    async fn start(&mut self, host_id: &str, domain: &str) {
+        let host = Host::start(host_id, domain, &self.store).await;
+        self.hosts.insert(host_id.to_owned(), host);
+        for host_id in self.hosts.keys() {
+            let others: Vec<_> = self.hosts.keys().cloned().collect();
+            let view = host::view(&self.hosts, host_id, &others);
+            self.hosts[host_id].set_peers(view);
+        }
+    }
+
+    async fn append(&self, host: &str, numbers: &[u64], size_bytes: usize, level: Level) -> Answer {
+        let records = numbers.iter().map(|&number| record(number, size_bytes)).collect();
+        let appended = self.host(host).journal().append(records, level.into());
+        let answer = appended.await.expect("the journal runs");
+        match answer {
+            Ok(()) => Answer::Durable,
+            Err(JournalError::Fenced) => Answer::Fenced,
+            Err(JournalError::Unavailable { .. }) => Answer::Unavailable,
+            Err(JournalError::TooLarge) => Answer::TooLarge,
+        }
+    }
+
+    fn host(&self, host_id: &str) -> &Host {
+        &self.hosts[host_id]
+    }
+
+    fn host_mut(&mut self, host_id: &str) -> &mut Host {
+        self.hosts.get_mut(host_id).unwrap()
+    }
+}
+
+impl From<Level> for Durability {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Queued => Self::Queued,
+            Level::Replicated => Self::Replicated,
+            Level::Stored => Self::Stored,
+        }
+    }
+}
+
+impl From<StoreFault> for Fault {
+    fn from(fault: StoreFault) -> Self {
+        match fault {
+            StoreFault::None => Self::None,
+            StoreFault::Refused => Self::Refused,
+            StoreFault::RequestLost => Self::RequestLost,
+            StoreFault::ReplyLost => Self::ReplyLost,
+        }
+    }
+}
+
+impl From<Tail> for RecoveredTail {
+    fn from(tail: Tail) -> Self {
+        match tail {
+            Tail::NotKept => Self::NotKept,
+            Tail::Sealed => Self::Sealed,
+            Tail::Unreached => Self::Unreached,
+            Tail::Lost => Self::Lost,
+        }
+    }
+}
+
+fn record(number: u64, size_bytes: usize) -> Record {
+    Record {
+        root_id: "p-0001-a".to_owned(),
+        sequence: number,
+        event: Event::Released {
+            program_id: "p-0001-a".to_owned(),
+            endpoint_id: "e".repeat(size_bytes),
+        },
+    }
+}
+
+fn journal(path: &Path) -> datatest_stable::Result<()> {
+    let steps: Vec<Step> = serde_json::from_str(&fs::read_to_string(path)?)?;
+    let runtime = Runtime::new()?;
+    runtime.block_on(async {
+        let mut run = Run {
+            store: MemoryKeyValue::new(),
+            hosts: BTreeMap::new(),
+        };
+        for (number, step) in steps.iter().enumerate() {
+            println!("step {number}: {step:?}");
+            timeout(PATIENCE, run.step(step)).await.expect("the step ends");
+        }
+    });
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = journal, root = "tests/journal", pattern = r"\.json$" },
+}
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/journal/host.rs
@@ -0,0 +1,227 @@
+//! One host of a case: its journal, the copies that it keeps, and its server for peers.
+
+use std::{
+    collections::BTreeMap,
+    fmt,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use burdockroad::journal::WriterOptions;
+use burdockroad_daemon::{
+    journal::{JournalParts, StoreJournal, StoreRecovery, TailStore},
+    ownership::{PeerView, PeersReceiver, PeersView, Process},
+    peer::{
+        AdoptHandler, DocumentHandler, ForwardHandler, ForwardStream, GrantHandler, HeartbeatHandler,
+        PeerClients, PeerHandlers, SlotHandler, TailHandler, serve,
+    },
+    platform::MemoryKeyValue,
+};
+use burdockroad_proto::peer::{
+    AcquireSlotRequest, AcquireSlotResponse, AdoptRequest, AdoptResponse, FetchDocumentResponse,
+    ForwardRequest, GrantRequest, GrantResponse, HeartbeatRequest, HeartbeatResponse, ReleaseSlotRequest,
+    ReleaseSlotResponse, ReplicateTailRequest, ReplicateTailResponse, SealTailRequest, SealTailResponse,
+};
+use tokio::{net::TcpListener, sync::watch};
+
+/// Tells the processes of one test run apart.
+static INCARNATIONS: AtomicU64 = AtomicU64::new(1);
+
+pub(crate) struct Host {
+    pub(crate) process: Process,
+    pub(crate) store: Arc<MemoryKeyValue>,
+    domain: String,
+    address: SocketAddr,
+    tails: Arc<TailStore>,
+    muted: Arc<AtomicBool>,
+    peers: watch::Sender<Arc<PeersView>>,
+    journal: Option<StoreJournal>,
+}
+
+impl Host {
+    pub(crate) async fn start(host_id: &str, domain: &str, store: &MemoryKeyValue) -> Self {
+        let process = Process {
+            host_id: host_id.to_owned(),
+            incarnation: INCARNATIONS.fetch_add(1, Ordering::Relaxed),
+        };
+        let tails = Arc::new(TailStore::new(process.clone()));
+        let muted = Arc::new(AtomicBool::new(false));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let stub = Arc::new(Stub {
+            tails: Arc::clone(&tails),
+            muted: Arc::clone(&muted),
+        });
+        tokio::spawn(serve(listener, handlers(&stub), std::future::pending()));
+        Self {
+            process,
+            store: Arc::new(store.client()),
+            domain: domain.to_owned(),
+            address,
+            tails,
+            muted,
+            peers: watch::Sender::default(),
+            journal: None,
+        }
+    }
+
+    pub(crate) async fn open(&mut self) {
+        let options = WriterOptions {
+            me: self.process.clone(),
+            failure_domain: self.domain.clone(),
+            writer_id: rand::random(),
+            writes_per_s: 200.0,
+            writes_burst: 20.0,
+            // Long, so that records that nobody waits for stay in the queue.
+            window_min: Duration::from_hours(1),
+            window_max: Duration::from_hours(1),
+            append_timeout: Duration::from_secs(1),
+            queue_max_bytes: 64 * 1024 * 1024,
+            segments_max: 1_000,
+            stored_max_bytes: 64 * 1024 * 1024,
+        };
+        let parts = JournalParts {
+            store: Arc::clone(&self.store) as _,
+            peers: self.peers.subscribe(),
+            clients: Arc::new(PeerClients::new()),
+            options,
+        };
+        self.journal = Some(StoreJournal::open(parts).await.unwrap());
+    }
+
+    pub(crate) fn journal(&self) -> &StoreJournal {
+        self.journal.as_ref().expect("the journal was opened")
+    }
+
+    pub(crate) fn recovery(&self) -> StoreRecovery {
+        let peers: PeersReceiver = self.peers.subscribe();
+        StoreRecovery::new(
+            Arc::clone(&self.store) as _,
+            peers,
+            Arc::new(PeerClients::new()),
+            Arc::clone(&self.tails),
+            self.process.clone(),
+        )
+    }
+
+    pub(crate) fn mute(&self, muted: bool) {
+        self.muted.store(muted, Ordering::Relaxed);
+    }
+
+    pub(crate) fn set_peers(&self, view: PeersView) {
+        self.peers.send_replace(Arc::new(view));
+    }
+}
+
+/// How a host sees the others, of which only some are alive.
+pub(crate) fn view(hosts: &BTreeMap<String, Host>, me: &str, alive: &[String]) -> PeersView {
+    let others = hosts.values().filter(|host| host.process.host_id != me);
+    let peers = others.map(|host| {
+        let peer = PeerView {
+            process: host.process.clone(),
+            address: host.address.to_string(),
+            failure_domain: host.domain.clone(),
+            leaving: false,
+            alive: alive.contains(&host.process.host_id),
+        };
+        (host.process.host_id.clone(), peer)
+    });
+    PeersView {
+        peers: peers.collect(),
+    }
+}
+
+/// Passes tails on, and answers nothing else.
+#[derive(Debug)]
+struct Stub {
+    tails: Arc<TailStore>,
+    muted: Arc<AtomicBool>,
+}
+
+impl Stub {
+    async fn wait_while_muted(&self) {
+        while self.muted.load(Ordering::Relaxed) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+fn handlers(stub: &Arc<Stub>) -> PeerHandlers {
+    PeerHandlers {
+        heartbeat: Arc::clone(stub) as _,
+        forward: Arc::clone(stub) as _,
+        tail: Arc::clone(stub) as _,
+        adopt: Arc::clone(stub) as _,
+        document: Arc::clone(stub) as _,
+        grant: Arc::clone(stub) as _,
+        slot: Arc::clone(stub) as _,
+    }
+}
+
+#[async_trait]
+impl TailHandler for Stub {
+    async fn replicate(&self, request: ReplicateTailRequest) -> ReplicateTailResponse {
+        self.wait_while_muted().await;
+        self.tails.replicate(request).await
+    }
+
+    async fn seal(&self, request: SealTailRequest) -> SealTailResponse {
+        self.wait_while_muted().await;
+        self.tails.seal(request).await
+    }
+}
+
+fn unused<T>(request: impl fmt::Debug) -> T {
+    unreachable!("no case makes this call: {request:?}")
+}
+
+#[async_trait]
+impl HeartbeatHandler for Stub {
+    async fn heartbeat(&self, request: HeartbeatRequest) -> HeartbeatResponse {
+        unused(request)
+    }
+}
+
+#[async_trait]
+impl ForwardHandler for Stub {
+    async fn forward(&self, request: ForwardRequest) -> ForwardStream {
+        unused(request)
+    }
+}
+
+#[async_trait]
+impl AdoptHandler for Stub {
+    async fn adopt(&self, request: AdoptRequest) -> AdoptResponse {
+        unused(request)
+    }
+}
+
+#[async_trait]
+impl DocumentHandler for Stub {
+    async fn document(&self) -> FetchDocumentResponse {
+        unused("document")
+    }
+}
+
+#[async_trait]
+impl GrantHandler for Stub {
+    async fn grant(&self, request: GrantRequest) -> GrantResponse {
+        unused(request)
+    }
+}
+
+#[async_trait]
+impl SlotHandler for Stub {
+    async fn acquire(&self, request: AcquireSlotRequest) -> AcquireSlotResponse {
+        unused(request)
+    }
+
+    async fn release(&self, request: ReleaseSlotRequest) -> ReleaseSlotResponse {
+        unused(request)
+    }
+}
--- a/crates/burdockroad/src/journal.rs
+++ b/crates/burdockroad/src/journal.rs
@@ -8,6 +8,7 @@
 
 mod join;
 mod segment;
+mod tail_table;
 mod writer;
 
 use std::{fmt, time::Duration};
@@ -15,6 +16,7 @@
 pub use self::{
     join::{Joined, TailCopy, join},
     segment::{Piece, Seal, Segment, StoredSegment},
+    tail_table::{Copies, TailTable, TailTableOptions},
     writer::{Action, Peer, ReadReply, TailReply, Ticket, WriteReply, Writer, WriterOptions},
 };
 
--- a/crates/burdockroad/src/journal/writer.rs
+++ b/crates/burdockroad/src/journal/writer.rs
@@ -22,13 +22,13 @@
     pacer::Pacer,
     queue::{Group, Pending, Queue, Role},
     removal::Removal,
-    tail::Tail,
+    tail::{Due, Tail},
     waiters::{Progress, Waiters},
 };
 use crate::{
     error::Result,
     ids::SegmentNumber,
-    journal::{Durability, JournalError, Position, RECORD_MAX_BYTES, StoredSegment},
+    journal::{Copies, Durability, JournalError, Position, RECORD_MAX_BYTES, StoredSegment},
     ownership::Process,
     program::{Event, Record},
 };
@@ -209,11 +209,11 @@
     }
 
     /// Takes the reply to [`Action::Replicate`].
-    pub fn replicated(&mut self, from: &Process, reply: TailReply, now: Instant) {
+    pub fn replicated(&mut self, from: &Process, session: u64, reply: TailReply, now: Instant) {
         match reply {
-            TailReply::Held(held_end) => self.tail.held(from, held_end),
+            TailReply::Held(held_end) => self.tail.held(from, session, held_end, now),
             TailReply::Sealed => self.fence(),
-            TailReply::Failed => self.tail.failed(from, now),
+            TailReply::Failed => self.tail.failed(from, session, now),
         }
     }
 
@@ -253,14 +253,13 @@
     }
 
     fn poll_copies(&mut self, actions: &mut Vec<Action>, now: Instant) {
-        let stored_end = self.queue.first();
-        for (to, position) in self.tail.due(stored_end, self.queue.end(), now) {
-            actions.push(Action::Replicate {
-                to,
-                position,
-                records: self.queue.copies(position, COPIES_MAX_BYTES),
-                stored_end,
-            });
+        let (first, end) = (self.queue.first(), self.queue.end());
+        for due in self.tail.due(first, end, now) {
+            let records = self.queue.copies(due.position, COPIES_MAX_BYTES);
+            actions.push(replicate(due, records, first));
+        }
+        for due in self.tail.releases(end) {
+            actions.push(replicate(due, Vec::new(), end));
         }
     }
 
@@ -389,8 +388,14 @@
     }
 
     /// Whether a segment is to be written without waiting for the window to end.
+    ///
+    /// After a failure it is: callers are refused at once then, and only a write tells that the store
+    /// is back.
     fn urgent(&self, progress: &Progress) -> bool {
-        self.store.stored_end == 0 || self.tail.must_name() || self.waiters.urgent(progress)
+        self.store.stored_end == 0
+            || self.store.failures > 0
+            || self.tail.must_name()
+            || self.waiters.urgent(progress)
     }
 
     fn window_ended(&self, now: Instant) -> bool {
@@ -436,6 +441,18 @@
     }
 }
 
+fn replicate(due: Due, records: Vec<Arc<[u8]>>, stored_end: Position) -> Action {
+    Action::Replicate {
+        to: due.to,
+        copies: Copies {
+            session: due.session,
+            position: due.position,
+            records,
+            stored_end,
+        },
+    }
+}
+
 fn pending(record: &Record) -> Result<Pending> {
     let role = match &record.event {
         Event::Created { parent_id: None, .. } | Event::Snapshot { .. } => Role::Base,
--- a/crates/burdockroad/src/journal/writer/action.rs
+++ b/crates/burdockroad/src/journal/writer/action.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     ids::{ProgramId, SegmentNumber},
-    journal::{JournalError, Position, Ticket},
+    journal::{Copies, JournalError, Position, Ticket},
     ownership::Process,
 };
 
@@ -34,12 +34,8 @@
     Replicate {
         /// The peer.
         to: Process,
-        /// Position of the first record.
-        position: Position,
-        /// The encoded records, at consecutive positions.
-        records: Vec<Arc<[u8]>>,
-        /// Records before this position are stored.
-        stored_end: Position,
+        /// The copies.
+        copies: Copies,
     },
     /// Ask for new snapshots of these trees.
     Snapshot {
--- a/crates/burdockroad/src/journal/writer/tail.rs
+++ b/crates/burdockroad/src/journal/writer/tail.rs
@@ -35,6 +35,11 @@
     /// To be named next.
     wanted: Option<Process>,
     holders: BTreeMap<Process, Holder>,
+    /// Peers that failed, and until when they are passed over.
+    passed_over: BTreeMap<Process, Instant>,
+    /// Peers whose copies are not needed any more.
+    released: Vec<Process>,
+    last_session: u64,
     /// Position after the last record that counted as durable by its copies alone.
     relied_end: Position,
 }
@@ -47,11 +52,20 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Holder {
+    /// Tells this use of the peer from earlier ones, whose messages may still arrive.
+    session: u64,
     held_end: Position,
     sending: bool,
     failures: u32,
     retry_at: Option<Instant>,
-    passed_over_until: Option<Instant>,
+}
+
+/// Copies that a peer lacks, or is to forget.
+#[derive(Clone, Debug)]
+pub(super) struct Due {
+    pub(super) to: Process,
+    pub(super) session: u64,
+    pub(super) position: Position,
 }
 
 impl Tail {
@@ -65,6 +79,9 @@
             naming: None,
             wanted: None,
             holders: BTreeMap::new(),
+            passed_over: BTreeMap::new(),
+            released: Vec::new(),
+            last_session: 0,
             relied_end: 0,
         }
     }
@@ -111,11 +128,9 @@
 
     /// Chooses the peer to be named next.
     pub(super) fn choose(&mut self, now: Instant) {
-        let keep = self.recorded.clone().filter(|process| self.stays(process, now));
-        self.wanted = keep.or_else(|| self.best(now));
-        if let Some(wanted) = &self.wanted {
-            self.holders.entry(wanted.clone()).or_default();
-        }
+        self.passed_over.retain(|_, until| now < *until);
+        let keep = self.recorded.clone().filter(|process| self.stays(process));
+        self.wanted = keep.or_else(|| self.best());
     }
 
     /// The peer that a segment may name whose records end at `group_end`.
@@ -148,55 +163,98 @@
         self.naming = None;
         self.recorded.clone_from(&group.tail_peer);
         let (recorded, wanted) = (&self.recorded, &self.wanted);
-        self.holders.retain(|process, holder| {
-            let named = recorded.as_ref() == Some(process) || wanted.as_ref() == Some(process);
-            named || holder.passed_over_until.is_some()
+        let released = self.holders.extract_if(.., |process, _| {
+            recorded.as_ref() != Some(process) && wanted.as_ref() != Some(process)
         });
+        self.released.extend(released.map(|(process, _)| process));
     }
 
-    /// Peers that lack records up to `end` and can be sent some now, with the position to begin at.
-    pub(super) fn due(&mut self, first: Position, end: Position, now: Instant) -> Vec<(Process, Position)> {
+    /// Copies that peers lack of the records from `first` to `end`, and can be sent now.
+    pub(super) fn due(&mut self, first: Position, end: Position, now: Instant) -> Vec<Due> {
         let receivers: Vec<_> = self.receivers().cloned().collect();
         let mut due = Vec::new();
-        for process in receivers {
-            if !self.is_alive(&process) {
+        for to in receivers {
+            if !self.is_alive(&to) {
                 continue;
             }
-            let holder = self.holders.entry(process.clone()).or_default();
-            let from = holder.held_end.max(first);
+            let holder = self.holder(&to);
+            let position = holder.held_end.max(first);
             let waits = holder.sending || holder.retry_at.is_some_and(|retry_at| now < retry_at);
-            if waits || from >= end {
+            if waits || position >= end {
                 continue;
             }
             holder.sending = true;
-            due.push((process, from));
+            let session = holder.session;
+            due.push(Due {
+                to,
+                session,
+                position,
+            });
+        }
+        due
+    }
+
+    /// Peers that are to forget their copies, which all stand before `end`.
+    pub(super) fn releases(&mut self, end: Position) -> Vec<Due> {
+        let released = std::mem::take(&mut self.released);
+        let mut due = Vec::new();
+        for to in released {
+            let session = self.new_session();
+            due.push(Due {
+                to,
+                session,
+                position: end,
+            });
         }
         due
     }
 
     /// Takes note that a peer holds everything up to a position.
-    pub(super) fn held(&mut self, process: &Process, held_end: Position) {
-        if let Some(holder) = self.holders.get_mut(process) {
+    pub(super) fn held(&mut self, process: &Process, session: u64, held_end: Position, now: Instant) {
+        let holder = self.holders.get_mut(process);
+        if let Some(holder) = holder.filter(|holder| holder.session == session) {
+            // A peer that has no room left is not asked again at once.
+            let advanced = held_end > holder.held_end;
             *holder = Holder {
+                session,
                 held_end,
+                retry_at: (!advanced).then(|| now + RETRY_AFTER),
                 ..Holder::default()
             };
         }
     }
 
     /// Takes note that a peer did not take copies.
-    pub(super) fn failed(&mut self, process: &Process, now: Instant) {
-        let Some(holder) = self.holders.get_mut(process) else {
+    pub(super) fn failed(&mut self, process: &Process, session: u64, now: Instant) {
+        let holder = self.holders.get_mut(process);
+        let Some(holder) = holder.filter(|holder| holder.session == session) else {
             return;
         };
         holder.sending = false;
         holder.failures += 1;
         holder.retry_at = Some(now + RETRY_AFTER);
         if holder.failures >= FAILURES_MAX {
-            holder.passed_over_until = Some(now + PASSED_OVER);
+            self.passed_over.insert(process.clone(), now + PASSED_OVER);
         }
     }
 
+    fn holder(&mut self, process: &Process) -> &mut Holder {
+        if !self.holders.contains_key(process) {
+            let session = self.new_session();
+            let holder = Holder {
+                session,
+                ..Holder::default()
+            };
+            self.holders.insert(process.clone(), holder);
+        }
+        self.holders.entry(process.clone()).or_default()
+    }
+
+    fn new_session(&mut self) -> u64 {
+        self.last_session += 1;
+        self.last_session
+    }
+
     /// When the next copy can be sent to a peer that failed.
     pub(super) fn next_retry(&self) -> Option<Instant> {
         let waiting = self.holders.values().filter(|holder| !holder.sending);
@@ -232,19 +290,11 @@
         self.peers.iter().any(|peer| peer.process == *process)
     }
 
-    fn passed_over(&self, process: &Process, now: Instant) -> bool {
-        let until = self
-            .holders
-            .get(process)
-            .and_then(|holder| holder.passed_over_until);
-        until.is_some_and(|until| now < until)
-    }
-
-    fn stays(&self, process: &Process, now: Instant) -> bool {
+    fn stays(&self, process: &Process) -> bool {
         let peer = self.peers.iter().find(|peer| peer.process == *process);
         peer.is_some_and(|peer| {
-            !self.passed_over(process, now)
-                && (self.is_good(peer) || !self.peers.iter().any(|other| self.is_good(other)))
+            let better = !self.is_good(peer) && self.peers.iter().any(|other| self.is_good(other));
+            !self.passed_over.contains_key(process) && !better
         })
     }
 
@@ -253,11 +303,11 @@
     }
 
     /// The best peer: staying, in another failure domain, and otherwise spread evenly over the peers.
-    fn best(&self, now: Instant) -> Option<Process> {
+    fn best(&self) -> Option<Process> {
         let fit = self
             .peers
             .iter()
-            .filter(|peer| !self.passed_over(&peer.process, now));
+            .filter(|peer| !self.passed_over.contains_key(&peer.process));
         let best = fit.min_by_key(|peer| {
             let same_domain = peer.failure_domain == self.failure_domain;
             (peer.leaving, same_domain, self.rank(&peer.process))
