--- a/crates/burdockroad/src/lib.rs
+++ b/crates/burdockroad/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! * [`program`] keeps the order, history and budget of programs, and writes [`Record`]s of it.
 //! * [`journal`] makes records durable, and reads them back after a host is gone.
+//! * [`dispatch`] gives out slots at endpoints: fairness, placement, health, prefix caches.
 //! * [`membership`] tells which hosts are up, and [`ownership`] which of them serves what.
 //! * [`quota`] keeps rate and burst of client accounts over all hosts.
 //! * [`config`] holds the one configuration [`Document`] and its checks.
@@ -18,6 +19,7 @@
 //! Entities stand in tables, and systems run over the tables each tick.
 
 pub mod config;
+pub mod dispatch;
 mod error;
 mod ids;
 pub mod journal;
