Run whole coordinators against each other

Three hosts share the map, a fourth joins, one is killed, one shuts down and a killed one comes back; every tree is served by exactly one host each time.

--- a/crates/burdockroad-daemon/src/coordinator.rs
+++ b/crates/burdockroad-daemon/src/coordinator.rs
@@ -180,6 +180,13 @@
         self.membership.leave();
     }
 
+    /// Stops at once and moves nothing, as if the process had been killed.
+    pub fn abort(self) {
+        self.worker.abort();
+        self.membership.close();
+        self.ownership.close();
+    }
+
     /// Moves everything to other hosts, as far as `patience` allows, and stops.
     ///
     /// What could not be moved stays in the journal, and another host takes it over. Returns the number
--- a/crates/burdockroad-daemon/src/coordinator/journal_handle.rs
+++ b/crates/burdockroad-daemon/src/coordinator/journal_handle.rs
@@ -8,7 +8,7 @@
 use async_trait::async_trait;
 use burdockroad::{Record, ownership::Process};
 
-use crate::journal::{Appended, Durability, Journal};
+use crate::journal::{Appended, Durability, Journal, JournalError};
 
 /// Opens journals.
 #[async_trait]
@@ -88,4 +88,8 @@
     fn is_fenced(&self) -> bool {
         self.current().is_fenced()
     }
+
+    fn admit(&self, durability: Durability) -> Result<(), JournalError> {
+        self.current().admit(durability)
+    }
 }
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/fleet.rs
@@ -0,0 +1,10 @@
+//! Membership, ownership, takeover and handoff, over fakes of the journal and the trees.
+
+#[path = "fleet/coordinator.rs"]
+mod coordinator;
+#[path = "fleet/journals.rs"]
+mod journals;
+#[path = "fleet/service.rs"]
+mod service;
+#[path = "fleet/trees.rs"]
+mod trees;
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/fleet/coordinator.rs
@@ -0,0 +1,214 @@
+//! Whole coordinators that talk to each other over loopback.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use burdockroad::{PARTITIONS, membership::Options, program_id};
+use burdockroad_daemon::{
+    coordinator::{Coordinator, CoordinatorOptions, JournalHandle, Views},
+    membership::NoDocument,
+    ownership::OwnershipView,
+    peer::{PeerClients, serve},
+    platform::{HostList, HostState, ListedHost, MemoryKeyValue, StoreError},
+};
+use tokio::{net::TcpListener, task::JoinHandle};
+
+use crate::{journals::Journals, service::handlers, trees::MemoryTrees};
+
+/// Time within which each of the cases must come to its end; far above what it takes.
+const CASE_TIMEOUT: Duration = Duration::from_mins(1);
+
+#[derive(Clone, Debug, Default)]
+struct TestHosts(Arc<Mutex<Vec<ListedHost>>>);
+
+#[async_trait]
+impl HostList for TestHosts {
+    async fn hosts(&self) -> Result<Vec<ListedHost>, StoreError> {
+        Ok(self.0.lock().unwrap().clone())
+    }
+}
+
+struct Fleet {
+    store: MemoryKeyValue,
+    journals: Journals,
+    hosts: TestHosts,
+}
+
+struct Host {
+    coordinator: Coordinator,
+    trees: Arc<MemoryTrees>,
+    server: JoinHandle<()>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        Self {
+            store: MemoryKeyValue::new(),
+            journals: Journals::new(),
+            hosts: TestHosts::default(),
+        }
+    }
+
+    /// Starts hosts that are all listed before the first one starts.
+    async fn start(&self, names: &[&str]) -> Vec<Host> {
+        let mut listeners = Vec::new();
+        for name in names {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap().to_string();
+            self.list(name, &address);
+            listeners.push((*name, listener, address));
+        }
+        let mut hosts = Vec::new();
+        for (name, listener, address) in listeners {
+            hosts.push(self.start_one(name, listener, address).await);
+        }
+        hosts
+    }
+
+    fn list(&self, name: &str, address: &str) {
+        let mut hosts = self.hosts.0.lock().unwrap();
+        hosts.retain(|host| host.host_id != name);
+        let domain = hosts.len() % 3;
+        hosts.push(ListedHost {
+            host_id: name.to_owned(),
+            failure_domain: format!("domain-{domain}"),
+            peer_address: address.to_owned(),
+            state: HostState::Live,
+        });
+    }
+
+    async fn start_one(&self, name: &str, listener: TcpListener, address: String) -> Host {
+        let views = Views::new(name.to_owned());
+        let factory = Arc::new(self.journals.clone());
+        let journal = Arc::new(JournalHandle::open(factory, views.me()).await);
+        let trees = Arc::new(MemoryTrees::new(Arc::clone(&journal), views.ownership()));
+        let coordinator = Coordinator::start(CoordinatorOptions {
+            views,
+            peer_address: address,
+            failure_domain: "domain".to_owned(),
+            membership: Options::default(),
+            store: Arc::new(self.store.client()),
+            host_list: Arc::new(self.hosts.clone()),
+            journal,
+            recovery: Arc::new(self.journals.clone()),
+            trees: Arc::clone(&trees) as Arc<_>,
+            clients: Arc::new(PeerClients::new()),
+            document: Arc::new(NoDocument),
+        })
+        .await
+        .unwrap();
+        let handlers = handlers(coordinator.heartbeat_handler(), coordinator.adopt_handler());
+        let server = tokio::spawn(async move {
+            serve(listener, handlers, std::future::pending()).await.unwrap();
+        });
+        Host {
+            coordinator,
+            trees,
+            server,
+        }
+    }
+}
+
+impl Host {
+    fn view(&self) -> Arc<OwnershipView> {
+        self.coordinator.ownership().borrow().clone()
+    }
+
+    fn owned(&self) -> usize {
+        self.view().own_partitions().len()
+    }
+
+    /// Stops like a process that was killed.
+    fn kill(self) {
+        self.server.abort();
+        self.coordinator.abort();
+    }
+
+    async fn create_trees(&self, name: &str) -> Vec<String> {
+        let mut root_ids = Vec::new();
+        for partition in self.view().own_partitions() {
+            let root_id = program_id(partition, name);
+            assert!(self.trees.create(&root_id).await);
+            root_ids.push(root_id);
+        }
+        root_ids
+    }
+}
+
+async fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let waited = tokio::time::timeout(CASE_TIMEOUT, async {
+        while !done() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "never happened: {what}");
+}
+
+/// Whether all hosts see one map, in which they own everything in even shares.
+fn balanced(hosts: &[Host]) -> bool {
+    let share = usize::from(PARTITIONS) / hosts.len();
+    let even = hosts
+        .iter()
+        .all(|host| (share..=share + 1).contains(&host.owned()));
+    let version = hosts[0].view().version;
+    even && hosts.iter().all(|host| host.view().version == version)
+}
+
+fn serve_all(hosts: &[Host], root_ids: &[String]) -> bool {
+    let served = |root_id: &String| {
+        let serving = hosts
+            .iter()
+            .filter(|host| host.trees.served().contains_key(root_id));
+        serving.count() == 1
+    };
+    root_ids.iter().all(served)
+}
+
+#[tokio::test]
+async fn coordinator_single_host() {
+    let fleet = Fleet::new();
+    let hosts = fleet.start(&["a"]).await;
+    until("first map", || hosts[0].owned() == usize::from(PARTITIONS)).await;
+    let root_ids = hosts[0].create_trees("x").await;
+    for host in hosts {
+        assert_eq!(host.coordinator.shutdown(Duration::from_secs(1)).await, 256);
+        host.server.abort();
+    }
+    let hosts = fleet.start(&["a"]).await;
+    until("own former process taken over", || serve_all(&hosts, &root_ids)).await;
+    until("old journal removed", || fleet.journals.processes().len() == 1).await;
+}
+
+#[tokio::test]
+async fn coordinator_join_kill_restart_leave() {
+    let fleet = Fleet::new();
+    let mut hosts = fleet.start(&["a", "b", "c"]).await;
+    until("three share", || balanced(&hosts)).await;
+    let mut root_ids = Vec::new();
+    for host in &hosts {
+        root_ids.extend(host.create_trees("x").await);
+    }
+
+    hosts.extend(fleet.start(&["d"]).await);
+    until("four share", || balanced(&hosts)).await;
+    until("all served by four", || serve_all(&hosts, &root_ids)).await;
+
+    hosts.remove(0).kill();
+    until("three share again", || balanced(&hosts)).await;
+    until("all served by three", || serve_all(&hosts, &root_ids)).await;
+
+    let left = hosts
+        .remove(0)
+        .coordinator
+        .shutdown(Duration::from_secs(30))
+        .await;
+    assert_eq!(left, 0);
+    until("all served by two", || serve_all(&hosts, &root_ids)).await;
+
+    hosts.extend(fleet.start(&["a"]).await);
+    until("restarted host has its share", || balanced(&hosts)).await;
+    until("all served at the end", || serve_all(&hosts, &root_ids)).await;
+}
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/fleet/trees.rs
@@ -0,0 +1,151 @@
+//! Trees of one host, which grow by one sub-agent at a time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime},
+};
+
+use async_trait::async_trait;
+use burdockroad::{
+    PartitionId, ProgramId, Record, partition_of_program,
+    program::{Budget, Event, Tree},
+};
+use burdockroad_daemon::{
+    coordinator::JournalHandle,
+    journal::{Durability, Journal, Trees},
+    ownership::OwnershipReceiver,
+};
+
+/// Serves trees as long as the map says so.
+#[derive(Debug)]
+pub struct MemoryTrees {
+    journal: Arc<JournalHandle>,
+    ownership: OwnershipReceiver,
+    table: Mutex<Table>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    trees: BTreeMap<ProgramId, Tree>,
+    released: BTreeSet<PartitionId>,
+}
+
+impl MemoryTrees {
+    pub fn new(journal: Arc<JournalHandle>, ownership: OwnershipReceiver) -> Self {
+        Self {
+            journal,
+            ownership,
+            table: Mutex::default(),
+        }
+    }
+
+    /// Creates a tree; true once it is stored.
+    pub async fn create(&self, root_id: &str) -> bool {
+        let event = created(root_id, None);
+        let appended = {
+            let mut table = self.table.lock().unwrap();
+            if !self.serves(&table, root_id) || table.trees.contains_key(root_id) {
+                return false;
+            }
+            let tree = Tree::begin(&event).unwrap();
+            table.trees.insert(root_id.to_owned(), tree);
+            self.append(root_id, 1, event)
+        };
+        matches!(appended.await, Ok(Ok(())))
+    }
+
+    /// The trees that are served here.
+    pub fn served(&self) -> BTreeMap<ProgramId, Tree> {
+        let table = self.table.lock().unwrap();
+        let served = table
+            .trees
+            .iter()
+            .filter(|(root_id, _)| self.serves(&table, root_id));
+        served
+            .map(|(root_id, tree)| (root_id.clone(), tree.clone()))
+            .collect()
+    }
+
+    fn serves(&self, table: &Table, root_id: &str) -> bool {
+        let partition = partition_of_program(root_id).unwrap();
+        self.ownership.borrow().owns(partition) && !table.released.contains(&partition)
+    }
+
+    fn append(&self, root_id: &str, sequence: u64, event: Event) -> burdockroad_daemon::journal::Appended {
+        let record = Record {
+            root_id: root_id.to_owned(),
+            sequence,
+            event,
+        };
+        self.journal.append(vec![record], Durability::Stored)
+    }
+}
+
+#[async_trait]
+impl Trees for MemoryTrees {
+    async fn adopt(&self, trees: Vec<Tree>) {
+        let mut table = self.table.lock().unwrap();
+        for tree in trees {
+            table
+                .released
+                .remove(&partition_of_program(&tree.root_id).unwrap());
+            let known = table.trees.get(&tree.root_id).map_or(0, |known| known.sequence);
+            if tree.sequence > known {
+                table.trees.insert(tree.root_id.clone(), tree);
+            }
+        }
+    }
+
+    async fn release(&self, partitions: Vec<PartitionId>, _: Duration) -> Option<Vec<Tree>> {
+        let mut table = self.table.lock().unwrap();
+        table.released.extend(&partitions);
+        let trees = table.trees.values();
+        let released =
+            trees.filter(|tree| partitions.contains(&partition_of_program(&tree.root_id).unwrap()));
+        Some(released.cloned().collect())
+    }
+
+    async fn resume(&self, partitions: Vec<PartitionId>) {
+        let mut table = self.table.lock().unwrap();
+        table.released.retain(|partition| !partitions.contains(partition));
+    }
+
+    async fn forget(&self, partitions: Vec<PartitionId>) {
+        let mut table = self.table.lock().unwrap();
+        table.released.retain(|partition| !partitions.contains(partition));
+        let (lost, kept): (BTreeMap<_, _>, BTreeMap<_, _>) = std::mem::take(&mut table.trees)
+            .into_iter()
+            .partition(|(root_id, _)| partitions.contains(&partition_of_program(root_id).unwrap()));
+        table.trees = kept;
+        let records = lost
+            .into_values()
+            .map(|tree| Record {
+                root_id: tree.root_id,
+                sequence: tree.sequence + 1,
+                event: Event::Dropped,
+            })
+            .collect();
+        drop(self.journal.append(records, Durability::Queued));
+    }
+
+    async fn clear(&self) {
+        *self.table.lock().unwrap() = Table::default();
+    }
+
+    async fn write_snapshots(&self, _: Vec<ProgramId>) {}
+}
+
+fn created(program_id: &str, parent_id: Option<&str>) -> Event {
+    Event::Created {
+        program_id: program_id.to_owned(),
+        account_id: "account".to_owned(),
+        parent_id: parent_id.map(str::to_owned),
+        budget: parent_id.is_none().then_some(Budget {
+            max_tokens: 1_000,
+            max_calls: 10,
+            max_duration: Duration::from_hours(1),
+        }),
+        created_at: SystemTime::UNIX_EPOCH,
+    }
+}
