--- a/crates/burdockroad-daemon/src/lib.rs
+++ b/crates/burdockroad-daemon/src/lib.rs
@@ -6,9 +6,10 @@
 //! (slots at endpoints) and [`peer`] (the other daemons). [`settings`] holds what a process is told
 //! when it starts.
 //!
-//! [`coordinator`] keeps a host in the fleet: [`membership`] tells which hosts are up; [`takeover`] takes over from a process that is gone, and
-//! [`handoff`] moves partitions between processes that are up.
+//! [`coordinator`] keeps a host in the fleet: [`membership`] tells which hosts are up, [`takeover`]
+//! takes over from a process that is gone, and [`handoff`] moves partitions between processes that are up.
 
+pub mod config_watch;
 pub mod coordinator;
 pub mod dispatch;
 pub mod handoff;
