Add stand-ins of services, host list, weight store and network, and processes

Cause: tests of the daemon need plain services that remember each execution, a host list that lags, weights held to a rate, a network that fails one way, and processes that can be killed and paused.

Ruled out: executing a request inside the connection's own task (it would end with the connection, and hide second executions); delivering bytes after a gap once a direction passes again (no network does; the connection is cut).

Change: modules service, host_list, weight_store, proxy and processes, and the kinds of the binary that go with them.

--- a/crates/burdockroad-standins/src/bin/burdockroad-standin/main.rs
+++ b/crates/burdockroad-standins/src/bin/burdockroad-standin/main.rs
@@ -3,6 +3,8 @@
 //! The first line on the standard output is `address=IP:PORT`, followed by `control=IP:PORT` where the
 //! stand-in takes control requests.
 
+use std::process::ExitCode;
+
 use anyhow::{Context, bail};
 use pico_args::Arguments;
 use tokio::signal::unix::{SignalKind, signal};
@@ -21,9 +23,23 @@
                                --transfer-us-per-token US --answer-tokens N --event-lag-ms MS
                                --event-gap-probability P --load-lag-ms MS --fencing refused|ignored
                                --load-ms MS --weight-store IP:PORT --record-limit N --seed N
+  service       plain service  --slots N --execution-ms MS
+  host-list     list of hosts  --hosts JSON --lag-ms MS
+  proxy         TCP proxy      --target IP:PORT
+  weight-store  weight store   --rate-per-s N --weights-bytes N
 ";
 
-fn main() -> anyhow::Result<()> {
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("burdockroad-standin: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> anyhow::Result<()> {
     let mut arguments = Arguments::from_env();
     if arguments.contains(["-h", "--help"]) {
         print!("{HELP}");
--- a/crates/burdockroad-standins/src/bin/burdockroad-standin/running.rs
+++ b/crates/burdockroad-standins/src/bin/burdockroad-standin/running.rs
@@ -5,7 +5,11 @@
 use anyhow::bail;
 use burdockroad_standins::{
     engine::{EngineOptions, EngineStandin, Fencing},
+    host_list::{HostListOptions, HostListStandin, ListedHost},
     kv::{KvOptions, KvStandin},
+    proxy::{ProxyOptions, ProxyStandin},
+    service::{ServiceOptions, ServiceStandin},
+    weight_store::{WeightStoreOptions, WeightStoreStandin},
 };
 use pico_args::Arguments;
 
@@ -35,6 +39,10 @@
     match kind {
         "kv" => start_kv(arguments).await,
         "engine" => start_engine(arguments).await,
+        "service" => start_service(arguments).await,
+        "host-list" => start_host_list(arguments).await,
+        "proxy" => start_proxy(arguments).await,
+        "weight-store" => start_weight_store(arguments).await,
         _ => bail!("unknown kind {kind:?}; see --help"),
     }
 }
@@ -95,6 +103,66 @@
     })
 }
 
+async fn start_service(arguments: &mut Arguments) -> anyhow::Result<Running> {
+    let mut options = ServiceOptions::default();
+    set(arguments, "--listen", &mut options.listen)?;
+    set(arguments, "--control-listen", &mut options.control_listen)?;
+    set(arguments, "--slots", &mut options.slots)?;
+    set_ms(arguments, "--execution-ms", &mut options.execution_time)?;
+    let service = ServiceStandin::start(options).await?;
+    Ok(Running {
+        address: service.address(),
+        control: Some(service.control_address()),
+        closing: Box::pin(service.close()),
+    })
+}
+
+async fn start_host_list(arguments: &mut Arguments) -> anyhow::Result<Running> {
+    let mut options = HostListOptions::default();
+    set(arguments, "--listen", &mut options.listen)?;
+    set(arguments, "--control-listen", &mut options.control_listen)?;
+    if let Some(hosts) = arguments.opt_value_from_fn("--hosts", read_hosts)? {
+        options.hosts = hosts;
+    }
+    set_ms(arguments, "--lag-ms", &mut options.lag)?;
+    let list = HostListStandin::start(options).await?;
+    Ok(Running {
+        address: list.address(),
+        control: Some(list.control_address()),
+        closing: Box::pin(list.close()),
+    })
+}
+
+async fn start_proxy(arguments: &mut Arguments) -> anyhow::Result<Running> {
+    let mut options = ProxyOptions::new(arguments.value_from_str("--target")?);
+    set(arguments, "--listen", &mut options.listen)?;
+    set(arguments, "--control-listen", &mut options.control_listen)?;
+    let proxy = ProxyStandin::start(options).await?;
+    Ok(Running {
+        address: proxy.address(),
+        control: Some(proxy.control_address()),
+        closing: Box::pin(proxy.close()),
+    })
+}
+
+async fn start_weight_store(arguments: &mut Arguments) -> anyhow::Result<Running> {
+    let mut options = WeightStoreOptions::default();
+    set(arguments, "--listen", &mut options.listen)?;
+    set(arguments, "--control-listen", &mut options.control_listen)?;
+    set(arguments, "--rate-per-s", &mut options.rate_per_s)?;
+    set(arguments, "--weights-bytes", &mut options.weights_bytes)?;
+    let store = WeightStoreStandin::start(options).await?;
+    Ok(Running {
+        address: store.address(),
+        control: Some(store.control_address()),
+        closing: Box::pin(store.close()),
+    })
+}
+
+fn read_hosts(text: &str) -> serde_json::Result<Vec<ListedHost>> {
+    serde_json::from_str(text)
+}
+
 fn read_fencing(text: &str) -> anyhow::Result<Fencing> {
     match text {
         "refused" => Ok(Fencing::Refused),
--- a/crates/burdockroad-standins/src/kv/meter.rs
+++ b/crates/burdockroad-standins/src/kv/meter.rs
@@ -1,17 +1,13 @@
 //! Counts the calls of the key-value stand-in and holds them to its rates.
 
-use std::time::Duration;
-
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::kv::refusal::Refusal;
+use crate::{kv::refusal::Refusal, window::Window};
 
 #[cfg(test)]
 mod tests;
 
-const WINDOW: Duration = Duration::from_secs(1);
-
 /// How often the stand-in was called.
 ///
 /// Leases count as writes, a request for progress as a read.
@@ -46,9 +42,8 @@
     reads_per_s: u64,
     writes_per_s: u64,
     counts: KvCounts,
-    window_start: Instant,
-    window_reads: u64,
-    window_writes: u64,
+    reads: Window,
+    writes: Window,
 }
 
 impl Meter {
@@ -57,9 +52,8 @@
             reads_per_s,
             writes_per_s,
             counts: KvCounts::default(),
-            window_start: now,
-            window_reads: 0,
-            window_writes: 0,
+            reads: Window::new(now),
+            writes: Window::new(now),
         }
     }
 
@@ -69,28 +63,14 @@
 
     /// Counts one call, or refuses it.
     pub(crate) fn admit(&mut self, kind: CallKind, now: Instant) -> Result<(), Refusal> {
-        self.turn_window(now);
-        let over = match kind {
-            CallKind::Read => self.window_reads + self.counts.watches_waiting >= self.reads_per_s,
-            CallKind::Write => self.window_writes >= self.writes_per_s,
+        let admitted = match kind {
+            CallKind::Read => self.admit_read(now),
+            CallKind::Write => self.admit_write(now),
         };
-        if over {
+        if admitted.is_err() {
             self.counts.refused += 1;
-            return Err(Refusal::TooManyRequests);
         }
-        match kind {
-            CallKind::Read => {
-                self.window_reads += 1;
-                self.counts.reads += 1;
-            }
-            CallKind::Write => {
-                self.window_writes += 1;
-                self.counts.writes += 1;
-            }
-        }
-        self.counts.peak_reads_per_s = self.counts.peak_reads_per_s.max(self.window_reads);
-        self.counts.peak_writes_per_s = self.counts.peak_writes_per_s.max(self.window_writes);
-        Ok(())
+        admitted
     }
 
     pub(crate) fn watch_opened(&mut self) {
@@ -102,11 +82,21 @@
         self.counts.watches_waiting -= number as u64;
     }
 
-    fn turn_window(&mut self, now: Instant) {
-        if now.duration_since(self.window_start) >= WINDOW {
-            self.window_start = now;
-            self.window_reads = 0;
-            self.window_writes = 0;
+    fn admit_read(&mut self, now: Instant) -> Result<(), Refusal> {
+        if self.reads.count(now) + self.counts.watches_waiting >= self.reads_per_s {
+            return Err(Refusal::TooManyRequests);
+        }
+        self.counts.reads += 1;
+        self.counts.peak_reads_per_s = self.counts.peak_reads_per_s.max(self.reads.add());
+        Ok(())
+    }
+
+    fn admit_write(&mut self, now: Instant) -> Result<(), Refusal> {
+        if self.writes.count(now) >= self.writes_per_s {
+            return Err(Refusal::TooManyRequests);
         }
+        self.counts.writes += 1;
+        self.counts.peak_writes_per_s = self.counts.peak_writes_per_s.max(self.writes.add());
+        Ok(())
     }
 }
--- a/crates/burdockroad-standins/src/lib.rs
+++ b/crates/burdockroad-standins/src/lib.rs
@@ -7,8 +7,12 @@
 //! |---|---|
 //! | [`kv`] | the platform's key-value service: the etcd v3 interface, in memory |
 //! | [`engine`] | a model engine |
+//! | [`service`] | a plain service or tool service |
+//! | [`host_list`] | the platform's list of hosts |
+//! | [`weight_store`] | the weight store that engines load from |
+//! | [`proxy`] | the network between two processes, with its faults |
 //!
-//! [`http_client`] helps tests to drive them.
+//! [`processes`] and [`http_client`] help tests to start and to drive them.
 
 pub use crate::{
     error::{Result, StandinError},
@@ -17,9 +21,15 @@
 
 pub mod engine;
 mod error;
+pub mod host_list;
 pub mod http_client;
 mod http_server;
 pub mod kv;
+pub mod processes;
+pub mod proxy;
 mod record;
 mod request_faults;
 mod server;
+pub mod service;
+pub mod weight_store;
+mod window;
--- /dev/null
+++ b/crates/burdockroad-standins/src/weight_store.rs
@@ -0,0 +1,194 @@
+//! Stand-in of the store that engines load weights from: `GET /weights/{model}`, held to a rate.
+//!
+//! A request over the rate is answered 429 with `Retry-After`. `GET /counts` on the control address
+//! tells how many were served and refused.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{StatusCode, header};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::{
+    error::Result,
+    http_server::{self, Answer, Handler, Received},
+    server::Server,
+    window::Window,
+};
+
+/// Seconds after which a refused request may be tried again: the length of a window.
+const RETRY_AFTER_S: &str = "1";
+
+/// How a weight store stand-in is started.
+#[derive(Clone, Debug)]
+pub struct WeightStoreOptions {
+    /// Loopback address of the store; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Loopback address of the control requests; port 0 takes a free one.
+    pub control_listen: SocketAddr,
+    /// Requests that are served each second.
+    pub rate_per_s: u64,
+    /// Size of the weights of each model.
+    pub weights_bytes: usize,
+}
+
+impl Default for WeightStoreOptions {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            control_listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            rate_per_s: 2,
+            weights_bytes: 64 << 10,
+        }
+    }
+}
+
+/// What the store was asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightStoreCounts {
+    /// Requests that got weights.
+    pub served: u64,
+    /// Requests over the rate.
+    pub refused: u64,
+}
+
+/// A running weight store stand-in.
+#[derive(Debug)]
+pub struct WeightStoreStandin {
+    shared: Arc<Shared>,
+    server: Server,
+    control: Server,
+}
+
+impl WeightStoreStandin {
+    /// Starts the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address is not loopback or cannot be listened on.
+    pub async fn start(options: WeightStoreOptions) -> Result<Self> {
+        let state = State {
+            window: Window::new(Instant::now()),
+            counts: WeightStoreCounts::default(),
+        };
+        let shared = Arc::new(Shared {
+            state: Mutex::new(state),
+            rate_per_s: options.rate_per_s,
+            weights: Bytes::from(vec![0; options.weights_bytes]),
+        });
+        let store = Store {
+            shared: Arc::clone(&shared),
+        };
+        let server = http_server::serve(options.listen, Arc::new(store)).await?;
+        let control = Control {
+            shared: Arc::clone(&shared),
+        };
+        let control = http_server::serve(options.control_listen, Arc::new(control)).await?;
+        Ok(Self {
+            shared,
+            server,
+            control,
+        })
+    }
+
+    /// Returns the address of the store.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the address that takes `GET /counts`.
+    pub fn control_address(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Returns what the store was asked for.
+    pub fn counts(&self) -> WeightStoreCounts {
+        self.shared.state().counts
+    }
+
+    /// Stops the stand-in and ends all its connections.
+    pub async fn close(self) {
+        self.server.close().await;
+        self.control.close().await;
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    rate_per_s: u64,
+    weights: Bytes,
+}
+
+#[derive(Debug)]
+struct State {
+    window: Window,
+    counts: WeightStoreCounts,
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a request and tells whether it is within the rate.
+    fn admit(&self) -> bool {
+        let mut state = self.state();
+        if state.window.count(Instant::now()) >= self.rate_per_s {
+            state.counts.refused += 1;
+            return false;
+        }
+        state.window.add();
+        state.counts.served += 1;
+        true
+    }
+}
+
+/// Answers the requests for weights.
+struct Store {
+    shared: Arc<Shared>,
+}
+
+#[async_trait]
+impl Handler for Store {
+    async fn handle(&self, request: Received) -> Answer {
+        let (method, path) = request.route();
+        let ("GET", ["weights", _model]) = (method, path.as_slice()) else {
+            return Ok(http_server::text(StatusCode::NOT_FOUND, "no such request"));
+        };
+        if self.shared.admit() {
+            let weights = self.shared.weights.clone();
+            return Ok(http_server::typed(
+                StatusCode::OK,
+                "application/octet-stream",
+                weights,
+            ));
+        }
+        let mut response = http_server::text(StatusCode::TOO_MANY_REQUESTS, "over the rate");
+        let retry_after = header::HeaderValue::from_static(RETRY_AFTER_S);
+        response.headers_mut().insert(header::RETRY_AFTER, retry_after);
+        Ok(response)
+    }
+}
+
+/// Answers the control requests.
+struct Control {
+    shared: Arc<Shared>,
+}
+
+#[async_trait]
+impl Handler for Control {
+    async fn handle(&self, request: Received) -> Answer {
+        Ok(match request.route() {
+            ("GET", path) if path == ["counts"] => {
+                http_server::json(StatusCode::OK, &self.shared.state().counts)
+            }
+            _ => http_server::text(StatusCode::NOT_FOUND, "no such control request"),
+        })
+    }
+}
--- a/crates/burdockroad-standins/tests/kv_contract.rs
+++ b/crates/burdockroad-standins/tests/kv_contract.rs
@@ -16,7 +16,12 @@
     },
     mvccpb::event::EventType,
 };
-use burdockroad_standins::kv::{KvFaults, KvOptions, KvStandin, LoseReplies};
+use burdockroad_standins::{
+    http_client::HttpClient,
+    kv::{KvCounts, KvFaults, KvOptions, KvStandin, LoseReplies},
+};
+use http::Method;
+use serde_json::json;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Code, Streaming, transport::Channel};
@@ -506,6 +511,37 @@
     fixture.standin.close().await;
 }
 
+#[tokio::test]
+async fn control_requests() {
+    let mut fixture = start(KvOptions::default()).await;
+    let control = format!("http://{}", fixture.standin.control_address());
+    let client = HttpClient::new();
+    // Faults, the status of the control request, and the code of a write after it.
+    let cases = [
+        (
+            json!({"down": true, "delay_ms": 1, "seed": 3}),
+            204,
+            Code::Unavailable,
+        ),
+        (json!({"lose_replies": 1}), 204, Code::Unavailable),
+        (json!({"lose_replies": 0.0, "break_watches": true}), 204, Code::Ok),
+        (json!({"lose_replies": "some"}), 400, Code::Ok),
+        (json!({"dwon": true}), 400, Code::Ok),
+    ];
+    for (faults, status, code) in cases {
+        let answer = client
+            .send_json(Method::POST, &format!("{control}/faults"), &faults)
+            .await
+            .unwrap();
+        assert_eq!(answer.status, status, "{faults}");
+        assert_eq!(code_of(fixture.keys.put(put("a", "1")).await), code, "{faults}");
+    }
+    let counts: KvCounts = client.get_json(&format!("{control}/counts")).await.unwrap();
+    assert_eq!(counts, fixture.standin.counts());
+    assert_eq!((counts.reads, counts.writes), (0, 4));
+    fixture.standin.close().await;
+}
+
 fn code_of<T>(result: Result<T, tonic::Status>) -> Code {
     result.map_or_else(|status| status.code(), |_| Code::Ok)
 }
