--- a/crates/burdockroad-daemon/src/coordinator/worker.rs
+++ b/crates/burdockroad-daemon/src/coordinator/worker.rs
@@ -20,7 +20,6 @@
 use crate::{
     coordinator::{journal_handle::JournalHandle, leftovers::Leftovers},
     handoff::{Handoff, HandoffError},
-    journal::Journal,
     membership::{MembershipHandle, Standing},
     ownership::{OwnershipHandle, PARTITIONS},
     takeover::Takeover,
--- a/crates/burdockroad-daemon/src/membership/actor.rs
+++ b/crates/burdockroad-daemon/src/membership/actor.rs
@@ -12,13 +12,13 @@
     membership::{Gone, ListedMember, Member, Options, Sighting, Table, Target},
     ownership::Process,
 };
-use burdockroad_proto::peer::{DocumentFreshness, HeartbeatRequest, HeartbeatResponse};
+use burdockroad_proto::peer::{HeartbeatRequest, HeartbeatResponse, HostRef};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort, rpc::CallResult};
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
+    config_watch::DocumentGossip,
     membership::{
-        gossip::DocumentGossip,
         lease::Lease,
         wire::{host_ref, process_of, request_sighting, response_sighting},
     },
@@ -303,7 +303,7 @@
 
     fn heartbeat(&mut self, request: &HeartbeatRequest) -> HeartbeatResponse {
         if let Some(sighting) = request_sighting(request) {
-            self.observe(sighting, request.ownership_version, request.document);
+            self.observe(sighting, request.ownership_version);
         }
         let me = self.table.me();
         HeartbeatResponse {
@@ -325,20 +325,30 @@
             return;
         };
         let process = sighting.member.process.clone();
-        if self.observe(sighting, response.ownership_version, response.document) {
+        if self.observe(sighting, response.ownership_version) {
+            self.observe_document(&process, &target.address, sent_at, response);
             self.table.acknowledge(&process, sent_at.into_std());
             self.outputs.lease.set(self.table.lease_until());
         }
     }
 
-    fn observe(&mut self, sighting: Sighting, version: u64, document: Option<DocumentFreshness>) -> bool {
-        let host_id = sighting.member.process.host_id.clone();
+    fn observe_document(
+        &self,
+        process: &Process,
+        address: &str,
+        sent_at: Instant,
+        response: &HeartbeatResponse,
+    ) {
+        if let Some(freshness) = &response.document {
+            let document = &self.arguments.document;
+            document.observe_peer(&process.host_id, address, sent_at.into_std(), freshness);
+        }
+    }
+
+    fn observe(&mut self, sighting: Sighting, version: u64) -> bool {
         if !self.table.observe(sighting, Instant::now().into_std()) {
             return false;
         }
-        if let Some(document) = document {
-            self.arguments.document.observe_peer(&host_id, document);
-        }
         if version > self.ownership_version {
             self.ownership_version = version;
             self.publish();
@@ -346,12 +356,13 @@
         true
     }
 
-    fn heard(&self) -> Vec<burdockroad_proto::peer::HostRef> {
+    fn heard(&self) -> Vec<HostRef> {
         let now = Instant::now().into_std();
         self.table.heard(now).iter().map(host_ref).collect()
     }
 
     fn take_list(&mut self, hosts: Vec<ListedHost>, myself: &ActorRef<Message>) {
+        self.arguments.document.observe_list(&hosts);
         let me = self.table.me().process.host_id.clone();
         let leaving = hosts
             .iter()
--- a/crates/burdockroad-daemon/tests/fleet/coordinator.rs
+++ b/crates/burdockroad-daemon/tests/fleet/coordinator.rs
@@ -9,14 +9,17 @@
 use burdockroad::{PARTITIONS, membership::Options, program_id};
 use burdockroad_daemon::{
     coordinator::{Coordinator, CoordinatorOptions, JournalHandle, Views},
-    membership::NoDocument,
     ownership::OwnershipView,
     peer::{PeerClients, serve},
     platform::{HostList, HostState, ListedHost, MemoryKeyValue, StoreError},
 };
 use tokio::{net::TcpListener, task::JoinHandle};
 
-use crate::{journals::Journals, service::handlers, trees::MemoryTrees};
+use crate::{
+    journals::Journals,
+    service::{Silent, handlers},
+    trees::MemoryTrees,
+};
 
 /// Time within which each of the cases must come to its end; far above what it takes.
 const CASE_TIMEOUT: Duration = Duration::from_mins(1);
@@ -96,7 +99,7 @@
             recovery: Arc::new(self.journals.clone()),
             trees: Arc::clone(&trees) as Arc<_>,
             clients: Arc::new(PeerClients::new()),
-            document: Arc::new(NoDocument),
+            document: Arc::new(Silent),
         })
         .await
         .unwrap();
--- a/crates/burdockroad-daemon/tests/fleet/service.rs
+++ b/crates/burdockroad-daemon/tests/fleet/service.rs
@@ -1,21 +1,26 @@
 //! A peer service of which only the coordinator's part answers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use async_trait::async_trait;
-use burdockroad_daemon::peer::{
-    AdoptHandler, DocumentHandler, ForwardHandler, ForwardStream, GrantHandler, HeartbeatHandler,
-    PeerHandlers, SlotHandler, TailHandler,
+use burdockroad::HostId;
+use burdockroad_daemon::{
+    config_watch::DocumentGossip,
+    peer::{
+        AdoptHandler, DocumentHandler, ForwardHandler, ForwardStream, GrantHandler, HeartbeatHandler,
+        PeerHandlers, SlotHandler, TailHandler,
+    },
+    platform::ListedHost,
 };
 use burdockroad_proto::peer::{
-    AcquireSlotRequest, AcquireSlotResponse, FetchDocumentResponse, ForwardRequest, GrantRequest,
-    GrantResponse, ReleaseSlotRequest, ReleaseSlotResponse, ReplicateTailRequest, ReplicateTailResponse,
-    SealTailRequest, SealTailResponse,
+    AcquireSlotRequest, AcquireSlotResponse, DocumentFreshness, FetchDocumentResponse, ForwardRequest,
+    GrantRequest, GrantResponse, ReleaseSlotRequest, ReleaseSlotResponse, ReplicateTailRequest,
+    ReplicateTailResponse, SealTailRequest, SealTailResponse,
 };
 
 /// Answers everything with nothing.
 #[derive(Debug)]
-struct Silent;
+pub struct Silent;
 
 pub fn handlers(heartbeat: Arc<dyn HeartbeatHandler>, adopt: Arc<dyn AdoptHandler>) -> PeerHandlers {
     PeerHandlers {
@@ -29,6 +34,16 @@
     }
 }
 
+impl DocumentGossip for Silent {
+    fn document_freshness(&self) -> DocumentFreshness {
+        DocumentFreshness::default()
+    }
+
+    fn observe_peer(&self, _: &HostId, _: &str, _: Instant, _: &DocumentFreshness) {}
+
+    fn observe_list(&self, _: &[ListedHost]) {}
+}
+
 #[async_trait]
 impl ForwardHandler for Silent {
     async fn forward(&self, _: ForwardRequest) -> ForwardStream {
