--- a/crates/burdockroad-daemon/src/coordinator.rs
+++ b/crates/burdockroad-daemon/src/coordinator.rs
@@ -26,9 +26,10 @@
 
 use self::worker::{Command, Worker};
 use crate::{
+    config_watch::DocumentGossip,
     handoff::{Handoff, StagingAdopter, TreeSender},
     journal::Trees,
-    membership::{DocumentGossip, Lease, MembershipArguments, MembershipHandle, Standing},
+    membership::{Lease, MembershipArguments, MembershipHandle, Standing},
     ownership::{MapStore, OwnershipArguments, OwnershipHandle, OwnershipReceiver, PeersReceiver, Staging},
     peer::{AdoptHandler, HeartbeatHandler, PeerClients},
     platform::{HostList, SharedKeyValue},
--- a/crates/burdockroad-daemon/src/coordinator/journal_handle.rs
+++ b/crates/burdockroad-daemon/src/coordinator/journal_handle.rs
@@ -3,6 +3,7 @@
 use std::{
     fmt,
     sync::{Arc, PoisonError, RwLock},
+    time::Duration,
 };
 
 use async_trait::async_trait;
@@ -10,11 +11,18 @@
 
 use crate::journal::{Appended, Durability, Journal, JournalError};
 
+/// Pause before the journal of another incarnation is opened.
+const REOPEN_PAUSE: Duration = Duration::from_millis(200);
+
 /// Opens journals.
 #[async_trait]
 pub trait JournalFactory: fmt::Debug + Send + Sync {
-    /// Opens an empty journal for a new process; nothing is written yet.
-    async fn open(&self, process: Process) -> Arc<dyn Journal>;
+    /// Opens the journal of a new process, and returns once the process can be fenced for good.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the journal was sealed before it was open.
+    async fn open(&self, process: Process) -> Result<Arc<dyn Journal>, JournalError>;
 }
 
 /// Passes records to the journal of the present incarnation.
@@ -41,12 +49,14 @@
 }
 
 impl JournalHandle {
-    /// Opens the journal of a process.
+    /// Opens the journal of a process; of another incarnation, when the first one is sealed meanwhile.
+    ///
+    /// Waits while the key-value service is down.
     pub async fn open(factory: Arc<dyn JournalFactory>, process: Process) -> Self {
-        let journal = factory.open(process.clone()).await;
+        let open = open_journal(factory.as_ref(), process).await;
         Self {
             factory,
-            open: RwLock::new(Open { process, journal }),
+            open: RwLock::new(open),
         }
     }
 
@@ -60,17 +70,16 @@
         self.read(|open| Arc::clone(&open.journal))
     }
 
+    /// Whether the journal is known to be sealed, so that this process owns nothing any more.
+    pub fn is_fenced(&self) -> bool {
+        self.admit(Durability::Stored) == Err(JournalError::Fenced)
+    }
+
     /// Opens the journal of a new incarnation and puts it in place.
     pub(super) async fn reopen(&self) -> Process {
-        let process = Process {
-            host_id: self.process().host_id,
-            incarnation: rand::random(),
-        };
-        let journal = self.factory.open(process.clone()).await;
-        let opened = Open {
-            process: process.clone(),
-            journal,
-        };
+        let next = next_incarnation(&self.process());
+        let opened = open_journal(self.factory.as_ref(), next).await;
+        let process = opened.process.clone();
         *self.open.write().unwrap_or_else(PoisonError::into_inner) = opened;
         process
     }
@@ -80,15 +89,30 @@
     }
 }
 
+async fn open_journal(factory: &dyn JournalFactory, first: Process) -> Open {
+    let mut process = first;
+    loop {
+        match factory.open(process.clone()).await {
+            Ok(journal) => return Open { process, journal },
+            Err(cause) => log::warn!("event=journal_not_opened reason=\"{cause}\""),
+        }
+        tokio::time::sleep(REOPEN_PAUSE).await;
+        process = next_incarnation(&process);
+    }
+}
+
+fn next_incarnation(process: &Process) -> Process {
+    Process {
+        host_id: process.host_id.clone(),
+        incarnation: rand::random(),
+    }
+}
+
 impl Journal for JournalHandle {
     fn append(&self, records: Vec<Record>, durability: Durability) -> Appended {
         self.current().append(records, durability)
     }
 
-    fn is_fenced(&self) -> bool {
-        self.current().is_fenced()
-    }
-
     fn admit(&self, durability: Durability) -> Result<(), JournalError> {
         self.current().admit(durability)
     }
--- a/crates/burdockroad-daemon/src/membership.rs
+++ b/crates/burdockroad-daemon/src/membership.rs
@@ -4,13 +4,11 @@
 //! platform's host list, and publishes which peers are up and which processes are gone.
 
 mod actor;
-mod gossip;
 mod lease;
 mod wire;
 
 pub use self::{
     actor::{MembershipArguments, MembershipHandle, Standing},
-    gossip::{DocumentGossip, NoDocument},
     lease::Lease,
     wire::{host_ref, process_of},
 };
--- a/crates/burdockroad-daemon/src/ownership/actor.rs
+++ b/crates/burdockroad-daemon/src/ownership/actor.rs
@@ -214,13 +214,15 @@
         _myself: ActorRef<Message>,
         (arguments, view): Self::Arguments,
     ) -> Result<State, ActorProcessingErr> {
-        Ok(State {
+        let state = State {
             arguments,
             view,
             known: None,
             serving: true,
             handing_off: BTreeSet::new(),
-        })
+        };
+        state.publish();
+        Ok(state)
     }
 
     async fn handle(
--- a/crates/burdockroad-daemon/tests/fleet/journals.rs
+++ b/crates/burdockroad-daemon/tests/fleet/journals.rs
@@ -52,7 +52,7 @@
 
 #[async_trait]
 impl JournalFactory for Journals {
-    async fn open(&self, process: Process) -> Arc<dyn Journal> {
+    async fn open(&self, process: Process) -> Result<Arc<dyn Journal>, JournalError> {
         let (sender, mut received) = mpsc::unbounded_channel::<Queued>();
         let journals = self.clone();
         let writer = process.clone();
@@ -62,11 +62,11 @@
                 let _ = queued.reply.send(outcome);
             }
         });
-        Arc::new(MemoryJournal {
+        Ok(Arc::new(MemoryJournal {
             process,
             journals: self.clone(),
             sender,
-        })
+        }))
     }
 }
 
@@ -113,8 +113,9 @@
         appended
     }
 
-    fn is_fenced(&self) -> bool {
+    fn admit(&self, _: Durability) -> Result<(), JournalError> {
         let table = self.journals.table.lock().unwrap();
-        table.get(&self.process).is_some_and(|row| row.sealed)
+        let sealed = table.get(&self.process).is_some_and(|row| row.sealed);
+        if sealed { Err(JournalError::Fenced) } else { Ok(()) }
     }
 }
