Give out slots by the owner of each pool

Change: dispatch::PoolDispatcher, one actor that owns the pools of this host. Others ask the owner; when it cannot be reached, a host gives out its own share. Slots of hosts that are gone are taken back, and endpoints are polled for load and cache events. Found by acquire_caller_gone: an answer that had left the owner while its caller gave up kept the slot for the whole slot lease. A request now has an id, and a caller that gives up says so. Ruled out: relying on the end of the stream, which the owner may see after it has answered; a short slot lease with renewals, which costs a message a slot and second. Also: three failed polls in a row eject an endpoint, in place of two. Tests: tests/dispatch.rs, two hosts over the real peer service.

--- a/crates/burdockroad-daemon/src/dispatch.rs
+++ b/crates/burdockroad-daemon/src/dispatch.rs
@@ -1,11 +1,22 @@
 //! Slots at endpoints: which call goes next, and where.
+//!
+//! The owner of a pool's partition gives its slots out. A host that cannot reach the owner gives out
+//! its own share of them: two sources of slots for a moment overload endpoints, and break nothing.
 
-use std::{fmt, time::Duration};
+mod actor;
+mod dispatcher;
+mod messages;
+mod polling;
+mod pools;
+
+use std::{collections::BTreeSet, fmt, time::Duration};
 
 use async_trait::async_trait;
-use burdockroad::{AccountId, CallNumber, EndpointId, PoolId, ProgramId};
+use burdockroad::{AccountId, CallNumber, EndpointId, HostId, PoolId, ProgramId, config::EndpointSet};
 use tokio::time::Instant;
 
+pub use self::dispatcher::{DispatchParts, PoolDispatcher};
+
 /// Gives out slots at the endpoints of each pool, fairly between accounts.
 #[async_trait]
 pub trait Dispatcher: fmt::Debug + Send + Sync {
@@ -20,6 +31,18 @@
     fn release(&self, slot: Slot, report: SlotReport);
 }
 
+/// Gives the endpoint sets, as the document and the platform's host list have them.
+pub trait PoolSource: fmt::Debug + Send + Sync {
+    /// Number that changes whenever one of the other answers does.
+    fn version(&self) -> u64;
+
+    /// The endpoint sets.
+    fn endpoint_sets(&self) -> Vec<EndpointSet>;
+
+    /// Hosts that are being taken away.
+    fn leaving_hosts(&self) -> BTreeSet<HostId>;
+}
+
 /// What a call needs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SlotRequest {
--- a/crates/burdockroad/src/dispatch/health.rs
+++ b/crates/burdockroad/src/dispatch/health.rs
@@ -18,7 +18,7 @@
 const ACCOUNTS_MIN: usize = 2;
 
 /// Failed probes in a row after which all are kept away.
-const PROBES_MAX: u32 = 2;
+const PROBES_MAX: u32 = 3;
 
 /// Shortest and longest time that an endpoint is avoided.
 const EJECTION: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
