Read limits, weights and endpoint sets from the document in force

Change: DocumentSource answers both AccountLimits and PoolSource, from config_watch and a watch of the leaving hosts, so that quota and dispatch can be wired to it.

--- a/crates/burdockroad-daemon/src/lib.rs
+++ b/crates/burdockroad-daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config_watch;
 pub mod coordinator;
 pub mod dispatch;
+pub mod document_source;
 pub mod handoff;
 pub mod journal;
 pub mod membership;
