--- a/crates/burdockroad-daemon/src/lib.rs
+++ b/crates/burdockroad-daemon/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod config_watch;
 pub mod coordinator;
 pub mod dispatch;
+pub mod document_source;
 pub mod edge;
 pub mod endpoint;
 pub mod handoff;
