--- a/crates/burdockroad-daemon/src/calls.rs
+++ b/crates/burdockroad-daemon/src/calls.rs
@@ -103,8 +103,6 @@
     pub queue_timeout: Duration,
     /// Largest answer of a plain service, in bytes.
     pub answer_max_bytes: usize,
-    /// Tokens set aside for a completion whose caller states no limit.
-    pub completion_max_tokens: u64,
 }
 
 /// Runs calls at this host.
@@ -133,11 +131,20 @@
     /// Tokens that a completion may have generated at most; 0 for a service.
     fn wanted_tokens(&self, work: &Work) -> u64 {
         match work {
-            Work::Completion(request) => request.max_tokens.unwrap_or(self.limits.completion_max_tokens),
+            Work::Completion(request) => request.max_tokens.unwrap_or_else(|| self.default_max_tokens()),
             Work::Service(_) => 0,
         }
     }
 
+    /// Tokens set aside for a completion whose caller states no limit.
+    fn default_max_tokens(&self) -> u64 {
+        self.in_force
+            .borrow()
+            .document
+            .budget_defaults
+            .completion_max_tokens
+    }
+
     /// Whether the key that a call came with still works.
     fn key_works(&self, caller: &Caller) -> bool {
         key_works(&self.in_force, caller)
--- /dev/null
+++ b/crates/burdockroad-daemon/src/daemon.rs
@@ -0,0 +1,410 @@
+//! One daemon: its parts put together, started and stopped.
+
+mod journals;
+mod observed_hosts;
+
+use std::{
+    fmt, io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use burdockroad::{membership, program::ProgramsOptions};
+use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
+
+use self::{journals::Journals, observed_hosts::ObservedHostList};
+use crate::{
+    calls::{CallLimits, CallRunner},
+    config_watch::{ConfigWatch, InForceReceiver},
+    coordinator::{Coordinator, CoordinatorOptions, JournalHandle, StartError, Views},
+    dispatch::{DispatchParts, PoolDispatcher},
+    document_source::{DocumentSource, LeavingReceiver},
+    edge::{Edge, EdgeLimits},
+    endpoint::{Endpoints, HttpEndpoints},
+    http::{CallerServer, CallerServerParts},
+    journal::{StoreRecovery, TailStore, Trees},
+    memory::{EngineMemory, MemoryAudit},
+    peer::{self, PeerClients, PeerHandlers},
+    platform::{self, PlatformError, SharedKeyValue},
+    programs::{ProgramsHandle, ProgramsParts},
+    quota::{EscrowQuota, QuotaParts},
+    settings::Settings,
+};
+
+/// Time between two runs of the systems that depend on time.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Largest answer of a plain service, in bytes.
+const ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Longest wait for a program that is moving between hosts: more than a takeover takes.
+const MOVING_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Why a daemon did not start.
+#[derive(Debug)]
+pub enum DaemonError {
+    /// The platform's services cannot be used as the settings say.
+    Platform(PlatformError),
+    /// An address cannot be listened on.
+    Listen {
+        /// The address.
+        address: String,
+        /// What the system said.
+        cause: io::Error,
+    },
+    /// An actor could not be started.
+    Actor(ractor::SpawnErr),
+    /// The coordinator could not be started.
+    Coordinator(StartError),
+}
+
+impl fmt::Display for DaemonError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Platform(cause) => cause.fmt(f),
+            Self::Listen { address, cause } => write!(f, "cannot listen on {address}: {cause}"),
+            Self::Actor(cause) => write!(f, "an actor could not be started: {cause}"),
+            Self::Coordinator(cause) => cause.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for DaemonError {}
+
+impl From<PlatformError> for DaemonError {
+    fn from(cause: PlatformError) -> Self {
+        Self::Platform(cause)
+    }
+}
+
+impl From<ractor::SpawnErr> for DaemonError {
+    fn from(cause: ractor::SpawnErr) -> Self {
+        Self::Actor(cause)
+    }
+}
+
+impl From<StartError> for DaemonError {
+    fn from(cause: StartError) -> Self {
+        Self::Coordinator(cause)
+    }
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    caller_address: SocketAddr,
+    peer_address: SocketAddr,
+    shutdown_timeout: Duration,
+    coordinator: Coordinator,
+    callers: CallerServer,
+    peers: PeerServer,
+    programs: Arc<ProgramsHandle>,
+    config: ConfigWatch,
+    audit: MemoryAudit,
+    ticker: JoinHandle<()>,
+}
+
+/// The server that peers reach.
+#[derive(Debug)]
+struct PeerServer {
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
+/// What all parts share.
+struct Base {
+    settings: Settings,
+    store: SharedKeyValue,
+    clients: Arc<PeerClients>,
+    views: Views,
+    tails: Arc<TailStore>,
+    endpoints: Arc<dyn Endpoints>,
+    in_force: InForceReceiver,
+}
+
+impl Daemon {
+    /// Starts a daemon as its settings say; port 0 takes a free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address is taken, or the settings name a platform service that cannot be used.
+    pub async fn start(settings: Settings) -> Result<Self, DaemonError> {
+        let caller_listener = listen(&settings.caller_address).await?;
+        let peer_listener = listen(&settings.peer_address).await?;
+        let caller_address = local_address(&caller_listener, &settings.caller_address)?;
+        let peer_address = local_address(&peer_listener, &settings.peer_address)?;
+        let shutdown_timeout = Duration::from_secs(settings.limits.shutdown_timeout_s);
+
+        let store = platform::connect(&settings.store)?;
+        let hosts = platform::connect_host_list(&settings.host_list)?;
+        let (hosts, leaving) = ObservedHostList::new(hosts);
+        let clients = Arc::new(PeerClients::new());
+        let config = ConfigWatch::start(settings.host_id.clone(), Arc::clone(&store), Arc::clone(&clients));
+        let views = Views::new(settings.host_id.clone());
+        let base = Base {
+            tails: Arc::new(TailStore::new(views.me())),
+            endpoints: Arc::new(HttpEndpoints::new()),
+            in_force: config.in_force(),
+            settings,
+            store,
+            clients,
+            views,
+        };
+        let journals = Arc::new(base.journals());
+        let journal = Arc::new(JournalHandle::open(Arc::clone(&journals) as _, base.views.me()).await);
+        let programs = Arc::new(base.start_programs(&journal).await?);
+        let shared: Arc<dyn Trees> = Arc::clone(&programs) as Arc<dyn Trees>;
+        journals.set_trees(&shared);
+
+        let options = base.coordinator_options(&config, hosts, journal, shared, peer_address);
+        let coordinator = Coordinator::start(options).await?;
+        let served = base
+            .start_serving(&coordinator, &config, &programs, leaving)
+            .await?;
+        let peers = PeerServer::start(peer_listener, served.handlers);
+        let parts = CallerServerParts {
+            edge: served.edge,
+            in_force: base.in_force.clone(),
+            limits: base.settings.limits.clone(),
+        };
+        let callers = CallerServer::start(caller_listener, parts);
+        let audit = MemoryAudit::start(
+            base.engine_memory(),
+            base.views.ownership(),
+            ProgramsHandle::clone(&programs),
+        );
+        let ticker = tokio::spawn(tick(ProgramsHandle::clone(&programs)));
+        log::info!(
+            "event=started host={} callers={caller_address} peers={peer_address}",
+            base.settings.host_id
+        );
+        Ok(Self {
+            caller_address,
+            peer_address,
+            shutdown_timeout,
+            coordinator,
+            callers,
+            peers,
+            programs,
+            config,
+            audit,
+            ticker,
+        })
+    }
+
+    /// Where callers reach the daemon.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Where peers reach the daemon.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Finishes what runs here, hands everything over, and stops.
+    pub async fn close(self) {
+        log::info!("event=stopping");
+        // Callers go first: what they still wait for may belong to programs of this host.
+        self.coordinator.drain();
+        self.callers.close(self.shutdown_timeout).await;
+        let left = self.coordinator.shutdown(self.shutdown_timeout).await;
+        self.peers.close().await;
+        self.ticker.abort();
+        self.audit.close();
+        ProgramsHandle::clone(&self.programs).close();
+        self.config.close().await;
+        log::info!("event=stopped partitions_left={left}");
+    }
+}
+
+/// What serves callers and peers.
+struct Served {
+    edge: Edge,
+    handlers: PeerHandlers,
+}
+
+impl Base {
+    fn journals(&self) -> Journals {
+        Journals {
+            store: Arc::clone(&self.store),
+            settings: self.settings.clone(),
+            peers: self.views.peers(),
+            clients: Arc::clone(&self.clients),
+            cleaning: Mutex::default(),
+        }
+    }
+
+    async fn start_programs(&self, journal: &Arc<JournalHandle>) -> Result<ProgramsHandle, DaemonError> {
+        let parts = ProgramsParts {
+            journal: Arc::clone(journal) as _,
+            releaser: Arc::new(self.engine_memory()),
+            options: ProgramsOptions::default(),
+        };
+        Ok(ProgramsHandle::start(parts).await?)
+    }
+
+    fn engine_memory(&self) -> EngineMemory {
+        EngineMemory {
+            endpoints: Arc::clone(&self.endpoints),
+            in_force: self.in_force.clone(),
+        }
+    }
+
+    fn coordinator_options(
+        &self,
+        config: &ConfigWatch,
+        hosts: ObservedHostList,
+        journal: Arc<JournalHandle>,
+        trees: Arc<dyn Trees>,
+        peer_address: SocketAddr,
+    ) -> CoordinatorOptions {
+        let recovery = StoreRecovery::new(
+            Arc::clone(&self.store),
+            self.views.peers(),
+            Arc::clone(&self.clients),
+            Arc::clone(&self.tails),
+            self.views.me(),
+        );
+        CoordinatorOptions {
+            views: self.views.clone(),
+            peer_address: peer_address.to_string(),
+            failure_domain: self.settings.failure_domain.clone(),
+            membership: membership::Options::default(),
+            store: Arc::clone(&self.store),
+            host_list: Arc::new(hosts),
+            journal,
+            recovery: Arc::new(journals::PatientRecovery { recovery }),
+            trees,
+            clients: Arc::clone(&self.clients),
+            document: config.gossip(),
+        }
+    }
+
+    async fn start_serving(
+        &self,
+        coordinator: &Coordinator,
+        config: &ConfigWatch,
+        programs: &Arc<ProgramsHandle>,
+        leaving: LeavingReceiver,
+    ) -> Result<Served, DaemonError> {
+        let source = Arc::new(DocumentSource::new(self.in_force.clone(), leaving));
+        let quota = Arc::new(self.start_quota(coordinator, &source).await?);
+        let dispatcher = Arc::new(self.start_dispatcher(&source).await?);
+        let runner = CallRunner {
+            programs: ProgramsHandle::clone(programs),
+            quota: Arc::clone(&quota) as _,
+            dispatcher: Arc::clone(&dispatcher) as _,
+            endpoints: Arc::clone(&self.endpoints),
+            in_force: self.in_force.clone(),
+            limits: self.call_limits(),
+        };
+        let edge = Edge {
+            runner,
+            ownership: self.views.ownership(),
+            peers: self.views.peers(),
+            clients: Arc::clone(&self.clients),
+            in_force: self.in_force.clone(),
+            limits: EdgeLimits {
+                moving_timeout: MOVING_TIMEOUT,
+            },
+        };
+        let handlers = PeerHandlers {
+            heartbeat: coordinator.heartbeat_handler(),
+            forward: Arc::new(edge.clone()),
+            tail: Arc::clone(&self.tails) as _,
+            adopt: coordinator.adopt_handler(),
+            document: config.handler(),
+            grant: quota,
+            slot: dispatcher,
+        };
+        Ok(Served { edge, handlers })
+    }
+
+    async fn start_quota(
+        &self,
+        coordinator: &Coordinator,
+        source: &Arc<DocumentSource>,
+    ) -> Result<EscrowQuota, DaemonError> {
+        let parts = QuotaParts {
+            ownership: self.views.ownership(),
+            peers: self.views.peers(),
+            clients: Arc::clone(&self.clients),
+            lease: coordinator.lease(),
+            limits: Arc::clone(source) as _,
+        };
+        Ok(EscrowQuota::start(parts).await?)
+    }
+
+    async fn start_dispatcher(&self, source: &Arc<DocumentSource>) -> Result<PoolDispatcher, DaemonError> {
+        let parts = DispatchParts {
+            ownership: self.views.ownership(),
+            peers: self.views.peers(),
+            clients: Arc::clone(&self.clients),
+            source: Arc::clone(source) as _,
+            limits: Arc::clone(source) as _,
+        };
+        Ok(PoolDispatcher::start(parts).await?)
+    }
+
+    fn call_limits(&self) -> CallLimits {
+        CallLimits {
+            queue_timeout: Duration::from_secs(self.settings.limits.queue_timeout_s),
+            answer_max_bytes: ANSWER_MAX_BYTES,
+        }
+    }
+}
+
+impl PeerServer {
+    fn start(listener: TcpListener, handlers: PeerHandlers) -> Self {
+        let (stop, stopped) = oneshot::channel();
+        let task = tokio::spawn(async move {
+            let stopped = async {
+                // A dropped sender stops the server as well.
+                let _stopped = stopped.await;
+            };
+            if let Err(error) = peer::serve(listener, handlers, stopped).await {
+                log::error!("event=peer_server_failed reason=\"{error}\"");
+            }
+        });
+        Self { stop, task }
+    }
+
+    async fn close(self) {
+        // The server may have ended by itself.
+        let _sent = self.stop.send(());
+        let mut task = self.task;
+        if tokio::time::timeout(Duration::from_secs(1), &mut task)
+            .await
+            .is_err()
+        {
+            task.abort();
+        }
+    }
+}
+
+async fn tick(programs: ProgramsHandle) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        programs.tick();
+    }
+}
+
+async fn listen(address: &str) -> Result<TcpListener, DaemonError> {
+    let listening = TcpListener::bind(address).await;
+    listening.map_err(|cause| DaemonError::Listen {
+        address: address.to_owned(),
+        cause,
+    })
+}
+
+fn local_address(listener: &TcpListener, address: &str) -> Result<SocketAddr, DaemonError> {
+    let local = listener.local_addr();
+    local.map_err(|cause| DaemonError::Listen {
+        address: address.to_owned(),
+        cause,
+    })
+}
--- a/crates/burdockroad-daemon/src/edge/serve.rs
+++ b/crates/burdockroad-daemon/src/edge/serve.rs
@@ -19,6 +19,7 @@
     edge::{Edge, EdgeRequest, program_json},
     http::{NewProgramRequest, Target, digest},
     problem::{Problem, ProblemKind},
+    programs::NotTaken,
 };
 
 /// Time for which the answer to an idempotency key is kept.
@@ -149,11 +150,11 @@
         match programs.create(new.clone()).await {
             Ok(created) => recorded(created).await,
             // Another try of the same request was quicker.
-            Err(Refusal::DifferentRequest) => {
+            Err(NotTaken::Refused(Refusal::DifferentRequest)) => {
                 programs.get(new.account_id, new.program_id).await?;
                 Ok(())
             }
-            Err(refusal) => Err(refusal.into()),
+            Err(cause) => Err(cause.into()),
         }
     }
 
--- a/crates/burdockroad-daemon/src/lib.rs
+++ b/crates/burdockroad-daemon/src/lib.rs
@@ -6,7 +6,7 @@
 //! (slots at endpoints) and [`peer`] (the other daemons). [`settings`] holds what a process is told
 //! when it starts.
 //!
-//! A request comes in through [`http`], goes to the owner of its program through [`edge`], and runs in
+//! [`daemon`] puts the parts together. A request comes in through [`http`], goes to the owner of its program through [`edge`], and runs in
 //! [`calls`], which keeps to what [`programs`] allows and writes to an [`answer`]. [`config_watch`]
 //! keeps the configuration document. [`coordinator`] keeps a host in the fleet: [`membership`] tells
 //! which hosts are up, [`takeover`] takes over from a process that is gone, and [`handoff`] moves
@@ -16,6 +16,7 @@
 pub mod calls;
 pub mod config_watch;
 pub mod coordinator;
+pub mod daemon;
 pub mod dispatch;
 pub mod document_source;
 pub mod edge;
--- a/crates/burdockroad-daemon/src/main.rs
+++ b/crates/burdockroad-daemon/src/main.rs
@@ -1,3 +1,119 @@
 //! `burdockroadd`, the daemon that runs on every entry host.
 
-fn main() {}
+use std::{path::PathBuf, process::ExitCode};
+
+use anyhow::{Context, Result, bail};
+use burdockroad_daemon::{daemon::Daemon, logging, settings::Settings};
+use mimalloc::MiMalloc;
+use pico_args::Arguments;
+use tokio::signal::unix::{SignalKind, signal};
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+/// What `--help` prints.
+const HELP: &str = "\
+burdockroadd: serves callers on one entry host
+
+Usage:
+  burdockroadd --settings FILE    run until SIGTERM or SIGINT, then finish what runs and stop
+  burdockroadd --check FILE       check settings, all faults at once, and stop
+  burdockroadd --help | --version
+
+Exit codes: 0 stopped as asked, 1 could not start or run, 2 wrong arguments or settings.
+";
+
+/// What the command line asks for.
+enum Command {
+    Help,
+    Version,
+    Check(PathBuf),
+    Run(PathBuf),
+}
+
+fn main() -> ExitCode {
+    let command = match parse(Arguments::from_env()) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("burdockroadd: {error:#}\nTry burdockroadd --help");
+            return ExitCode::from(2);
+        }
+    };
+    match command {
+        Command::Help => print!("{HELP}"),
+        Command::Version => println!("burdockroadd {}", env!("CARGO_PKG_VERSION")),
+        Command::Check(path) => return check(&path),
+        Command::Run(path) => return run(&path),
+    }
+    ExitCode::SUCCESS
+}
+
+fn parse(mut arguments: Arguments) -> Result<Command> {
+    if arguments.contains(["-h", "--help"]) {
+        return Ok(Command::Help);
+    }
+    if arguments.contains("--version") {
+        return Ok(Command::Version);
+    }
+    let check: Option<PathBuf> = arguments.opt_value_from_str("--check")?;
+    let settings: Option<PathBuf> = arguments.opt_value_from_str("--settings")?;
+    let unknown = arguments.finish();
+    if !unknown.is_empty() {
+        bail!("unknown arguments: {unknown:?}");
+    }
+    match (check, settings) {
+        (Some(path), None) => Ok(Command::Check(path)),
+        (None, Some(path)) => Ok(Command::Run(path)),
+        _ => bail!("give either --settings FILE or --check FILE"),
+    }
+}
+
+fn check(path: &std::path::Path) -> ExitCode {
+    match Settings::check(path) {
+        Ok(summary) => {
+            println!("{summary}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(path: &std::path::Path) -> ExitCode {
+    let settings = match Settings::load(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
+    match serve(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("burdockroadd: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn serve(settings: Settings) -> Result<()> {
+    logging::start(&settings.log_level, settings.log_file.as_deref())?;
+    let mut terminate = signal(SignalKind::terminate()).context("cannot watch for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("cannot watch for SIGINT")?;
+    let daemon = tokio::select! {
+        daemon = Daemon::start(settings) => daemon?,
+        // Nothing was served yet, as while the store is down.
+        _ = terminate.recv() => return Ok(()),
+        _ = interrupt.recv() => return Ok(()),
+    };
+    println!("address={} peer={}", daemon.caller_address(), daemon.peer_address());
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    daemon.close().await;
+    Ok(())
+}
--- a/crates/burdockroad-daemon/src/problem.rs
+++ b/crates/burdockroad-daemon/src/problem.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use serde_json::json;
 
-use crate::{dispatch::SlotRefusal, journal::JournalError, quota::QuotaRefusal};
+use crate::{dispatch::SlotRefusal, journal::JournalError, programs::NotTaken, quota::QuotaRefusal};
 
 /// Media type of a problem.
 pub const PROBLEM_CONTENT_TYPE: &str = "application/problem+json";
@@ -217,6 +217,15 @@
     }
 }
 
+impl From<NotTaken> for Problem {
+    fn from(cause: NotTaken) -> Self {
+        match cause {
+            NotTaken::Refused(cause) => cause.into(),
+            NotTaken::NotRecordable(cause) => cause.into(),
+        }
+    }
+}
+
 impl From<QuotaRefusal> for Problem {
     fn from(refusal: QuotaRefusal) -> Self {
         let (kind, detail) = if refusal.over_rate {
--- a/crates/burdockroad-daemon/src/programs.rs
+++ b/crates/burdockroad-daemon/src/programs.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     answer::AnswerLog,
-    journal::{Appended, Journal, Trees},
+    journal::{Appended, Journal, JournalError, Trees},
     programs::actor::{ProgramsActor, ProgramsArguments},
 };
 
@@ -65,6 +65,27 @@
     Answered(Answer),
 }
 
+/// Why a program or call was not taken. Nothing ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NotTaken {
+    /// The table refused it.
+    Refused(Refusal),
+    /// What must be recorded first cannot be recorded now.
+    NotRecordable(JournalError),
+}
+
+impl From<Refusal> for NotTaken {
+    fn from(cause: Refusal) -> Self {
+        Self::Refused(cause)
+    }
+}
+
+impl From<JournalError> for NotTaken {
+    fn from(cause: JournalError) -> Self {
+        Self::NotRecordable(cause)
+    }
+}
+
 /// A program and its tree, as they were when asked.
 #[derive(Clone, Debug)]
 pub struct ProgramView {
@@ -78,13 +99,13 @@
 #[derive(Debug)]
 pub enum ProgramsMessage {
     /// Add a program.
-    Create(NewProgram, RpcReplyPort<Result<Appended, Refusal>>),
+    Create(NewProgram, RpcReplyPort<Result<Appended, NotTaken>>),
     /// Show a program.
     Get(AccountId, ProgramId, RpcReplyPort<Result<ProgramView, Refusal>>),
     /// Whether a program exists here.
     Contains(ProgramId, RpcReplyPort<bool>),
     /// Take a call.
-    Begin(CallRequest, RpcReplyPort<Result<Taken, Refusal>>),
+    Begin(CallRequest, RpcReplyPort<Result<Taken, NotTaken>>),
     /// Take a call again for another attempt, with the answer that was begun.
     Reopen(CallRequest, Arc<AnswerLog>, RpcReplyPort<Option<RunningCall>>),
     /// Record where a call is sent.
@@ -175,11 +196,11 @@
     ///
     /// # Errors
     ///
-    /// As [`Programs::create`].
-    pub async fn create(&self, new: NewProgram) -> Result<Appended, Refusal> {
+    /// As [`Programs::create`], or when it cannot be recorded now.
+    pub async fn create(&self, new: NewProgram) -> Result<Appended, NotTaken> {
         self.ask(|port| ProgramsMessage::Create(new, port))
             .await
-            .unwrap_or(Err(Refusal::NotOwner))
+            .unwrap_or(Err(Refusal::NotOwner.into()))
     }
 
     /// Shows a program.
@@ -205,11 +226,11 @@
     ///
     /// # Errors
     ///
-    /// As [`Programs::begin`].
-    pub async fn begin(&self, request: CallRequest) -> Result<Taken, Refusal> {
+    /// As [`Programs::begin`], or when it cannot be recorded now.
+    pub async fn begin(&self, request: CallRequest) -> Result<Taken, NotTaken> {
         self.ask(|port| ProgramsMessage::Begin(request, port))
             .await
-            .unwrap_or(Err(Refusal::NotOwner))
+            .unwrap_or(Err(Refusal::NotOwner.into()))
     }
 
     /// Takes a call again for another attempt; none when its program no longer takes it.
--- a/crates/burdockroad-daemon/src/programs/actor.rs
+++ b/crates/burdockroad-daemon/src/programs/actor.rs
@@ -16,7 +16,9 @@
     answer::AnswerLog,
     journal::{Appended, Durability},
     problem::{Problem, ProblemKind, Ran},
-    programs::{ProgramView, ProgramsMessage, ProgramsParts, Records, RunningCall, Settlement, Taken, now},
+    programs::{
+        NotTaken, ProgramView, ProgramsMessage, ProgramsParts, Records, RunningCall, Settlement, Taken, now,
+    },
 };
 
 /// Reason that a program's history gives when its caller ended it.
@@ -179,12 +181,13 @@
         idle.then(|| self.table.export(partitions))
     }
 
-    fn create(&mut self, new: NewProgram) -> Result<Appended, Refusal> {
+    fn create(&mut self, new: NewProgram) -> Result<Appended, NotTaken> {
+        self.parts.journal.admit(Durability::Replicated)?;
         let record = self.table.create(new, now())?;
         Ok(self.append(vec![record], Durability::Replicated))
     }
 
-    fn begin(&mut self, request: CallRequest) -> Result<Taken, Refusal> {
+    fn begin(&mut self, request: CallRequest) -> Result<Taken, NotTaken> {
         if let Some(running) = self.running.get(&request.program_id)
             && running.request == request
         {
@@ -192,6 +195,10 @@
         }
         match self.table.begin(request.clone(), now())? {
             Begun::Run(usage, prefix_endpoint_id) => {
+                if let Err(error) = self.parts.journal.admit(intent_durability(request.idempotent)) {
+                    self.table.withdraw(&request.program_id);
+                    return Err(error.into());
+                }
                 let call = self.open(request, AnswerLog::new());
                 Ok(Taken::Run {
                     call,
@@ -199,7 +206,7 @@
                     prefix_endpoint_id,
                 })
             }
-            Begun::Attach => Err(Refusal::NotOwner),
+            Begun::Attach => Err(Refusal::NotOwner.into()),
             Begun::Answered(answer) => Ok(Taken::Answered(answer)),
         }
     }
@@ -234,11 +241,7 @@
             .running
             .get(program_id)
             .is_some_and(|running| running.request.idempotent);
-        let durability = if repeatable {
-            Durability::Replicated
-        } else {
-            Durability::Stored
-        };
+        let durability = intent_durability(repeatable);
         let appended = self.append(vec![sending.record.clone()], durability);
         Ok((sending, appended))
     }
@@ -326,6 +329,15 @@
     }
 }
 
+/// How durable an intent must be before its call may leave.
+fn intent_durability(idempotent: bool) -> Durability {
+    if idempotent {
+        Durability::Replicated
+    } else {
+        Durability::Stored
+    }
+}
+
 /// Answers; a reply that nobody waits for any more is dropped, and the change stands all the same.
 fn reply<T>(port: RpcReplyPort<T>, value: T) {
     if port.send(value).is_err() {
