Check settings as whole as the document; add schemas and examples

A list whose values were all faulty was reported as empty too: mended by counting the values that are written, not those that could be read.

--- /dev/null
+++ b/crates/burdockroad-daemon/examples/write_schema.rs
@@ -0,0 +1,21 @@
+//! Writes the JSON Schemas of document and settings to `docs/schema`.
+
+use std::{fs, io, path::Path};
+
+use burdockroad::Document;
+use burdockroad_daemon::settings::Settings;
+
+fn main() -> io::Result<()> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/schema");
+    fs::create_dir_all(&folder)?;
+    let document = schemars::schema_for!(Document);
+    let settings = schemars::schema_for!(Settings);
+    fs::write(
+        folder.join("document.json"),
+        format!("{:#}\n", document.as_value()),
+    )?;
+    fs::write(
+        folder.join("settings.json"),
+        format!("{:#}\n", settings.as_value()),
+    )
+}
--- a/crates/burdockroad-daemon/src/settings.rs
+++ b/crates/burdockroad-daemon/src/settings.rs
@@ -1,8 +1,13 @@
 //! What a process is told when it starts.
 
-use std::path::PathBuf;
+mod read;
 
-use burdockroad::{HostId, SiteId};
+use std::{
+    fmt, fs,
+    path::{Path, PathBuf},
+};
+
+use burdockroad::{HostId, SiteId, config::Finding};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -39,6 +44,79 @@
     pub limits: LimitSettings,
 }
 
+impl Settings {
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read, or with everything that is wrong with its text.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = fs::read_to_string(path).map_err(|cause| SettingsError::Unreadable {
+            path: path.to_owned(),
+            reason: cause.to_string(),
+        })?;
+        Self::parse(&text).map_err(|findings| SettingsError::Invalid {
+            path: path.to_owned(),
+            findings,
+        })
+    }
+
+    /// Reads settings from their text, in JSON with comments.
+    ///
+    /// # Errors
+    ///
+    /// Returns everything that is wrong with the text, in the order of the places.
+    pub fn parse(text: &str) -> Result<Self, Vec<Finding>> {
+        read::parse(text)
+    }
+
+    /// Lists the limits that differ from the defaults, as `name=value default=value`.
+    pub fn changed_limits(&self) -> Vec<String> {
+        let fields = |limits: &LimitSettings| serde_json::to_value(limits).unwrap_or_default();
+        let (set, default) = (fields(&self.limits), fields(&LimitSettings::default()));
+        let set = set.as_object().into_iter().flatten();
+        let changed = set.filter(|(name, value)| default.get(name) != Some(value));
+        changed
+            .map(|(name, value)| format!("limits.{name}={value} default={}", default[name]))
+            .collect()
+    }
+}
+
+/// Why settings cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        reason: String,
+    },
+    /// The text is not valid.
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// Everything that is wrong with it.
+        findings: Vec<Finding>,
+    },
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable { path, reason } => write!(f, "{}: {reason}", path.display()),
+            Self::Invalid { path, findings } => {
+                let lines = findings
+                    .iter()
+                    .map(|finding| format!("{}:{finding}", path.display()));
+                f.write_str(&lines.collect::<Vec<_>>().join("\n"))
+            }
+        }
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
 /// Where agreed and durable state is kept.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/settings.rs
@@ -0,0 +1,62 @@
+//! Settings as files with the findings that each must give beside it, the shipped examples, and the
+//! committed JSON Schemas.
+
+use std::{fs, path::Path};
+
+use burdockroad::{
+    Document,
+    config::{self, Finding},
+};
+use burdockroad_daemon::settings::Settings;
+
+/// The findings of `NAME.jsonc`, one a line, stand in `NAME.findings`; valid settings have none.
+fn parse_settings(path: &Path) -> datatest_stable::Result<()> {
+    let text = fs::read_to_string(path)?;
+    let expected = fs::read_to_string(path.with_extension("findings"))?;
+    compare(expected.trim_end(), &lines(Settings::parse(&text)))
+}
+
+/// Documents and settings that are shipped must be valid.
+fn parse_example(path: &Path) -> datatest_stable::Result<()> {
+    let text = fs::read_to_string(path)?;
+    let is_document = path.file_stem().is_some_and(|name| name == "document");
+    let found = if is_document {
+        lines(config::parse(&text))
+    } else {
+        lines(Settings::parse(&text))
+    };
+    compare("", &found)
+}
+
+/// The committed schema is the one that the types give.
+fn schema_is_current(path: &Path) -> datatest_stable::Result<()> {
+    let current = if path.ends_with("document.json") {
+        schemars::schema_for!(Document)
+    } else {
+        schemars::schema_for!(Settings)
+    };
+    let committed: serde_json::Value = serde_json::from_str(&fs::read_to_string(path)?)?;
+    if committed == *current.as_value() {
+        return Ok(());
+    }
+    Err("run `cargo run -p burdockroad-daemon --example write_schema` and commit".into())
+}
+
+fn lines<T>(result: Result<T, Vec<Finding>>) -> String {
+    let findings = result.err().unwrap_or_default();
+    let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+fn compare(expected: &str, found: &str) -> datatest_stable::Result<()> {
+    if found == expected {
+        return Ok(());
+    }
+    Err(format!("expected\n{expected}\nfound\n{found}").into())
+}
+
+datatest_stable::harness! {
+    { test = parse_settings, root = "tests/settings", pattern = r"\.jsonc$" },
+    { test = parse_example, root = "../../examples", pattern = r"\.jsonc$" },
+    { test = schema_is_current, root = "../../docs/schema", pattern = r"\.json$" },
+}
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/settings_text.rs
@@ -0,0 +1,41 @@
+//! Settings of arbitrary text, and the report of what they change.
+
+use std::path::Path;
+
+use burdockroad_daemon::settings::{Settings, SettingsError};
+use proptest::prelude::*;
+
+const VALID: &str = include_str!("settings/valid.jsonc");
+
+#[test]
+fn changed_limits_names_one() {
+    let settings = Settings::parse(VALID).expect("the settings are valid");
+    assert_eq!(
+        settings.changed_limits(),
+        ["limits.call_timeout_s=60 default=600"]
+    );
+}
+
+#[test]
+fn load_missing_file() {
+    let result = Settings::load(Path::new("no/such/file"));
+    assert!(
+        matches!(result, Err(SettingsError::Unreadable { .. })),
+        "{result:?}"
+    );
+}
+
+proptest! {
+    #[test]
+    fn parse_arbitrary_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let _ = Settings::parse(&String::from_utf8_lossy(&bytes));
+    }
+
+    #[test]
+    fn parse_damaged_settings(at in 0..VALID.len(), removed in 1..40_usize) {
+        let end = (at + removed).min(VALID.len());
+        let text = format!("{}{}", &VALID[..at], &VALID[end..]);
+        let refused = Settings::parse(&text).err();
+        prop_assert!(refused.is_none_or(|findings| !findings.is_empty()));
+    }
+}
--- a/crates/burdockroad/src/config/check.rs
+++ b/crates/burdockroad/src/config/check.rs
@@ -127,7 +127,9 @@
 
     fn site_list(&mut self, reader: &mut Reader<'_>, node: &Node<'_>) -> Option<Vec<Site>> {
         let sites = reader.list(node, SITES_MAX, |reader, node| self.site(reader, node))?;
-        if !sites.is_empty() && sites.iter().all(|site| site.weight == 0) {
+        let takes_none = |site: &Site| site.weight == 0;
+        let all_read = sites.len() == node.list_len();
+        if !sites.is_empty() && all_read && sites.iter().all(takes_none) {
             reader.report(
                 node.place(),
                 "found weight 0 for every site; allowed: at least one site that takes new programs",
@@ -244,7 +246,7 @@
             }
             Some(name)
         })?;
-        if sets.is_empty() {
+        if node.list_len() == 0 {
             reader.report(
                 node.place(),
                 "found an empty list; allowed: one endpoint set or more",
--- a/crates/burdockroad/src/config/reader.rs
+++ b/crates/burdockroad/src/config/reader.rs
@@ -307,6 +307,11 @@
         &self.place
     }
 
+    /// Returns how many values a list holds, also those that cannot be read; 0 for all else.
+    pub fn list_len(&self) -> usize {
+        self.value.as_array().map_or(0, |array| array.elements.len())
+    }
+
     /// Whether the value is `null`.
     pub fn is_null(&self) -> bool {
         matches!(self.value, Value::NullKeyword(_))
