--- a/crates/burdockroad/src/lib.rs
+++ b/crates/burdockroad/src/lib.rs
@@ -10,6 +10,7 @@
 //! # Guide
 //!
 //! * [`program`] keeps the order, history and budget of programs, and writes [`Record`]s of it.
+//! * [`journal`] makes records durable, and reads them back after a host is gone.
 //! * [`dispatch`] gives out slots at endpoints: fairness, placement, health, prefix caches.
 //! * [`membership`] tells which hosts are up, and [`ownership`] which of them serves what.
 //! * [`quota`] keeps rate and burst of client accounts over all hosts.
@@ -21,6 +22,7 @@
 pub mod dispatch;
 mod error;
 mod ids;
+pub mod journal;
 pub mod membership;
 pub mod ownership;
 pub mod program;
