--- a/crates/burdockroad-daemon/src/lib.rs
+++ b/crates/burdockroad-daemon/src/lib.rs
@@ -3,14 +3,18 @@
 //! Each module stands for one border of the daemon and defines the trait object by which the others
 //! reach it: [`platform`] (key-value service and host list), [`journal`] (durable records),
 //! [`ownership`] (which host serves which partition), [`quota`] (rates and bursts), [`dispatch`]
-//! (slots at endpoints) and [`peer`] (the other daemons). [`settings`] holds what a process is told
-//! when it starts.
+//! (slots at endpoints), [`peer`] (the other daemons), [`config_watch`] (the document in force) and
+//! [`admin`] (operators and the balancer). [`settings`] holds what a process is told when it starts;
+//! [`logging`] and [`telemetry`] tell what it does.
 
+pub mod admin;
 pub mod config_watch;
 pub mod dispatch;
 pub mod journal;
+pub mod logging;
 pub mod ownership;
 pub mod peer;
 pub mod platform;
 pub mod quota;
 pub mod settings;
+pub mod telemetry;
--- /dev/null
+++ b/crates/burdockroad-daemon/src/logging.rs
@@ -0,0 +1,99 @@
+//! Log lines: one event each, as key=value pairs, to standard error or a file.
+
+use std::{
+    fmt,
+    path::{Path, PathBuf},
+};
+
+use log::LevelFilter;
+use log4rs::{
+    append::{
+        Append,
+        console::{ConsoleAppender, Target},
+        file::FileAppender,
+    },
+    config::{Appender, Config, Logger, Root},
+    encode::pattern::PatternEncoder,
+};
+
+/// Time, level and module, in front of the event's own pairs.
+const PATTERN: &str = "time={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} target={t} {m}{n}";
+
+/// Crates whose events are logged at the level of the settings; libraries only warn.
+const OWN_TARGETS: [&str; 4] = [
+    "burdockroad",
+    "burdockroad_daemon",
+    "burdockroad_cli",
+    "burdockroadd",
+];
+
+/// Starts to log, at a level of `error`, `warn`, `info`, `debug` or `trace`.
+///
+/// # Errors
+///
+/// Fails when the level is none of these, the file cannot be opened, or logging was started before.
+pub fn start(level: &str, file: Option<&Path>) -> Result<(), LoggingError> {
+    let level = level
+        .parse()
+        .map_err(|_ignored: log::ParseLevelError| LoggingError::Level(level.to_owned()))?;
+    let config = config(level, file)?;
+    log4rs::init_config(config).map_err(|cause| LoggingError::Started(cause.to_string()))?;
+    Ok(())
+}
+
+fn config(level: LevelFilter, file: Option<&Path>) -> Result<Config, LoggingError> {
+    let output = Appender::builder().build("output", appender(file)?);
+    let loggers = OWN_TARGETS.map(|target| Logger::builder().build(target, level));
+    let root = Root::builder()
+        .appender("output")
+        .build(level.min(LevelFilter::Warn));
+    Config::builder()
+        .appender(output)
+        .loggers(loggers)
+        .build(root)
+        .map_err(|cause| LoggingError::Started(cause.to_string()))
+}
+
+fn appender(file: Option<&Path>) -> Result<Box<dyn Append>, LoggingError> {
+    let encoder = Box::new(PatternEncoder::new(PATTERN));
+    let Some(path) = file else {
+        let console = ConsoleAppender::builder().encoder(encoder).target(Target::Stderr);
+        return Ok(Box::new(console.build()));
+    };
+    let appender = FileAppender::builder().encoder(encoder).build(path);
+    match appender {
+        Ok(appender) => Ok(Box::new(appender)),
+        Err(cause) => Err(LoggingError::File {
+            path: path.to_owned(),
+            reason: cause.to_string(),
+        }),
+    }
+}
+
+/// Why logging did not start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LoggingError {
+    /// There is no such level.
+    Level(String),
+    /// The file cannot be opened.
+    File {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        reason: String,
+    },
+    /// Logging was started before.
+    Started(String),
+}
+
+impl fmt::Display for LoggingError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Level(level) => write!(f, "there is no log level `{level}`"),
+            Self::File { path, reason } => write!(f, "{}: {reason}", path.display()),
+            Self::Started(reason) => f.write_str(reason),
+        }
+    }
+}
+
+impl std::error::Error for LoggingError {}
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/logging.rs
@@ -0,0 +1,30 @@
+//! Log lines in a file. Alone in its test binary, since logging starts once for a process.
+
+use std::fs;
+
+use burdockroad_daemon::logging::{self, LoggingError};
+
+#[test]
+fn start_writes_lines() {
+    let refused = logging::start("loud", None);
+    assert_eq!(refused, Err(LoggingError::Level("loud".to_owned())));
+    let folder = tempfile::tempdir().expect("a scratch folder can be made");
+    let file = folder.path().join("log");
+    logging::start("info", Some(&file)).expect("logging starts");
+    log::info!(target: "burdockroad_daemon", "event=started host={}", "h1");
+    log::debug!(target: "burdockroad_daemon", "event=hidden_by_level");
+    log::info!(target: "h2", "event=hidden_library");
+    log::warn!(target: "h2", "event=library_warns reason={:?}", "a\nb");
+    let text = fs::read_to_string(&file).expect("the file was written");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 2, "{text}");
+    assert!(lines[0].starts_with("time=20"), "{text}");
+    assert!(
+        lines[0].ends_with(" level=INFO target=burdockroad_daemon event=started host=h1"),
+        "{text}"
+    );
+    assert!(
+        lines[1].ends_with(r#"event=library_warns reason="a\nb""#),
+        "{text}"
+    );
+}
