--- a/crates/burdockroad-daemon/src/lib.rs
+++ b/crates/burdockroad-daemon/src/lib.rs
@@ -6,15 +6,22 @@
 //! (slots at endpoints), [`peer`] (the other daemons), [`config_watch`] (the document in force) and
 //! [`admin`] (operators and the balancer). [`settings`] holds what a process is told when it starts;
 //! [`logging`] and [`telemetry`] tell what it does.
+//!
+//! [`coordinator`] keeps a host in the fleet: [`membership`] tells which hosts are up, [`takeover`]
+//! takes over from a process that is gone, and [`handoff`] moves partitions between processes that are up.
 
 pub mod admin;
 pub mod config_watch;
+pub mod coordinator;
 pub mod dispatch;
+pub mod handoff;
 pub mod journal;
 pub mod logging;
+pub mod membership;
 pub mod ownership;
 pub mod peer;
 pub mod platform;
 pub mod quota;
 pub mod settings;
+pub mod takeover;
 pub mod telemetry;
--- a/crates/burdockroad-daemon/src/ownership.rs
+++ b/crates/burdockroad-daemon/src/ownership.rs
@@ -1,8 +1,12 @@
 //! Which host serves which partition.
 
+mod actor;
+mod staging;
+mod store;
+
 use std::{collections::BTreeMap, sync::Arc};
 
-use burdockroad::{HostId, PartitionId};
+use burdockroad::{HostId, PartitionId, ownership::OwnershipMap};
 use tokio::sync::watch;
 
 pub use burdockroad::{
@@ -10,6 +14,12 @@
     ownership::{Owner, Process},
 };
 
+pub use self::{
+    actor::{ChangeError, OwnershipArguments, OwnershipHandle},
+    staging::{StageError, StageOrder, Staging},
+    store::{MapError, MapStore, OWNERSHIP_KEY, Swap, VersionedMap},
+};
+
 /// The ownership map as this host knows it, and every change of it.
 pub type OwnershipReceiver = watch::Receiver<Arc<OwnershipView>>;
 
@@ -52,6 +62,16 @@
 }
 
 impl OwnershipView {
+    /// What a process sees of a map.
+    pub fn new(me: Process, map: &OwnershipMap, serving: bool) -> Self {
+        Self {
+            me,
+            version: map.version,
+            owners: map.owners.clone(),
+            serving,
+        }
+    }
+
     /// The owner of a partition; none before the first map.
     pub fn owner(&self, partition: PartitionId) -> Option<&Owner> {
         self.owners.get(usize::from(partition))
