Add the operators' tool

Every change is an edit of the one document by a syntax tree that keeps comments, checked whole, and applied by compare-and-swap against the version that was read.

--- /dev/null
+++ b/crates/burdockroad-cli/src/commands/account.rs
@@ -0,0 +1,65 @@
+//! `burdockroad account`.
+
+use serde_json::json;
+
+use crate::{
+    apply::Base,
+    args::{Limits, Options},
+    commands::{change, open_store},
+    edit::Fields,
+    error::CliError,
+    report::Report,
+};
+
+pub(super) async fn list(options: &Options) -> Result<Report, CliError> {
+    let store = open_store(options)?;
+    let document = Base::read(store.as_ref()).await?.versioned.document;
+    let lines = document.accounts.iter().map(|account| {
+        let valid_keys = account.keys.iter().filter(|key| !key.withdrawn).count();
+        format!(
+            "{} rate_per_s={} burst={} weight={} valid_keys={valid_keys}",
+            account.id, account.rate_per_s, account.burst, account.weight
+        )
+    });
+    Ok(Report::new(lines, json!(document.accounts)))
+}
+
+pub(super) async fn add(options: &Options, id: &str, limits: Limits) -> Result<Report, CliError> {
+    let (Some(rate), Some(burst)) = (limits.rate_per_s, limits.burst) else {
+        return Err(CliError::Usage(
+            "the options `--rate` and `--burst` are needed".to_owned(),
+        ));
+    };
+    let mut fields: Fields = vec![
+        ("id", id.into()),
+        ("rate_per_s", rate.into()),
+        ("burst", burst.into()),
+    ];
+    fields.extend(limits.weight.map(|weight| ("weight", weight.into())));
+    change::edit(options, |editor, _| {
+        editor.add("accounts", fields);
+        Ok(())
+    })
+    .await
+}
+
+pub(super) async fn set(options: &Options, id: &str, limits: Limits) -> Result<Report, CliError> {
+    if limits.rate_per_s.is_none() && limits.burst.is_none() && limits.weight.is_none() {
+        let reason = "say what to change, by `--rate`, `--burst` or `--weight`";
+        return Err(CliError::Usage(reason.to_owned()));
+    }
+    change::edit(options, |editor, _| {
+        let account = editor.entity("accounts", id)?;
+        if let Some(rate) = limits.rate_per_s {
+            account.set("rate_per_s", rate);
+        }
+        if let Some(burst) = limits.burst {
+            account.set("burst", burst);
+        }
+        if let Some(weight) = limits.weight {
+            account.set("weight", weight);
+        }
+        Ok(())
+    })
+    .await
+}
--- /dev/null
+++ b/crates/burdockroad-cli/src/commands/key.rs
@@ -0,0 +1,83 @@
+//! `burdockroad key`.
+
+use burdockroad::config;
+use serde_json::json;
+
+use crate::{
+    apply::Base,
+    args::Options,
+    commands::{change, open_store},
+    edit::Entity,
+    error::CliError,
+    report::Report,
+};
+
+pub(super) async fn issue(options: &Options, account: &str) -> Result<Report, CliError> {
+    let issued = config::new_key(&mut rand::rng());
+    let result = change::edit(options, |editor, _| {
+        let fields = vec![
+            ("id", (&issued.entry.id).into()),
+            ("sha256", (&issued.entry.sha256).into()),
+        ];
+        editor.entity("accounts", account)?.add("keys", fields);
+        Ok(())
+    });
+    let mut report = result.await.map_err(|error| name_key(error, &issued.entry.id))?;
+    if options.dry_run {
+        return Ok(report);
+    }
+    // Standard output carries the key alone, so that it can be piped to where it is kept.
+    report.notes.insert(
+        0,
+        format!(
+            "key {} of account {account}; it is shown this once and cannot be shown again",
+            issued.entry.id
+        ),
+    );
+    let lines = report.text.lines().map(str::to_owned);
+    report.notes.extend(lines);
+    report.text = format!("{}\n", issued.secret);
+    report.json["key"] = json!(issued.secret);
+    report.json["key_id"] = json!(issued.entry.id);
+    Ok(report)
+}
+
+/// Names the key whose fate is unknown, so that it can be withdrawn: nobody has seen its secret.
+fn name_key(error: CliError, key_id: &str) -> CliError {
+    match error {
+        CliError::Unknown { version, reason } => CliError::Unknown {
+            version,
+            reason: format!("{reason}; if it is stored, withdraw the new key by `key revoke {key_id}`"),
+        },
+        other => other,
+    }
+}
+
+pub(super) async fn revoke(options: &Options, id: &str) -> Result<Report, CliError> {
+    change::edit(options, |editor, _| {
+        let accounts = editor.entities("accounts");
+        let key = accounts
+            .iter()
+            .find_map(|account: &Entity| account.entity("keys", id));
+        let key = key.ok_or_else(|| CliError::Missing(format!("there is no key with the id `{id}`")))?;
+        key.set("withdrawn", true);
+        Ok(())
+    })
+    .await
+}
+
+pub(super) async fn list(options: &Options, account: Option<&str>) -> Result<Report, CliError> {
+    let store = open_store(options)?;
+    let document = Base::read(store.as_ref()).await?.versioned.document;
+    let mut lines = Vec::new();
+    let mut keys = Vec::new();
+    let accounts = document.accounts.iter();
+    for owner in accounts.filter(|owner| account.is_none_or(|account| account == owner.id)) {
+        for key in &owner.keys {
+            let state = if key.withdrawn { "withdrawn" } else { "valid" };
+            lines.push(format!("{} account={} {state}", key.id, owner.id));
+            keys.push(json!({ "id": key.id, "account_id": owner.id, "withdrawn": key.withdrawn }));
+        }
+    }
+    Ok(Report::new(lines, json!(keys)))
+}
--- /dev/null
+++ b/crates/burdockroad-cli/tests/commands.rs
@@ -0,0 +1,289 @@
+//! Commands from their arguments to what they print, over an embedded store and small hosts.
+
+use std::{ffi::OsString, path::Path, sync::Arc};
+
+use async_trait::async_trait;
+use burdockroad::{
+    AccountId, ProgramId,
+    config::{self, KeyTable},
+};
+use burdockroad_cli::{Exit, Outcome, run};
+use burdockroad_daemon::admin::{
+    AdminHandlers, DocumentStatus, OperatorActions, OwnershipStatus, ProgramSummary, Readiness, Status,
+    StatusSource, serve,
+};
+use tokio::net::TcpListener;
+
+const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/trust/document.jsonc");
+
+/// A host that has one version in force, and owns one program.
+#[derive(Debug)]
+struct Host {
+    version: u64,
+    program_id: &'static str,
+}
+
+impl StatusSource for Host {
+    fn readiness(&self) -> Readiness {
+        Readiness::Ready
+    }
+
+    fn metrics(&self) -> String {
+        String::new()
+    }
+
+    fn status(&self) -> Status {
+        Status {
+            host_id: format!("host-{}", self.program_id),
+            incarnation: 1,
+            failure_domain: "d1".to_owned(),
+            draining: false,
+            document: DocumentStatus {
+                version: self.version,
+                freshness: "cut_off".to_owned(),
+            },
+            ownership: OwnershipStatus::default(),
+            endpoints: Vec::new(),
+            worst_served: Vec::new(),
+        }
+    }
+}
+
+#[async_trait]
+impl OperatorActions for Host {
+    async fn programs(&self, account_id: Option<AccountId>) -> Vec<ProgramSummary> {
+        let own = ProgramSummary {
+            program_id: self.program_id.to_owned(),
+            account_id: "a".to_owned(),
+            parent_id: None,
+            state: "open".to_owned(),
+            calls: 1,
+            spent_tokens: 2,
+            age_s: 3,
+        };
+        let wanted = account_id.is_none_or(|account_id| account_id == own.account_id);
+        wanted.then_some(own).into_iter().collect()
+    }
+
+    async fn program(&self, program_id: ProgramId) -> Option<ProgramSummary> {
+        let own = self.programs(None).await.pop();
+        own.filter(|own| own.program_id == program_id)
+    }
+
+    async fn end_program(&self, program_id: ProgramId) -> bool {
+        program_id == self.program_id
+    }
+
+    async fn drain(&self) {}
+}
+
+async fn start(version: u64, program_id: &'static str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let host = Arc::new(Host { version, program_id });
+    let handlers = AdminHandlers {
+        status: Arc::<Host>::clone(&host),
+        actions: host,
+    };
+    tokio::spawn(serve(listener, handlers, std::future::pending()));
+    address.to_string()
+}
+
+/// Runs a command whose words are separated by blanks.
+async fn command(line: &str) -> Outcome {
+    run(line.split_whitespace().map(OsString::from).collect()).await
+}
+
+async fn at(folder: &Path, line: &str) -> Outcome {
+    command(&format!("{line} --data-folder {}", folder.display())).await
+}
+
+#[tokio::test]
+async fn run_changes_keep_comments() {
+    let folder = tempfile::tempdir().expect("a scratch folder can be made");
+    let folder = folder.path();
+    let applied = at(folder, &format!("config apply {EXAMPLE} --expect-version 0")).await;
+    assert_eq!(applied.exit, Exit::Done, "{}", applied.stderr);
+    let changes = [
+        ("account add newcomer --rate 2.5 --burst 7", "newcomer"),
+        (
+            "account set newcomer --weight 4",
+            "accounts.newcomer.weight: 1.0 -> 4.0",
+        ),
+        (
+            "route add extra --kind service --set escort-desk-batinah --idempotent",
+            "routes.extra",
+        ),
+        ("route remove extra", "- routes.extra"),
+        (
+            "endpoint drain planner-llm-1",
+            "planner-llm-1.draining: false -> true",
+        ),
+        (
+            "endpoint drain planner-llm-1 --undo",
+            "planner-llm-1.draining: true -> false",
+        ),
+        (
+            "endpoint set planner-llm-batinah planner-llm-1 --slots 3",
+            "planner-llm-1.slots: 16 -> 3",
+        ),
+        (
+            "endpoint set planner-llm-batinah new-1 --address 10.0.0.9:1 --host-id h --failure-domain d --slots 3",
+            "endpoints.new-1",
+        ),
+        ("site shift batinah=1 westmere=3", "sites.westmere.weight: 0 -> 3"),
+        ("account remove trials", "- accounts.trials"),
+    ];
+    for (line, expected) in changes {
+        let outcome = at(folder, line).await;
+        assert_eq!(outcome.exit, Exit::Done, "{line}: {}", outcome.stderr);
+        assert!(outcome.stdout.contains(expected), "{line}: {}", outcome.stdout);
+    }
+    let shown = at(folder, "config show").await;
+    assert!(shown.stderr.contains("version 11"), "{}", shown.stderr);
+    assert!(shown.stdout.contains("// Raise this weight"), "{}", shown.stdout);
+    let original = std::fs::read_to_string(EXAMPLE).expect("the example is there");
+    let earlier = at(folder, "config show --at 1").await;
+    assert_eq!(earlier.stdout, original);
+}
+
+#[tokio::test]
+async fn run_key_issue_shows_once() {
+    let folder = tempfile::tempdir().expect("a scratch folder can be made");
+    let folder = folder.path();
+    at(folder, &format!("config apply {EXAMPLE} --expect-version 0")).await;
+    let issued = at(folder, "key issue duty-planners").await;
+    let key = issued.stdout.trim();
+    let key_id = key.split('_').nth(1).expect("the key carries its id");
+    let document = at(folder, "config show").await.stdout;
+    assert!(!document.contains(key));
+    let table = KeyTable::new(&config::parse(&document).expect("the document is valid"));
+    let found = table.lookup(key).expect("the key is valid");
+    assert_eq!(found.account_id, "duty-planners");
+    let revoked = at(folder, &format!("key revoke {key_id}")).await;
+    assert_eq!(revoked.exit, Exit::Done, "{}", revoked.stderr);
+    let document = at(folder, "config show").await.stdout;
+    let table = KeyTable::new(&config::parse(&document).expect("the document is valid"));
+    assert_eq!(table.lookup(key), None);
+    let listed = at(folder, "key list --account duty-planners").await.stdout;
+    assert!(
+        listed.contains(&format!("{key_id} account=duty-planners withdrawn")),
+        "{listed}"
+    );
+    assert!(!listed.contains(key));
+}
+
+#[tokio::test]
+async fn run_refuses() {
+    let folder = tempfile::tempdir().expect("a scratch folder can be made");
+    let folder = folder.path();
+    at(folder, &format!("config apply {EXAMPLE} --expect-version 0")).await;
+    let cases = [
+        ("config apply FILE", Exit::Usage, "--expect-version"),
+        (
+            "config apply FILE --expect-version 0",
+            Exit::Superseded,
+            "now at version 1",
+        ),
+        (
+            "account set trials --burst 2 --expect-version 7",
+            Exit::Superseded,
+            "started from 7",
+        ),
+        (
+            "account add trials --rate 1 --burst 1",
+            Exit::Invalid,
+            "found a second account",
+        ),
+        (
+            "account add x --rate -1 --burst 1",
+            Exit::Invalid,
+            "allowed: a number from",
+        ),
+        ("account add x", Exit::Usage, "--rate"),
+        (
+            "account set nobody --burst 1",
+            Exit::Missing,
+            "there is no `nobody`",
+        ),
+        ("account list --rate 1", Exit::Usage, "no option `--rate`"),
+        ("key issue nobody", Exit::Missing, "nobody"),
+        ("key revoke nothing", Exit::Missing, "nothing"),
+        ("endpoint drain nothing", Exit::Missing, "nothing"),
+        ("site shift batinah=0", Exit::Invalid, "at least one site"),
+        ("site shift batinah", Exit::Usage, "SITE=WEIGHT"),
+        ("config show --at 9", Exit::Missing, "version 9 is not kept"),
+        ("config diff no-such-file", Exit::Failed, "no-such-file"),
+        ("acount list", Exit::Usage, "there is no command `acount list`"),
+        ("status --colour", Exit::Usage, "--colour"),
+        ("status", Exit::Usage, "--host"),
+    ];
+    for (line, exit, expected) in cases {
+        let outcome = at(folder, &line.replace("FILE", EXAMPLE)).await;
+        assert_eq!(outcome.exit, exit, "{line}: {}", outcome.stderr);
+        assert!(outcome.stderr.contains(expected), "{line}: {}", outcome.stderr);
+    }
+    let shown = at(folder, "config show").await;
+    assert!(shown.stderr.contains("version 1"), "{}", shown.stderr);
+}
+
+#[tokio::test]
+async fn run_store_away() {
+    let nobody = "--store http://127.0.0.1:1 --no-wait";
+    let outcome = command(&format!("account list {nobody}")).await;
+    assert_eq!(outcome.exit, Exit::Unavailable, "{}", outcome.stderr);
+    let outcome = command("account list --store 127.0.0.1:1").await;
+    assert_eq!(outcome.exit, Exit::Failed, "{}", outcome.stderr);
+    let outcome = command("account remove x --store http://127.0.0.1:1").await;
+    assert_eq!(outcome.exit, Exit::Usage, "{}", outcome.stderr);
+    assert!(
+        outcome.stderr.contains("nothing was changed"),
+        "{}",
+        outcome.stderr
+    );
+}
+
+#[tokio::test]
+async fn run_programs_and_hosts() {
+    let hosts = [start(5, "p-1").await, start(6, "p-2").await];
+    let hosts = format!("--host {} --host {}", hosts[0], hosts[1]);
+    let listed = command(&format!("program list {hosts}")).await;
+    assert_eq!(listed.stdout.lines().count(), 2, "{}", listed.stdout);
+    let none = command(&format!("program list --account b {hosts} --output json")).await;
+    assert_eq!(none.stdout, "[]\n");
+    let shown = command(&format!("program show p-2 {hosts}")).await;
+    assert!(
+        shown.stdout.starts_with("p-2 account=a state=open"),
+        "{}",
+        shown.stdout
+    );
+    let ended = command(&format!("program end p-1 {hosts}")).await;
+    assert_eq!(ended.exit, Exit::Done, "{}", ended.stderr);
+    let missing = command(&format!("program end p-3 {hosts}")).await;
+    assert_eq!(missing.exit, Exit::Missing, "{}", missing.stderr);
+    // With a host that does not answer nobody can say that the program does not exist.
+    let unsure = command(&format!("program end p-3 {hosts} --host 127.0.0.1:1")).await;
+    assert_eq!(unsure.exit, Exit::Failed, "{}", unsure.stderr);
+    let status = command(&format!("status {hosts} --host 127.0.0.1:1")).await;
+    assert_eq!(status.exit, Exit::Failed);
+    assert!(status.stdout.contains("host host-p-2 ") && status.stdout.contains("document=6"));
+    assert!(
+        status.stdout.contains("host ? admin=127.0.0.1:1"),
+        "{}",
+        status.stdout
+    );
+}
+
+#[tokio::test]
+async fn run_prints_without_store() {
+    let help = command("key issue --help").await;
+    assert!(help.stdout.contains("shown this once"), "{}", help.stdout);
+    assert!(!help.stdout.contains("route add"), "{}", help.stdout);
+    assert!(command("").await.stdout.contains("Exit codes:"));
+    for shell in ["bash", "zsh", "fish"] {
+        let script = command(&format!("completions {shell}")).await;
+        assert!(script.stdout.contains("endpoint"), "{}", script.stdout);
+    }
+    let valid = command(&format!("config validate {EXAMPLE} --output json")).await;
+    assert_eq!(valid.stdout, "{\n  \"valid\": true\n}\n");
+}
