--- a/crates/burdockroad-daemon/src/settings.rs
+++ b/crates/burdockroad-daemon/src/settings.rs
@@ -70,6 +70,24 @@
         read::parse(text)
     }
 
+    /// Checks a file as `burdockroadd --check` does, and returns what it tells about valid settings.
+    ///
+    /// # Errors
+    ///
+    /// As for [`load`](Self::load).
+    pub fn check(path: &Path) -> Result<String, SettingsError> {
+        let settings = Self::load(path)?;
+        let mut lines = vec![format!(
+            "{}: valid; host_id={} failure_domain={} site={}",
+            path.display(),
+            settings.host_id,
+            settings.failure_domain,
+            settings.site
+        )];
+        lines.extend(settings.changed_limits());
+        Ok(lines.join("\n"))
+    }
+
     /// Lists the limits that differ from the defaults, as `name=value default=value`.
     pub fn changed_limits(&self) -> Vec<String> {
         let fields = |limits: &LimitSettings| serde_json::to_value(limits).unwrap_or_default();
--- a/crates/burdockroad-daemon/tests/settings_text.rs
+++ b/crates/burdockroad-daemon/tests/settings_text.rs
@@ -25,6 +25,24 @@
     );
 }
 
+#[test]
+fn check_tells_changes() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/settings/valid.jsonc");
+    let report = Settings::check(&path).expect("the settings are valid");
+    assert!(
+        report.ends_with("site=batinah\nlimits.call_timeout_s=60 default=600"),
+        "{report}"
+    );
+    let faulty = path.with_file_name("faulty.jsonc");
+    let refused = Settings::check(&faulty).expect_err("the settings are faulty");
+    let lines = refused.to_string();
+    assert!(
+        lines
+            .lines()
+            .all(|line| line.starts_with(&faulty.display().to_string()))
+    );
+}
+
 proptest! {
     #[test]
     fn parse_arbitrary_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
