--- a/crates/burdockroad-daemon/src/main.rs
+++ b/crates/burdockroad-daemon/src/main.rs
@@ -109,7 +109,11 @@
         _ = terminate.recv() => return Ok(()),
         _ = interrupt.recv() => return Ok(()),
     };
-    println!("address={} peer={}", daemon.caller_address(), daemon.peer_address());
+    println!(
+        "address={} peer={}",
+        daemon.caller_address(),
+        daemon.peer_address()
+    );
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
