Add a load generator

Cause: measurements need programs of several turns for several accounts, with latencies that do not leave out the time in which the system did not keep up.

Ruled out: recording into a histogram that saturates (it does not grow, and every latency read 0.002 ms; a test now holds the pauses against it); keys on the command line.

Change: module load and binary burdockroad-load, loopback only, bounded.

Conclusion: its path through programs is tested against a scripted server only, until the daemon serves callers.

--- /dev/null
+++ b/crates/burdockroad-standins/src/bin/burdockroad-load.rs
@@ -0,0 +1,126 @@
+//! Generates a bounded load on loopback addresses and prints one line of figures for each account.
+
+use std::{fs, path::PathBuf, process::ExitCode, time::Duration};
+
+use anyhow::{Context, bail};
+use burdockroad_standins::load::{self, LoadAccount, LoadOptions};
+use pico_args::Arguments;
+
+const MS_PER_S: f64 = 1e3;
+
+const HELP: &str = "\
+Usage: burdockroad-load --target IP:PORT [--target IP:PORT ...] --accounts FILE [OPTIONS]
+
+FILE holds JSON: [{\"account_id\": \"a\", \"key\": \"...\", \"programs_per_s\": 5, \"concurrency\": 20}].
+With programs_per_s 0, each of `concurrency` callers runs one program after the other.
+
+  --model NAME          model that is asked for (m)
+  --direct              call engines, with the whole history and without keys
+  --whole               ask for whole answers instead of streams
+  --turns N             calls of each program (4)
+  --tool-pause-ms MS    pause between two calls (50)
+  --prompt-bytes N      new text in each call (400)
+  --max-tokens N        tokens that each call may have generated (64)
+  --retries N           further tries of a call (20)
+  --call-timeout-ms MS  time for one try (30000)
+  --programs N          programs of each account, at most (1000)
+  --duration-s S        time after which no more are started (10)
+  --drain-s S           time that those under way then have (30)
+  --seed N              seed of the starting times (0)
+
+Exit status: 0 when every program completed, 1 for an error, 2 when some did not.
+";
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(status) => status,
+        Err(error) => {
+            eprintln!("burdockroad-load: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> anyhow::Result<ExitCode> {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let options = read_options(&mut arguments)?;
+    let unused = arguments.finish();
+    if !unused.is_empty() {
+        bail!("unknown arguments {unused:?}; see --help");
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let report = runtime.block_on(load::run(options))?;
+    let mut all_completed = true;
+    for account in &report.accounts {
+        println!("{account}");
+        all_completed &= account.failed + account.unfinished + account.unstarted == 0;
+    }
+    println!("duration_s={:.3}", report.duration.as_secs_f64());
+    Ok(if all_completed {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(2)
+    })
+}
+
+fn read_options(arguments: &mut Arguments) -> anyhow::Result<LoadOptions> {
+    let accounts: PathBuf = arguments.value_from_str("--accounts")?;
+    let mut options = LoadOptions {
+        targets: arguments.values_from_str("--target")?,
+        accounts: read_accounts(&accounts)?,
+        direct: arguments.contains("--direct"),
+        stream: !arguments.contains("--whole"),
+        ..LoadOptions::default()
+    };
+    set(arguments, "--model", &mut options.model)?;
+    set(arguments, "--turns", &mut options.turns)?;
+    set_time(arguments, "--tool-pause-ms", MS_PER_S, &mut options.tool_pause)?;
+    set(arguments, "--prompt-bytes", &mut options.prompt_bytes)?;
+    set(arguments, "--max-tokens", &mut options.max_tokens)?;
+    set(arguments, "--retries", &mut options.retries)?;
+    set_time(
+        arguments,
+        "--call-timeout-ms",
+        MS_PER_S,
+        &mut options.call_timeout,
+    )?;
+    set(arguments, "--programs", &mut options.programs)?;
+    set_time(arguments, "--duration-s", 1.0, &mut options.duration)?;
+    set_time(arguments, "--drain-s", 1.0, &mut options.drain)?;
+    set(arguments, "--seed", &mut options.seed)?;
+    Ok(options)
+}
+
+fn read_accounts(path: &PathBuf) -> anyhow::Result<Vec<LoadAccount>> {
+    let text = fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
+    serde_json::from_str(&text).with_context(|| format!("{} does not list accounts", path.display()))
+}
+
+/// Puts the value of an option, where it is given, in place of the default.
+fn set<T>(arguments: &mut Arguments, name: &'static str, field: &mut T) -> anyhow::Result<()>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    if let Some(value) = arguments.opt_value_from_str(name)? {
+        *field = value;
+    }
+    Ok(())
+}
+
+/// Puts a time in place of the default; `units_per_s` of its unit make a second.
+fn set_time(
+    arguments: &mut Arguments,
+    name: &'static str,
+    units_per_s: f64,
+    field: &mut Duration,
+) -> anyhow::Result<()> {
+    if let Some(units) = arguments.opt_value_from_str::<_, f64>(name)? {
+        *field = Duration::try_from_secs_f64(units / units_per_s)?;
+    }
+    Ok(())
+}
--- a/crates/burdockroad-standins/src/http_client.rs
+++ b/crates/burdockroad-standins/src/http_client.rs
@@ -14,12 +14,13 @@
 
 use crate::error::{Result, StandinError};
 
-/// Time after which a request without a whole answer fails.
+/// Time after which a request without a whole answer fails, unless another is asked for.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Sends requests over connections that are kept open.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
+    timeout: Duration,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -63,6 +64,7 @@
     pub status: StatusCode,
     /// Headers.
     pub headers: HeaderMap,
+    timeout: Duration,
     target: String,
     body: Incoming,
 }
@@ -75,7 +77,7 @@
     /// Fails when the connection is cut, or no piece comes in time.
     pub async fn next(&mut self) -> Result<Option<Bytes>> {
         loop {
-            let frame = tokio::time::timeout(TIMEOUT, self.body.frame()).await;
+            let frame = tokio::time::timeout(self.timeout, self.body.frame()).await;
             let frame = frame.map_err(|_elapsed| self.failed("no further piece in time"))?;
             let Some(frame) = frame else {
                 return Ok(None);
@@ -102,9 +104,17 @@
 impl HttpClient {
     /// Makes a client without connections.
     pub fn new() -> Self {
+        Self::with_timeout(TIMEOUT)
+    }
+
+    /// Makes a client whose requests fail when the whole answer takes longer than `timeout`.
+    ///
+    /// For an answer that is read piece by piece, that is the longest wait for each piece.
+    pub fn with_timeout(timeout: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         Self {
+            timeout,
             client: Client::builder(TokioExecutor::new()).build(connector),
         }
     }
@@ -116,7 +126,7 @@
     /// Fails when no whole answer comes in time; the request may have been served.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<HttpAnswer> {
         let target = format!("{} {}", request.method(), request.uri());
-        let answer = tokio::time::timeout(TIMEOUT, self.exchange(request)).await;
+        let answer = tokio::time::timeout(self.timeout, self.exchange(request)).await;
         match answer {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(reason)) => Err(StandinError::Request(format!("{target}: {reason}"))),
@@ -157,7 +167,7 @@
     /// Fails when no headers come in time; the request may have been served.
     pub async fn open(&self, request: Request<Full<Bytes>>) -> Result<HttpStream> {
         let target = format!("{} {}", request.method(), request.uri());
-        let answer = tokio::time::timeout(TIMEOUT, self.client.request(request)).await;
+        let answer = tokio::time::timeout(self.timeout, self.client.request(request)).await;
         let response = answer
             .map_err(|_elapsed| StandinError::Request(format!("{target}: no answer in time")))?
             .map_err(|error| StandinError::Request(format!("{target}: {error}")))?;
@@ -165,6 +175,7 @@
         Ok(HttpStream {
             status: head.status,
             headers: head.headers,
+            timeout: self.timeout,
             target,
             body,
         })
--- a/crates/burdockroad-standins/src/lib.rs
+++ b/crates/burdockroad-standins/src/lib.rs
@@ -12,7 +12,8 @@
 //! | [`weight_store`] | the weight store that engines load from |
 //! | [`proxy`] | the network between two processes, with its faults |
 //!
-//! [`processes`] and [`http_client`] help tests to start and to drive them.
+//! [`processes`] and [`http_client`] help tests to start and to drive them. [`load`] generates load, in
+//! a test or by the binary `burdockroad-load`.
 
 pub use crate::{
     error::{Result, StandinError},
@@ -25,6 +26,7 @@
 pub mod http_client;
 mod http_server;
 pub mod kv;
+pub mod load;
 pub mod processes;
 pub mod proxy;
 mod record;
