--- a/crates/burdockroad-daemon/src/lib.rs
+++ b/crates/burdockroad-daemon/src/lib.rs
@@ -6,18 +6,30 @@
 //! (slots at endpoints) and [`peer`] (the other daemons). [`settings`] holds what a process is told
 //! when it starts.
 //!
-//! [`coordinator`] keeps a host in the fleet: [`membership`] tells which hosts are up, [`takeover`]
-//! takes over from a process that is gone, and [`handoff`] moves partitions between processes that are up.
+//! A request comes in through [`http`], goes to the owner of its program through [`edge`], and runs in
+//! [`calls`], which keeps to what [`programs`] allows and writes to an [`answer`]. [`config_watch`]
+//! keeps the configuration document. [`coordinator`] keeps a host in the fleet: [`membership`] tells
+//! which hosts are up, [`takeover`] takes over from a process that is gone, and [`handoff`] moves
+//! partitions between processes that are up.
 
+pub mod answer;
+pub mod calls;
 pub mod config_watch;
 pub mod coordinator;
 pub mod dispatch;
+pub mod document_source;
+pub mod edge;
+pub mod endpoint;
 pub mod handoff;
+pub mod http;
 pub mod journal;
 pub mod membership;
+pub mod memory;
 pub mod ownership;
 pub mod peer;
 pub mod platform;
+pub mod problem;
+pub mod programs;
 pub mod quota;
 pub mod settings;
 pub mod takeover;
