--- a/crates/burdockroad-daemon/src/lib.rs
+++ b/crates/burdockroad-daemon/src/lib.rs
@@ -8,9 +8,9 @@
 //! [`logging`] and [`telemetry`] tell what it does.
 //!
 //! A request comes in through [`http`], goes to the owner of its program through [`edge`], and runs in
-//! [`calls`], which keeps to what [`programs`] allows and writes to an [`answer`]. [`coordinator`] keeps a host in the fleet: [`membership`] tells
-//! which hosts are up, [`takeover`] takes over from a process that is gone, and [`handoff`] moves
-//! partitions between processes that are up.
+//! [`calls`], which keeps to what [`programs`] allows and writes to an [`answer`]. [`coordinator`] keeps
+//! a host in the fleet: [`membership`] tells which hosts are up, [`takeover`] takes over from a process
+//! that is gone, and [`handoff`] moves partitions between processes that are up.
 
 pub mod admin;
 pub mod answer;
