Answer operators and the balancer, and ask only engines for their load

Cause: the pool owner asked every endpoint for its load; to a plain service that is a request, and it ran (seen in the quickstart: the order was execution 4). Ruled out: telling by the answer (it has run by then). Change: only pools that a model route names are asked; the admin server tells readiness, status, metrics and programs, ends programs and drains; calls record queue time, first token and refusals.

--- a/crates/burdockroad-daemon/examples/quickstart.rs
+++ b/crates/burdockroad-daemon/examples/quickstart.rs
@@ -13,6 +13,7 @@
     daemon::Daemon,
     platform::{EmbeddedKeyValue, Expected, KeyValue, Put},
     settings::{HostListSettings, LimitSettings, Settings, StoreSettings},
+    telemetry::Telemetry,
 };
 use burdockroad_standins::{
     engine::{EngineOptions, EngineStandin},
@@ -37,7 +38,7 @@
     let document = document(engine.address(), service.address(), &key);
     apply(folder.path(), &document).await?;
 
-    let daemon = Daemon::start(settings(folder.path())).await?;
+    let daemon = Daemon::start(settings(folder.path()), Telemetry::unrecorded()).await?;
     let caller = Caller {
         url: format!("http://{}", daemon.caller_address()),
         key: key.secret,
--- a/crates/burdockroad-daemon/src/calls.rs
+++ b/crates/burdockroad-daemon/src/calls.rs
@@ -32,11 +32,12 @@
 };
 use crate::{
     config_watch::InForceReceiver,
-    dispatch::Dispatcher,
+    dispatch::{Dispatcher, SlotReport},
     endpoint::Endpoints,
     problem::{Problem, ProblemKind},
     programs::ProgramsHandle,
     quota::Quota,
+    telemetry::{Measure, RefusedBecause, Telemetry},
 };
 
 /// Tries that an idempotent call gets at different endpoints before its caller is told.
@@ -118,6 +119,8 @@
     pub endpoints: Arc<dyn Endpoints>,
     /// The document in force.
     pub in_force: InForceReceiver,
+    /// Durations and refusals of each account.
+    pub telemetry: Telemetry,
     /// Limits of calls.
     pub limits: CallLimits,
 }
@@ -136,6 +139,30 @@
         }
     }
 
+    /// Takes note of a call that was refused for want of rate or of a slot.
+    fn note_refusal(&self, plan: &Plan, problem: &Problem) {
+        let because = match problem.kind {
+            ProblemKind::OverRate => RefusedBecause::OverRate,
+            ProblemKind::Overloaded | ProblemKind::NotRecordable => RefusedBecause::InsideRate,
+            _ => return,
+        };
+        self.telemetry.refused(&plan.caller.account_id, because);
+    }
+
+    /// Takes note of how long a call waited for its slot.
+    fn note_queue(&self, plan: &Plan, since: StdInstant) {
+        self.telemetry
+            .record(&plan.caller.account_id, Measure::Queue, since.elapsed());
+    }
+
+    /// Takes note of what was seen of an engine's answer.
+    fn note_answer(&self, plan: &Plan, report: &SlotReport) {
+        if let (Work::Completion(_), Some(first)) = (&plan.work, report.first_token) {
+            self.telemetry
+                .record(&plan.caller.account_id, Measure::FirstToken, first);
+        }
+    }
+
     /// Tokens set aside for a completion whose caller states no limit.
     fn default_max_tokens(&self) -> u64 {
         self.in_force
--- a/crates/burdockroad-daemon/src/calls/program_call.rs
+++ b/crates/burdockroad-daemon/src/calls/program_call.rs
@@ -15,7 +15,7 @@
     calls::{
         ATTEMPTS_MAX, CallRunner, EVENT_STREAM_CONTENT_TYPE, JSON_CONTENT_TYPE, Plan, Work,
         attempt::{Attempt, AttemptEnd, Failure, Whole},
-        back_off,
+        back_off, clock,
         completion::{stream_body, whole_body},
         single_call::{SlotGuard, may_repeat, prompt_tokens, timed_out},
         withdrawn,
@@ -117,13 +117,16 @@
         stop: &mut tokio::sync::watch::Receiver<bool>,
         quota_paid: &mut bool,
     ) -> Result<Vec<Frame>, Retry> {
+        let queued = clock();
         let slot = match self.wait_for_slot(call, stop, quota_paid).await {
             Ok(slot) => slot,
             Err(problem) => {
+                self.note_refusal(&call.plan, &problem);
                 self.programs.withdraw(call.position.program_id.clone());
                 return Err(Retry::Never(problem));
             }
         };
+        self.note_queue(&call.plan, queued);
         call.excluded.push(slot.endpoint_id.clone());
         let guard = SlotGuard::new(self, slot.clone());
         let placement = Placement {
@@ -158,6 +161,7 @@
                 stopped_end(stopped, sending.reserved_tokens)
             }
         };
+        self.note_answer(&call.plan, &end.report);
         guard.close(end.report);
         self.settle(call, end, progress).await
     }
--- a/crates/burdockroad-daemon/src/calls/single_call.rs
+++ b/crates/burdockroad-daemon/src/calls/single_call.rs
@@ -7,7 +7,7 @@
     calls::{
         ATTEMPTS_MAX, CallRunner, Plan, Work,
         attempt::{Attempt, AttemptEnd, Failure},
-        back_off, withdrawn,
+        back_off, clock, withdrawn,
     },
     dispatch::{Slot, SlotRequest},
     problem::{Problem, ProblemKind, Ran},
@@ -32,12 +32,16 @@
         };
         match outcome {
             Ok(()) => log.push(Frame::End),
-            Err(problem) => log.fail(&problem),
+            Err(problem) => {
+                self.note_refusal(plan, &problem);
+                log.fail(&problem);
+            }
         }
     }
 
     async fn try_single(&self, plan: &Plan, log: &Arc<AnswerLog>) -> Result<(), Problem> {
         let latest = self.latest_start(plan);
+        let queued = clock();
         if !plan.caller.account_id.is_empty() {
             self.quota.admit(&plan.caller.account_id, latest).await?;
         }
@@ -52,6 +56,9 @@
                     .release(slot, crate::dispatch::SlotReport::default());
                 return Err(withdrawn());
             }
+            if excluded.is_empty() {
+                self.note_queue(plan, queued);
+            }
             excluded.push(slot.endpoint_id.clone());
             let failure = match self.single_attempt(plan, &slot, log).await {
                 Ok(()) => return Ok(()),
@@ -90,6 +97,7 @@
             log,
         };
         let AttemptEnd { result, report, .. } = self.attempt(&attempt).await;
+        self.note_answer(plan, &report);
         guard.close(report);
         let whole = result?;
         for frame in whole.rest {
--- a/crates/burdockroad-daemon/src/daemon.rs
+++ b/crates/burdockroad-daemon/src/daemon.rs
@@ -2,19 +2,21 @@
 
 mod journals;
 mod observed_hosts;
+mod operators;
 
 use std::{
     fmt, io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::AtomicBool},
     time::Duration,
 };
 
-use burdockroad::{membership, program::ProgramsOptions};
+use burdockroad::{PARTITIONS, membership, program::ProgramsOptions};
 use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
 
-use self::{journals::Journals, observed_hosts::ObservedHostList};
+use self::{journals::Journals, observed_hosts::ObservedHostList, operators::Operators};
 use crate::{
+    admin::{self, AdminHandlers},
     calls::{CallLimits, CallRunner},
     config_watch::{ConfigWatch, InForceReceiver},
     coordinator::{Coordinator, CoordinatorOptions, JournalHandle, StartError, Views},
@@ -30,6 +32,7 @@
     programs::{ProgramsHandle, ProgramsParts},
     quota::{EscrowQuota, QuotaParts},
     settings::Settings,
+    telemetry::Telemetry,
 };
 
 /// Time between two runs of the systems that depend on time.
@@ -95,8 +98,11 @@
 pub struct Daemon {
     caller_address: SocketAddr,
     peer_address: SocketAddr,
+    admin_address: SocketAddr,
     shutdown_timeout: Duration,
-    coordinator: Coordinator,
+    coordinator: Arc<Coordinator>,
+    admin: AdminServer,
+    upkeep: JoinHandle<()>,
     callers: CallerServer,
     peers: PeerServer,
     programs: Arc<ProgramsHandle>,
@@ -121,6 +127,7 @@
     tails: Arc<TailStore>,
     endpoints: Arc<dyn Endpoints>,
     in_force: InForceReceiver,
+    telemetry: Telemetry,
 }
 
 impl Daemon {
@@ -129,7 +136,9 @@
     /// # Errors
     ///
     /// Fails when an address is taken, or the settings name a platform service that cannot be used.
-    pub async fn start(settings: Settings) -> Result<Self, DaemonError> {
+    pub async fn start(settings: Settings, telemetry: Telemetry) -> Result<Self, DaemonError> {
+        let admin_listener = listen(&settings.admin_address).await?;
+        let admin_address = local_address(&admin_listener, &settings.admin_address)?;
         let caller_listener = listen(&settings.caller_address).await?;
         let peer_listener = listen(&settings.peer_address).await?;
         let caller_address = local_address(&caller_listener, &settings.caller_address)?;
@@ -150,6 +159,7 @@
             store,
             clients,
             views,
+            telemetry,
         };
         let journals = Arc::new(base.journals());
         let journal = Arc::new(JournalHandle::open(Arc::clone(&journals) as _, base.views.me()).await);
@@ -158,7 +168,7 @@
         journals.set_trees(&shared);
 
         let options = base.coordinator_options(&config, hosts, journal, shared, peer_address);
-        let coordinator = Coordinator::start(options).await?;
+        let coordinator = Arc::new(Coordinator::start(options).await?);
         let served = base
             .start_serving(&coordinator, &config, &programs, leaving)
             .await?;
@@ -175,6 +185,9 @@
             ProgramsHandle::clone(&programs),
         );
         let ticker = tokio::spawn(tick(ProgramsHandle::clone(&programs)));
+        let operators = Arc::new(base.operators(&coordinator, &programs));
+        let admin = AdminServer::start(admin_listener, &operators);
+        let upkeep = tokio::spawn(base.telemetry.clone().maintain());
         log::info!(
             "event=started host={} callers={caller_address} peers={peer_address}",
             base.settings.host_id
@@ -182,8 +195,11 @@
         Ok(Self {
             caller_address,
             peer_address,
+            admin_address,
             shutdown_timeout,
             coordinator,
+            admin,
+            upkeep,
             callers,
             peers,
             programs,
@@ -203,13 +219,25 @@
         self.peer_address
     }
 
+    /// Where operators and the balancer reach the daemon.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
     /// Finishes what runs here, hands everything over, and stops.
     pub async fn close(self) {
         log::info!("event=stopping");
         // Callers go first: what they still wait for may belong to programs of this host.
+        self.admin.operators.set_draining();
         self.coordinator.drain();
         self.callers.close(self.shutdown_timeout).await;
-        let left = self.coordinator.shutdown(self.shutdown_timeout).await;
+        // An operator's order may hold the coordinator for a moment; what is left then is taken over.
+        let left = match Arc::into_inner(self.coordinator) {
+            Some(coordinator) => coordinator.shutdown(self.shutdown_timeout).await,
+            None => usize::from(PARTITIONS),
+        };
+        self.admin.close().await;
+        self.upkeep.abort();
         self.peers.close().await;
         self.ticker.abort();
         self.audit.close();
@@ -298,6 +326,7 @@
             dispatcher: Arc::clone(&dispatcher) as _,
             endpoints: Arc::clone(&self.endpoints),
             in_force: self.in_force.clone(),
+            telemetry: self.telemetry.clone(),
             limits: self.call_limits(),
         };
         let edge = Edge {
@@ -348,6 +377,19 @@
         Ok(PoolDispatcher::start(parts).await?)
     }
 
+    fn operators(&self, coordinator: &Arc<Coordinator>, programs: &Arc<ProgramsHandle>) -> Operators {
+        Operators {
+            failure_domain: self.settings.failure_domain.clone(),
+            in_force: self.in_force.clone(),
+            ownership: self.views.ownership(),
+            peers: self.views.peers(),
+            programs: ProgramsHandle::clone(programs),
+            coordinator: Arc::downgrade(coordinator),
+            telemetry: self.telemetry.clone(),
+            draining: AtomicBool::new(false),
+        }
+    }
+
     fn call_limits(&self) -> CallLimits {
         CallLimits {
             queue_timeout: Duration::from_secs(self.settings.limits.queue_timeout_s),
@@ -384,6 +426,41 @@
     }
 }
 
+/// The server that operators and the balancer reach.
+#[derive(Debug)]
+struct AdminServer {
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+    operators: Arc<Operators>,
+}
+
+impl AdminServer {
+    fn start(listener: TcpListener, operators: &Arc<Operators>) -> Self {
+        let (stop, stopped) = oneshot::channel();
+        let handlers = AdminHandlers {
+            status: Arc::clone(operators) as _,
+            actions: Arc::clone(operators) as _,
+        };
+        let task = tokio::spawn(admin::serve(listener, handlers, async {
+            // A dropped sender stops the server as well.
+            let _stopped = stopped.await;
+        }));
+        Self {
+            stop,
+            task,
+            operators: Arc::clone(operators),
+        }
+    }
+
+    async fn close(self) {
+        // The server may have ended by itself.
+        let _sent = self.stop.send(());
+        if let Err(error) = self.task.await {
+            log::warn!("event=admin_server_failed reason=\"{error}\"");
+        }
+    }
+}
+
 async fn tick(programs: ProgramsHandle) {
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/crates/burdockroad-daemon/src/dispatch.rs
+++ b/crates/burdockroad-daemon/src/dispatch.rs
@@ -41,6 +41,11 @@
 
     /// Hosts that are being taken away.
     fn leaving_hosts(&self) -> BTreeSet<HostId>;
+
+    /// Whether a pool's endpoints are model engines, which report load and cache events.
+    ///
+    /// A plain service is never asked: to it the question is a request like any other, and runs.
+    fn is_engine_pool(&self, pool_id: &PoolId) -> bool;
 }
 
 /// What a call needs.
--- a/crates/burdockroad-daemon/src/dispatch/pools.rs
+++ b/crates/burdockroad-daemon/src/dispatch/pools.rs
@@ -176,7 +176,8 @@
         let active = self
             .pools
             .iter()
-            .filter(|(_, row)| row.owner || !row.held.is_empty());
+            .filter(|(_, row)| row.owner || !row.held.is_empty())
+            .filter(|(pool_id, _)| self.parts.source.is_engine_pool(pool_id));
         active
             .flat_map(|(pool_id, row)| {
                 row.addresses.iter().map(|(endpoint_id, address)| Target {
--- a/crates/burdockroad-daemon/src/document_source.rs
+++ b/crates/burdockroad-daemon/src/document_source.rs
@@ -6,8 +6,8 @@
 };
 
 use burdockroad::{
-    AccountId, DocumentVersion, HostId,
-    config::{Account, EndpointSet},
+    AccountId, DocumentVersion, HostId, PoolId,
+    config::{Account, EndpointSet, RouteKind},
     quota::Limits,
 };
 use tokio::sync::watch;
@@ -88,4 +88,14 @@
     fn leaving_hosts(&self) -> BTreeSet<HostId> {
         self.leaving.borrow().as_ref().clone()
     }
+
+    fn is_engine_pool(&self, pool_id: &PoolId) -> bool {
+        let in_force = self.in_force.borrow();
+        let mut models = in_force
+            .document
+            .routes
+            .iter()
+            .filter(|route| route.kind == RouteKind::Model);
+        models.any(|route| route.endpoint_sets.contains(pool_id))
+    }
 }
--- a/crates/burdockroad-daemon/src/lib.rs
+++ b/crates/burdockroad-daemon/src/lib.rs
@@ -7,15 +7,11 @@
 //! [`admin`] (operators and the balancer). [`settings`] holds what a process is told when it starts;
 //! [`logging`] and [`telemetry`] tell what it does.
 //!
-//! [`daemon`] puts the parts together. A request comes in through [`http`], goes to the owner of its program through [`edge`], and runs in
-//! [`calls`], which keeps to what [`programs`] allows and writes to an [`answer`]. [`config_watch`]
-//! keeps the configuration document. [`coordinator`] keeps a host in the fleet: [`membership`] tells
-//! which hosts are up, [`takeover`] takes over from a process that is gone, and [`handoff`] moves
-//! partitions between processes that are up.
-//! A request comes in through [`http`], goes to the owner of its program through [`edge`], and runs in
-//! [`calls`], which keeps to what [`programs`] allows and writes to an [`answer`]. [`coordinator`] keeps
-//! a host in the fleet: [`membership`] tells which hosts are up, [`takeover`] takes over from a process
-//! that is gone, and [`handoff`] moves partitions between processes that are up.
+//! [`daemon`] puts the parts together. A request comes in through [`http`], goes to the owner of its
+//! program through [`edge`], and runs in [`calls`], which keeps to what [`programs`] allows and writes
+//! to an [`answer`]. [`coordinator`] keeps a host in the fleet: [`membership`] tells which hosts are up,
+//! [`takeover`] takes over from a process that is gone, and [`handoff`] moves partitions between
+//! processes that are up.
 
 pub mod admin;
 pub mod answer;
--- a/crates/burdockroad-daemon/src/main.rs
+++ b/crates/burdockroad-daemon/src/main.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use anyhow::{Context, Result, bail};
-use burdockroad_daemon::{daemon::Daemon, logging, settings::Settings};
+use burdockroad_daemon::{daemon::Daemon, logging, settings::Settings, telemetry::Telemetry};
 use mimalloc::MiMalloc;
 use pico_args::Arguments;
 use tokio::signal::unix::{SignalKind, signal};
@@ -101,10 +101,11 @@
 #[tokio::main]
 async fn serve(settings: Settings) -> Result<()> {
     logging::start(&settings.log_level, settings.log_file.as_deref())?;
+    let telemetry = Telemetry::install()?;
     let mut terminate = signal(SignalKind::terminate()).context("cannot watch for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot watch for SIGINT")?;
     let daemon = tokio::select! {
-        daemon = Daemon::start(settings) => daemon?,
+        daemon = Daemon::start(settings, telemetry) => daemon?,
         // Nothing was served yet, as while the store is down.
         _ = terminate.recv() => return Ok(()),
         _ = interrupt.recv() => return Ok(()),
--- a/crates/burdockroad-daemon/src/programs.rs
+++ b/crates/burdockroad-daemon/src/programs.rs
@@ -7,7 +7,10 @@
 
 use std::{
     fmt,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, SystemTime},
 };
 
@@ -170,6 +173,7 @@
 #[derive(Clone, Debug)]
 pub struct ProgramsHandle {
     actor: ActorRef<ProgramsMessage>,
+    kept: Arc<AtomicUsize>,
 }
 
 impl ProgramsHandle {
@@ -179,12 +183,15 @@
     ///
     /// Fails when the actor cannot be started.
     pub async fn start(parts: ProgramsParts) -> Result<Self, SpawnErr> {
+        let kept = Arc::new(AtomicUsize::new(0));
+        let table = Programs::new(parts.options);
         let arguments = ProgramsArguments {
-            table: Programs::new(parts.options),
+            table,
             parts,
+            kept: Arc::clone(&kept),
         };
         let (actor, _) = Actor::spawn(None, ProgramsActor, arguments).await?;
-        Ok(Self { actor })
+        Ok(Self { actor, kept })
     }
 
     /// Stops the actor.
@@ -290,6 +297,11 @@
         self.ask(ProgramsMessage::OpenCalls).await.unwrap_or(0)
     }
 
+    /// Number of trees that this host keeps, as of the last tick.
+    pub fn kept_trees(&self) -> usize {
+        self.kept.load(Ordering::Relaxed)
+    }
+
     /// All trees that this host owns.
     pub async fn list(&self) -> Vec<Tree> {
         self.ask(ProgramsMessage::List).await.unwrap_or_default()
--- a/crates/burdockroad-daemon/src/programs/actor.rs
+++ b/crates/burdockroad-daemon/src/programs/actor.rs
@@ -1,6 +1,13 @@
 //! The actor itself: one message, one change of the table, one append.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use burdockroad::{
     AccountId, PartitionId, ProgramId, Record,
@@ -36,6 +43,8 @@
 pub(super) struct ProgramsArguments {
     pub(super) table: Programs,
     pub(super) parts: ProgramsParts,
+    /// Number of trees in the table, for whoever wants to know without asking.
+    pub(super) kept: Arc<AtomicUsize>,
 }
 
 /// What the actor owns.
@@ -43,6 +52,7 @@
 pub(super) struct ProgramsState {
     table: Programs,
     parts: ProgramsParts,
+    kept: Arc<AtomicUsize>,
     running: HashMap<ProgramId, Running>,
 }
 
@@ -64,10 +74,11 @@
         _myself: ActorRef<Self::Msg>,
         args: Self::Arguments,
     ) -> Result<Self::State, ActorProcessingErr> {
-        let ProgramsArguments { table, parts } = args;
+        let ProgramsArguments { table, parts, kept } = args;
         Ok(ProgramsState {
             table,
             parts,
+            kept,
             running: HashMap::new(),
         })
     }
@@ -171,6 +182,7 @@
 
     fn tick(&mut self, myself: &ActorRef<ProgramsMessage>) {
         let actions = self.table.tick(now());
+        self.kept.store(self.table.len(), Ordering::Relaxed);
         if !actions.is_empty() {
             drop(self.perform(myself, actions));
         }
--- a/crates/burdockroad-daemon/tests/dispatch.rs
+++ b/crates/burdockroad-daemon/tests/dispatch.rs
@@ -60,6 +60,10 @@
         }]
     }
 
+    fn is_engine_pool(&self, _pool_id: &burdockroad::PoolId) -> bool {
+        true
+    }
+
     fn leaving_hosts(&self) -> BTreeSet<HostId> {
         BTreeSet::new()
     }
