Prove the first path with real processes

Cause: no test ran the daemons as processes. Change: a harness of three daemons, engines, a service, the host list and the key-value service behind a proxy for each daemon; a program across all hosts whose repeated calls get the same bytes, refusals that run nothing, open and keyed routes.

--- /dev/null
+++ b/crates/burdockroad-daemon/tests/processes/first_path.rs
@@ -0,0 +1,145 @@
+//! A program across all hosts, and what is refused on the way.
+
+use http::Method;
+use serde_json::{Value, json};
+
+use crate::site::{Site, SiteOptions, completion, problem};
+
+#[tokio::test]
+async fn program_across_all_hosts() {
+    let site = Site::start(SiteOptions::default()).await;
+    let caller = site.caller("masters");
+    let program = caller
+        .program(0, &json!({ "budget": { "max_tokens": 500, "max_calls": 20 } }))
+        .await;
+    for number in 1..=6 {
+        let daemon = usize::try_from(number).expect("a small number") % 3;
+        let answer = caller
+            .complete(daemon, &program, number, &format!("question {number}"))
+            .await;
+        assert_eq!(answer.status, 200, "call {number}: {}", answer.text());
+        let again = caller
+            .complete((daemon + 1) % 3, &program, number, &format!("question {number}"))
+            .await;
+        assert_eq!(
+            answer.body, again.body,
+            "call {number} repeated through another host"
+        );
+    }
+    let shown = caller.show(1, &program).await;
+    let questions: Vec<&str> = shown["calls"]
+        .as_array()
+        .expect("calls")
+        .iter()
+        .filter_map(|call| call["messages"][0]["content"].as_str())
+        .collect();
+    let expected: Vec<String> = (1..=6).map(|number| format!("question {number}")).collect();
+    assert_eq!(questions, expected);
+    let sent = site.recorded().await;
+    assert!(sent.contains("question 6"), "the engines saw the calls");
+    assert!(!sent.contains(site.key("masters")), "an endpoint saw a key");
+    let turns = sent.matches("question 1").count();
+    assert!(turns >= 6, "each call carried the whole history, found {turns}");
+}
+
+#[tokio::test]
+async fn refusals_run_nothing() {
+    let site = Site::start(SiteOptions {
+        engines: 1,
+        ..SiteOptions::default()
+    })
+    .await;
+    let caller = site.caller("masters");
+    let other = site.caller("port-agents");
+    let program = caller.program(0, &json!({})).await;
+    let before = site.recorded().await;
+    let ask = completion("never", 4);
+    let path = "/v1/chat/completions";
+    let unknown_model = json!({ "model": "none", "messages": [{ "role": "user", "content": "x" }] });
+    let cases: [(&str, u16, &str, Value, Option<(&str, u32)>); 6] = [
+        (
+            "wrong number",
+            409,
+            "wrong-call-number",
+            ask.clone(),
+            Some((&program, 3)),
+        ),
+        (
+            "unknown program",
+            404,
+            "unknown-program",
+            ask.clone(),
+            Some(("p-0007-none", 1)),
+        ),
+        (
+            "malformed program",
+            404,
+            "unknown-program",
+            ask.clone(),
+            Some(("7", 1)),
+        ),
+        ("unknown model", 404, "unknown-route", unknown_model, None),
+        (
+            "no messages",
+            400,
+            "invalid-request",
+            json!({ "model": "planner-llm" }),
+            None,
+        ),
+        ("not an object", 400, "invalid-request", json!([1]), None),
+    ];
+    for (name, status, kind, body, position) in cases {
+        for daemon in 0..3 {
+            let answer = caller.send(daemon, Method::POST, path, position, &body).await;
+            assert_eq!(answer.status, status, "{name}: {}", answer.text());
+            assert_eq!(problem(&answer), (kind.to_owned(), "no".to_owned()), "{name}");
+        }
+    }
+    let foreign = other.complete(1, &program, 1, "never").await;
+    let absent = other.complete(1, "p-0007-none", 1, "never").await;
+    assert_eq!(foreign.status, 404);
+    assert_eq!(
+        foreign.body, absent.body,
+        "another account's program looks like none"
+    );
+    assert_eq!(site.recorded().await.matches("never").count(), 0, "nothing ran");
+    assert!(site.recorded().await.len() >= before.len());
+}
+
+#[tokio::test]
+async fn open_and_keyed_routes() {
+    let site = Site::start(SiteOptions {
+        daemons: 1,
+        engines: 1,
+        ..SiteOptions::default()
+    })
+    .await;
+    let nobody = crate::site::Caller {
+        key: "brk_none_wrong".to_owned(),
+        ..site.caller("masters")
+    };
+    let open = nobody
+        .send(0, Method::GET, "/services/notices/today", None, &Value::Null)
+        .await;
+    assert_eq!(open.status, 200, "{}", open.text());
+    for path in [
+        "/services/tides/today",
+        "/services/fuel-orders/today",
+        "/v1/models",
+    ] {
+        let keyed = nobody.send(0, Method::GET, path, None, &Value::Null).await;
+        assert_eq!(keyed.status, 401, "{path}: {}", keyed.text());
+        assert_eq!(problem(&keyed).1, "no");
+    }
+    let caller = site.caller("masters");
+    let path = format!("/services/tides/today?copy={}", site.key("masters"));
+    let answer = caller.send(0, Method::GET, &path, None, &Value::Null).await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let sent = site.recorded().await;
+    assert!(!sent.contains(site.key("masters")), "the service saw the key");
+    assert_eq!(
+        sent.matches("/today").count(),
+        2,
+        "the two allowed requests and no other: {sent}"
+    );
+}
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/processes/main.rs
@@ -0,0 +1,4 @@
+//! Real daemons, stand-ins and failures: each of them a process.
+
+mod first_path;
+mod site;
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/processes/site.rs
@@ -0,0 +1,565 @@
+//! A small site of processes: the platform, endpoints and several daemons, with callers.
+
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
+
+use burdockroad::config::{VersionedDocument, new_key};
+use burdockroad_daemon::{
+    config_watch::DOCUMENT_KEY,
+    platform::{self, Expected, Put, SharedKeyValue},
+    settings::StoreSettings,
+};
+use burdockroad_standins::{
+    http_client::{HttpAnswer, HttpClient, HttpStream},
+    processes::{Process, free_ports},
+};
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::Full;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::time::{Instant, sleep};
+
+/// Longest wait for something that has to come.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Failure domains that hosts and endpoints are spread over.
+const DOMAINS: [&str; 3] = ["sohar-a", "sohar-b", "liwa"];
+
+/// What a site is made of.
+#[derive(Clone, Debug)]
+pub struct SiteOptions {
+    pub daemons: usize,
+    pub engines: usize,
+    pub engine_options: Vec<&'static str>,
+    pub service_options: Vec<&'static str>,
+    /// Calls that each endpoint serves at once.
+    pub slots: u32,
+    pub accounts: Vec<AccountOptions>,
+    /// Settings of each daemon in place of the defaults, as JSON.
+    pub limits: Value,
+}
+
+/// An account of a site.
+#[derive(Clone, Copy, Debug)]
+pub struct AccountOptions {
+    pub id: &'static str,
+    pub rate_per_s: f64,
+    pub burst: u32,
+}
+
+impl Default for SiteOptions {
+    fn default() -> Self {
+        Self {
+            daemons: 3,
+            engines: 2,
+            engine_options: vec!["--token-ms", "1"],
+            service_options: Vec::new(),
+            slots: 8,
+            accounts: vec![
+                AccountOptions {
+                    id: "masters",
+                    rate_per_s: 200.0,
+                    burst: 200,
+                },
+                AccountOptions {
+                    id: "port-agents",
+                    rate_per_s: 200.0,
+                    burst: 200,
+                },
+            ],
+            limits: json!({}),
+        }
+    }
+}
+
+/// A running site. Daemons are numbered from 0.
+pub struct Site {
+    pub kv: Process,
+    pub hosts: Process,
+    pub engines: Vec<Process>,
+    pub service: Process,
+    pub daemons: Vec<Process>,
+    /// Between each daemon and the key-value service.
+    pub store_links: Vec<Process>,
+    pub store: SharedKeyValue,
+    pub http: HttpClient,
+    pub options: SiteOptions,
+    ports: Vec<Ports>,
+    keys: BTreeMap<&'static str, String>,
+    folder: TempDir,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Ports {
+    caller: u16,
+    peer: u16,
+    admin: u16,
+}
+
+impl Site {
+    /// Starts everything and waits until all daemons are ready.
+    pub async fn start(options: SiteOptions) -> Self {
+        let kv = Process::spawn("burdockroad-standin", &["kv"])
+            .await
+            .expect("the key-value service");
+        let ports = take_ports(options.daemons);
+        let listed = listed_hosts(&ports).to_string();
+        let arguments = ["host-list", "--hosts", &listed];
+        let hosts = Process::spawn("burdockroad-standin", &arguments)
+            .await
+            .expect("the host list");
+        let mut engines = Vec::new();
+        for _ in 0..options.engines {
+            let mut arguments = vec!["engine"];
+            arguments.extend(&options.engine_options);
+            engines.push(
+                Process::spawn("burdockroad-standin", &arguments)
+                    .await
+                    .expect("an engine"),
+            );
+        }
+        let mut arguments = vec!["service"];
+        arguments.extend(&options.service_options);
+        let service = Process::spawn("burdockroad-standin", &arguments)
+            .await
+            .expect("the service");
+        let mut store_links = Vec::new();
+        let target = kv.address().expect("an address").to_string();
+        for _ in 0..options.daemons {
+            let link = Process::spawn("burdockroad-standin", &["proxy", "--target", &target]).await;
+            store_links.push(link.expect("a proxy"));
+        }
+        let store = connect(kv.address().expect("an address"));
+        let mut site = Self {
+            kv,
+            hosts,
+            engines,
+            service,
+            daemons: Vec::new(),
+            store_links,
+            store,
+            http: HttpClient::with_timeout(Duration::from_secs(60)),
+            options,
+            ports,
+            keys: BTreeMap::new(),
+            folder: TempDir::new().expect("a scratch folder"),
+        };
+        let document = site.first_document();
+        site.apply(&document).await;
+        for number in 0..site.options.daemons {
+            let daemon = site.spawn_daemon(number).await;
+            site.daemons.push(daemon);
+        }
+        for number in 0..site.options.daemons {
+            site.wait_until_ready(number).await;
+        }
+        site.wait_until_owned().await;
+        site
+    }
+
+    /// Starts a daemon again that was killed, under the same name and addresses.
+    pub async fn restart(&mut self, number: usize) {
+        self.daemons[number] = self.spawn_daemon(number).await;
+        self.wait_until_ready(number).await;
+    }
+
+    /// Where callers reach a daemon.
+    pub fn url(&self, number: usize) -> String {
+        format!("http://127.0.0.1:{}", self.ports[number].caller)
+    }
+
+    /// Where operators reach a daemon.
+    pub fn admin_url(&self, number: usize) -> String {
+        format!("http://127.0.0.1:{}", self.ports[number].admin)
+    }
+
+    /// A caller of an account.
+    pub fn caller(&self, account: &'static str) -> Caller<'_> {
+        Caller {
+            site: self,
+            key: self.keys[account].clone(),
+        }
+    }
+
+    /// The key of an account.
+    pub fn key(&self, account: &'static str) -> &str {
+        &self.keys[account]
+    }
+
+    /// Status of a daemon; none while it does not answer.
+    pub async fn status(&self, number: usize) -> Option<Value> {
+        self.http
+            .get_json(&format!("{}/status", self.admin_url(number)))
+            .await
+            .ok()
+    }
+
+    /// The daemon that owns a program.
+    pub async fn owner_of(&self, program_id: &str) -> usize {
+        let number = until("a daemon owns the program", || async {
+            for number in 0..self.daemons.len() {
+                let url = format!("{}/programs/{program_id}", self.admin_url(number));
+                let request = Request::get(url).body(Full::default()).expect("a request");
+                if self
+                    .http
+                    .send(request)
+                    .await
+                    .is_ok_and(|answer| answer.status.is_success())
+                {
+                    return Some(number);
+                }
+            }
+            None
+        });
+        number.await
+    }
+
+    /// Sends control orders to a stand-in.
+    pub async fn control(&self, standin: &Process, path: &str, order: &Value) {
+        let address = standin.address_of("control").expect("a control address");
+        let request = Request::post(format!("http://{address}{path}"));
+        let request = request.body(Full::from(order.to_string())).expect("a request");
+        let answer = self.http.send(request).await.expect("the stand-in answers");
+        assert!(answer.status.is_success(), "{path} {order}: {}", answer.text());
+    }
+
+    /// Asks a stand-in at its control address.
+    pub async fn ask(&self, standin: &Process, path: &str) -> Value {
+        let address = standin.address_of("control").expect("a control address");
+        self.http
+            .get_json(&format!("http://{address}{path}"))
+            .await
+            .expect("the stand-in answers")
+    }
+
+    /// Applies a document as the next version, and returns that version.
+    pub async fn apply(&self, document: &Value) -> u64 {
+        let known = self.store.get(DOCUMENT_KEY).await.expect("the store answers");
+        let earlier = known
+            .as_ref()
+            .map(|entry| VersionedDocument::from_bytes(&entry.value).expect("a document"));
+        let version = earlier.map_or(1, |earlier| earlier.version + 1);
+        let next = VersionedDocument::new(version, document.to_string()).expect("a valid document");
+        let expected = known.map_or(Expected::Absent, |entry| Expected::Revision(entry.revision));
+        let put = self
+            .store
+            .put(DOCUMENT_KEY, Bytes::from(next.to_bytes()), expected)
+            .await;
+        assert!(matches!(put, Ok(Put::Done(_))), "{put:?}");
+        version
+    }
+
+    /// The document that is in the store.
+    pub async fn document(&self) -> Value {
+        let entry = self
+            .store
+            .get(DOCUMENT_KEY)
+            .await
+            .expect("the store answers")
+            .expect("a document");
+        let document = VersionedDocument::from_bytes(&entry.value).expect("a document");
+        serde_json::from_str(&document.text).expect("plain JSON")
+    }
+
+    /// What all engines were sent so far, as one text.
+    pub async fn recorded(&self) -> String {
+        let mut text = String::new();
+        for endpoint in self.engines.iter().chain([&self.service]) {
+            text.push_str(&self.ask(endpoint, "/recorded").await.to_string());
+        }
+        text
+    }
+
+    /// Programs that engines hold memory for.
+    pub async fn held(&self) -> Vec<String> {
+        let mut held = Vec::new();
+        for engine in &self.engines {
+            let url = format!("http://{}/cache", engine.address().expect("an address"));
+            let listed: Vec<Value> = self.http.get_json(&url).await.expect("the engine answers");
+            held.extend(
+                listed
+                    .iter()
+                    .filter_map(|program| program["program_id"].as_str())
+                    .map(str::to_owned),
+            );
+        }
+        held
+    }
+
+    pub async fn wait_until_ready(&self, number: usize) {
+        let url = format!("{}/ready", self.admin_url(number));
+        until("the daemon is ready", || async {
+            let request = Request::get(&url).body(Full::default()).expect("a request");
+            let answer = self.http.send(request).await.ok()?;
+            answer.status.is_success().then_some(())
+        })
+        .await;
+    }
+
+    /// Waits until each daemon owns some partitions and together they own all.
+    async fn wait_until_owned(&self) {
+        until("all partitions are spread over the daemons", || async {
+            let mut sum = 0;
+            for number in 0..self.daemons.len() {
+                let partitions = self.status(number).await?["ownership"]["partitions"].as_u64()?;
+                if partitions == 0 {
+                    return None;
+                }
+                sum += partitions;
+            }
+            (sum == 256).then_some(())
+        })
+        .await;
+    }
+
+    async fn spawn_daemon(&self, number: usize) -> Process {
+        let path = self.write_settings(number);
+        let path = path.to_str().expect("a UTF-8 path");
+        Process::spawn("burdockroadd", &["--settings", path])
+            .await
+            .expect("a daemon")
+    }
+
+    fn write_settings(&self, number: usize) -> PathBuf {
+        let ports = self.ports[number];
+        let hosts = self.hosts.address().expect("an address");
+        let store = self.store_links[number].address().expect("an address");
+        let settings = json!({
+            "host_id": format!("host-{number}"),
+            "failure_domain": DOMAINS[number % DOMAINS.len()],
+            "site": "batinah",
+            "caller_address": format!("127.0.0.1:{}", ports.caller),
+            "peer_address": format!("127.0.0.1:{}", ports.peer),
+            "admin_address": format!("127.0.0.1:{}", ports.admin),
+            "store": { "kind": "service", "addresses": [format!("http://{store}")] },
+            "host_list": { "kind": "service", "url": format!("http://{hosts}/hosts") },
+            "limits": self.options.limits,
+        });
+        let path = self.folder.path().join(format!("host-{number}.jsonc"));
+        std::fs::write(&path, settings.to_string()).expect("the settings are written");
+        path
+    }
+
+    fn first_document(&mut self) -> Value {
+        let mut accounts = Vec::new();
+        for account in &self.options.accounts {
+            let key = new_key(&mut rand::rng());
+            accounts.push(json!({
+                "id": account.id, "rate_per_s": account.rate_per_s, "burst": account.burst, "keys": [key.entry],
+            }));
+            self.keys.insert(account.id, key.secret);
+        }
+        let engines: Vec<Value> = self
+            .engines
+            .iter()
+            .enumerate()
+            .map(|(number, engine)| endpoint(&format!("engine-{number}"), number, engine, self.options.slots))
+            .collect();
+        let service = endpoint("service-0", 0, &self.service, self.options.slots);
+        json!({
+            "sites": [{ "id": "batinah", "weight": 1 }],
+            "accounts": accounts,
+            "routes": [
+                { "id": "planner-llm", "kind": "model", "endpoint_sets": ["engines"] },
+                { "id": "fuel-orders", "kind": "service", "endpoint_sets": ["services"] },
+                { "id": "tides", "kind": "service", "idempotent": true, "endpoint_sets": ["services"] },
+                { "id": "notices", "kind": "service", "access": "open", "idempotent": true, "endpoint_sets": ["services"] },
+            ],
+            "endpoint_sets": [
+                { "id": "engines", "site": "batinah", "endpoints": engines },
+                { "id": "services", "site": "batinah", "endpoints": [service] },
+            ],
+        })
+    }
+}
+
+fn endpoint(id: &str, number: usize, process: &Process, slots: u32) -> Value {
+    json!({
+        "id": id,
+        "address": process.address().expect("an address").to_string(),
+        "host_id": format!("host-of-{id}"),
+        "failure_domain": DOMAINS[number % DOMAINS.len()],
+        "slots": slots,
+    })
+}
+
+fn take_ports(daemons: usize) -> Vec<Ports> {
+    let free = free_ports(daemons * 3).expect("free ports");
+    free.chunks(3)
+        .map(|ports| Ports {
+            caller: ports[0],
+            peer: ports[1],
+            admin: ports[2],
+        })
+        .collect()
+}
+
+fn listed_hosts(ports: &[Ports]) -> Value {
+    let hosts = ports.iter().enumerate().map(|(number, ports)| {
+        json!({
+            "host_id": format!("host-{number}"),
+            "failure_domain": DOMAINS[number % DOMAINS.len()],
+            "peer_address": format!("127.0.0.1:{}", ports.peer),
+            "state": "live",
+        })
+    });
+    hosts.collect()
+}
+
+fn connect(address: SocketAddr) -> SharedKeyValue {
+    let settings = StoreSettings::Service {
+        addresses: vec![format!("http://{address}")],
+    };
+    platform::connect(&settings).expect("a client of the store")
+}
+
+/// Waits until a look finds something.
+pub async fn until<T, F: Future<Output = Option<T>>>(what: &str, look: impl Fn() -> F) -> T {
+    let latest = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        assert!(Instant::now() < latest, "not in time: {what}");
+        sleep(PAUSE).await;
+    }
+}
+
+/// A caller with a key.
+#[derive(Clone)]
+pub struct Caller<'a> {
+    pub site: &'a Site,
+    pub key: String,
+}
+
+impl Caller<'_> {
+    /// Creates a program at a daemon, and returns its id.
+    pub async fn program(&self, daemon: usize, body: &Value) -> String {
+        let answer = self.send(daemon, Method::POST, "/v1/programs", None, body).await;
+        assert_eq!(answer.status, 201, "{}", answer.text());
+        let program: Value = answer.json().expect("a program");
+        program["id"].as_str().expect("an id").to_owned()
+    }
+
+    /// A program as its caller sees it.
+    pub async fn show(&self, daemon: usize, program: &str) -> Value {
+        let path = format!("/v1/programs/{program}");
+        let answer = self.send(daemon, Method::GET, &path, None, &Value::Null).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        answer.json().expect("a program")
+    }
+
+    /// Sends a completion as a call of a program.
+    pub async fn complete(&self, daemon: usize, program: &str, number: u32, text: &str) -> HttpAnswer {
+        let body = completion(text, 16);
+        self.send(
+            daemon,
+            Method::POST,
+            "/v1/chat/completions",
+            Some((program, number)),
+            &body,
+        )
+        .await
+    }
+
+    /// Sends an order, which may not be repeated, as a call of a program.
+    pub async fn order(&self, daemon: usize, program: &str, number: u32, order: &str) -> HttpAnswer {
+        let body = json!({ "order": order });
+        self.send(
+            daemon,
+            Method::POST,
+            "/services/fuel-orders/orders",
+            Some((program, number)),
+            &body,
+        )
+        .await
+    }
+
+    pub async fn send(
+        &self,
+        daemon: usize,
+        method: Method,
+        path: &str,
+        position: Option<(&str, u32)>,
+        body: &Value,
+    ) -> HttpAnswer {
+        self.try_send(daemon, method, path, position, body)
+            .await
+            .expect("the daemon answers")
+    }
+
+    /// Sends a request whose connection may break.
+    pub async fn try_send(
+        &self,
+        daemon: usize,
+        method: Method,
+        path: &str,
+        position: Option<(&str, u32)>,
+        body: &Value,
+    ) -> burdockroad_standins::Result<HttpAnswer> {
+        self.site
+            .http
+            .send(self.request(daemon, method, path, position, body))
+            .await
+    }
+
+    /// Opens a streamed completion.
+    pub async fn stream(&self, daemon: usize, position: Option<(&str, u32)>, max_tokens: u64) -> HttpStream {
+        let mut body = completion("stream", max_tokens);
+        body["stream"] = true.into();
+        let request = self.request(daemon, Method::POST, "/v1/chat/completions", position, &body);
+        self.site.http.open(request).await.expect("the daemon answers")
+    }
+
+    fn request(
+        &self,
+        daemon: usize,
+        method: Method,
+        path: &str,
+        position: Option<(&str, u32)>,
+        body: &Value,
+    ) -> Request<Full<Bytes>> {
+        let text = if body.is_null() {
+            String::new()
+        } else {
+            body.to_string()
+        };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.site.url(daemon)))
+            .header("authorization", format!("Bearer {}", self.key));
+        if let Some((program, number)) = position {
+            request = request
+                .header("program-id", program)
+                .header("call-number", number);
+        }
+        request.body(Full::from(text)).expect("a request")
+    }
+}
+
+/// Body of a completion.
+pub fn completion(text: &str, max_tokens: u64) -> Value {
+    json!({
+        "model": "planner-llm",
+        "messages": [{ "role": "user", "content": text }],
+        "max_tokens": max_tokens,
+    })
+}
+
+/// The problem that an answer tells of: its type, and whether the request ran.
+pub fn problem(answer: &HttpAnswer) -> (String, String) {
+    let problem: Value = answer.json().expect("a problem");
+    let kind = problem["type"]
+        .as_str()
+        .expect("a type")
+        .rsplit(':')
+        .next()
+        .expect("a last part");
+    (
+        kind.to_owned(),
+        problem["ran"].as_str().expect("whether it ran").to_owned(),
+    )
+}
