Check takeovers and handoffs under random interleavings

What was read lacked the trees and replaced the good copy.

A copy is taken whenever the map names this process; that it was confirmed is what the map says. The model drives OwnershipHandle, Staging, Takeover, Handoff and rejoin over a store that refuses, loses replies and applies writes late, with late and doubled copies, pauses and crashes.

--- a/crates/burdockroad-daemon/src/coordinator.rs
+++ b/crates/burdockroad-daemon/src/coordinator.rs
@@ -5,6 +5,7 @@
 
 mod journal_handle;
 mod leftovers;
+mod rejoin;
 mod views;
 mod worker;
 
@@ -21,6 +22,7 @@
 
 pub use self::{
     journal_handle::{JournalFactory, JournalHandle},
+    rejoin::rejoin,
     views::Views,
 };
 
--- a/crates/burdockroad-daemon/src/coordinator/worker.rs
+++ b/crates/burdockroad-daemon/src/coordinator/worker.rs
@@ -18,10 +18,10 @@
 };
 
 use crate::{
-    coordinator::{journal_handle::JournalHandle, leftovers::Leftovers},
+    coordinator::{journal_handle::JournalHandle, leftovers::Leftovers, rejoin::rejoin},
     handoff::{Handoff, HandoffError},
     membership::{MembershipHandle, Standing},
-    ownership::{OwnershipHandle, PARTITIONS},
+    ownership::OwnershipHandle,
     takeover::Takeover,
 };
 
@@ -314,16 +314,9 @@
         );
         metrics::counter!("burdockroad_fenced_total").increment(1);
         self.cancel_all().await;
-        // The actor lives as long as this task does.
-        let _ = self.ownership.fence().await;
-        self.handoff.trees.clear().await;
-        // A handoff that was cancelled may have left partitions that take no calls.
-        self.handoff.trees.resume((0..PARTITIONS).collect()).await;
-        let me = self.journal.reopen().await;
-        let journal = self.journal.current();
-        self.takeover.staging.restart(me.clone(), journal).await;
-        let _ = self.ownership.rejoin(me.clone()).await;
-        self.membership.rejoin(me);
+        if let Ok(me) = rejoin(&self.handoff, &self.journal).await {
+            self.membership.rejoin(me);
+        }
     }
 
     async fn cancel_all(&mut self) {
--- a/crates/burdockroad-daemon/src/ownership/staging.rs
+++ b/crates/burdockroad-daemon/src/ownership/staging.rs
@@ -40,7 +40,6 @@
 #[derive(Debug)]
 struct StagedPartition {
     order: StageOrder,
-    durable: bool,
     trees: BTreeMap<ProgramId, Tree>,
 }
 
@@ -126,23 +125,19 @@
         appended
             .await
             .unwrap_or(Err(JournalError::Fenced))
-            .map_err(StageError::Journal)?;
-        for partition in orders.keys() {
-            if let Some(staged) = inner.partitions.get_mut(partition) {
-                staged.durable = true;
-            }
-        }
-        Ok(())
+            .map_err(StageError::Journal)
     }
 
     /// Takes out the trees of partitions that a map names this process for.
+    ///
+    /// The map names it only after a copy was confirmed as durable. A later copy of the same epoch may
+    /// have taken its place and not be confirmed yet; it has the same trees, and is queued.
     pub async fn take(&self, map: &OwnershipMap, partitions: &BTreeSet<PartitionId>) -> Vec<Tree> {
         let mut inner = self.inner.lock().await;
         let mut trees = Vec::new();
         for partition in partitions {
             let epoch = map.owner(*partition).map_or(0, |owner| owner.epoch);
             if let Some(staged) = inner.partitions.get_mut(partition)
-                && staged.durable
                 && staged.order.epoch + 1 == epoch
             {
                 // The order stays, so that a late copy from the former owner is refused.
@@ -169,7 +164,6 @@
         for (&partition, &order) in orders {
             let staged = StagedPartition {
                 order,
-                durable: false,
                 trees: BTreeMap::new(),
             };
             if let Some(earlier) = self.partitions.insert(partition, staged) {
@@ -177,7 +171,8 @@
             }
         }
         for mut tree in trees {
-            let partition = partition_of_program(&tree.root_id);
+            let partition =
+                partition_of_program(&tree.root_id).filter(|partition| orders.contains_key(partition));
             let Some(staged) = partition.and_then(|partition| self.partitions.get_mut(&partition)) else {
                 continue;
             };
--- a/crates/burdockroad-daemon/src/takeover.rs
+++ b/crates/burdockroad-daemon/src/takeover.rs
@@ -142,6 +142,7 @@
         let moves = takeover_moves(&map, gone, me);
         let partitions: BTreeSet<PartitionId> = moves.iter().map(|step| step.partition).collect();
         let records = self.recovery.seal_and_read(gone, me).await?;
+        self.ensure_unchanged(map.version).await?;
         // What the journal has of other partitions was handed off, or never became the truth.
         let trees = trees_of(records, &partitions);
         let attempt = self.staging.next_attempt();
@@ -175,6 +176,20 @@
         Ok(taken)
     }
 
+    /// Fails when the map has changed since a version.
+    ///
+    /// The gone process may have handed a partition to this one, and then have recorded that it dropped
+    /// the trees, before its journal was sealed. What was read then lacks them, and must not replace the
+    /// copy that the handoff left here. While the map has not changed, nothing was dropped.
+    async fn ensure_unchanged(&self, version: u64) -> Result<(), ChangeError> {
+        self.ownership.refresh().await?;
+        if self.ownership.map().version == version {
+            Ok(())
+        } else {
+            Err(ChangeError::Conflict)
+        }
+    }
+
     async fn stage(
         &self,
         me: &Process,
--- a/crates/burdockroad-daemon/tests/fleet.rs
+++ b/crates/burdockroad-daemon/tests/fleet.rs
@@ -4,6 +4,10 @@
 mod coordinator;
 #[path = "fleet/journals.rs"]
 mod journals;
+#[path = "fleet/model.rs"]
+mod model;
+#[path = "fleet/model_store.rs"]
+mod model_store;
 #[path = "fleet/service.rs"]
 mod service;
 #[path = "fleet/trees.rs"]
--- a/crates/burdockroad-daemon/tests/fleet/journals.rs
+++ b/crates/burdockroad-daemon/tests/fleet/journals.rs
@@ -1,8 +1,9 @@
 //! Journals of all processes, kept in memory.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use async_trait::async_trait;
@@ -12,12 +13,21 @@
     journal::{Appended, Durability, Journal, JournalError},
     takeover::{JournalRecovery, RecoveryError},
 };
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::model_store::Gate;
+
 /// What the store holds of all journals.
 #[derive(Clone, Debug)]
 pub struct Journals {
     table: Arc<Mutex<BTreeMap<Process, Row>>>,
+    /// The processes in the order in which they opened their journals; their incarnations are random.
+    opened: Arc<Mutex<Vec<Process>>>,
+    delays: Arc<Mutex<Option<ChaCha8Rng>>>,
+    /// Stops the writer when its process is paused or has crashed.
+    gate: Gate,
 }
 
 #[derive(Debug, Default)]
@@ -31,34 +41,86 @@
     pub fn new() -> Self {
         Self {
             table: Arc::default(),
+            opened: Arc::default(),
+            delays: Arc::default(),
+            gate: Gate::default(),
         }
     }
 
-    /// The processes that have a journal.
+    /// Journals that answer after times drawn from a seed.
+    pub fn with_delays(seed: u64) -> Self {
+        let delays = Some(ChaCha8Rng::seed_from_u64(seed));
+        Self {
+            table: Arc::default(),
+            opened: Arc::default(),
+            delays: Arc::new(Mutex::new(delays)),
+            gate: Gate::default(),
+        }
+    }
+
+    /// The same journals, as a process behind a gate reaches them.
+    pub fn behind(&self, gate: &Gate) -> Self {
+        Self {
+            gate: gate.clone(),
+            ..self.clone()
+        }
+    }
+
+    /// The processes that have a journal, in an order that is the same on every run.
     pub fn processes(&self) -> Vec<Process> {
-        self.table.lock().unwrap().keys().cloned().collect()
+        let held = self.table.lock().unwrap().keys().cloned().collect();
+        self.in_order(&held)
+    }
+
+    /// Some processes, in the order in which they opened their journals.
+    pub fn in_order(&self, processes: &BTreeSet<Process>) -> Vec<Process> {
+        let opened = self.opened.lock().unwrap();
+        opened
+            .iter()
+            .filter(|process| processes.contains(*process))
+            .cloned()
+            .collect()
+    }
+
+    async fn delay(&self) {
+        let drawn = self
+            .delays
+            .lock()
+            .unwrap()
+            .as_mut()
+            .map(|rng| rng.random_range(0..20));
+        if let Some(drawn) = drawn {
+            tokio::time::sleep(Duration::from_millis(drawn)).await;
+            self.gate.pass().await;
+        }
     }
 
     fn add(&self, process: &Process, records: Vec<Record>) -> Result<(), JournalError> {
         let mut table = self.table.lock().unwrap();
-        let row = table.entry(process.clone()).or_default();
-        if row.sealed {
-            return Err(JournalError::Fenced);
+        // A writer cannot go on after its journal was removed: each write needs the one before it.
+        match table.get_mut(process) {
+            Some(row) if !row.sealed => {
+                row.records.extend(records);
+                Ok(())
+            }
+            _ => Err(JournalError::Fenced),
         }
-        row.records.extend(records);
-        Ok(())
     }
 }
 
 #[async_trait]
 impl JournalFactory for Journals {
     async fn open(&self, process: Process) -> Result<Arc<dyn Journal>, JournalError> {
+        self.table.lock().unwrap().insert(process.clone(), Row::default());
+        self.opened.lock().unwrap().push(process.clone());
         let (sender, mut received) = mpsc::unbounded_channel::<Queued>();
         let journals = self.clone();
         let writer = process.clone();
         tokio::spawn(async move {
             while let Some(queued) = received.recv().await {
+                journals.delay().await;
                 let outcome = journals.add(&writer, queued.records);
+                journals.delay().await;
                 let _ = queued.reply.send(outcome);
             }
         });
@@ -73,21 +135,25 @@
 #[async_trait]
 impl JournalRecovery for Journals {
     async fn seal_and_read(&self, gone: &Process, _: &Process) -> Result<Vec<Record>, RecoveryError> {
+        self.delay().await;
         let records = {
             let mut table = self.table.lock().unwrap();
             let row = table.entry(gone.clone()).or_default();
             row.sealed = true;
             row.records.clone()
         };
+        self.delay().await;
         Ok(records)
     }
 
     async fn remove(&self, gone: &Process) -> Result<(), RecoveryError> {
+        self.delay().await;
         self.table.lock().unwrap().remove(gone);
         Ok(())
     }
 
     async fn writers(&self) -> Result<Vec<Process>, RecoveryError> {
+        self.delay().await;
         Ok(self.processes())
     }
 }
@@ -115,7 +181,7 @@
 
     fn admit(&self, _: Durability) -> Result<(), JournalError> {
         let table = self.journals.table.lock().unwrap();
-        let sealed = table.get(&self.process).is_some_and(|row| row.sealed);
+        let sealed = table.get(&self.process).is_none_or(|row| row.sealed);
         if sealed { Err(JournalError::Fenced) } else { Ok(()) }
     }
 }
--- a/crates/burdockroad-daemon/tests/fleet/trees.rs
+++ b/crates/burdockroad-daemon/tests/fleet/trees.rs
@@ -55,6 +55,40 @@
         matches!(appended.await, Ok(Ok(())))
     }
 
+    /// Adds a sub-agent to a tree; true once it is stored.
+    pub async fn grow(&self, root_id: &str, program_id: &str) -> bool {
+        let event = created(program_id, Some(root_id));
+        let appended = {
+            let mut table = self.table.lock().unwrap();
+            if !self.serves(&table, root_id) {
+                return false;
+            }
+            let Some(tree) = table.trees.get_mut(root_id) else {
+                return false;
+            };
+            if tree.apply(&event).is_err() {
+                return false;
+            }
+            self.append(root_id, tree.sequence, event)
+        };
+        matches!(appended.await, Ok(Ok(())))
+    }
+
+    /// Forgets a tree for good; true once that is stored.
+    pub async fn end(&self, root_id: &str) -> bool {
+        let appended = {
+            let mut table = self.table.lock().unwrap();
+            if !self.serves(&table, root_id) {
+                return false;
+            }
+            let Some(tree) = table.trees.remove(root_id) else {
+                return false;
+            };
+            self.append(root_id, tree.sequence + 1, Event::Dropped)
+        };
+        matches!(appended.await, Ok(Ok(())))
+    }
+
     /// The trees that are served here.
     pub fn served(&self) -> BTreeMap<ProgramId, Tree> {
         let table = self.table.lock().unwrap();
