--- a/crates/burdockroad-daemon/tests/fleet/model.rs
+++ b/crates/burdockroad-daemon/tests/fleet/model.rs
@@ -48,6 +48,9 @@
 /// Seeds that are always tried; `MODEL_SEEDS` in the environment asks for more.
 const SEEDS: u64 = 400;
 
+/// Seeds that once failed: 327 when a takeover did not read the map again after the journal.
+const KEPT_SEEDS: &[u64] = &[327];
+
 /// Time within which everything has to come to rest after the last fault.
 const REST_TIMEOUT: Duration = Duration::from_mins(2);
 
@@ -460,10 +463,9 @@
     }
 }
 
-/// Seeds that once failed.
 #[test]
 fn model_kept_seeds() {
-    for seed in [327] {
-        run_seed(seed);
+    for seed in KEPT_SEEDS {
+        run_seed(*seed);
     }
 }
