--- a/crates/burdockroad-daemon/tests/processes/main.rs
+++ b/crates/burdockroad-daemon/tests/processes/main.rs
@@ -1,4 +1,5 @@
 //! Real daemons, stand-ins and failures: each of them a process.
 
+mod failures;
 mod first_path;
 mod site;
