Hand a stored change to hosts that cannot confirm their document

With the store cut off from all hosts and reached by the operators' tool, the hosts took it for an outage and went on with a withdrawn key. The tool now posts the stored document to hosts that are behind; a host takes it only when it cannot confirm its own. Waiting asks each host by itself: a silent one delayed the round, so that a host in force was reported as behind (seen in key_revoke_one_host_cut_off).

--- a/crates/burdockroad-cli/src/commands/change.rs
+++ b/crates/burdockroad-cli/src/commands/change.rs
@@ -82,7 +82,7 @@
     let json = json!({ "version": next.version, "changes": changes });
     let mut report = Report::new(lines, json);
     if let (Some(hosts), Some(wait)) = (hosts, options.wait) {
-        let behind = hosts.wait_in_force(next.version, wait).await;
+        let behind = hosts.wait_in_force(&next, wait).await;
         report.json["hosts"] = json!(hosts.addresses().len());
         report.json["not_in_force"] = json!(behind);
         if behind.is_empty() {
@@ -101,7 +101,8 @@
                 .notes
                 .extend(hosts.map(|host| format!("  {}: {}", host.address, host.reason)));
             report.notes.push(
-                "A host that stays behind refuses keyed calls by itself. Look again with `burdockroad status`."
+                "A host that is cut_off refuses keyed calls by itself; one with outage_for_all goes on with \
+                 its version. Look again with `burdockroad status`."
                     .to_owned(),
             );
         }
--- a/crates/burdockroad-cli/src/hosts.rs
+++ b/crates/burdockroad-cli/src/hosts.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use burdockroad::DocumentVersion;
-use burdockroad_daemon::admin::Status;
+use burdockroad::{DocumentVersion, config::VersionedDocument};
+use burdockroad_daemon::admin::{DocumentAnswer, Status};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -29,7 +29,7 @@
 #[derive(Clone, Debug)]
 pub struct Hosts {
     addresses: Vec<String>,
-    client: Client<HttpConnector, Empty<Bytes>>,
+    client: Client<HttpConnector, Full<Bytes>>,
 }
 
 /// What one host answered.
@@ -70,11 +70,21 @@
     ///
     /// Fails when the host does not answer in time.
     pub async fn ask(&self, address: &str, method: Method, target: &str) -> Result<Answer, CliError> {
+        self.send(address, method, target, Bytes::new()).await
+    }
+
+    async fn send(
+        &self,
+        address: &str,
+        method: Method,
+        target: &str,
+        body: Bytes,
+    ) -> Result<Answer, CliError> {
         let failed = |reason: String| CliError::Failed(format!("{address}: {reason}"));
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{target}"))
-            .body(Empty::new())
+            .body(Full::new(body))
             .map_err(|error| failed(error.to_string()))?;
         let answer = async {
             let answer = self.client.request(request).await;
@@ -103,35 +113,56 @@
         serde_json::from_slice(&answer.body).map_err(|error| CliError::Failed(format!("{address}: {error}")))
     }
 
-    /// Waits until a version, or a higher one, is in force on every host; returns those where it is not.
-    pub async fn wait_in_force(&self, version: DocumentVersion, wait: Duration) -> Vec<Behind> {
+    /// Waits until a stored version, or a higher one, is in force on every host; returns those where it
+    /// is not.
+    ///
+    /// Hosts that are behind are handed the document; those that can confirm theirs do not take it and
+    /// learn of it from the store or a peer. Each host is asked by itself, so that a silent one does not
+    /// hide what the others answer.
+    pub async fn wait_in_force(&self, stored: &VersionedDocument, wait: Duration) -> Vec<Behind> {
         let deadline = Instant::now() + wait;
+        let addresses = self.addresses.iter();
+        let waiting = addresses.map(|address| self.wait_for_host(address, stored, deadline));
+        let behind = futures_util::future::join_all(waiting).await;
+        behind.into_iter().flatten().collect()
+    }
+
+    async fn wait_for_host(
+        &self,
+        address: &str,
+        stored: &VersionedDocument,
+        deadline: Instant,
+    ) -> Option<Behind> {
         loop {
-            let behind = self.behind(version).await;
-            if behind.is_empty() || Instant::now() >= deadline {
-                return behind;
+            let behind = self.behind(address, stored.version).await?;
+            if Instant::now() >= deadline {
+                return Some(behind);
             }
             sleep(POLL_INTERVAL).await;
+            self.offer(address, stored).await;
         }
     }
 
-    async fn behind(&self, version: DocumentVersion) -> Vec<Behind> {
-        let asked = self.addresses.iter().map(|address| async move {
-            let reason = match self.status(address).await {
-                Ok(status) if status.document.version >= version => return None,
-                Ok(status) => format!(
-                    "version {} is in force ({})",
-                    status.document.version, status.document.freshness
-                ),
-                Err(error) => error.to_string(),
-            };
-            Some(Behind {
-                address: address.clone(),
-                reason,
-            })
-        });
-        let behind = futures_util::future::join_all(asked).await;
-        behind.into_iter().flatten().collect()
+    /// Hands the document to a host; what came of it shows when the host is asked again.
+    async fn offer(&self, address: &str, stored: &VersionedDocument) -> Option<DocumentAnswer> {
+        let body = Bytes::from(stored.to_bytes());
+        let answer = self.send(address, Method::POST, "/document", body).await.ok()?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+
+    async fn behind(&self, address: &str, version: DocumentVersion) -> Option<Behind> {
+        let reason = match self.status(address).await {
+            Ok(status) if status.document.version >= version => return None,
+            Ok(status) => format!(
+                "version {} is in force ({})",
+                status.document.version, status.document.freshness
+            ),
+            Err(error) => error.to_string(),
+        };
+        Some(Behind {
+            address: address.to_owned(),
+            reason,
+        })
     }
 }
 
--- a/crates/burdockroad-cli/tests/commands.rs
+++ b/crates/burdockroad-cli/tests/commands.rs
@@ -4,13 +4,16 @@
 
 use async_trait::async_trait;
 use burdockroad::{
-    AccountId, ProgramId,
-    config::{self, KeyTable},
+    AccountId, DocumentVersion, ProgramId,
+    config::{self, KeyTable, VersionedDocument},
 };
 use burdockroad_cli::{Exit, Outcome, run};
-use burdockroad_daemon::admin::{
-    AdminHandlers, DocumentStatus, OperatorActions, OwnershipStatus, ProgramSummary, Readiness, Status,
-    StatusSource, serve,
+use burdockroad_daemon::{
+    admin::{
+        AdminHandlers, DocumentStatus, OperatorActions, OwnershipStatus, ProgramSummary, Readiness, Status,
+        StatusSource, serve,
+    },
+    config_watch::DocumentOffer,
 };
 use tokio::net::TcpListener;
 
@@ -77,13 +80,20 @@
     async fn drain(&self) {}
 }
 
+impl DocumentOffer for Host {
+    fn offer_document(&self, _: VersionedDocument) -> DocumentVersion {
+        self.version
+    }
+}
+
 async fn start(version: u64, program_id: &'static str) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("the listener has an address");
     let host = Arc::new(Host { version, program_id });
     let handlers = AdminHandlers {
         status: Arc::<Host>::clone(&host),
-        actions: host,
+        actions: Arc::<Host>::clone(&host),
+        document: host,
     };
     tokio::spawn(serve(listener, handlers, std::future::pending()));
     address.to_string()
--- a/crates/burdockroad-cli/tests/fleet.rs
+++ b/crates/burdockroad-cli/tests/fleet.rs
@@ -28,6 +28,14 @@
 /// Time that a condition is waited for; the test fails only after it.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// A cut in both directions, while connections stay open.
+const CUT: ProxyFaults = ProxyFaults {
+    forward: Forward::Drop,
+    backward: Backward::Drop,
+    delay_ms: 0,
+    cut_open: false,
+};
+
 /// One host: its watch of the document over a proxy, and its admin address.
 struct Host {
     proxy: ProxyStandin,
@@ -98,6 +106,7 @@
         let handlers = AdminHandlers {
             status: Arc::<Watched>::clone(&watched),
             actions: watched,
+            document: watch.offer(),
         };
         tokio::spawn(serve(listener, handlers, std::future::pending()));
         Self {
@@ -167,8 +176,9 @@
     }
 }
 
+/// The tool alone reaches the store: without it both hosts would go on, as in an outage for all.
 #[tokio::test]
-async fn key_revoke_store_cut_from_one_host() {
+async fn key_revoke_store_cut_from_all_hosts() {
     let kv = KvStandin::start(KvOptions::default())
         .await
         .expect("the store starts");
@@ -181,6 +191,35 @@
     )
     .await;
     let issued = command(&kv, &hosts, "key issue trials --wait 30").await;
+    let key = issued.stdout.trim().to_owned();
+    let key_id = key.split('_').nth(1).expect("the key carries its id");
+    for host in hosts {
+        host.proxy.set_faults(CUT);
+    }
+    let revoked = command(&kv, &hosts, &format!("key revoke {key_id} --wait 30")).await;
+    assert_eq!(revoked.exit, Exit::Done, "{}", revoked.stderr);
+    for host in hosts {
+        assert!(host.in_force().keys.lookup(&key).is_none());
+    }
+}
+
+#[tokio::test]
+async fn key_revoke_one_host_cut_off() {
+    let kv = KvStandin::start(KvOptions::default())
+        .await
+        .expect("the store starts");
+    let (near, mut cut) = (Host::start("near", &kv).await, Host::start("cut", &kv).await);
+    let admin = ProxyOptions::new(cut.admin_address.parse().expect("it is an address"));
+    let admin = ProxyStandin::start(admin).await.expect("the proxy starts");
+    cut.admin_address = admin.address().to_string();
+    let hosts = [&near, &cut];
+    command(
+        &kv,
+        &hosts,
+        &format!("config apply {EXAMPLE} --expect-version 0 --wait 30"),
+    )
+    .await;
+    let issued = command(&kv, &hosts, "key issue trials --wait 30").await;
     assert_eq!(issued.exit, Exit::Done, "{}", issued.stderr);
     let key = issued.stdout.trim().to_owned();
     let key_id = key.split('_').nth(1).expect("the key carries its id");
@@ -188,11 +227,8 @@
         cut.in_force().accepts_keys() && cut.in_force().keys.lookup(&key).is_some()
     })
     .await;
-    cut.proxy.set_faults(ProxyFaults {
-        forward: Forward::Drop,
-        backward: Backward::Drop,
-        ..ProxyFaults::default()
-    });
+    cut.proxy.set_faults(CUT);
+    admin.set_faults(CUT);
     let revoked = command(&kv, &hosts, &format!("key revoke {key_id} --wait 2")).await;
     assert_eq!(revoked.exit, Exit::NotInForce, "{}", revoked.stderr);
     assert!(revoked.stderr.contains(&cut.admin_address), "{}", revoked.stderr);
--- a/crates/burdockroad-daemon/src/admin.rs
+++ b/crates/burdockroad-daemon/src/admin.rs
@@ -9,6 +9,7 @@
 //! | `GET /programs` | the [`ProgramSummary`] of each program that this host owns; `?account=` for one account |
 //! | `GET /programs/{id}` | the [`ProgramSummary`] of one, 404 when this host does not own it |
 //! | `POST /programs/{id}/end` | ends one, 404 when this host does not own it |
+//! | `POST /document` | takes the stored document, if this host cannot confirm its own; [`DocumentAnswer`] in JSON |
 //! | `POST /drain` | this host hands its work over and takes no more |
 
 mod server;
@@ -19,10 +20,13 @@
 use async_trait::async_trait;
 use burdockroad::{AccountId, ProgramId};
 
+use crate::config_watch::DocumentOffer;
+
 pub use self::{
     server::serve,
     status::{
-        DocumentStatus, EndpointStatus, OwnershipStatus, ProgramSummary, Readiness, Status, freshness_name,
+        DocumentAnswer, DocumentStatus, EndpointStatus, OwnershipStatus, ProgramSummary, Readiness, Status,
+        freshness_name,
     },
 };
 
@@ -61,4 +65,6 @@
     pub status: Arc<dyn StatusSource>,
     /// Carries out what operators order.
     pub actions: Arc<dyn OperatorActions>,
+    /// Takes the stored document.
+    pub document: Arc<dyn DocumentOffer>,
 }
--- a/crates/burdockroad-daemon/src/admin/server.rs
+++ b/crates/burdockroad-daemon/src/admin/server.rs
@@ -2,12 +2,13 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
+use burdockroad::config::VersionedDocument;
 use bytes::Bytes;
 use http::{
     Method, Request, Response, StatusCode,
     header::{CONTENT_TYPE, HeaderValue},
 };
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
@@ -18,7 +19,10 @@
     time::{sleep, timeout},
 };
 
-use crate::admin::{AdminHandlers, Readiness};
+use crate::{
+    admin::{AdminHandlers, DocumentAnswer, Readiness},
+    platform::VALUE_MAX_BYTES,
+};
 
 /// Open connections; further ones wait.
 const CONNECTIONS_MAX: usize = 64;
@@ -118,18 +122,38 @@
             }
             not_owned()
         }
+        (&Method::POST, ["document"]) => document(handlers, request.into_body()).await,
         (&Method::POST, ["drain"]) => {
             log::info!("event=operator_drains_host");
             handlers.actions.drain().await;
             text(StatusCode::ACCEPTED, TEXT, "draining\n")
         }
-        (_, ["live" | "ready" | "metrics" | "status" | "programs" | "drain", ..]) => {
-            text(StatusCode::METHOD_NOT_ALLOWED, TEXT, "not with this method\n")
-        }
+        (
+            _,
+            [
+                "live" | "ready" | "metrics" | "status" | "programs" | "document" | "drain",
+                ..,
+            ],
+        ) => text(StatusCode::METHOD_NOT_ALLOWED, TEXT, "not with this method\n"),
         _ => text(StatusCode::NOT_FOUND, TEXT, "there is nothing here\n"),
     }
 }
 
+async fn document(handlers: &AdminHandlers, body: Incoming) -> Answer {
+    let body = match Limited::new(body, VALUE_MAX_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return text(StatusCode::BAD_REQUEST, TEXT, format!("{error}\n")),
+    };
+    match VersionedDocument::from_bytes(&body) {
+        Ok(versioned) => {
+            log::info!("event=operator_offers_document version={}", versioned.version);
+            let version = handlers.document.offer_document(versioned);
+            json(&DocumentAnswer { version })
+        }
+        Err(error) => text(StatusCode::BAD_REQUEST, TEXT, format!("{error}\n")),
+    }
+}
+
 fn ready(handlers: &AdminHandlers) -> Answer {
     match handlers.status.readiness() {
         Readiness::Ready => text(StatusCode::OK, TEXT, "ready\n"),
--- a/crates/burdockroad-daemon/src/admin/status.rs
+++ b/crates/burdockroad-daemon/src/admin/status.rs
@@ -46,6 +46,13 @@
     pub freshness: String,
 }
 
+/// Answer to a document that was handed over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentAnswer {
+    /// Version that is in force now.
+    pub version: DocumentVersion,
+}
+
 /// What a host owns.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnershipStatus {
--- a/crates/burdockroad-daemon/src/config_watch.rs
+++ b/crates/burdockroad-daemon/src/config_watch.rs
@@ -11,7 +11,7 @@
 
 use std::{fmt, sync::Arc, time::Instant};
 
-use burdockroad::HostId;
+use burdockroad::{DocumentVersion, HostId, config::VersionedDocument};
 use burdockroad_proto::peer::DocumentFreshness;
 use tokio::task::JoinSet;
 
@@ -39,6 +39,16 @@
     fn observe_list(&self, hosts: &[ListedHost]);
 }
 
+/// Takes the stored document from an operator's tool.
+///
+/// The store may be cut off from all hosts and yet be reached by the tool, which then hands over what
+/// it has just stored. A host that can confirm its document takes none by this way.
+pub trait DocumentOffer: fmt::Debug + Send + Sync {
+    /// Puts a document in force if it is newer and this host cannot confirm its own, and returns the
+    /// version that is in force then.
+    fn offer_document(&self, versioned: VersionedDocument) -> DocumentVersion;
+}
+
 /// Keeps the document in force up to date.
 #[derive(Debug)]
 pub struct ConfigWatch {
@@ -74,6 +84,11 @@
         Arc::<Shared>::clone(&self.shared)
     }
 
+    /// Returns what takes documents from operators' tools.
+    pub fn offer(&self) -> Arc<dyn DocumentOffer> {
+        Arc::<Shared>::clone(&self.shared)
+    }
+
     /// Stops to watch; the document stays as it is.
     pub async fn close(mut self) {
         self.tasks.shutdown().await;
--- a/crates/burdockroad-daemon/src/config_watch/shared.rs
+++ b/crates/burdockroad-daemon/src/config_watch/shared.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     config_watch::{
-        DocumentGossip,
+        DocumentGossip, DocumentOffer,
         in_force::{InForce, InForceReceiver, SharedTracker},
     },
     peer::{DocumentHandler, PeerClients},
@@ -28,6 +28,7 @@
 pub(super) enum Source {
     Store,
     Peer,
+    Operator,
 }
 
 #[derive(Debug)]
@@ -141,6 +142,15 @@
     }
 }
 
+impl DocumentOffer for Shared {
+    fn offer_document(&self, versioned: VersionedDocument) -> DocumentVersion {
+        if self.decide() != Freshness::Fresh {
+            self.offer(versioned, Source::Operator);
+        }
+        self.version()
+    }
+}
+
 #[async_trait]
 impl DocumentHandler for Shared {
     async fn document(&self) -> FetchDocumentResponse {
--- a/crates/burdockroad-daemon/tests/admin.rs
+++ b/crates/burdockroad-daemon/tests/admin.rs
@@ -3,12 +3,13 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
-use burdockroad::{AccountId, ProgramId};
+use burdockroad::{AccountId, DocumentVersion, ProgramId, config::VersionedDocument};
 use burdockroad_daemon::{
     admin::{
-        AdminHandlers, DocumentStatus, OperatorActions, OwnershipStatus, ProgramSummary, Readiness, Status,
-        StatusSource, serve,
+        AdminHandlers, DocumentAnswer, DocumentStatus, OperatorActions, OwnershipStatus, ProgramSummary,
+        Readiness, Status, StatusSource, serve,
     },
+    config_watch::DocumentOffer,
     telemetry::{ACCOUNT_LABELS_MAX, Measure, RefusedBecause, Telemetry},
 };
 use tokio::{
@@ -67,6 +68,12 @@
     async fn drain(&self) {}
 }
 
+impl DocumentOffer for Host {
+    fn offer_document(&self, versioned: VersionedDocument) -> DocumentVersion {
+        versioned.version
+    }
+}
+
 fn summary(account_id: &str) -> ProgramSummary {
     ProgramSummary {
         program_id: "p-1".to_owned(),
@@ -85,7 +92,8 @@
     let host = Arc::new(Host { telemetry });
     let handlers = AdminHandlers {
         status: Arc::<Host>::clone(&host),
-        actions: host,
+        actions: Arc::<Host>::clone(&host),
+        document: host,
     };
     tokio::spawn(serve(listener, handlers, std::future::pending()));
     address
@@ -93,8 +101,16 @@
 
 /// Sends one request and returns the status line and the body.
 async fn ask(address: SocketAddr, request_line: &str) -> (String, String) {
+    send(address, request_line, "").await
+}
+
+async fn send(address: SocketAddr, request_line: &str, body: &str) -> (String, String) {
     let mut stream = TcpStream::connect(address).await.expect("the server listens");
-    let request = format!("{request_line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    let request = format!(
+        "{request_line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
     stream
         .write_all(request.as_bytes())
         .await
@@ -137,6 +153,21 @@
     assert_eq!(status.document.version, 3);
 }
 
+#[tokio::test]
+async fn serve_takes_document() {
+    let address = start(Telemetry::unrecorded()).await;
+    let text = r#"{ "sites": [], "accounts": [], "routes": [], "endpoint_sets": [] }"#;
+    let versioned = VersionedDocument::new(7, text).expect("the document is valid");
+    let body = String::from_utf8(versioned.to_bytes()).expect("the stored form is text");
+    let (_, answer) = send(address, "POST /document", &body).await;
+    let answer: DocumentAnswer = serde_json::from_str(&answer).expect("the answer is JSON");
+    assert_eq!(answer.version, 7);
+    for refused in ["", "{}", r#"{"version":1,"text":"{}"}"#] {
+        let (status, _) = send(address, "POST /document", refused).await;
+        assert_eq!(status, "400 Bad Request", "{refused}");
+    }
+}
+
 #[tokio::test]
 async fn metrics_labels_bounded() {
     let telemetry = Telemetry::install().expect("no other recorder is installed");
