Keep the rate when grants are spent late; leave owners that are paused

The bucket dropped expired grants before it filled up for the time before their end, so a holder could spend nine tokens at the end of a grant's life and get nine more a moment later. Ruled out: the holder's clock (it counts from when it asked), void answers. Change: the bucket fills up to each grant's end with the grant still counted. Cause, refusals: while an owner is new it names one time for all who wait; the holder took it as a time for each and refused calls inside the rate (seen: 429 with 6 s right after start). Change: the owner's word covers those that waited, further calls add the account's pace. The test of refusals counted only those of two of three paths; it counts all now. Cause, pause: a request forwarded to a paused owner waited until its deadline (60 s). Change: it is given up a second after the map names another owner, and sent there. Cause, tests: ports that were free a moment ago were taken by other tests; each site has a loopback address of its own now.

--- a/crates/burdockroad-daemon/src/daemon.rs
+++ b/crates/burdockroad-daemon/src/daemon.rs
@@ -18,7 +18,7 @@
 use crate::{
     admin::{self, AdminHandlers},
     calls::{CallLimits, CallRunner},
-    config_watch::{ConfigWatch, InForceReceiver},
+    config_watch::{ConfigWatch, DocumentOffer, InForceReceiver},
     coordinator::{Coordinator, CoordinatorOptions, JournalHandle, StartError, Views},
     dispatch::{DispatchParts, PoolDispatcher},
     document_source::{DocumentSource, LeavingReceiver},
@@ -186,7 +186,7 @@
         );
         let ticker = tokio::spawn(tick(ProgramsHandle::clone(&programs)));
         let operators = Arc::new(base.operators(&coordinator, &programs));
-        let admin = AdminServer::start(admin_listener, &operators);
+        let admin = AdminServer::start(admin_listener, &operators, config.offer());
         let upkeep = tokio::spawn(base.telemetry.clone().maintain());
         log::info!(
             "event=started host={} callers={caller_address} peers={peer_address}",
@@ -435,9 +435,10 @@
 }
 
 impl AdminServer {
-    fn start(listener: TcpListener, operators: &Arc<Operators>) -> Self {
+    fn start(listener: TcpListener, operators: &Arc<Operators>, document: Arc<dyn DocumentOffer>) -> Self {
         let (stop, stopped) = oneshot::channel();
         let handlers = AdminHandlers {
+            document,
             status: Arc::clone(operators) as _,
             actions: Arc::clone(operators) as _,
         };
--- a/crates/burdockroad-daemon/src/edge/forward.rs
+++ b/crates/burdockroad-daemon/src/edge/forward.rs
@@ -19,11 +19,14 @@
     calls::Caller,
     edge::{Edge, EdgeRequest, Frames, Missed},
     http::Operation,
-    ownership::Process,
+    ownership::{OwnershipReceiver, Process},
     peer::{ForwardHandler, ForwardStream},
     problem::{Problem, ProblemKind, Ran},
 };
 
+/// Time that an owner's last frames may take after the map has named another.
+const MOVED_GRACE: Duration = Duration::from_secs(1);
+
 impl Edge {
     /// Sends a request to the owner of its partition and returns the answer as it arrives.
     pub(super) async fn forward(
@@ -38,12 +41,24 @@
             .get(&address)
             .map_err(|_bad_address| Missed::NotThere)?;
         let message = self.message(request, partition);
-        let response = client.forward(message).await.map_err(|status| missed(&status))?;
-        let mut incoming = response.into_inner();
-        match incoming.message().await {
+        let begun = async {
+            let response = client.forward(message).await.map_err(|status| missed(&status))?;
+            let mut incoming = response.into_inner();
+            let first = incoming.message().await;
+            Ok((first, incoming))
+        };
+        // A paused owner keeps its connections open, so only the map tells that it is gone.
+        let (first, incoming) = tokio::select! {
+            begun = begun => begun?,
+            () = owner_lost(self.ownership.clone(), owner.clone(), partition) => return Err(Missed::Broken),
+        };
+        match first {
             Ok(Some(ForwardFrame {
                 frame: Some(WireFrame::Head(head)),
-            })) => Ok(answer(&head, incoming)),
+            })) => {
+                let lost = owner_lost(self.ownership.clone(), owner.clone(), partition);
+                Ok(answer(&head, incoming, lost))
+            }
             Ok(Some(ForwardFrame {
                 frame: Some(WireFrame::NotOwner(_)),
             })) => Err(Missed::NotThere),
@@ -97,18 +112,37 @@
     false
 }
 
-fn answer(head: &ForwardHead, incoming: Streaming<ForwardFrame>) -> Frames {
+/// Waits until another process has owned a partition for a while.
+///
+/// A handoff waits for calls under way, whose last frames may still be coming when the map changes.
+async fn owner_lost(mut ownership: OwnershipReceiver, owner: Process, partition: PartitionId) {
+    let moved = ownership.wait_for(|view| view.owner(partition).is_some_and(|now| now.process != owner));
+    if moved.await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    tokio::time::sleep(MOVED_GRACE).await;
+}
+
+fn answer(
+    head: &ForwardHead,
+    incoming: Streaming<ForwardFrame>,
+    lost: impl Future<Output = ()> + Send + 'static,
+) -> Frames {
     let status = u16::try_from(head.status).unwrap_or(502);
     let first = Frame::Head(Head {
         status,
         headers: headers(&head.headers),
     });
-    let rest = stream::unfold(Some(incoming), |incoming| async {
-        let mut incoming = incoming?;
-        match incoming.message().await {
+    let rest = stream::unfold(Some((incoming, Box::pin(lost))), |state| async {
+        let (mut incoming, mut lost) = state?;
+        let message = tokio::select! {
+            message = incoming.message() => message,
+            () = &mut lost => Ok(None),
+        };
+        match message {
             Ok(Some(ForwardFrame {
                 frame: Some(WireFrame::Data(data)),
-            })) => Some((Frame::Data(Bytes::from(data)), Some(incoming))),
+            })) => Some((Frame::Data(Bytes::from(data)), Some((incoming, lost)))),
             Ok(Some(ForwardFrame {
                 frame: Some(WireFrame::End(_)),
             })) => Some((Frame::End, None)),
--- a/crates/burdockroad-daemon/src/quota/table.rs
+++ b/crates/burdockroad-daemon/src/quota/table.rs
@@ -92,13 +92,14 @@
     }
 
     pub(super) fn admit(&mut self, account_id: &AccountId, latest: Instant, reply: AdmitReply) {
-        if self.parts.limits.limits(account_id).is_none() {
+        let Some(limits) = self.parts.limits.limits(account_id) else {
             answer(reply, Err(refusal(false, UNKNOWN_RETRY_AFTER)));
             return;
-        }
+        };
         let waiter_id = self.next_waiter_id;
         self.next_waiter_id += 1;
         let holder = self.holders.entry(account_id.clone()).or_default();
+        holder.set_rate(limits.rate_per_s);
         match holder.admit(waiter_id, latest.into_std(), now()) {
             Admission::Admitted => answer(reply, Ok(())),
             Admission::Waiting => {
--- a/crates/burdockroad-daemon/tests/processes/site.rs
+++ b/crates/burdockroad-daemon/tests/processes/site.rs
@@ -1,6 +1,12 @@
 //! A small site of processes: the platform, endpoints and several daemons, with callers.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
 
 use burdockroad::config::{VersionedDocument, new_key};
 use burdockroad_daemon::{
@@ -10,7 +16,7 @@
 };
 use burdockroad_standins::{
     http_client::{HttpAnswer, HttpClient, HttpStream},
-    processes::{Process, free_ports},
+    processes::Process,
 };
 use bytes::Bytes;
 use http::{Method, Request};
@@ -87,16 +93,16 @@
     pub store: SharedKeyValue,
     pub http: HttpClient,
     pub options: SiteOptions,
-    ports: Vec<Ports>,
+    addresses: Vec<Addresses>,
     keys: BTreeMap<&'static str, String>,
     folder: TempDir,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Ports {
-    caller: u16,
-    peer: u16,
-    admin: u16,
+struct Addresses {
+    caller: SocketAddr,
+    peer: SocketAddr,
+    admin: SocketAddr,
 }
 
 impl Site {
@@ -105,8 +111,8 @@
         let kv = Process::spawn("burdockroad-standin", &["kv"])
             .await
             .expect("the key-value service");
-        let ports = take_ports(options.daemons);
-        let listed = listed_hosts(&ports).to_string();
+        let addresses = take_addresses(options.daemons);
+        let listed = listed_hosts(&addresses).to_string();
         let arguments = ["host-list", "--hosts", &listed];
         let hosts = Process::spawn("burdockroad-standin", &arguments)
             .await
@@ -143,7 +149,7 @@
             store,
             http: HttpClient::with_timeout(Duration::from_secs(60)),
             options,
-            ports,
+            addresses,
             keys: BTreeMap::new(),
             folder: TempDir::new().expect("a scratch folder"),
         };
@@ -168,12 +174,12 @@
 
     /// Where callers reach a daemon.
     pub fn url(&self, number: usize) -> String {
-        format!("http://127.0.0.1:{}", self.ports[number].caller)
+        format!("http://{}", self.addresses[number].caller)
     }
 
     /// Where operators reach a daemon.
     pub fn admin_url(&self, number: usize) -> String {
-        format!("http://127.0.0.1:{}", self.ports[number].admin)
+        format!("http://{}", self.addresses[number].admin)
     }
 
     /// A caller of an account.
@@ -324,16 +330,16 @@
     }
 
     fn write_settings(&self, number: usize) -> PathBuf {
-        let ports = self.ports[number];
+        let addresses = self.addresses[number];
         let hosts = self.hosts.address().expect("an address");
         let store = self.store_links[number].address().expect("an address");
         let settings = json!({
             "host_id": format!("host-{number}"),
             "failure_domain": DOMAINS[number % DOMAINS.len()],
             "site": "batinah",
-            "caller_address": format!("127.0.0.1:{}", ports.caller),
-            "peer_address": format!("127.0.0.1:{}", ports.peer),
-            "admin_address": format!("127.0.0.1:{}", ports.admin),
+            "caller_address": addresses.caller.to_string(),
+            "peer_address": addresses.peer.to_string(),
+            "admin_address": addresses.admin.to_string(),
             "store": { "kind": "service", "addresses": [format!("http://{store}")] },
             "host_list": { "kind": "service", "url": format!("http://{hosts}/hosts") },
             "limits": self.options.limits,
@@ -386,23 +392,32 @@
     })
 }
 
-fn take_ports(daemons: usize) -> Vec<Ports> {
-    let free = free_ports(daemons * 3).expect("free ports");
-    free.chunks(3)
-        .map(|ports| Ports {
-            caller: ports[0],
-            peer: ports[1],
-            admin: ports[2],
+/// Addresses of the daemons of one site.
+///
+/// Each site has a loopback address of its own: a port that was free a moment ago on a shared address
+/// may be taken by another test's outgoing connection.
+fn take_addresses(daemons: usize) -> Vec<Addresses> {
+    static SITES: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let site = SITES.fetch_add(1, Ordering::Relaxed);
+    let ip = Ipv4Addr::new(127, 64 + high % 64, low, site);
+    let at = |port: usize| SocketAddr::from((ip, u16::try_from(port).expect("a port")));
+    let numbered = 0..daemons;
+    numbered
+        .map(|number| Addresses {
+            caller: at(7_100 + number),
+            peer: at(7_200 + number),
+            admin: at(7_300 + number),
         })
         .collect()
 }
 
-fn listed_hosts(ports: &[Ports]) -> Value {
-    let hosts = ports.iter().enumerate().map(|(number, ports)| {
+fn listed_hosts(addresses: &[Addresses]) -> Value {
+    let hosts = addresses.iter().enumerate().map(|(number, addresses)| {
         json!({
             "host_id": format!("host-{number}"),
             "failure_domain": DOMAINS[number % DOMAINS.len()],
-            "peer_address": format!("127.0.0.1:{}", ports.peer),
+            "peer_address": addresses.peer.to_string(),
             "state": "live",
         })
     });
--- a/crates/burdockroad/src/quota/bucket.rs
+++ b/crates/burdockroad/src/quota/bucket.rs
@@ -91,12 +91,33 @@
         self.holders.values().map(HolderRow::outstanding_tokens).sum()
     }
 
-    /// Drops what has expired, and adds what the rate gave since the last call.
+    /// Adds what the rate gave since the last call, and drops what has expired.
+    ///
+    /// Each grant counts until its end: dropping it first, and filling its room for the time before its
+    /// end, would let a holder spend it late and have it again at once.
     fn refill(&mut self, now: Instant) {
-        self.drop_expired(now);
-        let elapsed = now.saturating_duration_since(self.refilled_at);
+        while let Some(end) = self.first_end().filter(|end| *end <= now) {
+            self.fill(end);
+            self.drop_expired(end);
+        }
+        self.fill(now);
+        self.holders
+            .retain(|_, holder| !holder.outstanding.is_empty() || holder.heard_at + 2 * GRANT_LIFE > now);
+    }
+
+    /// When the first outstanding grant expires.
+    fn first_end(&self) -> Option<Instant> {
+        let oldest = self
+            .holders
+            .values()
+            .filter_map(|holder| holder.outstanding.front());
+        oldest.map(|grant| grant.expires_at).min()
+    }
+
+    fn fill(&mut self, until: Instant) {
+        let elapsed = until.saturating_duration_since(self.refilled_at);
         self.level += elapsed.as_secs_f64() * self.limits.rate_per_s;
-        self.refilled_at = self.refilled_at.max(now);
+        self.refilled_at = self.refilled_at.max(until);
         self.cap();
     }
 
@@ -116,8 +137,6 @@
                 holder.outstanding.pop_front();
             }
         }
-        self.holders
-            .retain(|_, holder| !holder.outstanding.is_empty() || holder.heard_at + 2 * GRANT_LIFE > now);
     }
 
     /// Takes note of what a holder spent; false for a request that came late or twice.
--- a/crates/burdockroad/src/quota/holder.rs
+++ b/crates/burdockroad/src/quota/holder.rs
@@ -41,8 +41,10 @@
     in_flight: Option<InFlight>,
     ask_at: Option<Instant>,
     spent_total: u64,
-    /// Time that each further waiting call adds to the wait, from the owner's last answer.
-    wait_per_token: Duration,
+    /// When the owner expects to have served those that waited when it was asked.
+    ready: Option<Ready>,
+    /// Time between two tokens at the account's rate; zero while it is not known.
+    pace: Duration,
     owner_failed: bool,
     demand: Demand,
 }
@@ -59,6 +61,13 @@
     latest: Instant,
 }
 
+/// When the calls that waited at the last answer are expected to have their tokens.
+#[derive(Clone, Copy, Debug)]
+struct Ready {
+    at: Instant,
+    covers: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct InFlight {
     sequence: u64,
@@ -104,6 +113,11 @@
         Self::default()
     }
 
+    /// Takes note of the account's rate, which tells how long calls in a queue have to wait.
+    pub fn set_rate(&mut self, rate_per_s: f64) {
+        self.pace = Duration::try_from_secs_f64(1.0 / rate_per_s).unwrap_or(Duration::ZERO);
+    }
+
     /// Admits a call, lets it wait, or refuses it when its wait would pass `latest`.
     pub fn admit(&mut self, waiter_id: WaiterId, latest: Instant, now: Instant) -> Admission {
         self.demand.record(now);
@@ -112,7 +126,7 @@
             return Admission::Admitted;
         }
         let latest = latest.min(now + WAIT_MAX);
-        let wait = self.expected_wait(self.waiting.len() + 1);
+        let wait = self.expected_wait(self.waiting.len() + 1, now);
         if now + wait > latest || self.waiting.len() >= WAITING_MAX {
             return self.refusal(wait);
         }
@@ -173,12 +187,12 @@
         };
         self.owner_failed = false;
         let unmet = in_flight.wanted.saturating_sub(grant.granted);
-        self.wait_per_token = match u32::try_from(unmet) {
-            Ok(0) => Duration::ZERO,
-            Ok(unmet) => grant.retry_after / unmet,
-            Err(_) => grant.retry_after,
-        };
-        self.ask_at = (unmet > 0).then(|| now + self.wait_per_token.clamp(ASK_PAUSE.0, ASK_PAUSE.1));
+        self.ready = (unmet > 0).then(|| Ready {
+            at: now + grant.retry_after,
+            covers: unmet,
+        });
+        let pause = grant.retry_after / u32::try_from(unmet.max(1)).unwrap_or(u32::MAX);
+        self.ask_at = (unmet > 0).then(|| now + pause.clamp(ASK_PAUSE.0, ASK_PAUSE.1));
         self.keep(in_flight.sent_at + grant.expires_after, grant.granted);
         self.tick(now)
     }
@@ -248,7 +262,7 @@
         let mut kept = VecDeque::with_capacity(self.waiting.len());
         let mut settled = Vec::new();
         for waiter in std::mem::take(&mut self.waiting) {
-            let wait = self.expected_wait(kept.len() + 1);
+            let wait = self.expected_wait(kept.len() + 1, now);
             if now >= waiter.latest || now + wait > waiter.latest {
                 settled.push(Settled {
                     waiter_id: waiter.waiter_id,
@@ -262,9 +276,19 @@
         settled
     }
 
-    fn expected_wait(&self, position: usize) -> Duration {
-        let position = u32::try_from(position).unwrap_or(u32::MAX);
-        self.wait_per_token.saturating_mul(position)
+    /// Time until the call at a position of the queue gets a token, as far as the owner has told.
+    ///
+    /// The owner's word covers the calls that waited when it was asked. An owner that is new makes all
+    /// of them wait alike, so its word must not be stretched to a time for each further call.
+    fn expected_wait(&self, position: usize, now: Instant) -> Duration {
+        let Some(ready) = self.ready else {
+            return Duration::ZERO;
+        };
+        let further = u64::try_from(position)
+            .unwrap_or(u64::MAX)
+            .saturating_sub(ready.covers);
+        let further = u32::try_from(further).unwrap_or(u32::MAX);
+        ready.at.saturating_duration_since(now) + self.pace.saturating_mul(further)
     }
 
     fn refusal(&self, wait: Duration) -> Admission {
@@ -291,7 +315,7 @@
 
     fn note_failure(&mut self, now: Instant) {
         self.owner_failed = true;
-        self.wait_per_token = Duration::ZERO;
+        self.ready = None;
         self.ask_at = Some(now + FAILED_ASK_PAUSE);
     }
 }
--- a/crates/burdockroad/tests/quota.rs
+++ b/crates/burdockroad/tests/quota.rs
@@ -48,6 +48,13 @@
     requests: Vec<Request>,
     answers: Vec<Answer>,
     admitted_at: Vec<Instant>,
+    refused: Vec<Admission>,
+}
+
+fn holder(limits: Limits) -> Holder {
+    let mut holder = Holder::new();
+    holder.set_rate(limits.rate_per_s);
+    holder
 }
 
 impl Fleet {
@@ -58,10 +65,11 @@
             limits,
             bucket: Bucket::new(limits, now),
             owner: 0,
-            holders: vec![Holder::new(); HOSTS],
+            holders: vec![holder(limits); HOSTS],
             requests: Vec::new(),
             answers: Vec::new(),
             admitted_at: Vec::new(),
+            refused: Vec::new(),
         }
     }
 
@@ -142,10 +150,12 @@
     }
 
     fn count(&mut self, settled: &[burdockroad::quota::Settled]) {
-        let admitted = settled
-            .iter()
-            .filter(|call| call.admission == Admission::Admitted);
-        self.admitted_at.extend(admitted.map(|_| self.now));
+        for call in settled {
+            match call.admission {
+                Admission::Admitted => self.admitted_at.push(self.now),
+                refusal => self.refused.push(refusal),
+            }
+        }
     }
 }
 
@@ -246,7 +256,6 @@
 /// Sends calls evenly at one host for ten seconds, with an owner that answers at once.
 fn run_alone(limits: Limits, calls_per_s: u64) -> (usize, Vec<Admission>) {
     let mut fleet = Fleet::new(limits);
-    let mut refused = Vec::new();
     let start = fleet.now;
     for at_ms in 0..10_000 {
         fleet.now = start + Duration::from_millis(at_ms);
@@ -255,19 +264,16 @@
             match fleet.holders[0].admit(at_ms, latest, fleet.now) {
                 Admission::Admitted => fleet.admitted_at.push(fleet.now),
                 Admission::Waiting => {}
-                refusal @ Admission::Refused { .. } => refused.push(refusal),
-            }
-        }
-        for call in fleet.holders[0].tick(fleet.now) {
-            if matches!(call.admission, Admission::Refused { .. }) {
-                refused.push(call.admission);
+                refusal @ Admission::Refused { .. } => fleet.refused.push(refusal),
             }
         }
+        let settled = fleet.holders[0].tick(fleet.now);
+        fleet.count(&settled);
         fleet.tick(0);
         fleet.request(0, Fate::Delivered);
         fleet.answer(0, Fate::Delivered);
     }
-    (fleet.admitted_at.len(), refused)
+    (fleet.admitted_at.len(), fleet.refused)
 }
 
 #[test]
@@ -315,6 +321,58 @@
     assert_eq!(order, [1, 2, 3]);
 }
 
+/// A grant that is spent at the end of its life leaves no room that was filled while it was held.
+#[test]
+fn grant_spent_late() {
+    let limits = Limits {
+        rate_per_s: 9.0,
+        burst: 9,
+    };
+    let mut fleet = Fleet::new(limits);
+    let start = fleet.now;
+    let (mut first, mut second) = (holder(limits), holder(limits));
+    fleet.now = start + Duration::from_secs(1);
+    for holder in [&mut first, &mut second] {
+        for waiter_id in 0..9 {
+            holder.admit(waiter_id, fleet.now + Duration::from_secs(4), fleet.now);
+        }
+    }
+    let ask = first.ask(fleet.now).expect("calls wait");
+    let granted = fleet.bucket.grant(&"first".to_owned(), &ask, fleet.now).granted;
+    assert_eq!(
+        granted, 9,
+        "the whole bucket, to be spent at any time in the grant's life"
+    );
+    let end = fleet.now + GRANT_LIFE;
+    let ask = second.ask(end).expect("calls wait");
+    let granted = fleet.bucket.grant(&"second".to_owned(), &ask, end).granted;
+    assert_eq!(granted, 0, "the first nine may have been spent a moment ago");
+}
+
+/// An owner that is new lets all calls wait alike: none of those inside the rate is refused.
+#[test]
+fn admit_while_owner_is_new() {
+    let mut holder = Holder::new();
+    holder.set_rate(200.0);
+    let start = Instant::now();
+    let latest = start + Duration::from_secs(10);
+    assert_eq!(holder.admit(1, latest, start), Admission::Waiting);
+    let ask = holder.ask(start).expect("a call waits");
+    let grant = Grant {
+        granted: 0,
+        expires_after: Duration::from_secs(1),
+        retry_after: Duration::from_millis(1_500),
+    };
+    assert_eq!(holder.answered(ask.sequence, grant, start), []);
+    for waiter_id in 2..=20 {
+        let admission = holder.admit(waiter_id, latest, start);
+        assert_eq!(admission, Admission::Waiting, "call {waiter_id}");
+    }
+    let soon = start + Duration::from_secs(1);
+    let refused = holder.admit(21, soon, start);
+    assert!(matches!(refused, Admission::Refused { .. }), "{refused:?}");
+}
+
 #[test]
 fn admit_owner_silent() {
     let mut holder = Holder::new();
