--- a/crates/burdockroad-daemon/src/coordinator.rs
+++ b/crates/burdockroad-daemon/src/coordinator.rs
@@ -38,6 +38,9 @@
     takeover::{JournalRecovery, Takeover},
 };
 
+/// Time beyond its patience after which a shutdown no longer waits for the worker.
+const SHUTDOWN_MARGIN: Duration = Duration::from_secs(1);
+
 /// What a coordinator works with.
 #[derive(Debug)]
 pub struct CoordinatorOptions {
@@ -199,9 +202,12 @@
         let (reply, left) = oneshot::channel();
         let command = Command::Shutdown { patience, reply };
         let left = match self.commands.send(command).await {
-            Ok(()) => left.await.unwrap_or(0),
-            Err(_) => 0,
+            Ok(()) => tokio::time::timeout(patience + SHUTDOWN_MARGIN, left).await,
+            Err(_) => Ok(Ok(0)),
         };
+        // A worker that cannot answer, for instance since the store is down, leaves what there is.
+        let owned = self.ownership.view().borrow().own_partitions().len();
+        let left = left.ok().and_then(Result::ok).unwrap_or(owned);
         self.worker.abort();
         self.membership.close();
         self.ownership.close();
--- a/crates/burdockroad-daemon/src/membership/actor.rs
+++ b/crates/burdockroad-daemon/src/membership/actor.rs
@@ -219,6 +219,8 @@
         message: Message,
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
+        // Before anything is judged: after a pause the first message need not be a tick.
+        state.note_time();
         match message {
             Message::Tick => state.tick(&myself),
             Message::Beat => state.beat(&myself),
@@ -248,11 +250,13 @@
 }
 
 impl State {
-    fn tick(&mut self, myself: &ActorRef<Message>) {
-        let now = Instant::now().into_std();
-        if self.table.tick(now) {
+    fn note_time(&mut self) {
+        if self.table.tick(Instant::now().into_std()) {
             log::warn!("event=pause_detected host={}", self.table.me().process.host_id);
         }
+    }
+
+    fn tick(&mut self, myself: &ActorRef<Message>) {
         let owners = self.owners();
         self.table.set_owners(owners);
         self.beat(myself);
--- a/crates/burdockroad-daemon/src/peer/clients.rs
+++ b/crates/burdockroad-daemon/src/peer/clients.rs
@@ -8,6 +8,13 @@
 /// Time within which a connection to a peer must stand.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time without a frame after which a connection in use is tried with a ping.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time within which a ping must be answered, or the connection is made anew: after a cut has healed,
+/// TCP alone may take as long again as the cut did.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Largest message between peers, in bytes.
 const MESSAGE_MAX_BYTES: usize = 64 * 1024 * 1024;
 
@@ -39,6 +46,8 @@
         let channel = Endpoint::from_shared(format!("http://{address}"))?
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true)
+            .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
+            .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
             .connect_lazy();
         channels.insert(address.to_owned(), channel.clone());
         Ok(client(channel))
