--- a/crates/burdockroad-daemon/src/journal/recovery.rs
+++ b/crates/burdockroad-daemon/src/journal/recovery.rs
@@ -19,7 +19,7 @@
     },
     ownership::{PeerView, PeersReceiver, Process},
     peer::PeerClients,
-    platform::{Entry, Expected, Listing, Put, SharedKeyValue, StoreError},
+    platform::{Entry, Listing, Put, SharedKeyValue, StoreError},
 };
 
 /// Time within which a peer hands over its copies.
@@ -28,9 +28,6 @@
 /// Segments that are read at the same time.
 const READS_MAX: usize = 16;
 
-/// Number that a journal without any segment begins with.
-const FIRST_SEGMENT: SegmentNumber = 1;
-
 /// Recovers journals from the key-value service and from the peers that hold copies.
 #[derive(Clone, Debug)]
 pub struct StoreRecovery {
@@ -67,41 +64,39 @@
     }
 
     /// Puts a seal after the newest segment, unless there is one, and returns its number.
-    async fn seal(&self, dead: &Process) -> Result<SegmentNumber, RecoveryError> {
-        let keys = self.store.list(&keys::prefix(dead), Listing::Keys).await?;
-        let newest = keys.last().and_then(|entry| keys::parse(&entry.key));
-        let Some((_, newest)) = newest else {
-            return self.seal_from(dead, FIRST_SEGMENT).await;
-        };
-        let held = self.read(dead, newest).await?;
-        match held {
-            Some(StoredSegment::Seal(_)) => Ok(newest),
-            // Whatever was there is passed: numbers only grow.
-            Some(StoredSegment::Group(_)) | None => self.seal_from(dead, newest + 1).await,
+    ///
+    /// A journal without any segment was never open or is removed, and gets no seal: its writer owns
+    /// nothing, and cannot write either once it was removed.
+    async fn seal(&self, dead: &Process) -> Result<Option<SegmentNumber>, RecoveryError> {
+        loop {
+            let listed = self.store.list(&keys::prefix(dead), Listing::Keys).await?;
+            let newest = listed.last().and_then(|entry| keys::parse(&entry.key));
+            let Some((_, newest)) = newest else {
+                return Ok(None);
+            };
+            if let Some(StoredSegment::Seal(_)) = self.read(dead, newest).await? {
+                return Ok(Some(newest));
+            }
+            if self.try_seal(dead, newest).await? {
+                return Ok(Some(newest + 1));
+            }
         }
     }
 
-    /// Walks forward until a seal stands, this one's or another successor's.
-    async fn seal_from(&self, dead: &Process, first: SegmentNumber) -> Result<SegmentNumber, RecoveryError> {
-        let seal = Seal {
+    /// Puts a seal after a segment that still exists; fails if something else stands there, or if it
+    /// is not known.
+    ///
+    /// Were the segment's existence not compared in the same transaction, a successor that was paused
+    /// could put the seal where the writer has long been, and has cleaned up behind it.
+    async fn try_seal(&self, dead: &Process, newest: SegmentNumber) -> Result<bool, RecoveryError> {
+        let seal = StoredSegment::Seal(Seal {
             successor: self.me.clone(),
-        };
-        let value = encode(&StoredSegment::Seal(seal));
-        let mut number = first;
-        loop {
-            let key = keys::segment(dead, number);
-            let held = match self.store.put(&key, value.clone(), Expected::Absent).await {
-                Ok(Put::Done(_)) => return Ok(number),
-                Ok(Put::Conflict(held)) => held,
-                Err(StoreError::Ambiguous { .. }) => self.store.get(&key).await?,
-                Err(unavailable @ StoreError::Unavailable { .. }) => return Err(unavailable.into()),
-            };
-            // A lost write that is not found is tried again under the same number.
-            let Some(held) = held else { continue };
-            match decode(&held)? {
-                StoredSegment::Seal(_) => return Ok(number),
-                StoredSegment::Group(_) => number += 1,
-            }
+        });
+        let (key, predecessor) = (keys::segment(dead, newest + 1), keys::segment(dead, newest));
+        match self.store.create_after(&key, encode(&seal), &predecessor).await {
+            Ok(Put::Done(_)) => Ok(true),
+            Ok(Put::Conflict(_)) | Err(StoreError::Ambiguous { .. }) => Ok(false),
+            Err(unavailable @ StoreError::Unavailable { .. }) => Err(unavailable.into()),
         }
     }
 
@@ -191,7 +186,13 @@
 #[async_trait]
 impl Recovery for StoreRecovery {
     async fn seal_and_read(&self, dead: &Process) -> Result<Recovered, RecoveryError> {
-        let seal = self.seal(dead).await?;
+        let Some(seal) = self.seal(dead).await? else {
+            return Ok(Recovered {
+                records: Vec::new(),
+                tail_count: 0,
+                tail: RecoveredTail::NotKept,
+            });
+        };
         let segments = self.segments(dead, seal).await?;
         let tail_peer = segments.last().and_then(|segment| segment.tail_peer.as_ref());
         let tails = self.seal_tails(dead, tail_peer).await;
--- a/crates/burdockroad-daemon/src/journal/store_journal.rs
+++ b/crates/burdockroad-daemon/src/journal/store_journal.rs
@@ -7,7 +7,7 @@
 
 use burdockroad::{
     Record,
-    journal::{Durability, JournalError, WriterOptions},
+    journal::{Durability, JournalError, SEGMENT_MAX_BYTES, WriterOptions},
 };
 use ractor::{Actor, ActorRef};
 use tokio::sync::{oneshot, watch};
@@ -53,6 +53,7 @@
         me,
         failure_domain,
         writer_id: rand::random(),
+        segment_max_bytes: SEGMENT_MAX_BYTES,
         writes_per_s: 18.0,
         writes_burst: 6.0,
         window_min: Duration::from_millis(200),
--- a/crates/burdockroad-daemon/tests/journal/host.rs
+++ b/crates/burdockroad-daemon/tests/journal/host.rs
@@ -12,7 +12,7 @@
 };
 
 use async_trait::async_trait;
-use burdockroad::journal::WriterOptions;
+use burdockroad::journal::{SEGMENT_MAX_BYTES, WriterOptions};
 use burdockroad_daemon::{
     journal::{JournalParts, StoreJournal, StoreRecovery, TailStore},
     ownership::{PeerView, PeersReceiver, PeersView, Process},
@@ -75,6 +75,7 @@
             me: self.process.clone(),
             failure_domain: self.domain.clone(),
             writer_id: rand::random(),
+            segment_max_bytes: SEGMENT_MAX_BYTES,
             writes_per_s: 200.0,
             writes_burst: 20.0,
             // Long, so that records that nobody waits for stay in the queue.
--- a/crates/burdockroad-daemon/tests/key_value.rs
+++ b/crates/burdockroad-daemon/tests/key_value.rs
@@ -3,8 +3,10 @@
 use std::{collections::HashMap, fs, path::Path, sync::Arc, time::Duration};
 
 use burdockroad_daemon::platform::{
-    EmbeddedKeyValue, Entry, Expected, Listing, MemoryKeyValue, Put, Revision, SharedKeyValue, WatchEvent,
+    EmbeddedKeyValue, Entry, EtcdKeyValue, Expected, Listing, MemoryKeyValue, Put, Revision, SharedKeyValue,
+    WatchEvent,
 };
+use burdockroad_standins::kv::{KvOptions, KvStandin};
 use serde::Deserialize;
 use tokio::{runtime::Runtime, sync::mpsc, time::timeout};
 
@@ -23,6 +25,16 @@
         name: Option<String>,
         conflict: Option<Held>,
     },
+    CreateAfter {
+        key: String,
+        value: String,
+        predecessor: String,
+        conflict: Option<Held>,
+    },
+    DeleteRange {
+        from: String,
+        to: String,
+    },
     Get {
         key: String,
         value: Option<String>,
@@ -81,12 +93,19 @@
                     None => Expected::Absent,
                 };
                 let put = self.store.put(key, value.clone().into(), expected).await.unwrap();
-                match (put, conflict) {
-                    (Put::Done(revision), None) => self.name(name.as_deref(), revision),
-                    (Put::Conflict(held), Some(conflict)) => assert_eq!(text(held.as_ref()), conflict.value),
-                    (put, _) => panic!("unexpected result {put:?}"),
-                }
+                self.check(put, name.as_deref(), conflict.as_ref());
+            }
+            Step::CreateAfter {
+                key,
+                value,
+                predecessor,
+                conflict,
+            } => {
+                let value = value.clone().into();
+                let put = self.store.create_after(key, value, predecessor).await.unwrap();
+                self.check(put, None, conflict.as_ref());
             }
+            Step::DeleteRange { from, to } => self.store.delete_range(from, to).await.unwrap(),
             Step::Get { key, value } => {
                 assert_eq!(text(self.store.get(key).await.unwrap().as_ref()), *value);
             }
@@ -110,6 +129,14 @@
         }
     }
 
+    fn check(&mut self, put: Put, name: Option<&str>, conflict: Option<&Held>) {
+        match (put, conflict) {
+            (Put::Done(revision), None) => self.name(name, revision),
+            (Put::Conflict(held), Some(conflict)) => assert_eq!(text(held.as_ref()), conflict.value),
+            (put, _) => panic!("unexpected result {put:?}"),
+        }
+    }
+
     fn name(&mut self, name: Option<&str>, revision: Revision) {
         let highest = self.revisions.values().max().copied().unwrap_or(0);
         assert!(revision > highest, "revision {revision} after {highest}");
@@ -173,11 +200,22 @@
     }
 }
 
+async fn run_etcd(steps: &[Step]) {
+    let standin = KvStandin::start(KvOptions::default()).await.unwrap();
+    let address = format!("http://{}", standin.address());
+    let mut run = Run::new(Arc::new(EtcdKeyValue::new(&[address]).unwrap()));
+    for step in steps {
+        run.step(step).await;
+    }
+    standin.close().await;
+}
+
 fn key_value(path: &Path) -> datatest_stable::Result<()> {
     let steps: Vec<Step> = serde_json::from_str(&fs::read_to_string(path)?)?;
     let runtime = Runtime::new()?;
     runtime.block_on(run_memory(&steps));
     runtime.block_on(run_embedded(&steps));
+    runtime.block_on(run_etcd(&steps));
     Ok(())
 }
 
--- a/crates/burdockroad/src/journal/writer.rs
+++ b/crates/burdockroad/src/journal/writer.rs
@@ -66,8 +66,13 @@
 #[derive(Clone, Debug)]
 struct Store {
     next_segment: SegmentNumber,
-    /// Position after the last record that is stored whole; 0 before the first segment is stored.
+    /// Position after the last record that is stored whole; 0 before the journal is open.
     stored_end: Position,
+    /// Whether a segment is stored of which no second write can be on its way.
+    ///
+    /// A late copy of an earlier segment's write could put that segment back after the journal was
+    /// removed, and the next one after it, but never this one: it is where a replaced writer ends.
+    open: bool,
     writing: Option<Writing>,
     failures: u32,
     retry_at: Option<Instant>,
@@ -99,9 +104,12 @@
 
 impl Writer {
     /// Makes the writer of a new journal, whose first segment is due at once.
+    ///
+    /// Until the journal is open nothing in it counts as stored: a segment must have been stored with the
+    /// first write of it.
     pub fn new(options: WriterOptions, now: Instant) -> Self {
         Self {
-            queue: Queue::new(),
+            queue: Queue::new(options.segment_max_bytes),
             waiters: Waiters::default(),
             pacer: Pacer::new(
                 options.writes_per_s,
@@ -341,7 +349,10 @@
         self.pacer
             .measured(now.saturating_duration_since(writing.began_at));
         self.store.next_segment = group.segment + 1;
-        self.store.stored_end = group.end;
+        self.store.open |= !writing.lost_reply;
+        if self.store.open {
+            self.store.stored_end = group.end;
+        }
         self.store.failures = 0;
         self.store.retry_at = None;
         if !self.queue.is_empty() {
@@ -392,10 +403,7 @@
     /// After a failure it is: callers are refused at once then, and only a write tells that the store
     /// is back.
     fn urgent(&self, progress: &Progress) -> bool {
-        self.store.stored_end == 0
-            || self.store.failures > 0
-            || self.tail.must_name()
-            || self.waiters.urgent(progress)
+        !self.store.open || self.store.failures > 0 || self.tail.must_name() || self.waiters.urgent(progress)
     }
 
     fn window_ended(&self, now: Instant) -> bool {
@@ -424,6 +432,7 @@
         Self {
             next_segment: 1,
             stored_end: 0,
+            open: false,
             writing: None,
             failures: 0,
             retry_at: None,
--- a/crates/burdockroad/src/journal/writer/options.rs
+++ b/crates/burdockroad/src/journal/writer/options.rs
@@ -13,6 +13,8 @@
     pub failure_domain: String,
     /// Marks this writer's segments; random.
     pub writer_id: WriterId,
+    /// Largest segment, in bytes; [`SEGMENT_MAX_BYTES`](crate::journal::SEGMENT_MAX_BYTES) or less.
+    pub segment_max_bytes: usize,
     /// Writes a second over a long time.
     pub writes_per_s: f64,
     /// Writes that may follow each other at once.
--- a/crates/burdockroad/src/journal/writer/queue.rs
+++ b/crates/burdockroad/src/journal/writer/queue.rs
@@ -5,12 +5,12 @@
 use crate::{
     error::Result,
     ids::{ProgramId, SegmentNumber},
-    journal::{Piece, Position, SEGMENT_MAX_BYTES, Segment, StoredSegment, WriterId},
+    journal::{Piece, Position, Segment, StoredSegment, WriterId},
     ownership::Process,
 };
 
-/// Room for the head of a segment, in bytes.
-const HEAD_BYTES: usize = 4 * 1024;
+/// Room for the head of a segment, in bytes; host names take a small part of it.
+const HEAD_BYTES: usize = 1_024;
 
 /// Room for the head of each piece, in bytes.
 const PIECE_HEAD_BYTES: usize = 32;
@@ -52,6 +52,8 @@
     records: VecDeque<Pending>,
     first: Position,
     bytes: usize,
+    /// Room for pieces in a segment, in bytes.
+    room_max: usize,
 }
 
 /// One segment on its way to the store; its contents do not change while the write may take effect.
@@ -67,11 +69,14 @@
 }
 
 impl Queue {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(segment_max_bytes: usize) -> Self {
         Self {
             records: VecDeque::new(),
             first: 1,
             bytes: 0,
+            room_max: segment_max_bytes
+                .saturating_sub(HEAD_BYTES)
+                .max(2 * PIECE_HEAD_BYTES),
         }
     }
 
@@ -153,8 +158,7 @@
     }
 
     fn pieces(&self) -> (Vec<Piece>, usize) {
-        let room_max = SEGMENT_MAX_BYTES - HEAD_BYTES;
-        let mut room = room_max;
+        let mut room = self.room_max;
         let mut pieces = Vec::new();
         for record in &self.records {
             let rest = &record.bytes[record.stored_bytes..];
@@ -165,7 +169,7 @@
                 continue;
             }
             // A record that fits a segment of its own is left whole for the next one.
-            if needed <= room_max || room <= PIECE_HEAD_BYTES {
+            if needed <= self.room_max || room <= PIECE_HEAD_BYTES {
                 break;
             }
             let taken = room - PIECE_HEAD_BYTES;
--- /dev/null
+++ b/crates/burdockroad/tests/journal_interleavings/world.rs
@@ -0,0 +1,572 @@
+//! One writer, the store, three peers and a successor, driven by a seed.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::{Duration, Instant, SystemTime},
+};
+
+use burdockroad::{
+    Record, SegmentNumber,
+    journal::{
+        Action, Copies, Durability, JournalError, Peer, ReadReply, Seal, Segment, StoredSegment, TailCopy,
+        TailReply, TailTable, TailTableOptions, Ticket, WriteReply, Writer, WriterOptions, join,
+    },
+    ownership::Process,
+    program::Event,
+};
+use rand::{RngExt, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+
+/// Steps of one run before the successor begins, at most.
+const STEPS_BEFORE: usize = 120;
+
+/// Steps between two moves of the successor, at most.
+const STEPS_BETWEEN: usize = 12;
+
+/// Steps after the journal was removed.
+const STEPS_AFTER: usize = 60;
+
+/// Each record with a position that this number divides needs none before it.
+const BASE_EVERY: u64 = 5;
+
+/// What the runs confirmed.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Counts {
+    pub(crate) stored: u64,
+    pub(crate) replicated: u64,
+    pub(crate) tails_sealed: u64,
+    pub(crate) from_copies: u64,
+}
+
+impl Counts {
+    pub(crate) fn add(&mut self, other: Self) {
+        self.stored += other.stored;
+        self.replicated += other.replicated;
+        self.tails_sealed += other.tails_sealed;
+        self.from_copies += other.from_copies;
+    }
+}
+
+/// A message on its way.
+#[derive(Clone, Debug)]
+enum Message {
+    Write {
+        segment: SegmentNumber,
+        value: Arc<[u8]>,
+        answered: bool,
+    },
+    Read {
+        segment: SegmentNumber,
+    },
+    Copies {
+        to: Process,
+        copies: Copies,
+        answered: bool,
+    },
+    Remove {
+        from: SegmentNumber,
+        to: SegmentNumber,
+        answered: bool,
+    },
+}
+
+struct PeerHost {
+    process: Process,
+    table: TailTable,
+    up: bool,
+}
+
+pub(crate) struct World {
+    rng: ChaCha8Rng,
+    now: Instant,
+    writer: Writer,
+    me: Process,
+    store: BTreeMap<SegmentNumber, Vec<u8>>,
+    store_down: bool,
+    messages: Vec<Message>,
+    /// The first segment of which no second write can be on its way.
+    opened: Option<SegmentNumber>,
+    given_up: BTreeSet<SegmentNumber>,
+    peers: Vec<PeerHost>,
+    appended: u64,
+    waiting: HashMap<Ticket, (u64, Durability)>,
+    last_ticket: Ticket,
+    /// Number of records that were confirmed as stored, and as replicated.
+    stored: u64,
+    replicated: u64,
+    counts: Counts,
+}
+
+/// What a successor read.
+struct Recovery {
+    records: Vec<Record>,
+    tail_count: usize,
+    /// Position of the last record that the segments hold whole, or that was cleaned away before.
+    stored_end: u64,
+    /// Whether every peer that a confirmation may rest on was asked.
+    complete: bool,
+}
+
+impl Recovery {
+    /// Whether both hold the same from where the later one begins: a removal that was still on its way
+    /// may have taken what stands before, and copies may be gone that the other still had.
+    fn agrees_with(&self, other: &Self) -> bool {
+        let begin = |recovery: &Self| recovery.records.first().map_or(0, |record| record.sequence);
+        let from = begin(self).max(begin(other));
+        let of = |recovery: &Self| -> Vec<Record> {
+            let records = recovery.records.iter();
+            records
+                .filter(|record| record.sequence >= from)
+                .cloned()
+                .collect()
+        };
+        of(self).starts_with(&of(other)) || of(other).starts_with(&of(self))
+    }
+}
+
+impl World {
+    pub(crate) fn new(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let now = Instant::now();
+        let me = process("w", 1);
+        let options = WriterOptions {
+            me: me.clone(),
+            failure_domain: "x".to_owned(),
+            writer_id: rng.random(),
+            // Small, so that groups and records often go over several segments.
+            segment_max_bytes: rng.random_range(1_100..2_000),
+            writes_per_s: 50.0,
+            writes_burst: 5.0,
+            window_min: Duration::from_millis(200),
+            window_max: Duration::from_secs(2),
+            append_timeout: Duration::from_secs(1),
+            queue_max_bytes: 8 * 1024 * 1024,
+            segments_max: 8,
+            stored_max_bytes: 8 * 1024 * 1024,
+        };
+        let peers = ["p", "q", "r"].map(|host_id| PeerHost {
+            process: process(host_id, 1),
+            table: TailTable::new(TailTableOptions::default()),
+            up: true,
+        });
+        Self {
+            writer: Writer::new(options, now),
+            me,
+            now,
+            store: BTreeMap::new(),
+            store_down: false,
+            messages: Vec::new(),
+            opened: None,
+            given_up: BTreeSet::new(),
+            peers: peers.into(),
+            appended: 0,
+            waiting: HashMap::new(),
+            last_ticket: 0,
+            stored: 0,
+            replicated: 0,
+            counts: Counts::default(),
+            rng,
+        }
+    }
+
+    pub(crate) fn run(mut self) -> Counts {
+        self.see_peers();
+        self.steps(STEPS_BEFORE);
+        let seal = self.seal();
+        if self.opened.is_none() {
+            // No map names a process whose journal was never open, so nobody replaces it.
+            assert_eq!(
+                self.stored, 0,
+                "a record was confirmed before the journal was open"
+            );
+            return self.counts;
+        }
+        let first = self.recover(seal);
+        self.check(&first);
+        self.steps(STEPS_BETWEEN);
+        // The successor is replaced itself: another one seals again and reads.
+        let again = self.seal();
+        assert_eq!(again, seal, "a sealed journal got a second seal");
+        let second = self.recover(seal);
+        self.check(&second);
+        assert!(
+            first.agrees_with(&second),
+            "two successors read different records"
+        );
+        self.remove(seal);
+        self.steps(STEPS_AFTER);
+        self.deliver_all();
+        // Only a write that was given up before the journal was open may still arrive.
+        let opened = self.opened.unwrap_or(SegmentNumber::MAX);
+        assert!(
+            self.store.keys().all(|&number| number < opened),
+            "a removed journal was written again"
+        );
+        self.check(&second);
+        self.counts.stored = self.stored;
+        self.counts.replicated = self.replicated;
+        self.counts.tails_sealed = u64::from(first.complete);
+        self.counts.from_copies = first.tail_count as u64;
+        self.counts
+    }
+
+    fn steps(&mut self, count_max: usize) {
+        for _ in 0..self.rng.random_range(1..=count_max) {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        match self.rng.random_range(0..100) {
+            0..25 => self.append(),
+            25..70 => self.deliver_one(),
+            70..90 => self.now += Duration::from_millis(self.rng.random_range(1..=300)),
+            90..93 => self.change_peer(),
+            93..95 => self.store_down = !self.store_down,
+            _ => self.see_peers(),
+        }
+        self.poll();
+    }
+
+    fn append(&mut self) {
+        let durability = [
+            Durability::Queued,
+            Durability::Replicated,
+            Durability::Replicated,
+            Durability::Stored,
+        ];
+        let durability = *durability.choose(&mut self.rng).unwrap();
+        let count = self.rng.random_range(1..=3);
+        let records: Vec<_> = (0..count).map(|_| self.record()).collect();
+        self.last_ticket += 1;
+        self.waiting.insert(self.last_ticket, (self.appended, durability));
+        self.writer
+            .append(&records, durability, self.last_ticket, self.now);
+    }
+
+    fn record(&mut self) -> Record {
+        self.appended += 1;
+        let size_bytes = self.rng.random_range(10..600);
+        // The tree can be read from each fifth record on, so that earlier segments can be removed.
+        let event = if self.appended.is_multiple_of(BASE_EVERY) {
+            Event::Created {
+                program_id: "p".to_owned(),
+                account_id: "e".repeat(size_bytes),
+                parent_id: None,
+                budget: None,
+                created_at: SystemTime::UNIX_EPOCH,
+            }
+        } else {
+            Event::Released {
+                program_id: "p".to_owned(),
+                endpoint_id: "e".repeat(size_bytes),
+            }
+        };
+        Record {
+            root_id: "p".to_owned(),
+            sequence: self.appended,
+            event,
+        }
+    }
+
+    fn poll(&mut self) {
+        for action in self.writer.poll(self.now) {
+            match action {
+                Action::Answer { ticket, result } => self.answered(ticket, &result),
+                Action::Write { segment, value } => {
+                    self.messages.push(Message::Write {
+                        segment,
+                        value,
+                        answered: false,
+                    });
+                }
+                Action::ReadBack { segment } => self.messages.push(Message::Read { segment }),
+                Action::Replicate { to, copies } => {
+                    self.messages.push(Message::Copies {
+                        to,
+                        copies,
+                        answered: false,
+                    });
+                }
+                Action::Remove { from, to } => {
+                    self.messages.push(Message::Remove {
+                        from,
+                        to,
+                        answered: false,
+                    });
+                }
+                Action::Snapshot { .. } => {}
+            }
+        }
+    }
+
+    fn answered(&mut self, ticket: Ticket, result: &Result<(), JournalError>) {
+        let (end, durability) = self
+            .waiting
+            .remove(&ticket)
+            .expect("each append is answered once");
+        match (result, durability) {
+            (Ok(()), Durability::Stored) => self.stored = self.stored.max(end),
+            (Ok(()), Durability::Replicated) => self.replicated = self.replicated.max(end),
+            (Ok(()), Durability::Queued) | (Err(_), _) => {}
+        }
+    }
+
+    fn deliver_one(&mut self) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let index = self.rng.random_range(0..self.messages.len());
+        let message = self.messages.swap_remove(index);
+        self.deliver(message);
+        self.poll();
+    }
+
+    fn deliver_all(&mut self) {
+        while let Some(message) = self.messages.pop() {
+            self.deliver(message);
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Write {
+                segment,
+                value,
+                answered,
+            } => self.deliver_write(segment, value, answered),
+            Message::Read { segment } => {
+                let reply = match self.store.get(&segment) {
+                    _ if self.store_down => ReadReply::Unavailable {
+                        retry_after: Duration::from_millis(50),
+                    },
+                    Some(held) => ReadReply::Held(held.clone()),
+                    None => ReadReply::Absent,
+                };
+                self.writer.read_back(reply, self.now);
+            }
+            Message::Copies { to, copies, answered } => self.deliver_copies(to, copies, answered),
+            Message::Remove { from, to, answered } => {
+                let lost = !answered && self.rng.random_ratio(1, 5);
+                if lost {
+                    self.writer.removed(false);
+                    self.messages.push(Message::Remove {
+                        from,
+                        to,
+                        answered: true,
+                    });
+                    return;
+                }
+                self.store.retain(|&number, _| number < from || number >= to);
+                if !answered {
+                    self.writer.removed(true);
+                }
+            }
+        }
+    }
+
+    fn deliver_write(&mut self, segment: SegmentNumber, value: Arc<[u8]>, answered: bool) {
+        if answered {
+            // It was given up long ago, and arrives all the same.
+            self.create(segment, &value);
+            return;
+        }
+        let reply = match self.rng.random_range(0..10) {
+            0 => {
+                self.messages.push(Message::Write {
+                    segment,
+                    value,
+                    answered: true,
+                });
+                WriteReply::Ambiguous
+            }
+            1 => WriteReply::Ambiguous,
+            _ if self.store_down => WriteReply::Unavailable {
+                retry_after: Duration::from_millis(50),
+            },
+            2 => {
+                self.create(segment, &value);
+                WriteReply::Ambiguous
+            }
+            _ => self.create(segment, &value),
+        };
+        if reply == WriteReply::Ambiguous {
+            self.given_up.insert(segment);
+        }
+        if reply == WriteReply::Done && !self.given_up.contains(&segment) {
+            self.opened.get_or_insert(segment);
+        }
+        self.writer.written(reply, self.now);
+    }
+
+    fn create(&mut self, segment: SegmentNumber, value: &[u8]) -> WriteReply {
+        if let Some(held) = self.store.get(&segment) {
+            return WriteReply::Held(held.clone());
+        }
+        if segment > 1 && !self.store.contains_key(&(segment - 1)) {
+            return WriteReply::Removed;
+        }
+        self.store.insert(segment, value.to_vec());
+        WriteReply::Done
+    }
+
+    fn deliver_copies(&mut self, to: Process, copies: Copies, answered: bool) {
+        if !answered && self.rng.random_ratio(1, 10) {
+            // Its reply comes too late; the copies may arrive later still, or twice.
+            self.writer
+                .replicated(&to, copies.session, TailReply::Failed, self.now);
+            self.messages.push(Message::Copies {
+                to,
+                copies,
+                answered: true,
+            });
+            return;
+        }
+        let session = copies.session;
+        let peer = self.peers.iter_mut().find(|peer| peer.process == to && peer.up);
+        let reply = match peer {
+            Some(peer) => peer.table.keep(&self.me, copies.clone()),
+            None => TailReply::Failed,
+        };
+        if self.rng.random_ratio(1, 10) {
+            self.messages.push(Message::Copies {
+                to: to.clone(),
+                copies,
+                answered: true,
+            });
+        }
+        if !answered {
+            self.writer.replicated(&to, session, reply, self.now);
+        }
+    }
+
+    fn change_peer(&mut self) {
+        let index = self.rng.random_range(0..self.peers.len());
+        let peer = &mut self.peers[index];
+        if peer.up {
+            peer.up = false;
+            return;
+        }
+        peer.up = true;
+        if self.rng.random_bool(0.5) {
+            peer.process.incarnation += 1;
+            peer.table = TailTable::new(TailTableOptions::default());
+        }
+    }
+
+    /// Tells the writer how the peers are, of which it else keeps an old view; some are overlooked.
+    fn see_peers(&mut self) {
+        let mut view = Vec::new();
+        for peer in &self.peers {
+            if peer.up && self.rng.random_ratio(4, 5) {
+                view.push(Peer {
+                    process: peer.process.clone(),
+                    failure_domain: if peer.process.host_id == "r" { "x" } else { "y" }.to_owned(),
+                    leaving: self.rng.random_ratio(1, 5),
+                });
+            }
+        }
+        self.writer.set_peers(view, true);
+    }
+
+    /// Puts a seal after the newest segment; the writer goes on between the steps.
+    fn seal(&mut self) -> SegmentNumber {
+        loop {
+            let newest = self.store.iter().next_back();
+            let Some((&newest, held)) = newest else {
+                self.steps(STEPS_BETWEEN);
+                continue;
+            };
+            if matches!(StoredSegment::decode(held).unwrap(), StoredSegment::Seal(_)) {
+                return newest;
+            }
+            self.steps(STEPS_BETWEEN);
+            let seal = StoredSegment::Seal(Seal {
+                successor: process("p", 9),
+            });
+            if self.create(newest + 1, &seal.encode().unwrap()) == WriteReply::Done {
+                return newest + 1;
+            }
+        }
+    }
+
+    fn recover(&mut self, seal: SegmentNumber) -> Recovery {
+        let mut copies = Vec::new();
+        let mut asked = Vec::new();
+        for index in 0..self.peers.len() {
+            self.steps(STEPS_BETWEEN);
+            let peer = &mut self.peers[index];
+            if peer.up {
+                copies.push(peer.table.seal(&self.me, self.now));
+                asked.push(peer.process.clone());
+            }
+        }
+        self.steps(STEPS_BETWEEN);
+        self.read(seal, &copies, &asked)
+    }
+
+    fn read(&self, seal: SegmentNumber, copies: &[TailCopy], asked: &[Process]) -> Recovery {
+        let segments: Vec<Segment> = self
+            .store
+            .range(..seal)
+            .map(|(_, held)| match StoredSegment::decode(held).unwrap() {
+                StoredSegment::Group(segment) => segment,
+                StoredSegment::Seal(seal) => panic!("a second seal by {:?}", seal.successor),
+            })
+            .collect();
+        assert!(
+            !self.store.keys().any(|&number| number > seal),
+            "a segment stands after the seal"
+        );
+        let tail_peer = segments.last().and_then(|segment| segment.tail_peer.as_ref());
+        let joined = join(&segments, copies).unwrap();
+        let stored_end = segments.last().map_or(0, |segment| {
+            let whole = segment.pieces.iter().filter(|piece| piece.last).count();
+            segment.first_position + whole as u64 - 1
+        });
+        Recovery {
+            stored_end,
+            records: joined.records,
+            tail_count: joined.tail_count,
+            complete: tail_peer.is_none_or(|tail_peer| asked.contains(tail_peer)),
+        }
+    }
+
+    /// Checks that all confirmed records are there, in their order and without gaps.
+    fn check(&self, recovery: &Recovery) {
+        let end = recovery.stored_end + recovery.tail_count as u64;
+        let first = end + 1 - recovery.records.len() as u64;
+        let sequences = recovery.records.iter().map(|record| record.sequence);
+        assert!(sequences.eq(first..=end), "a record is missing or twice there");
+        let stored_end = recovery.stored_end;
+        let base = stored_end / BASE_EVERY * BASE_EVERY;
+        assert!(
+            base == 0 || first <= base,
+            "record {base} is needed and was removed"
+        );
+        assert!(
+            self.stored <= stored_end,
+            "stored {} of {stored_end}",
+            self.stored
+        );
+        if recovery.complete {
+            assert!(self.replicated <= end, "replicated {} of {end}", self.replicated);
+        }
+    }
+
+    /// Removes the journal as a successor does: the seal last.
+    fn remove(&mut self, seal: SegmentNumber) {
+        self.steps(STEPS_BETWEEN);
+        self.store.retain(|&number, _| number >= seal);
+        self.steps(STEPS_BETWEEN);
+        self.store.remove(&seal);
+    }
+}
+
+fn process(host_id: &str, incarnation: u64) -> Process {
+    Process {
+        host_id: host_id.to_owned(),
+        incarnation,
+    }
+}
