Prove withdrawn keys, rates, leaving endpoints and documents on processes

Change: six process tests: a key withdrawn under a running stream, a queued call and connected callers; the same with one host cut off from the store; the store down for all; a restarted host that may not revert; a flood over all hosts; a leaving endpoint host.

--- /dev/null
+++ b/crates/burdockroad-daemon/tests/processes/keys_and_rates.rs
@@ -0,0 +1,258 @@
+//! Withdrawn keys, rates over all hosts, leaving endpoints, and documents that must not revert.
+
+use std::time::{Duration, Instant};
+
+use http::Method;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::site::{AccountOptions, Site, SiteOptions, completion, problem, until};
+
+/// Longest time from an accepted change until it is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+/// The document with the key of an account withdrawn.
+async fn withdraw(site: &Site, account: &str) -> u64 {
+    let mut document = site.document().await;
+    let accounts = document["accounts"].as_array_mut().expect("accounts");
+    let found = accounts
+        .iter_mut()
+        .find(|entry| entry["id"] == account)
+        .expect("the account");
+    found["keys"][0]["withdrawn"] = true.into();
+    site.apply(&document).await
+}
+
+#[tokio::test]
+async fn key_withdrawn_while_in_use() {
+    let options = SiteOptions {
+        engine_options: vec!["--token-ms", "50", "--answer-tokens", "400"],
+        slots: 1,
+        ..SiteOptions::default()
+    };
+    let site = Site::start(options).await;
+    let caller = site.caller("masters");
+    let mut streams = Vec::new();
+    for daemon in 0..2 {
+        let mut stream = caller.stream(daemon, None, 400).await;
+        assert!(stream.next().await.expect("it streams").is_some());
+        streams.push(stream);
+    }
+    // Both slots are taken, so this call waits.
+    let body = completion("queued", 4);
+    let queued = caller.send(2, Method::POST, "/v1/chat/completions", None, &body);
+    let withdrawn = async {
+        sleep(Duration::from_millis(500)).await;
+        withdraw(&site, "masters").await;
+        Instant::now()
+    };
+    let (queued, since) = tokio::join!(queued, withdrawn);
+    assert_eq!(queued.status, 401, "{}", queued.text());
+    assert!(since.elapsed() < IN_FORCE);
+    for stream in &mut streams {
+        let cut = tokio::time::timeout(IN_FORCE, async {
+            loop {
+                match stream.next().await {
+                    Ok(Some(_)) => {}
+                    ended => break ended,
+                }
+            }
+        });
+        let ended = cut.await.expect("the stream is cut in time");
+        assert!(ended.is_err(), "a cut stream must not look whole");
+    }
+    for daemon in 0..3 {
+        let refused = caller
+            .send(daemon, Method::GET, "/v1/models", None, &Value::Null)
+            .await;
+        assert_eq!(refused.status, 401, "daemon {daemon}");
+    }
+    let other = site
+        .caller("port-agents")
+        .send(0, Method::GET, "/v1/models", None, &Value::Null)
+        .await;
+    assert_eq!(other.status, 200, "another account's key goes on working");
+    assert!(
+        !site.recorded().await.contains("queued"),
+        "the queued call did not run"
+    );
+}
+
+#[tokio::test]
+async fn key_withdrawn_with_store_cut_off() {
+    let site = Site::start(SiteOptions::default()).await;
+    let caller = site.caller("masters");
+    let cut = json!({ "forward": "drop", "backward": "drop", "cut_open": true });
+    site.control(&site.store_links[0], "/faults", &cut).await;
+    sleep(Duration::from_secs(2)).await;
+    let still = caller
+        .send(0, Method::GET, "/v1/models", None, &Value::Null)
+        .await;
+    assert_eq!(
+        still.status,
+        200,
+        "a host that is cut off from the store learns from its peers: {}",
+        still.text()
+    );
+    withdraw(&site, "masters").await;
+    sleep(IN_FORCE).await;
+    for daemon in 0..3 {
+        let refused = caller
+            .send(daemon, Method::GET, "/v1/models", None, &Value::Null)
+            .await;
+        assert!(
+            refused.status == 401 || refused.status == 503,
+            "daemon {daemon}: {}",
+            refused.text()
+        );
+    }
+}
+
+#[tokio::test]
+async fn store_down_for_all_keys_go_on() {
+    let site = Site::start(SiteOptions::default()).await;
+    site.control(&site.kv, "/faults", &json!({ "down": true })).await;
+    let caller = site.caller("masters");
+    for _ in 0..16 {
+        sleep(Duration::from_millis(500)).await;
+        for daemon in 0..3 {
+            let served = caller
+                .send(daemon, Method::GET, "/v1/models", None, &Value::Null)
+                .await;
+            assert_eq!(served.status, 200, "daemon {daemon}: {}", served.text());
+        }
+    }
+}
+
+#[tokio::test]
+async fn restarted_host_does_not_revert() {
+    let mut site = Site::start(SiteOptions::default()).await;
+    let version = withdraw(&site, "masters").await;
+    for daemon in 0..3 {
+        until("the change is in force", || async {
+            (site.status(daemon).await?["document"]["version"] == version).then_some(())
+        })
+        .await;
+    }
+    site.control(&site.kv, "/faults", &json!({ "delay_ms": 300 }))
+        .await;
+    site.daemons[1].kill().await.expect("killed");
+    site.restart(1).await;
+    for _ in 0..20 {
+        let status = site.status(1).await.expect("it answers");
+        assert!(status["document"]["version"] == version, "{status}");
+        let refused = site
+            .caller("masters")
+            .send(1, Method::GET, "/v1/models", None, &Value::Null)
+            .await;
+        assert_ne!(refused.status, 200, "a withdrawn key works again");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Answers that a flood over all hosts got.
+struct Flood {
+    admitted: usize,
+    refused: usize,
+    elapsed: Duration,
+}
+
+async fn flood(site: &Site, account: &'static str, lasts: Duration) -> Flood {
+    let caller = site.caller(account);
+    let start = Instant::now();
+    let one = |daemon: usize| {
+        let caller = caller.clone();
+        async move {
+            let (mut admitted, mut refused) = (0, 0);
+            while start.elapsed() < lasts {
+                let answer = caller
+                    .send(daemon, Method::GET, "/services/tides/flood", None, &Value::Null)
+                    .await;
+                match answer.status.as_u16() {
+                    200 => admitted += 1,
+                    429 => {
+                        assert!(answer.headers.contains_key("retry-after"));
+                        assert_eq!(problem(&answer).1, "no");
+                        refused += 1;
+                    }
+                    other => panic!("{other}: {}", answer.text()),
+                }
+            }
+            (admitted, refused)
+        }
+    };
+    let workers = (0..12).map(|worker| one(worker % 3));
+    let counts = futures_util::future::join_all(workers).await;
+    Flood {
+        admitted: counts.iter().map(|count| count.0).sum(),
+        refused: counts.iter().map(|count| count.1).sum(),
+        elapsed: start.elapsed(),
+    }
+}
+
+#[tokio::test]
+async fn flood_over_all_hosts_stays_within_rate() {
+    let mut options = SiteOptions::default();
+    options.accounts[0] = AccountOptions {
+        id: "masters",
+        rate_per_s: 20.0,
+        burst: 10,
+    };
+    options.limits = json!({ "queue_timeout_s": 1 });
+    let site = Site::start(options).await;
+    let flood = flood(&site, "masters", Duration::from_secs(5)).await;
+    let executed = site
+        .ask(&site.service, "/recorded")
+        .await
+        .to_string()
+        .matches("/flood")
+        .count();
+    let most = 20.0 * flood.elapsed.as_secs_f64() + 10.0;
+    let executed_f64 = f64::from(u32::try_from(executed).expect("a small number"));
+    assert!(executed_f64 <= most, "{executed} ran, at most {most:.1} may");
+    assert_eq!(flood.admitted, executed, "answered and executed");
+    assert!(flood.refused > 0, "the flood is refused, not held");
+    assert!(
+        executed_f64 >= 0.5 * most,
+        "{executed} ran of {most:.1} that may: the rate is given out"
+    );
+}
+
+#[tokio::test]
+async fn leaving_endpoint_gets_no_new_work() {
+    let site = Site::start(SiteOptions::default()).await;
+    let caller = site.caller("masters");
+    let leaving = json!([
+        { "host_id": "host-of-engine-0", "failure_domain": "sohar-a", "peer_address": "", "state": "leaving" },
+    ]);
+    let address = site.hosts.address().expect("an address");
+    let mut listed: Vec<Value> = site
+        .http
+        .get_json(&format!("http://{address}/hosts"))
+        .await
+        .expect("the list answers");
+    listed.extend(leaving.as_array().expect("a list").clone());
+    site.put_control(&site.hosts, "/hosts", &Value::from(listed))
+        .await;
+    sleep(Duration::from_secs(3)).await;
+    let before = site
+        .ask(&site.engines[0], "/recorded")
+        .await
+        .to_string()
+        .matches("chat/completions")
+        .count();
+    for number in 0..20 {
+        let body = completion(&format!("question {number}"), 4);
+        let answer = caller
+            .send(number % 3, Method::POST, "/v1/chat/completions", None, &body)
+            .await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    let after = site
+        .ask(&site.engines[0], "/recorded")
+        .await
+        .to_string()
+        .matches("chat/completions")
+        .count();
+    assert_eq!(before, after, "the leaving endpoint got new work");
+}
--- a/crates/burdockroad-daemon/tests/processes/main.rs
+++ b/crates/burdockroad-daemon/tests/processes/main.rs
@@ -2,4 +2,5 @@
 
 mod failures;
 mod first_path;
+mod keys_and_rates;
 mod site;
--- a/crates/burdockroad-daemon/tests/processes/site.rs
+++ b/crates/burdockroad-daemon/tests/processes/site.rs
@@ -225,8 +225,19 @@
 
     /// Sends control orders to a stand-in.
     pub async fn control(&self, standin: &Process, path: &str, order: &Value) {
+        self.order(Method::POST, standin, path, order).await;
+    }
+
+    /// Puts a value at a stand-in's control address.
+    pub async fn put_control(&self, standin: &Process, path: &str, value: &Value) {
+        self.order(Method::PUT, standin, path, value).await;
+    }
+
+    async fn order(&self, method: Method, standin: &Process, path: &str, order: &Value) {
         let address = standin.address_of("control").expect("a control address");
-        let request = Request::post(format!("http://{address}{path}"));
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"));
         let request = request.body(Full::from(order.to_string())).expect("a request");
         let answer = self.http.send(request).await.expect("the stand-in answers");
         assert!(answer.status.is_success(), "{path} {order}: {}", answer.text());
