Tell the document's limits in its JSON Schema

The limits stand once, for the checks and the schema, so that a console of forms can refuse what the checks would. The checks are compared with the data model's own deserializer on all valid examples.

--- a/crates/burdockroad/src/config.rs
+++ b/crates/burdockroad/src/config.rs
@@ -24,6 +24,7 @@
 mod finding;
 mod freshness;
 mod keys;
+mod limits;
 mod names;
 pub mod reader;
 mod versioned;
--- a/crates/burdockroad/src/config/check.rs
+++ b/crates/burdockroad/src/config/check.rs
@@ -8,29 +8,17 @@
         Site, default_weight,
     },
     finding::Finding,
+    limits::{
+        ACCOUNT_WEIGHT_MAX, ACCOUNT_WEIGHT_MIN, ACCOUNTS_MAX, BUDGET_CALLS_MAX, BUDGET_DURATION_MAX_S,
+        BUDGET_TOKENS_MAX, BURST_MAX, COMPLETION_TOKENS_MAX, ENDPOINT_SETS_MAX, ENDPOINTS_PER_SET_MAX,
+        KEYS_PER_ACCOUNT_MAX, RATE_MAX_PER_S, RATE_MIN_PER_S, ROUTES_MAX, SITE_WEIGHT_MAX, SITES_MAX,
+        SLOTS_MAX,
+    },
     names::{NameTable, Reference},
     reader::{Fields, Node, Reader, read},
     versioned::{ENVELOPE_MAX_BYTES, envelope_bytes},
 };
 
-const SITES_MAX: usize = 16;
-const ACCOUNTS_MAX: usize = 20_000;
-const KEYS_PER_ACCOUNT_MAX: usize = 64;
-const ROUTES_MAX: usize = 1_000;
-const ENDPOINT_SETS_MAX: usize = 1_000;
-const ENDPOINTS_PER_SET_MAX: usize = 4_096;
-const SITE_WEIGHT_MAX: u32 = 1_000_000;
-const RATE_MIN_PER_S: f64 = 0.001;
-const RATE_MAX_PER_S: f64 = 1_000_000.0;
-const BURST_MAX: u32 = 1_000_000;
-const ACCOUNT_WEIGHT_MIN: f64 = 0.001;
-const ACCOUNT_WEIGHT_MAX: f64 = 1_000.0;
-const SLOTS_MAX: u32 = 10_000;
-const BUDGET_TOKENS_MAX: u64 = 1_000_000_000_000;
-const BUDGET_CALLS_MAX: u32 = 1_000_000;
-const BUDGET_DURATION_MAX_S: u64 = 30 * 24 * 3_600;
-const COMPLETION_TOKENS_MAX: u64 = 10_000_000;
-
 /// Reads the text of a document, in JSON with comments.
 ///
 /// # Errors
--- a/crates/burdockroad/tests/config.rs
+++ b/crates/burdockroad/tests/config.rs
@@ -72,6 +72,21 @@
     assert_eq!(changes[0].to_string(), "~ accounts.trust-duty.burst: 10 -> 11");
 }
 
+/// The checks read the same document as the data model's own deserializer.
+#[test]
+fn parse_agrees_with_data_model() {
+    let examples = [
+        VALID,
+        include_str!("../../../examples/trust/document.jsonc"),
+        include_str!("../../../examples/harrowfield/document.jsonc"),
+    ];
+    for text in examples {
+        let options = jsonc_parser::ParseOptions::default();
+        let read: Document = jsonc_parser::parse_to_serde_value(text, &options).expect("the text is valid");
+        assert_eq!(config::parse(text), Ok(read));
+    }
+}
+
 #[test]
 fn versioned_document_refuses() {
     let cases = [
