--- a/crates/burdockroad-daemon/tests/processes/first_path.rs
+++ b/crates/burdockroad-daemon/tests/processes/first_path.rs
@@ -42,6 +42,15 @@
     assert!(turns >= 6, "each call carried the whole history, found {turns}");
 }
 
+/// A request that is refused, and how.
+struct Refused<'a> {
+    name: &'static str,
+    status: u16,
+    kind: &'static str,
+    body: Value,
+    position: Option<(&'a str, u32)>,
+}
+
 #[tokio::test]
 async fn refusals_run_nothing() {
     let site = Site::start(SiteOptions {
@@ -56,39 +65,58 @@
     let ask = completion("never", 4);
     let path = "/v1/chat/completions";
     let unknown_model = json!({ "model": "none", "messages": [{ "role": "user", "content": "x" }] });
-    let cases: [(&str, u16, &str, Value, Option<(&str, u32)>); 6] = [
-        (
-            "wrong number",
-            409,
-            "wrong-call-number",
-            ask.clone(),
-            Some((&program, 3)),
-        ),
-        (
-            "unknown program",
-            404,
-            "unknown-program",
-            ask.clone(),
-            Some(("p-0007-none", 1)),
-        ),
-        (
-            "malformed program",
-            404,
-            "unknown-program",
-            ask.clone(),
-            Some(("7", 1)),
-        ),
-        ("unknown model", 404, "unknown-route", unknown_model, None),
-        (
-            "no messages",
-            400,
-            "invalid-request",
-            json!({ "model": "planner-llm" }),
-            None,
-        ),
-        ("not an object", 400, "invalid-request", json!([1]), None),
+    let cases = [
+        Refused {
+            name: "wrong number",
+            status: 409,
+            kind: "wrong-call-number",
+            body: ask.clone(),
+            position: Some((&program, 3)),
+        },
+        Refused {
+            name: "unknown program",
+            status: 404,
+            kind: "unknown-program",
+            body: ask.clone(),
+            position: Some(("p-0007-none", 1)),
+        },
+        Refused {
+            name: "malformed program",
+            status: 404,
+            kind: "unknown-program",
+            body: ask.clone(),
+            position: Some(("7", 1)),
+        },
+        Refused {
+            name: "unknown model",
+            status: 404,
+            kind: "unknown-route",
+            body: unknown_model,
+            position: None,
+        },
+        Refused {
+            name: "no messages",
+            status: 400,
+            kind: "invalid-request",
+            body: json!({ "model": "planner-llm" }),
+            position: None,
+        },
+        Refused {
+            name: "not an object",
+            status: 400,
+            kind: "invalid-request",
+            body: json!([1]),
+            position: None,
+        },
     ];
-    for (name, status, kind, body, position) in cases {
+    for Refused {
+        name,
+        status,
+        kind,
+        body,
+        position,
+    } in cases
+    {
         for daemon in 0..3 {
             let answer = caller.send(daemon, Method::POST, path, position, &body).await;
             assert_eq!(answer.status, status, "{name}: {}", answer.text());
--- a/crates/burdockroad-daemon/tests/processes/site.rs
+++ b/crates/burdockroad-daemon/tests/processes/site.rs
@@ -147,7 +147,7 @@
             daemons: Vec::new(),
             store_links,
             store,
-            http: HttpClient::with_timeout(Duration::from_secs(60)),
+            http: HttpClient::with_timeout(Duration::from_mins(1)),
             options,
             addresses,
             keys: BTreeMap::new(),
