Tell a withdrawn key whole, and give the site of processes a crate of its own

Cause: a call that was stopped because its key was withdrawn answers with a problem, and the host that its caller is connected to cut that answer for the same reason a moment later: the caller saw a broken connection instead of the 401 (1 of 17 process tests failed on a busy machine). Ruled out: waiting a moment before cutting. Change: an answer that is a problem is passed on whole. The harness moves to burdockroad-site, where measurements can use it too.

--- a/crates/burdockroad-daemon/src/http/server.rs
+++ b/crates/burdockroad-daemon/src/http/server.rs
@@ -158,10 +158,13 @@
 async fn answer_response(
     parts: &CallerServerParts,
     caller: Caller,
-    frames: Frames,
+    mut frames: Frames,
 ) -> Response<ResponseBody> {
-    let mut frames = cut_when_withdrawn(frames, caller, parts.in_force.clone()).boxed();
-    let head = match frames.next().await {
+    let first = tokio::select! {
+        first = frames.next() => first,
+        () = crate::calls::key_withdrawn(&parts.in_force, &caller) => return problem_response(&key_withdrawn()),
+    };
+    let head = match first {
         Some(Frame::Head(head)) => head,
         Some(Frame::Cut(problem)) => return problem_response(&problem),
         Some(Frame::Data(_) | Frame::End) | None => {
@@ -169,10 +172,21 @@
             return problem_response(&problem.ran(Ran::Unknown));
         }
     };
-    let body = StreamBody::new(body_frames(frames, is_event_stream(&head)));
+    let is_event_stream = has_content_type(&head, EVENT_STREAM_CONTENT_TYPE);
+    // A problem is told whole: the call may have been stopped for the same reason a moment earlier.
+    let frames = if has_content_type(&head, PROBLEM_CONTENT_TYPE) {
+        frames
+    } else {
+        cut_when_withdrawn(frames, caller, parts.in_force.clone()).boxed()
+    };
+    let body = StreamBody::new(body_frames(frames, is_event_stream));
     response(head, BodyExt::boxed_unsync(body))
 }
 
+fn key_withdrawn() -> Problem {
+    Problem::new(ProblemKind::InvalidKey, "the key was withdrawn").ran(Ran::Unknown)
+}
+
 /// Cuts an answer off as soon as the key that it was asked for with no longer works.
 fn cut_when_withdrawn(
     frames: Frames,
@@ -181,8 +195,7 @@
 ) -> impl Stream<Item = Frame> + Send {
     let withdrawn = stream::once(async move {
         crate::calls::key_withdrawn(&in_force, &caller).await;
-        let problem = Problem::new(ProblemKind::InvalidKey, "the key was withdrawn");
-        Frame::Cut(problem.ran(Ran::Unknown))
+        Frame::Cut(key_withdrawn())
     });
     let end = stream::once(async { None });
     let frames = frames.map(Some).chain(end);
@@ -222,12 +235,12 @@
     vec![Ok(BodyFrame::data(Bytes::from(text))), broken]
 }
 
-fn is_event_stream(head: &Head) -> bool {
-    let content_type = head
+fn has_content_type(head: &Head, content_type: &str) -> bool {
+    let value = head
         .headers
         .get(header::CONTENT_TYPE)
         .and_then(|value| value.to_str().ok());
-    content_type.is_some_and(|value| value.starts_with(EVENT_STREAM_CONTENT_TYPE))
+    value.is_some_and(|value| value.starts_with(content_type))
 }
 
 fn problem_response(problem: &Problem) -> Response<ResponseBody> {
--- a/crates/burdockroad-daemon/tests/processes/site.rs
+++ b/crates/burdockroad-site/src/site.rs
@@ -14,10 +14,7 @@
     platform::{self, Expected, Put, SharedKeyValue},
     settings::StoreSettings,
 };
-use burdockroad_standins::{
-    http_client::{HttpAnswer, HttpClient, HttpStream},
-    processes::Process,
-};
+use burdockroad_standins::{http_client::HttpClient, processes::Process};
 use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::Full;
@@ -25,6 +22,8 @@
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
 
+use crate::caller::Caller;
+
 /// Longest wait for something that has to come.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -37,12 +36,17 @@
 /// What a site is made of.
 #[derive(Clone, Debug)]
 pub struct SiteOptions {
+    /// Number of daemons.
     pub daemons: usize,
+    /// Number of model engines.
     pub engines: usize,
+    /// Options of each engine stand-in.
     pub engine_options: Vec<&'static str>,
+    /// Options of the service stand-in.
     pub service_options: Vec<&'static str>,
     /// Calls that each endpoint serves at once.
     pub slots: u32,
+    /// The client accounts.
     pub accounts: Vec<AccountOptions>,
     /// Settings of each daemon in place of the defaults, as JSON.
     pub limits: Value,
@@ -51,8 +55,11 @@
 /// An account of a site.
 #[derive(Clone, Copy, Debug)]
 pub struct AccountOptions {
+    /// Name of the account.
     pub id: &'static str,
+    /// Calls a second, over all hosts.
     pub rate_per_s: f64,
+    /// Calls at once, over all hosts.
     pub burst: u32,
 }
 
@@ -82,16 +89,25 @@
 }
 
 /// A running site. Daemons are numbered from 0.
+#[derive(Debug)]
 pub struct Site {
+    /// The key-value service.
     pub kv: Process,
+    /// The host list.
     pub hosts: Process,
+    /// The model engines.
     pub engines: Vec<Process>,
+    /// The plain service.
     pub service: Process,
+    /// The daemons.
     pub daemons: Vec<Process>,
     /// Between each daemon and the key-value service.
     pub store_links: Vec<Process>,
+    /// A client of the key-value service, beside the proxies.
     pub store: SharedKeyValue,
+    /// A client for requests to the stand-ins.
     pub http: HttpClient,
+    /// What the site was started with.
     pub options: SiteOptions,
     addresses: Vec<Addresses>,
     keys: BTreeMap<&'static str, String>,
@@ -306,6 +322,7 @@
         held
     }
 
+    /// Waits until a daemon may be given calls.
     pub async fn wait_until_ready(&self, number: usize) {
         let url = format!("{}/ready", self.admin_url(number));
         until("the daemon is ready", || async {
@@ -453,139 +470,3 @@
         sleep(PAUSE).await;
     }
 }
-
-/// A caller with a key.
-#[derive(Clone)]
-pub struct Caller<'a> {
-    pub site: &'a Site,
-    pub key: String,
-}
-
-impl Caller<'_> {
-    /// Creates a program at a daemon, and returns its id.
-    pub async fn program(&self, daemon: usize, body: &Value) -> String {
-        let answer = self.send(daemon, Method::POST, "/v1/programs", None, body).await;
-        assert_eq!(answer.status, 201, "{}", answer.text());
-        let program: Value = answer.json().expect("a program");
-        program["id"].as_str().expect("an id").to_owned()
-    }
-
-    /// A program as its caller sees it.
-    pub async fn show(&self, daemon: usize, program: &str) -> Value {
-        let path = format!("/v1/programs/{program}");
-        let answer = self.send(daemon, Method::GET, &path, None, &Value::Null).await;
-        assert_eq!(answer.status, 200, "{}", answer.text());
-        answer.json().expect("a program")
-    }
-
-    /// Sends a completion as a call of a program.
-    pub async fn complete(&self, daemon: usize, program: &str, number: u32, text: &str) -> HttpAnswer {
-        let body = completion(text, 16);
-        self.send(
-            daemon,
-            Method::POST,
-            "/v1/chat/completions",
-            Some((program, number)),
-            &body,
-        )
-        .await
-    }
-
-    /// Sends an order, which may not be repeated, as a call of a program.
-    pub async fn order(&self, daemon: usize, program: &str, number: u32, order: &str) -> HttpAnswer {
-        let body = json!({ "order": order });
-        self.send(
-            daemon,
-            Method::POST,
-            "/services/fuel-orders/orders",
-            Some((program, number)),
-            &body,
-        )
-        .await
-    }
-
-    pub async fn send(
-        &self,
-        daemon: usize,
-        method: Method,
-        path: &str,
-        position: Option<(&str, u32)>,
-        body: &Value,
-    ) -> HttpAnswer {
-        self.try_send(daemon, method, path, position, body)
-            .await
-            .expect("the daemon answers")
-    }
-
-    /// Sends a request whose connection may break.
-    pub async fn try_send(
-        &self,
-        daemon: usize,
-        method: Method,
-        path: &str,
-        position: Option<(&str, u32)>,
-        body: &Value,
-    ) -> burdockroad_standins::Result<HttpAnswer> {
-        self.site
-            .http
-            .send(self.request(daemon, method, path, position, body))
-            .await
-    }
-
-    /// Opens a streamed completion.
-    pub async fn stream(&self, daemon: usize, position: Option<(&str, u32)>, max_tokens: u64) -> HttpStream {
-        let mut body = completion("stream", max_tokens);
-        body["stream"] = true.into();
-        let request = self.request(daemon, Method::POST, "/v1/chat/completions", position, &body);
-        self.site.http.open(request).await.expect("the daemon answers")
-    }
-
-    fn request(
-        &self,
-        daemon: usize,
-        method: Method,
-        path: &str,
-        position: Option<(&str, u32)>,
-        body: &Value,
-    ) -> Request<Full<Bytes>> {
-        let text = if body.is_null() {
-            String::new()
-        } else {
-            body.to_string()
-        };
-        let mut request = Request::builder()
-            .method(method)
-            .uri(format!("{}{path}", self.site.url(daemon)))
-            .header("authorization", format!("Bearer {}", self.key));
-        if let Some((program, number)) = position {
-            request = request
-                .header("program-id", program)
-                .header("call-number", number);
-        }
-        request.body(Full::from(text)).expect("a request")
-    }
-}
-
-/// Body of a completion.
-pub fn completion(text: &str, max_tokens: u64) -> Value {
-    json!({
-        "model": "planner-llm",
-        "messages": [{ "role": "user", "content": text }],
-        "max_tokens": max_tokens,
-    })
-}
-
-/// The problem that an answer tells of: its type, and whether the request ran.
-pub fn problem(answer: &HttpAnswer) -> (String, String) {
-    let problem: Value = answer.json().expect("a problem");
-    let kind = problem["type"]
-        .as_str()
-        .expect("a type")
-        .rsplit(':')
-        .next()
-        .expect("a last part");
-    (
-        kind.to_owned(),
-        problem["ran"].as_str().expect("whether it ran").to_owned(),
-    )
-}
--- a/crates/burdockroad-daemon/tests/processes/failures.rs
+++ b/crates/burdockroad-site/tests/processes/failures.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use crate::site::{Caller, Site, SiteOptions, problem, until};
+use burdockroad_site::{Caller, Site, SiteOptions, problem, until};
 
 /// A slow service: an order takes this long.
 const ORDER_MS: &str = "1500";
@@ -87,7 +87,7 @@
         .await;
     let owner = site.owner_of(&program).await;
     let through = other_than(owner);
-    let body = crate::site::completion("slow question", 16);
+    let body = burdockroad_site::completion("slow question", 16);
     let path = "/v1/chat/completions";
     let caller = site.caller("masters");
     let (first, ()) = tokio::join!(
@@ -317,7 +317,7 @@
 /// Keeps requests under way at a daemon while it is told to stop; each of them has to be answered.
 async fn run_while_stopping(site: &Site, stopped: usize, program: &str, through: usize) {
     let caller = site.caller("masters");
-    let body = crate::site::completion("under way", 40);
+    let body = burdockroad_site::completion("under way", 40);
     let path = "/v1/chat/completions";
     let at_stopped = (0..8).map(|_| caller.send(stopped, Method::POST, path, None, &body));
     let at_owner = caller.complete(through, program, 1, "under way in a program");
--- a/crates/burdockroad-daemon/tests/processes/first_path.rs
+++ b/crates/burdockroad-site/tests/processes/first_path.rs
@@ -3,7 +3,7 @@
 use http::Method;
 use serde_json::{Value, json};
 
-use crate::site::{Site, SiteOptions, completion, problem};
+use burdockroad_site::{Site, SiteOptions, completion, problem};
 
 #[tokio::test]
 async fn program_across_all_hosts() {
@@ -142,7 +142,7 @@
         ..SiteOptions::default()
     })
     .await;
-    let nobody = crate::site::Caller {
+    let nobody = burdockroad_site::Caller {
         key: "brk_none_wrong".to_owned(),
         ..site.caller("masters")
     };
--- a/crates/burdockroad-daemon/tests/processes/keys_and_rates.rs
+++ b/crates/burdockroad-site/tests/processes/keys_and_rates.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use crate::site::{AccountOptions, Site, SiteOptions, completion, problem, until};
+use burdockroad_site::{AccountOptions, Site, SiteOptions, completion, problem, until};
 
 /// Longest time from an accepted change until it is in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(4);
--- a/crates/burdockroad-daemon/tests/processes/main.rs
+++ b/crates/burdockroad-site/tests/processes/main.rs
@@ -3,4 +3,3 @@
 mod failures;
 mod first_path;
 mod keys_and_rates;
-mod site;
