Look at the ownership again when a program changes

Cause: a request looked at the ownership map, waited, for its account's rate among other things, and was then carried out by the programs' actor, which knew nothing of ownership. If the partition moved meanwhile, the program was created at its old owner: stored, confirmed, and lost to the new one.

Change: the actor looks again before it creates, begins, shows or ends. Moves pass through the same actor, so nothing comes between.

Test create_after_partition_moved fails with the check off.

--- a/crates/burdockroad-daemon/src/daemon.rs
+++ b/crates/burdockroad-daemon/src/daemon.rs
@@ -240,6 +240,7 @@
         let parts = ProgramsParts {
             journal: Arc::clone(journal) as _,
             releaser: Arc::new(self.engine_memory()),
+            ownership: self.views.ownership(),
             options: ProgramsOptions::default(),
         };
         Ok(ProgramsHandle::start(parts).await?)
--- a/crates/burdockroad-daemon/src/programs.rs
+++ b/crates/burdockroad-daemon/src/programs.rs
@@ -25,6 +25,7 @@
 use crate::{
     answer::AnswerLog,
     journal::{Appended, Journal, JournalError, Trees},
+    ownership::OwnershipReceiver,
     programs::actor::{ProgramsActor, ProgramsArguments},
 };
 
@@ -162,6 +163,11 @@
     pub journal: Arc<dyn Journal>,
     /// Frees engine memory.
     pub releaser: Arc<dyn MemoryReleaser>,
+    /// The partitions that this process owns.
+    ///
+    /// Whoever asks has looked at it before; it is looked at again when a change is made, since a
+    /// partition may have moved while the request waited.
+    pub ownership: OwnershipReceiver,
     /// How programs are treated.
     pub options: ProgramsOptions,
 }
--- a/crates/burdockroad-daemon/src/programs/actor.rs
+++ b/crates/burdockroad-daemon/src/programs/actor.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use burdockroad::{
-    AccountId, PartitionId, ProgramId, Record,
+    AccountId, PartitionId, ProgramId, Record, partition_of_program,
     program::{
         Action, Begun, CallRequest, Cancelled, Hold, NewProgram, Outcome, Placement, Programs, Refusal,
         Sending, Tree,
@@ -142,6 +142,7 @@
     }
 
     fn get(&self, account_id: &AccountId, program_id: &ProgramId) -> Result<ProgramView, Refusal> {
+        self.check_owned(program_id)?;
         let (tree, _) = self.table.get(account_id, program_id)?;
         Ok(ProgramView {
             tree: tree.clone(),
@@ -149,6 +150,16 @@
         })
     }
 
+    /// A change that is made here after the partition has moved would be lost to its new owner.
+    ///
+    /// Changes and moves pass through this actor one at a time, so what this sees stays true until the
+    /// change is made: a move begins with a message that stops the partition.
+    fn check_owned(&self, program_id: &ProgramId) -> Result<(), Refusal> {
+        let partition = partition_of_program(program_id).ok_or(Refusal::UnknownProgram)?;
+        let owned = self.parts.ownership.borrow().owns(partition);
+        if owned { Ok(()) } else { Err(Refusal::NotOwner) }
+    }
+
     fn withdraw(&mut self, program_id: &ProgramId) {
         self.table.withdraw(program_id);
         self.running.remove(program_id);
@@ -160,6 +171,7 @@
         account_id: &AccountId,
         program_id: &ProgramId,
     ) -> Result<Appended, Refusal> {
+        self.check_owned(program_id)?;
         let actions = self.table.end(account_id, program_id, ENDED_BY_CALLER, now())?;
         Ok(self.perform(myself, actions))
     }
@@ -182,12 +194,14 @@
     }
 
     fn create(&mut self, new: NewProgram) -> Result<Appended, NotTaken> {
+        self.check_owned(&new.program_id)?;
         self.parts.journal.admit(Durability::Replicated)?;
         let record = self.table.create(new, now())?;
         Ok(self.append(vec![record], Durability::Replicated))
     }
 
     fn begin(&mut self, request: CallRequest) -> Result<Taken, NotTaken> {
+        self.check_owned(&request.program_id)?;
         if let Some(running) = self.running.get(&request.program_id)
             && running.request == request
         {
--- a/crates/burdockroad-daemon/tests/fleet.rs
+++ b/crates/burdockroad-daemon/tests/fleet.rs
@@ -8,6 +8,8 @@
 mod model;
 #[path = "fleet/model_store.rs"]
 mod model_store;
+#[path = "fleet/programs.rs"]
+mod programs;
 #[path = "fleet/service.rs"]
 mod service;
 #[path = "fleet/trees.rs"]
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/fleet/programs.rs
@@ -0,0 +1,93 @@
+//! Programs whose partition moves away between a request's check and its change.
+
+use std::{sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use burdockroad::{
+    ownership::{Candidate, OwnershipMap, Process, first_map},
+    program::{Budget, Hold, NewProgram, ProgramsOptions, Refusal},
+    program_id,
+};
+use burdockroad_daemon::{
+    coordinator::JournalFactory,
+    ownership::OwnershipView,
+    programs::{MemoryReleaser, NotTaken, ProgramsHandle, ProgramsParts},
+};
+use tokio::sync::watch;
+
+use crate::journals::Journals;
+
+#[derive(Debug)]
+struct NoMemory;
+
+#[async_trait]
+impl MemoryReleaser for NoMemory {
+    async fn release(&self, _: &Hold) -> bool {
+        true
+    }
+}
+
+fn process(host_id: &str) -> Process {
+    Process {
+        host_id: host_id.to_owned(),
+        incarnation: 1,
+    }
+}
+
+fn map_of(owner: &Process) -> OwnershipMap {
+    let candidate = Candidate {
+        process: owner.clone(),
+        failure_domain: "domain".to_owned(),
+        weight: 1,
+    };
+    first_map(&[candidate], 1).unwrap()
+}
+
+fn new_program(random: &str) -> NewProgram {
+    NewProgram {
+        program_id: program_id(7, random),
+        account_id: "account".to_owned(),
+        parent_id: None,
+        budget: Budget {
+            max_tokens: 1_000,
+            max_calls: 10,
+            max_duration: Duration::from_hours(1),
+        },
+    }
+}
+
+#[tokio::test]
+async fn create_after_partition_moved() {
+    let me = process("a");
+    let view = OwnershipView::new(me.clone(), &map_of(&me), true);
+    let (sender, ownership) = watch::channel(Arc::new(view));
+    let programs = ProgramsHandle::start(ProgramsParts {
+        journal: Journals::new().open(me.clone()).await.unwrap(),
+        releaser: Arc::new(NoMemory),
+        ownership,
+        options: ProgramsOptions::default(),
+    })
+    .await
+    .unwrap();
+    programs
+        .create(new_program("x"))
+        .await
+        .unwrap()
+        .await
+        .unwrap()
+        .unwrap();
+
+    let moved = OwnershipView::new(me, &map_of(&process("b")), true);
+    sender.send_replace(Arc::new(moved));
+    let refused = programs.create(new_program("y")).await.unwrap_err();
+    assert!(matches!(refused, NotTaken::Refused(Refusal::NotOwner)));
+    let program_id = program_id(7, "x");
+    let refused = programs
+        .get("account".to_owned(), program_id.clone())
+        .await
+        .unwrap_err();
+    assert_eq!(refused, Refusal::NotOwner);
+    let refused = programs.end("account".to_owned(), program_id).await.unwrap_err();
+    assert_eq!(refused, Refusal::NotOwner);
+    programs.close();
+}
