Keep copies of tails also after going on as another process

Cause: the store of tails kept the incarnation that the daemon started with. After a process was fenced and went on, peers addressed its new incarnation, and every copy was refused until the daemon was restarted.

StoreRecovery::new no longer takes the process.

Test restart_as_other_process.

--- a/crates/burdockroad-daemon/src/daemon.rs
+++ b/crates/burdockroad-daemon/src/daemon.rs
@@ -260,6 +260,7 @@
             settings: self.settings.clone(),
             peers: self.views.peers(),
             clients: Arc::clone(&self.clients),
+            tails: Arc::clone(&self.tails),
             cleaning: Mutex::default(),
         }
     }
@@ -294,7 +295,6 @@
             self.views.peers(),
             Arc::clone(&self.clients),
             Arc::clone(&self.tails),
-            self.views.me(),
         );
         CoordinatorOptions {
             views: self.views.clone(),
--- a/crates/burdockroad-daemon/src/daemon/journals.rs
+++ b/crates/burdockroad-daemon/src/daemon/journals.rs
@@ -13,7 +13,7 @@
     coordinator::JournalFactory,
     journal::{
         Journal, JournalError, JournalParts, Recovered, RecoveredTail, Recovery,
-        RecoveryError as StoredError, StoreJournal, StoreRecovery, Trees, writer_options,
+        RecoveryError as StoredError, StoreJournal, StoreRecovery, TailStore, Trees, writer_options,
     },
     ownership::PeersReceiver,
     peer::PeerClients,
@@ -35,6 +35,8 @@
     pub(super) settings: Settings,
     pub(super) peers: PeersReceiver,
     pub(super) clients: Arc<PeerClients>,
+    /// Copies that this process keeps for others.
+    pub(super) tails: Arc<TailStore>,
     /// The trees of this process and its open journal, whichever of them comes first.
     pub(super) cleaning: Mutex<Cleaning>,
 }
@@ -76,6 +78,9 @@
 #[async_trait]
 impl JournalFactory for Journals {
     async fn open(&self, process: Process) -> Result<Arc<dyn Journal>, JournalError> {
+        if self.tails.process() != process {
+            self.tails.restart(process.clone());
+        }
         let failure_domain = self.settings.failure_domain.clone();
         let parts = JournalParts {
             store: Arc::clone(&self.store),
--- a/crates/burdockroad-daemon/src/journal/recovery.rs
+++ b/crates/burdockroad-daemon/src/journal/recovery.rs
@@ -35,7 +35,6 @@
     peers: PeersReceiver,
     clients: Arc<PeerClients>,
     tails: Arc<TailStore>,
-    me: Process,
 }
 
 /// Copies of a tail, and whether the peer that had to have them was asked.
@@ -46,20 +45,18 @@
 }
 
 impl StoreRecovery {
-    /// Recovers journals as the process `me`, which itself keeps copies in `tails`.
+    /// Recovers journals as the process that keeps copies in `tails`.
     pub fn new(
         store: SharedKeyValue,
         peers: PeersReceiver,
         clients: Arc<PeerClients>,
         tails: Arc<TailStore>,
-        me: Process,
     ) -> Self {
         Self {
             store,
             peers,
             clients,
             tails,
-            me,
         }
     }
 
@@ -90,7 +87,7 @@
     /// could put the seal where the writer has long been, and has cleaned up behind it.
     async fn try_seal(&self, dead: &Process, newest: SegmentNumber) -> Result<bool, RecoveryError> {
         let seal = StoredSegment::Seal(Seal {
-            successor: self.me.clone(),
+            successor: self.tails.process(),
         });
         let (key, predecessor) = (keys::segment(dead, newest + 1), keys::segment(dead, newest));
         match self.store.create_after(&key, encode(&seal), &predecessor).await {
@@ -151,7 +148,7 @@
             .collect();
         let asked = others.iter().map(|peer| self.seal_tail_at(peer, dead));
         let mut answers: BTreeMap<Process, TailCopy> = join_all(asked).await.into_iter().flatten().collect();
-        answers.insert(self.me.clone(), self.tails.seal_here(dead));
+        answers.insert(self.tails.process(), self.tails.seal_here(dead));
         let outcome = match tail_peer {
             None => RecoveredTail::NotKept,
             Some(tail_peer) if answers.contains_key(tail_peer) => RecoveredTail::Sealed,
@@ -170,7 +167,7 @@
     async fn seal_tail_at(&self, peer: &PeerView, dead: &Process) -> Option<(Process, TailCopy)> {
         let request = SealTailRequest {
             writer: Some(host_ref(dead)),
-            successor: Some(host_ref(&self.me)),
+            successor: Some(host_ref(&self.tails.process())),
         };
         let mut client = self.clients.get(&peer.address).ok()?;
         let sealed = timeout(SEAL_TAIL_TIMEOUT, client.seal_tail(request)).await;
--- a/crates/burdockroad-daemon/src/journal/tail.rs
+++ b/crates/burdockroad-daemon/src/journal/tail.rs
@@ -15,11 +15,17 @@
 
 /// Answers peers that replicate or seal a tail at this process.
 ///
-/// A process that goes on under another incarnation takes a new one, as a process that restarted does.
+/// A process that goes on under another incarnation [restarts](Self::restart) it.
 #[derive(Debug)]
 pub struct TailStore {
+    options: TailTableOptions,
+    held: Mutex<Held>,
+}
+
+#[derive(Debug)]
+struct Held {
     me: Process,
-    table: Mutex<TailTable>,
+    table: TailTable,
 }
 
 impl TailStore {
@@ -30,15 +36,27 @@
 
     /// Makes a store without any copies, with other limits.
     pub fn with_options(me: Process, options: TailTableOptions) -> Self {
+        let table = TailTable::new(options);
         Self {
-            me,
-            table: Mutex::new(TailTable::new(options)),
+            options,
+            held: Mutex::new(Held { me, table }),
         }
     }
 
+    /// Goes on as another process without any copies, as after a restart of the host.
+    pub fn restart(&self, me: Process) {
+        let table = TailTable::new(self.options);
+        *self.held() = Held { me, table };
+    }
+
+    /// The process that the copies are kept by.
+    pub fn process(&self) -> Process {
+        self.held().me.clone()
+    }
+
     /// Seals a tail against its writer and returns what is held of it.
     pub fn seal_here(&self, writer: &Process) -> TailCopy {
-        let copy = self.table().seal(writer, Instant::now());
+        let copy = self.held().table.seal(writer, Instant::now());
         log::info!(
             "event=tail_sealed writer={} incarnation={:016x} records={}",
             writer.host_id,
@@ -48,8 +66,8 @@
         copy
     }
 
-    fn table(&self) -> MutexGuard<'_, TailTable> {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    fn held(&self) -> MutexGuard<'_, Held> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -57,7 +75,8 @@
 impl TailHandler for TailStore {
     async fn replicate(&self, request: ReplicateTailRequest) -> ReplicateTailResponse {
         let to = request.to.map(process_of);
-        let (Some(writer), true) = (request.writer, to.as_ref() == Some(&self.me)) else {
+        let mut held = self.held();
+        let (Some(writer), true) = (request.writer, to.as_ref() == Some(&held.me)) else {
             return ReplicateTailResponse {
                 other_process: true,
                 ..ReplicateTailResponse::default()
@@ -69,7 +88,7 @@
             records: request.records.into_iter().map(Arc::from).collect(),
             stored_end: request.stored_end,
         };
-        match self.table().keep(&process_of(writer), copies) {
+        match held.table.keep(&process_of(writer), copies) {
             TailReply::Held(held_end) => ReplicateTailResponse {
                 held_end,
                 ..ReplicateTailResponse::default()
@@ -86,7 +105,7 @@
     }
 
     async fn seal(&self, request: SealTailRequest) -> SealTailResponse {
-        let from = Some(host_ref(&self.me));
+        let from = Some(host_ref(&self.process()));
         let Some(writer) = request.writer else {
             return SealTailResponse {
                 from,
--- a/crates/burdockroad-daemon/tests/fleet.rs
+++ b/crates/burdockroad-daemon/tests/fleet.rs
@@ -12,5 +12,7 @@
 mod programs;
 #[path = "fleet/service.rs"]
 mod service;
+#[path = "fleet/tails.rs"]
+mod tails;
 #[path = "fleet/trees.rs"]
 mod trees;
--- a/crates/burdockroad-daemon/tests/journal/host.rs
+++ b/crates/burdockroad-daemon/tests/journal/host.rs
@@ -106,7 +106,6 @@
             peers,
             Arc::new(PeerClients::new()),
             Arc::clone(&self.tails),
-            self.process.clone(),
         )
     }
 
