--- a/crates/burdockroad-daemon/src/calls.rs
+++ b/crates/burdockroad-daemon/src/calls.rs
@@ -17,7 +17,7 @@
 };
 
 use burdockroad::{
-    AccountId, KeyId, PoolId, RouteId,
+    AccountId, EndpointId, KeyId, PoolId, RouteId,
     config::KeyMatch,
     program::{CallKind, RequestDigest},
 };
@@ -163,6 +163,22 @@
         }
     }
 
+    /// Endpoints that another try should leave out: those tried before, as long as others are left.
+    fn excluded(&self, plan: &Plan, tried: &[EndpointId]) -> Vec<EndpointId> {
+        let in_force = self.in_force.borrow();
+        let sets = in_force
+            .document
+            .endpoint_sets
+            .iter()
+            .filter(|set| plan.pool_ids.contains(&set.id));
+        let mut endpoints = sets.flat_map(|set| &set.endpoints);
+        if endpoints.any(|endpoint| !tried.contains(&endpoint.id)) {
+            tried.to_vec()
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Tokens set aside for a completion whose caller states no limit.
     fn default_max_tokens(&self) -> u64 {
         self.in_force
--- a/crates/burdockroad-daemon/src/calls/program_call.rs
+++ b/crates/burdockroad-daemon/src/calls/program_call.rs
@@ -51,7 +51,8 @@
     usage: Usage,
     prefix_endpoint_id: Option<String>,
     latest: Instant,
-    excluded: Vec<String>,
+    /// Endpoints that the call was sent to, or was about to be.
+    tried: Vec<String>,
 }
 
 impl CallRunner {
@@ -73,7 +74,7 @@
                 let reader = call.log.reader();
                 let latest = self.latest_start(&plan);
                 let log = Arc::clone(&call.log);
-                let excluded = Vec::new();
+                let tried = Vec::new();
                 let started = ProgramCall {
                     plan,
                     position,
@@ -81,7 +82,7 @@
                     usage,
                     prefix_endpoint_id,
                     latest,
-                    excluded,
+                    tried,
                 };
                 let runner = self.clone();
                 // A task of its own: the call goes on when its caller is gone.
@@ -127,7 +128,7 @@
             }
         };
         self.note_queue(&call.plan, queued);
-        call.excluded.push(slot.endpoint_id.clone());
+        call.tried.push(slot.endpoint_id.clone());
         let guard = SlotGuard::new(self, slot.clone());
         let placement = Placement {
             pool_id: slot.pool_id.clone(),
@@ -261,7 +262,7 @@
             max_output_tokens: self.wanted_tokens(&call.plan.work),
             attained_tokens: call.usage.attained_tokens,
             prefix_endpoint_id: call.prefix_endpoint_id.clone(),
-            excluded: call.excluded.clone(),
+            excluded: self.excluded(&call.plan, &call.tried),
             latest: call.latest,
         }
     }
@@ -276,7 +277,7 @@
 
 /// Whether a failed pass is followed by another.
 fn retry(call: &ProgramCall, failure: Failure, progress: Progress) -> Retry {
-    let tries = u32::try_from(call.excluded.len()).unwrap_or(u32::MAX);
+    let tries = u32::try_from(call.tried.len()).unwrap_or(u32::MAX);
     let again = progress == Progress::Sent
         && tries < ATTEMPTS_MAX
         && Instant::now() < call.latest
--- a/crates/burdockroad-daemon/src/calls/single_call.rs
+++ b/crates/burdockroad-daemon/src/calls/single_call.rs
@@ -45,26 +45,26 @@
         if !plan.caller.account_id.is_empty() {
             self.quota.admit(&plan.caller.account_id, latest).await?;
         }
-        let mut excluded = Vec::new();
+        let mut tried = Vec::new();
         loop {
             let slot = self
                 .dispatcher
-                .acquire(self.single_slot(plan, excluded.clone(), latest))
+                .acquire(self.single_slot(plan, self.excluded(plan, &tried), latest))
                 .await?;
             if !self.key_works(&plan.caller) {
                 self.dispatcher
                     .release(slot, crate::dispatch::SlotReport::default());
                 return Err(withdrawn());
             }
-            if excluded.is_empty() {
+            if tried.is_empty() {
                 self.note_queue(plan, queued);
             }
-            excluded.push(slot.endpoint_id.clone());
+            tried.push(slot.endpoint_id.clone());
             let failure = match self.single_attempt(plan, &slot, log).await {
                 Ok(()) => return Ok(()),
                 Err(failure) => failure,
             };
-            let tries = u32::try_from(excluded.len()).unwrap_or(u32::MAX);
+            let tries = u32::try_from(tried.len()).unwrap_or(u32::MAX);
             if tries >= ATTEMPTS_MAX || !may_repeat(plan, &failure, log) {
                 return Err(failure.problem);
             }
--- a/crates/burdockroad-daemon/src/http/server.rs
+++ b/crates/burdockroad-daemon/src/http/server.rs
@@ -33,6 +33,9 @@
 /// Body of a response to a caller.
 type ResponseBody = UnsyncBoxBody<Bytes, io::Error>;
 
+/// Time that the last event of a cut stream has to be written before the connection is dropped.
+const CUT_DELAY: Duration = Duration::from_millis(50);
+
 /// Time after which a caller should ask another host.
 const STOPPING_RETRY: Duration = Duration::from_secs(1);
 
@@ -214,25 +217,31 @@
     frames: impl Stream<Item = Frame> + Send + 'static,
     is_event_stream: bool,
 ) -> impl Stream<Item = Result<BodyFrame<Bytes>, io::Error>> + Send {
-    frames.flat_map(move |frame| {
-        let parts = match frame {
-            Frame::Data(data) => vec![Ok(BodyFrame::data(data))],
-            Frame::Head(_) | Frame::End => Vec::new(),
-            Frame::Cut(problem) => cut(&problem, is_event_stream),
-        };
-        stream::iter(parts)
+    frames.flat_map(move |frame| match frame {
+        Frame::Data(data) => stream::iter(vec![Ok(BodyFrame::data(data))]).left_stream(),
+        Frame::Head(_) | Frame::End => stream::iter(Vec::new()).left_stream(),
+        Frame::Cut(problem) => cut(&problem, is_event_stream).right_stream(),
     })
 }
 
-fn cut(problem: &Problem, is_event_stream: bool) -> Vec<Result<BodyFrame<Bytes>, io::Error>> {
-    let broken = Err(io::Error::other(problem.detail.clone()));
-    if !is_event_stream {
-        return vec![broken];
+fn cut(
+    problem: &Problem,
+    is_event_stream: bool,
+) -> impl Stream<Item = Result<BodyFrame<Bytes>, io::Error>> + Send + use<> {
+    let broken = io::Error::other(problem.detail.clone());
+    let mut event = Vec::new();
+    if is_event_stream {
+        event.extend_from_slice(b"data: ");
+        event.extend_from_slice(&problem.to_json());
+        event.extend_from_slice(b"\n\n");
     }
-    let mut text = b"data: ".to_vec();
-    text.extend_from_slice(&problem.to_json());
-    text.extend_from_slice(b"\n\n");
-    vec![Ok(BodyFrame::data(Bytes::from(text))), broken]
+    let told = stream::iter([Ok(BodyFrame::data(Bytes::from(event)))]);
+    // The connection is dropped with what it has not written, so the event needs a moment's start.
+    let broken = stream::once(async move {
+        tokio::time::sleep(CUT_DELAY).await;
+        Err(broken)
+    });
+    told.chain(broken)
 }
 
 fn has_content_type(head: &Head, content_type: &str) -> bool {
--- a/crates/burdockroad-site/src/caller.rs
+++ b/crates/burdockroad-site/src/caller.rs
@@ -93,6 +93,15 @@
             .await
     }
 
+    /// Posts a request with an idempotency key.
+    pub async fn send_keyed(&self, daemon: usize, path: &str, key: &str, body: &Value) -> HttpAnswer {
+        let mut request = self.request(daemon, Method::POST, path, None, body);
+        request
+            .headers_mut()
+            .insert("idempotency-key", key.parse().expect("a header value"));
+        self.site.http.send(request).await.expect("the daemon answers")
+    }
+
     /// Opens a streamed completion.
     pub async fn stream(&self, daemon: usize, position: Option<(&str, u32)>, max_tokens: u64) -> HttpStream {
         let mut body = completion("stream", max_tokens);
