--- a/crates/burdockroad-daemon/src/calls/single_call.rs
+++ b/crates/burdockroad-daemon/src/calls/single_call.rs
@@ -64,8 +64,8 @@
                 Ok(()) => return Ok(()),
                 Err(failure) => failure,
             };
-            let tries = u32::try_from(tried.len()).unwrap_or(u32::MAX);
-            if tries >= ATTEMPTS_MAX || !may_repeat(plan, &failure, log) {
+            let count = u32::try_from(tried.len()).unwrap_or(u32::MAX);
+            if count >= ATTEMPTS_MAX || !may_repeat(plan, &failure, log) {
                 return Err(failure.problem);
             }
             tokio::time::sleep(back_off()).await;
