--- /dev/null
+++ b/crates/burdockroad-site/src/bin/slopes.rs
@@ -0,0 +1,221 @@
+//! Measures what one daemon spends for a call, a program and a peer, for docs/CAPACITY.md.
+//!
+//! `cargo run --release --bin slopes` prints one line for each slope, `slope=... value=... unit=...`.
+//! Processor time and memory are read from the daemons' `/proc` entries, so this runs on Linux only.
+
+use std::{fs, time::Duration};
+
+use anyhow::{Context, Result};
+use burdockroad_proto::peer::{DocumentFreshness, HeartbeatRequest, HostRef};
+use burdockroad_site::{AccountOptions, Caller, Site, SiteOptions, completion};
+use burdockroad_standins::processes::Process;
+use http::Method;
+use prost::Message;
+use serde_json::json;
+
+/// Calls that a slope is taken over.
+const CALLS: usize = 4_000;
+
+/// Programs that a slope is taken over.
+const PROGRAMS: usize = 2_000;
+
+/// Requests under way at a time.
+const AT_ONCE: usize = 16;
+
+/// Time over which an idle daemon is watched.
+const IDLE: Duration = Duration::from_secs(20);
+
+/// Processor ticks a second, as Linux counts them for processes.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Bytes of a page of memory.
+const PAGE_BYTES: f64 = 4_096.0;
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let options = SiteOptions {
+        daemons: 3,
+        engines: 2,
+        engine_options: vec!["--token-ms", "1", "--answer-tokens", "1"],
+        slots: 64,
+        accounts: vec![AccountOptions {
+            id: "masters",
+            rate_per_s: 1e5,
+            burst: 100_000,
+        }],
+        ..SiteOptions::default()
+    };
+    let site = Site::start(options).await;
+    idle(&site).await?;
+    calls(&site).await?;
+    programs(&site).await?;
+    heartbeats();
+    Ok(())
+}
+
+fn print(slope: &str, value: f64, unit: &str) {
+    println!("slope={slope} value={value:.3} unit={unit}");
+}
+
+/// What daemons spend without any caller: heartbeats, polls of endpoints, reads of the store.
+async fn idle(site: &Site) -> Result<()> {
+    let counts = site.ask(&site.kv, "/counts").await;
+    let before = processor_s(&site.daemons)?;
+    tokio::time::sleep(IDLE).await;
+    let spent = processor_s(&site.daemons)? - before;
+    let after = site.ask(&site.kv, "/counts").await;
+    let hosts = count(site.daemons.len());
+    let seconds = IDLE.as_secs_f64();
+    print(
+        "idle_processor",
+        100.0 * spent / hosts / seconds,
+        "percent_of_a_core_per_host",
+    );
+    print(
+        "idle_memory",
+        memory_bytes(&site.daemons)? / hosts / 1e6,
+        "MB_per_host",
+    );
+    for which in ["reads", "writes"] {
+        let made = after[which].as_f64().unwrap_or(0.0) - counts[which].as_f64().unwrap_or(0.0);
+        print(
+            &format!("idle_store_{which}"),
+            made / hosts / seconds,
+            "per_s_per_host",
+        );
+    }
+    Ok(())
+}
+
+/// What a call of a program costs, the forward to its owner included.
+async fn calls(site: &Site) -> Result<()> {
+    let caller = site.caller("masters");
+    let before = processor_s(&site.daemons)?;
+    let counts = site.ask(&site.kv, "/counts").await;
+    let workers = (0..AT_ONCE).map(|worker| call_program(caller.clone(), worker, CALLS / AT_ONCE));
+    futures_util::future::join_all(workers).await;
+    let spent = processor_s(&site.daemons)? - before;
+    let after = site.ask(&site.kv, "/counts").await;
+    let writes = after["writes"].as_f64().unwrap_or(0.0) - counts["writes"].as_f64().unwrap_or(0.0);
+    print(
+        "call_processor",
+        1e6 * spent / count(CALLS),
+        "us_per_call_of_all_hosts",
+    );
+    print(
+        "call_store_writes",
+        writes / count(CALLS),
+        "per_call_of_all_hosts",
+    );
+    Ok(())
+}
+
+/// Programs of ten calls, one after another.
+async fn call_program(caller: Caller<'_>, worker: usize, calls: usize) {
+    let body = completion("What does the passage plan say of fuel at Sohar?", 1);
+    let mut program = String::new();
+    for call in 0..calls {
+        if call % 10 == 0 {
+            program = caller.program(worker % 3, &json!({})).await;
+        }
+        let number = u32::try_from(call % 10 + 1).unwrap_or(1);
+        let position = Some((program.as_str(), number));
+        let host = (worker + call) % 3;
+        let answer = caller
+            .send(host, Method::POST, "/v1/chat/completions", position, &body)
+            .await;
+        assert!(answer.status.is_success(), "{}", answer.text());
+    }
+}
+
+/// What a program that waits for its tools costs in memory.
+async fn programs(site: &Site) -> Result<()> {
+    let before = memory_bytes(&site.daemons)?;
+    let caller = site.caller("masters");
+    let text = "x".repeat(4_000);
+    let workers = (0..AT_ONCE).map(|worker| {
+        let caller = caller.clone();
+        let body = completion(&text, 1);
+        async move {
+            for _ in 0..PROGRAMS / AT_ONCE {
+                let program = caller.program(worker % 3, &json!({})).await;
+                let position = Some((program.as_str(), 1));
+                let answer = caller
+                    .send(worker % 3, Method::POST, "/v1/chat/completions", position, &body)
+                    .await;
+                assert!(answer.status.is_success(), "{}", answer.text());
+            }
+        }
+    });
+    futures_util::future::join_all(workers).await;
+    let grown = memory_bytes(&site.daemons)? - before;
+    print(
+        "program_memory",
+        grown / count(PROGRAMS),
+        "bytes_per_program_with_4000_bytes_of_history",
+    );
+    Ok(())
+}
+
+/// Bytes of a heartbeat, by the number of hosts that its sender hears.
+fn heartbeats() {
+    let heartbeat = |heard: usize| {
+        let host = |number: usize| HostRef {
+            host_id: format!("host-{number:04}"),
+            incarnation: u64::MAX,
+        };
+        let message = HeartbeatRequest {
+            from: Some(host(0)),
+            peer_address: "10.100.100.100:7200".to_owned(),
+            failure_domain: "sohar-a".to_owned(),
+            heard: (0..heard).map(host).collect(),
+            ownership_version: 1_000_000,
+            document: Some(DocumentFreshness {
+                version: 1_000_000,
+                vouch_age_ms: Some(1_000),
+            }),
+            leaving: false,
+        };
+        count(message.encoded_len())
+    };
+    print("heartbeat_base", heartbeat(0), "bytes");
+    print(
+        "heartbeat_per_heard_host",
+        (heartbeat(100) - heartbeat(0)) / 100.0,
+        "bytes",
+    );
+}
+
+fn processor_s(processes: &[Process]) -> Result<f64> {
+    let mut ticks = 0.0;
+    for process in processes {
+        let stat = read(process, "stat")?;
+        // The name before the last parenthesis may itself hold spaces.
+        let fields = stat.rsplit(')').next().context("the fields after the name")?;
+        let mut fields = fields.split_whitespace().skip(11);
+        for _ in 0..2 {
+            ticks += fields.next().context("processor ticks")?.parse::<f64>()?;
+        }
+    }
+    Ok(ticks / TICKS_PER_S)
+}
+
+fn memory_bytes(processes: &[Process]) -> Result<f64> {
+    let mut bytes = 0.0;
+    for process in processes {
+        let pages = read(process, "statm")?;
+        let resident = pages.split_whitespace().nth(1).context("resident pages")?;
+        bytes += PAGE_BYTES * resident.parse::<f64>()?;
+    }
+    Ok(bytes)
+}
+
+fn read(process: &Process, file: &str) -> Result<String> {
+    let id = process.id().context("the daemon runs")?;
+    fs::read_to_string(format!("/proc/{id}/{file}")).context("the daemon's /proc entry")
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts of a short run")]
+fn count(number: usize) -> f64 {
+    number as f64
+}
