Measure the decisions; report spent tokens; end stale timers

Change: the binary measure with seven in-process cases over a small event loop. Found by quota_windows, which did not end: each earlier timer started another chain of timers. The daemon's actors had the same fault; a timer that was replaced is now passed over.

--- /dev/null
+++ b/crates/burdockroad-daemon/src/bin/measure/main.rs
@@ -0,0 +1,93 @@
+//! Measures the decisions against baselines, with the same load and seed for both.
+//!
+//! `cargo run --release --bin measure -- [--seed N] [--case NAME]` prints one line for each figure and
+//! exits with 0 only if all keep their bounds.
+
+mod cost;
+mod driver;
+mod load;
+mod policies;
+mod pool_cases;
+mod quota_cases;
+mod quota_fleet;
+
+use std::process::ExitCode;
+
+use anyhow::{Result, ensure};
+
+/// Seed of a run that names none.
+const DEFAULT_SEED: u64 = 6;
+
+/// One measured figure.
+#[derive(Clone, Debug)]
+struct Figure {
+    case: &'static str,
+    name: &'static str,
+    baseline: f64,
+    value: f64,
+    bound: Bound,
+}
+
+/// What a figure must keep.
+#[derive(Clone, Copy, Debug)]
+enum Bound {
+    /// The value may not be larger.
+    AtMost(f64),
+    /// The value may not be smaller.
+    AtLeast(f64),
+}
+
+/// A case: its name, and what measures its figure from a seed.
+type Case = (&'static str, fn(u64) -> Figure);
+
+const CASES: [Case; 7] = [
+    ("trust_mixed", pool_cases::trust_mixed),
+    ("flooding_account", pool_cases::flooding_account),
+    ("tool_pauses", pool_cases::tool_pauses),
+    ("overload", pool_cases::overload),
+    ("decision_cost", cost::decision_cost),
+    ("skewed_balancer", quota_cases::skewed_balancer),
+    ("quota_windows", quota_cases::quota_windows),
+];
+
+impl Figure {
+    fn passes(&self) -> bool {
+        match self.bound {
+            Bound::AtMost(bound) => self.value <= bound,
+            Bound::AtLeast(bound) => self.value >= bound,
+        }
+    }
+
+    fn print(&self) {
+        let (Bound::AtMost(bound) | Bound::AtLeast(bound)) = self.bound;
+        let verdict = if self.passes() { "pass" } else { "short" };
+        println!(
+            "case={} figure={} baseline={:.3} value={:.3} bound={bound} verdict={verdict}",
+            self.case, self.name, self.baseline, self.value
+        );
+    }
+}
+
+fn main() -> Result<ExitCode> {
+    let mut args = pico_args::Arguments::from_env();
+    let seed = args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED);
+    let only: Option<String> = args.opt_value_from_str("--case")?;
+    let rest = args.finish();
+    ensure!(rest.is_empty(), "unknown arguments: {rest:?}");
+    let chosen: Vec<&Case> = CASES
+        .iter()
+        .filter(|(name, _)| only.as_deref().is_none_or(|only| only == *name))
+        .collect();
+    ensure!(!chosen.is_empty(), "no such case");
+    let mut passed = true;
+    for (_, measure) in chosen {
+        let figure = measure(seed);
+        figure.print();
+        passed &= figure.passes();
+    }
+    Ok(if passed {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- /dev/null
+++ b/crates/burdockroad-daemon/src/bin/measure/policies.rs
@@ -0,0 +1,251 @@
+//! The measured policy and the baselines.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use burdockroad::dispatch::{
+    CacheEvent, Call, CallId, EndpointInfo, LoadReport, Pool, Report, SlotId, Submitted,
+};
+
+/// A call of a program, as a policy sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Asked {
+    pub(crate) program: usize,
+    pub(crate) account: usize,
+    pub(crate) turn: usize,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) attained_tokens: u64,
+    pub(crate) last_endpoint: Option<usize>,
+    pub(crate) latest: Instant,
+}
+
+/// A call that was given a slot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Started {
+    pub(crate) program: usize,
+    pub(crate) endpoint: usize,
+    pub(crate) slot_id: SlotId,
+}
+
+/// A call that was refused.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Turned {
+    pub(crate) program: usize,
+    pub(crate) retry_after: Duration,
+}
+
+/// What a policy decided.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Decided {
+    pub(crate) started: Vec<Started>,
+    pub(crate) refused: Vec<Turned>,
+}
+
+/// Decides which call goes next, and where.
+pub(crate) trait Policy {
+    fn submit(&mut self, asked: Asked, now: Instant) -> Decided;
+    fn decide(&mut self, now: Instant) -> Decided;
+    fn complete(&mut self, started: Started, report: &Report, now: Instant);
+    fn wake_at(&self) -> Option<Instant> {
+        None
+    }
+    fn observe(&mut self, _endpoint: usize, _load: LoadReport, _evicted: &[usize], _now: Instant) {}
+    fn ended(&mut self, _program: usize) {}
+}
+
+/// The pool that is measured.
+#[derive(Debug)]
+pub(crate) struct Pooled {
+    pool: Pool,
+    programs: HashMap<CallId, usize>,
+}
+
+impl Pooled {
+    pub(crate) fn new(endpoints: usize, slots: u32, weights: &[f64], now: Instant) -> Self {
+        let mut pool = Pool::new(now);
+        let infos = (0..endpoints).map(|endpoint| EndpointInfo::new(endpoint_id(endpoint), slots));
+        pool.set_endpoints(infos.collect(), now);
+        for (account, weight) in weights.iter().enumerate() {
+            pool.set_weight(&account_id(account), *weight);
+        }
+        Self {
+            pool,
+            programs: HashMap::new(),
+        }
+    }
+}
+
+impl Policy for Pooled {
+    fn submit(&mut self, asked: Asked, now: Instant) -> Decided {
+        let call = Call {
+            account_id: account_id(asked.account),
+            program_id: Some(program_id(asked.program)),
+            first: asked.turn == 0,
+            prompt_tokens: asked.prompt_tokens,
+            max_output_tokens: 1_024,
+            attained_tokens: asked.attained_tokens,
+            prefix_endpoint_id: asked.last_endpoint.map(endpoint_id),
+            excluded: Vec::new(),
+            latest: asked.latest,
+        };
+        let mut decided = Decided::default();
+        match self.pool.submit(call, now) {
+            Submitted::Waiting(call_id) => {
+                self.programs.insert(call_id, asked.program);
+            }
+            Submitted::Refused { retry_after, .. } => decided.refused.push(Turned {
+                program: asked.program,
+                retry_after,
+            }),
+        }
+        decided
+    }
+
+    fn decide(&mut self, now: Instant) -> Decided {
+        let ticked = self.pool.tick(now);
+        let started = ticked.assignments.into_iter().filter_map(|assignment| {
+            Some(Started {
+                program: self.programs.remove(&assignment.call_id)?,
+                endpoint: assignment.endpoint_id.trim_start_matches('e').parse().ok()?,
+                slot_id: assignment.slot_id,
+            })
+        });
+        let started = started.collect();
+        let refused = ticked.refused.into_iter().filter_map(|refused| {
+            Some(Turned {
+                program: self.programs.remove(&refused.call_id)?,
+                retry_after: refused.retry_after,
+            })
+        });
+        Decided {
+            started,
+            refused: refused.collect(),
+        }
+    }
+
+    fn complete(&mut self, started: Started, report: &Report, now: Instant) {
+        self.pool.complete(started.slot_id, report, now);
+    }
+
+    fn wake_at(&self) -> Option<Instant> {
+        self.pool.wake_at()
+    }
+
+    fn observe(&mut self, endpoint: usize, load: LoadReport, evicted: &[usize], now: Instant) {
+        let endpoint_id = endpoint_id(endpoint);
+        self.pool.observe_load(&endpoint_id, load, now);
+        for program in evicted {
+            let program_id = program_id(*program);
+            self.pool
+                .observe_cache_event(&endpoint_id, &CacheEvent::Removed { program_id });
+        }
+    }
+
+    fn ended(&mut self, program: usize) {
+        self.pool.forget_program(&program_id(program));
+    }
+}
+
+/// First come, first served; each endpoint has its own queue.
+#[derive(Debug)]
+pub(crate) struct RoundRobin {
+    queues: Vec<VecDeque<usize>>,
+    free: Vec<u32>,
+    next: usize,
+}
+
+impl RoundRobin {
+    pub(crate) fn new(endpoints: usize, slots: u32) -> Self {
+        Self {
+            queues: vec![VecDeque::new(); endpoints],
+            free: vec![slots; endpoints],
+            next: 0,
+        }
+    }
+}
+
+impl Policy for RoundRobin {
+    fn submit(&mut self, asked: Asked, _now: Instant) -> Decided {
+        self.queues[self.next].push_back(asked.program);
+        self.next = (self.next + 1) % self.queues.len();
+        Decided::default()
+    }
+
+    fn decide(&mut self, _now: Instant) -> Decided {
+        let mut decided = Decided::default();
+        for endpoint in 0..self.queues.len() {
+            while self.free[endpoint] > 0
+                && let Some(program) = self.queues[endpoint].pop_front()
+            {
+                self.free[endpoint] -= 1;
+                decided.started.push(started(program, endpoint));
+            }
+        }
+        decided
+    }
+
+    fn complete(&mut self, started: Started, _report: &Report, _now: Instant) {
+        self.free[started.endpoint] += 1;
+    }
+}
+
+/// First come, first served, at the endpoint with most free slots, wherever the prefix is.
+#[derive(Debug)]
+pub(crate) struct LeastLoaded {
+    queue: VecDeque<usize>,
+    free: Vec<u32>,
+}
+
+impl LeastLoaded {
+    pub(crate) fn new(endpoints: usize, slots: u32) -> Self {
+        Self {
+            queue: VecDeque::new(),
+            free: vec![slots; endpoints],
+        }
+    }
+}
+
+impl Policy for LeastLoaded {
+    fn submit(&mut self, asked: Asked, _now: Instant) -> Decided {
+        self.queue.push_back(asked.program);
+        Decided::default()
+    }
+
+    fn decide(&mut self, _now: Instant) -> Decided {
+        let mut decided = Decided::default();
+        while let Some((endpoint, free)) = self.free.iter_mut().enumerate().max_by_key(|(_, free)| **free)
+            && *free > 0
+            && let Some(program) = self.queue.pop_front()
+        {
+            *free -= 1;
+            decided.started.push(started(program, endpoint));
+        }
+        decided
+    }
+
+    fn complete(&mut self, started: Started, _report: &Report, _now: Instant) {
+        self.free[started.endpoint] += 1;
+    }
+}
+
+fn started(program: usize, endpoint: usize) -> Started {
+    Started {
+        program,
+        endpoint,
+        slot_id: 0,
+    }
+}
+
+pub(crate) fn account_id(account: usize) -> String {
+    format!("a{account}")
+}
+
+fn endpoint_id(endpoint: usize) -> String {
+    format!("e{endpoint}")
+}
+
+fn program_id(program: usize) -> String {
+    format!("p{program}")
+}
--- /dev/null
+++ b/crates/burdockroad-daemon/src/bin/measure/pool_cases.rs
@@ -0,0 +1,223 @@
+//! Cases of the pool: latency, fairness, caches and overload.
+
+use std::time::Instant;
+
+use crate::{
+    Bound, Figure,
+    driver::{Driver, Ended, Fleet, Outcome},
+    load::{Generator, Program, float, mean_need_s},
+    policies::{LeastLoaded, Policy, Pooled, RoundRobin},
+};
+
+/// Endpoints of the larger pool of either user, and the slots of each.
+const ENDPOINTS: usize = 10;
+const SLOTS: u32 = 8;
+
+/// Tokens that an engine holds where the cache is not what is measured.
+const CACHE_TOKENS: u64 = 400_000;
+
+/// Shares of the accounts in the load, and their weights; a few are large.
+const SHARES: [f64; 8] = [0.3, 0.2, 0.1, 0.1, 0.1, 0.1, 0.05, 0.05];
+
+/// Part of the capacity that is offered; capacity counts every prompt as computed whole.
+const LOAD: f64 = 0.9;
+
+/// Account that sends more than its rate, and how many times.
+const FLOODING: usize = 1;
+const FLOOD: f64 = 5.0;
+
+/// Length of a run, and of its beginning that is not counted, in seconds.
+const DURATION_S: f64 = 1_800.0;
+const WARM_UP_S: f64 = 300.0;
+
+/// Programs that run at once where the cache is measured, and how many are run.
+const CONCURRENT: usize = 160;
+const CLOSED_PROGRAMS: usize = 3_000;
+
+/// Tokens of a running program's history, on average over its life.
+const MEAN_CONTEXT_TOKENS: u64 = 14_000;
+
+/// Loads of the overload case, relative to the load that saturates the pool.
+const OVERLOADS: [f64; 5] = [1.0, 1.5, 2.0, 3.0, 4.0];
+
+/// Program latency at 90% of capacity against first-come-first-served with round robin.
+pub(crate) fn trust_mixed(seed: u64) -> Figure {
+    let programs = arrivals(seed, &rates(seed, LOAD));
+    let mut baseline = RoundRobin::new(ENDPOINTS, SLOTS);
+    let baseline = run(&mut baseline, fleet(), programs.clone(), seed);
+    let value = run_pooled(fleet(), &SHARES, programs, seed);
+    let baseline_s = percentile_95(&baseline, None);
+    let value_s = percentile_95(&value, None);
+    Figure {
+        case: "trust_mixed",
+        name: "p95_program_latency_ratio",
+        baseline: baseline_s,
+        value: value_s / baseline_s,
+        bound: Bound::AtMost(0.5),
+    }
+}
+
+/// Latency of the account that fares worst beside a flooding one, against its own run on its share.
+pub(crate) fn flooding_account(seed: u64) -> Figure {
+    let mut rates = rates(seed, LOAD);
+    rates[FLOODING] *= FLOOD;
+    let programs = arrivals(seed, &rates);
+    let mixed = run_pooled(fleet(), &SHARES, programs.clone(), seed);
+    let mut worst = (0.0, 0.0);
+    for (account, share) in SHARES.iter().enumerate() {
+        if account == FLOODING {
+            continue;
+        }
+        let own = programs.iter().filter(|program| program.account == account);
+        let alone = run_pooled(share_of_fleet(*share), &SHARES, own.cloned().collect(), seed);
+        let alone_s = percentile_95(&alone, Some(account));
+        let ratio = percentile_95(&mixed, Some(account)) / alone_s;
+        if ratio > worst.1 {
+            worst = (alone_s, ratio);
+        }
+    }
+    Figure {
+        case: "flooding_account",
+        name: "worst_other_p95_ratio",
+        baseline: worst.0,
+        value: worst.1,
+        bound: Bound::AtMost(1.2),
+    }
+}
+
+/// Prompt tokens computed again, with caches for half of what running programs hold.
+pub(crate) fn tool_pauses(seed: u64) -> Figure {
+    let working_set = CONCURRENT as u64 * MEAN_CONTEXT_TOKENS;
+    let fleet = Fleet {
+        cache_tokens: working_set / 2 / ENDPOINTS as u64,
+        ..fleet()
+    };
+    let mut generator = Generator::new(seed);
+    let first: Vec<Program> = (0..CONCURRENT).map(|_| generator.program(0, 0.0)).collect();
+    let run = |policy: &mut dyn Policy, start| {
+        Driver::new(policy, fleet, first.clone(), start, seed)
+            .closed_until(CLOSED_PROGRAMS)
+            .run()
+    };
+    let start = Instant::now();
+    let baseline = run(&mut LeastLoaded::new(ENDPOINTS, SLOTS), start).recomputed_tokens;
+    let value = run(&mut Pooled::new(ENDPOINTS, SLOTS, &SHARES, start), start).recomputed_tokens;
+    Figure {
+        case: "tool_pauses",
+        name: "recomputed_tokens_ratio",
+        baseline: float(baseline),
+        value: float(value) / float(baseline),
+        bound: Bound::AtMost(1.0 / 3.0),
+    }
+}
+
+/// Tokens a second of programs that finish, past saturation against the best load.
+pub(crate) fn overload(seed: u64) -> Figure {
+    let saturated = goodput_per_s(seed, &rates(seed, 2.0));
+    let mean_tokens = mean_output_tokens(seed);
+    let goodputs = OVERLOADS.map(|load| {
+        let rates = SHARES.map(|share| saturated / mean_tokens * share * load);
+        goodput_per_s(seed, &rates)
+    });
+    let peak = goodputs.iter().copied().fold(0.0, f64::max);
+    let least = goodputs.iter().copied().fold(f64::INFINITY, f64::min);
+    Figure {
+        case: "overload",
+        name: "least_goodput_to_peak",
+        baseline: peak,
+        value: least / peak,
+        bound: Bound::AtLeast(0.95),
+    }
+}
+
+fn fleet() -> Fleet {
+    Fleet {
+        endpoints: ENDPOINTS,
+        slots: SLOTS,
+        cache_tokens: CACHE_TOKENS,
+    }
+}
+
+/// The endpoints that an account would have to itself: whole ones, or some slots of one.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a share of ten endpoints"
+)]
+fn share_of_fleet(share: f64) -> Fleet {
+    let endpoints = share * float(ENDPOINTS as u64);
+    if endpoints >= 1.0 {
+        return Fleet {
+            endpoints: endpoints.round() as usize,
+            ..fleet()
+        };
+    }
+    Fleet {
+        endpoints: 1,
+        slots: (f64::from(SLOTS) * endpoints).round() as u32,
+        cache_tokens: (float(CACHE_TOKENS) * endpoints).round() as u64,
+    }
+}
+
+/// Programs a second of each account at a part of the capacity.
+fn rates(seed: u64, load: f64) -> [f64; 8] {
+    let slots = float(ENDPOINTS as u64) * f64::from(SLOTS);
+    let per_s = load * slots / mean_need_s(seed);
+    SHARES.map(|share| share * per_s)
+}
+
+fn arrivals(seed: u64, rates_per_s: &[f64]) -> Vec<Program> {
+    Generator::new(seed).arrivals(rates_per_s, DURATION_S)
+}
+
+fn run(policy: &mut dyn Policy, fleet: Fleet, programs: Vec<Program>, seed: u64) -> Outcome {
+    Driver::new(policy, fleet, programs, Instant::now(), seed).run()
+}
+
+fn run_pooled(fleet: Fleet, weights: &[f64], programs: Vec<Program>, seed: u64) -> Outcome {
+    let start = Instant::now();
+    let mut pooled = Pooled::new(fleet.endpoints, fleet.slots, weights, start);
+    Driver::new(&mut pooled, fleet, programs, start, seed).run()
+}
+
+/// Program latency in seconds; a program that did not finish counts as endless.
+fn percentile_95(outcome: &Outcome, account: Option<usize>) -> f64 {
+    let counted = |ended: &&Ended| {
+        ended.arrival_s >= WARM_UP_S && account.is_none_or(|account| account == ended.account)
+    };
+    let mut latencies: Vec<f64> = outcome
+        .ended
+        .iter()
+        .filter(counted)
+        .map(|ended| {
+            if ended.finished {
+                ended.at_s - ended.arrival_s
+            } else {
+                f64::INFINITY
+            }
+        })
+        .collect();
+    latencies.sort_by(f64::total_cmp);
+    latencies[latencies.len() * 95 / 100]
+}
+
+/// Generated tokens a second of programs that finish between the warm-up and the end of the load.
+fn goodput_per_s(seed: u64, rates_per_s: &[f64]) -> f64 {
+    let outcome = run_pooled(fleet(), &SHARES, arrivals(seed, rates_per_s), seed);
+    let counted = |ended: &&Ended| ended.finished && (WARM_UP_S..DURATION_S).contains(&ended.at_s);
+    let tokens: u64 = outcome
+        .ended
+        .iter()
+        .filter(counted)
+        .map(|ended| ended.output_tokens)
+        .sum();
+    float(tokens) / (DURATION_S - WARM_UP_S)
+}
+
+fn mean_output_tokens(seed: u64) -> f64 {
+    let mut generator = Generator::new(seed);
+    let sample: Vec<Program> = (0..4_000).map(|_| generator.program(0, 0.0)).collect();
+    let turns = sample.iter().flat_map(|program| &program.turns);
+    let tokens: u64 = turns.map(|turn| turn.output_tokens).sum();
+    float(tokens) / float(sample.len() as u64)
+}
--- /dev/null
+++ b/crates/burdockroad-daemon/src/bin/measure/quota_cases.rs
@@ -0,0 +1,194 @@
+//! Cases of rates and bursts.
+
+use std::time::Duration;
+
+use burdockroad::quota::Limits;
+
+use crate::{
+    Bound, Figure,
+    load::Generator,
+    quota_fleet::{Fault, PATIENCE, QuotaFleet, Takeover},
+};
+
+/// Entry hosts.
+const HOSTS: usize = 7;
+
+/// Calls at the favoured host against each other one.
+const SKEW: usize = 5;
+
+/// Time after which the balancer favours another host.
+const SKEW_TIME_S: f64 = 20.0;
+
+/// Rates a second and bursts of the accounts.
+const ACCOUNTS: [(f64, u32); 8] = [
+    (200.0, 100),
+    (100.0, 20),
+    (50.0, 50),
+    (20.0, 10),
+    (10.0, 20),
+    (5.0, 5),
+    (2.0, 10),
+    (1.0, 3),
+];
+
+/// Length of a run, in seconds; calls begin when the bucket has filled.
+const DURATION_S: f64 = 300.0;
+
+/// Calls that are offered against the rate, inside it and over it.
+const INSIDE: f64 = 0.95;
+const OVER: f64 = 3.0;
+
+/// Excess that is a rounding error, in calls.
+const ROUNDING: f64 = 1e-6;
+
+/// Refusals of calls inside the rate, against a fixed share of rate and burst at each host.
+pub(crate) fn skewed_balancer(seed: u64) -> Figure {
+    let mut refused = 0;
+    let mut refused_by_shares = 0;
+    for (index, (rate_per_s, burst)) in ACCOUNTS.iter().enumerate() {
+        let limits = Limits {
+            rate_per_s: *rate_per_s,
+            burst: *burst,
+        };
+        let calls = inside_rate(limits, seed + index as u64);
+        refused_by_shares += refused_by_fixed_shares(limits, &calls);
+        let mut fleet = QuotaFleet::new(HOSTS, limits, Takeover::Empty, seed);
+        for (at, host) in calls {
+            fleet.call(at, host);
+        }
+        fleet.run();
+        refused += fleet.refused;
+    }
+    Figure {
+        case: "skewed_balancer",
+        name: "refusals_inside_rate",
+        baseline: count(refused_by_shares),
+        value: count(refused),
+        bound: Bound::AtMost(0.0),
+    }
+}
+
+/// Most calls by which a window passes rate and burst, against owners that begin full.
+pub(crate) fn quota_windows(seed: u64) -> Figure {
+    Figure {
+        case: "quota_windows",
+        name: "most_calls_over_limit",
+        baseline: worst_excess(Takeover::Full, seed),
+        value: worst_excess(Takeover::Empty, seed),
+        bound: Bound::AtMost(0.0),
+    }
+}
+
+fn worst_excess(takeover: Takeover, seed: u64) -> f64 {
+    let owner_faults = [Fault::OwnerKilled, Fault::OwnerPaused, Fault::OwnerCut];
+    let mut worst = 0.0_f64;
+    for (index, (rate_per_s, burst)) in ACCOUNTS.iter().enumerate() {
+        let limits = Limits {
+            rate_per_s: *rate_per_s,
+            burst: *burst,
+        };
+        for first in owner_faults {
+            let mut fleet = QuotaFleet::new(HOSTS, limits, takeover, seed + index as u64);
+            let mut generator = Generator::new(seed + index as u64);
+            for (at, host) in random_calls(&mut generator, rate_per_s * OVER, 0.0) {
+                fleet.call(at, host);
+            }
+            let mut at_s = 10.0;
+            while at_s < DURATION_S - 20.0 {
+                fleet.fault(Duration::from_secs_f64(at_s), first);
+                let host = generator.below(HOSTS);
+                let paused_s = at_s + generator.exponential(2.0);
+                fleet.fault(Duration::from_secs_f64(paused_s), Fault::HostPaused(host));
+                at_s += 10.0 + generator.exponential(5.0);
+            }
+            fleet.run();
+            worst = worst.max(excess(&fleet.admitted, limits));
+        }
+    }
+    if worst < ROUNDING { 0.0 } else { worst }
+}
+
+/// Calls of an account that never passes its own rate and burst, at the hosts that a skewed balancer
+/// sends them to.
+fn inside_rate(limits: Limits, seed: u64) -> Vec<(Duration, usize)> {
+    let burst = f64::from(limits.burst);
+    let begin_s = burst / limits.rate_per_s + 2.0;
+    let mut generator = Generator::new(seed);
+    let mut level = burst;
+    let mut previous_s = begin_s;
+    let mut calls = random_calls(&mut generator, limits.rate_per_s * INSIDE, begin_s);
+    calls.retain(|(at, _)| {
+        level = (level + (at.as_secs_f64() - previous_s) * limits.rate_per_s).min(burst);
+        previous_s = at.as_secs_f64();
+        let inside = level >= 1.0;
+        if inside {
+            level -= 1.0;
+        }
+        inside
+    });
+    calls
+}
+
+fn random_calls(generator: &mut Generator, per_s: f64, begin_s: f64) -> Vec<(Duration, usize)> {
+    let mut calls = Vec::new();
+    let mut at_s = begin_s;
+    while at_s < DURATION_S {
+        at_s += generator.exponential(1.0 / per_s);
+        calls.push((Duration::from_secs_f64(at_s), skewed_host(generator, at_s)));
+    }
+    calls
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a small positive quotient"
+)]
+fn skewed_host(generator: &mut Generator, at_s: f64) -> usize {
+    let favoured = (at_s / SKEW_TIME_S) as usize % HOSTS;
+    let drawn = generator.below(HOSTS - 1 + SKEW);
+    if drawn < HOSTS { drawn } else { favoured }
+}
+
+/// Refusals when each host has a fixed share of rate and burst, and calls may wait as long.
+fn refused_by_fixed_shares(limits: Limits, calls: &[(Duration, usize)]) -> usize {
+    let hosts = count(HOSTS);
+    let rate_per_s = limits.rate_per_s / hosts;
+    let burst = f64::from(limits.burst) / hosts;
+    let mut levels = [(burst, 0.0_f64); HOSTS];
+    let mut refused = 0;
+    for (at, host) in calls {
+        let (level, previous_s) = &mut levels[*host];
+        let at_s = at.as_secs_f64();
+        *level = (*level + (at_s - *previous_s) * rate_per_s).min(burst);
+        *previous_s = at_s;
+        // A call may take what comes within its patience; the level is then below zero.
+        if *level + rate_per_s * PATIENCE.as_secs_f64() >= 1.0 {
+            *level -= 1.0;
+        } else {
+            refused += 1;
+        }
+    }
+    refused
+}
+
+/// Most calls by which any window passes the limits; a bucket that is drained by every call and
+/// starts full falls below zero just when some window does.
+fn excess(admitted: &[Duration], limits: Limits) -> f64 {
+    let burst = f64::from(limits.burst);
+    let mut level = burst;
+    let mut worst = 0.0_f64;
+    let mut previous = admitted.first().copied().unwrap_or_default();
+    for &at in admitted {
+        let elapsed_s = at.saturating_sub(previous).as_secs_f64();
+        level = (level + elapsed_s * limits.rate_per_s).min(burst) - 1.0;
+        worst = worst.max(-level);
+        previous = at;
+    }
+    worst
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+fn count(count: usize) -> f64 {
+    count as f64
+}
--- a/crates/burdockroad-daemon/src/dispatch/actor.rs
+++ b/crates/burdockroad-daemon/src/dispatch/actor.rs
@@ -7,6 +7,7 @@
     dispatch::{CacheEvent, LoadReport, Report, SlotId},
 };
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use tokio::time::Instant;
 
 use crate::{
     dispatch::{
@@ -47,8 +48,8 @@
         load: Option<LoadReport>,
         events: Vec<CacheEvent>,
     },
-    /// Time has passed; calls may have to be settled.
-    Tick,
+    /// A time that was scheduled has come; calls may have to be settled.
+    Wake(Instant),
     /// Time has passed; endpoint sets and peers may have changed.
     Follow,
 }
@@ -167,7 +168,7 @@
                 load,
                 events,
             } => state.observed(&pool_id, &endpoint_id, load, &events),
-            PoolMessage::Tick => state.tick_all(),
+            PoolMessage::Wake(scheduled) => state.wake(scheduled),
             PoolMessage::Follow => state.follow(),
         }
         Ok(())
--- a/crates/burdockroad-daemon/src/dispatch/pools.rs
+++ b/crates/burdockroad-daemon/src/dispatch/pools.rs
@@ -208,7 +208,14 @@
         self.tick(pool_id);
     }
 
-    pub(super) fn tick_all(&mut self) {
+    /// Ticks at the time that was scheduled last; what was scheduled before is out of date.
+    pub(super) fn wake(&mut self, scheduled: Instant) {
+        if self.wake_at == Some(scheduled) {
+            self.tick_all();
+        }
+    }
+
+    fn tick_all(&mut self) {
         self.wake_at = None;
         let pool_ids: Vec<PoolId> = self.pools.keys().cloned().collect();
         for pool_id in &pool_ids {
@@ -247,7 +254,7 @@
         }
         self.wake_at = Some(wake_at);
         let pause = wake_at.saturating_duration_since(Instant::now());
-        self.myself.send_after(pause, || PoolMessage::Tick);
+        self.myself.send_after(pause, move || PoolMessage::Wake(wake_at));
     }
 
     /// Gives each pool its endpoints, with all their slots at its owner and a share elsewhere.
--- a/crates/burdockroad-daemon/src/quota/escrow.rs
+++ b/crates/burdockroad-daemon/src/quota/escrow.rs
@@ -55,6 +55,8 @@
     },
     /// The owner of an account has answered, or has not.
     Answered(Answered),
+    /// A time that was scheduled has come.
+    Wake(Instant),
     /// Time has passed.
     Tick,
 }
@@ -159,6 +161,7 @@
                 reply.send(state.grant(&request)).unwrap_or_default();
             }
             QuotaMessage::Answered(answered) => state.answered(&answered),
+            QuotaMessage::Wake(scheduled) => state.wake(scheduled),
             QuotaMessage::Tick => state.tick(),
         }
         Ok(())
--- a/crates/burdockroad-daemon/src/quota/table.rs
+++ b/crates/burdockroad-daemon/src/quota/table.rs
@@ -135,15 +135,22 @@
         self.serve(&answered.account_id);
     }
 
+    /// Ticks at the time that was scheduled last; what was scheduled before is out of date.
+    pub(super) fn wake(&mut self, scheduled: Instant) {
+        if self.wake_at == Some(scheduled) {
+            self.tick();
+        }
+    }
+
     pub(super) fn tick(&mut self) {
         self.wake_at = None;
-        let waiting: Vec<AccountId> = self
+        let due: Vec<AccountId> = self
             .holders
             .iter()
-            .filter(|(_, holder)| holder.waiting() > 0)
+            .filter(|(_, holder)| holder.wake_at().is_some())
             .map(|(account_id, _)| account_id.clone())
             .collect();
-        for account_id in waiting {
+        for account_id in due {
             self.serve(&account_id);
         }
     }
@@ -253,7 +260,7 @@
         }
         self.wake_at = Some(wake_at);
         let pause = wake_at.saturating_duration_since(Instant::now());
-        self.myself.send_after(pause, || QuotaMessage::Tick);
+        self.myself.send_after(pause, move || QuotaMessage::Wake(wake_at));
     }
 
     fn owner_address(&self, partition: PartitionId) -> Option<String> {
--- a/crates/burdockroad/src/dispatch/kv_cache.rs
+++ b/crates/burdockroad/src/dispatch/kv_cache.rs
@@ -8,7 +8,7 @@
 use crate::ids::ProgramId;
 
 /// Programs remembered for one endpoint.
-const ENTRIES_MAX: usize = 65_536;
+const ENTRIES_MAX: usize = 4_096;
 
 /// Something that an engine says about its prefix cache; late, and with gaps.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/burdockroad/src/dispatch/pool.rs
+++ b/crates/burdockroad/src/dispatch/pool.rs
@@ -1,7 +1,8 @@
 //! The calls that wait for one endpoint set, and the slots that are taken.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap},
     time::{Duration, Instant},
 };
 
@@ -40,7 +41,8 @@
     waiting_max: usize,
     queue: FairQueue,
     calls: HashMap<CallId, WaitingCall>,
-    deadlines: BTreeSet<(Instant, CallId)>,
+    /// Deadlines of calls; entries of calls that wait no more are passed over.
+    deadlines: BinaryHeap<Reverse<(Instant, CallId)>>,
     /// When parked calls stop waiting for the endpoint that holds their prefix.
     parked_until: BTreeSet<(Instant, CallId)>,
     endpoints: BTreeMap<EndpointId, EndpointRow>,
@@ -96,7 +98,7 @@
             waiting_max: WAITING_MAX,
             queue: FairQueue::default(),
             calls: HashMap::new(),
-            deadlines: BTreeSet::new(),
+            deadlines: BinaryHeap::new(),
             parked_until: BTreeSet::new(),
             endpoints: BTreeMap::new(),
             slots: HashMap::new(),
@@ -158,7 +160,7 @@
             call.attained_tokens,
         );
         self.queue.push(&call.account_id, priority, call_id);
-        self.deadlines.insert((call.latest, call_id));
+        self.deadlines.push(Reverse((call.latest, call_id)));
         let place = Place::Queued;
         self.calls.insert(
             call_id,
@@ -187,7 +189,7 @@
 
     /// When [`tick`](Self::tick) is due even if nothing happens.
     pub fn wake_at(&self) -> Option<Instant> {
-        let deadline = self.deadlines.first().map(|(at, _)| *at);
+        let deadline = self.deadlines.peek().map(|Reverse((at, _))| *at);
         let parked = self.parked_until.first().map(|(at, _)| *at);
         [deadline, parked].into_iter().flatten().min()
     }
@@ -316,14 +318,19 @@
 
     fn refuse_late(&mut self, now: Instant) -> Vec<Refused> {
         let mut refused = Vec::new();
-        while let Some(&(latest, call_id)) = self.deadlines.first()
-            && latest <= now
-        {
-            self.withdraw(call_id);
-            refused.push(Refused {
-                call_id,
-                retry_after: RETRY_AFTER,
-            });
+        while let Some(&Reverse((latest, call_id))) = self.deadlines.peek() {
+            let waits = self.calls.contains_key(&call_id);
+            if waits && latest > now {
+                break;
+            }
+            self.deadlines.pop();
+            if waits {
+                self.withdraw(call_id);
+                refused.push(Refused {
+                    call_id,
+                    retry_after: RETRY_AFTER,
+                });
+            }
         }
         refused
     }
@@ -451,7 +458,6 @@
     /// Takes a waiting call out of all tables.
     fn withdraw(&mut self, call_id: CallId) -> Option<WaitingCall> {
         let waiting = self.calls.remove(&call_id)?;
-        self.deadlines.remove(&(waiting.call.latest, call_id));
         if let Place::Parked(endpoint_id, until) = &waiting.place {
             self.parked_until.remove(&(*until, call_id));
             if let Some(row) = self.endpoints.get_mut(endpoint_id) {
--- a/crates/burdockroad/src/quota/holder.rs
+++ b/crates/burdockroad/src/quota/holder.rs
@@ -19,6 +19,11 @@
 /// Shortest and longest time between two requests while calls wait.
 const ASK_PAUSE: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(100));
 
+/// Time after which spent tokens are reported if no other request reports them.
+///
+/// Tokens that the owner believes unspent take up room in the bucket, which then does not refill.
+const REPORT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Longest time that a call waits, whatever its own limit.
 const WAIT_MAX: Duration = Duration::from_secs(5);
 
@@ -41,8 +46,11 @@
     in_flight: Option<InFlight>,
     ask_at: Option<Instant>,
     spent_total: u64,
+    /// When spent tokens have to be reported.
+    report_at: Option<Instant>,
     /// Time that each further waiting call adds to the wait, from the owner's last answer.
     wait_per_token: Duration,
+    answered_at: Option<Instant>,
     owner_failed: bool,
     demand: Demand,
 }
@@ -108,11 +116,11 @@
     pub fn admit(&mut self, waiter_id: WaiterId, latest: Instant, now: Instant) -> Admission {
         self.demand.record(now);
         self.drop_expired(now);
-        if self.waiting.is_empty() && self.spend() {
+        if self.waiting.is_empty() && self.spend(now) {
             return Admission::Admitted;
         }
         let latest = latest.min(now + WAIT_MAX);
-        let wait = self.expected_wait(self.waiting.len() + 1);
+        let wait = self.expected_wait(self.waiting.len() + 1, now);
         if now + wait > latest || self.waiting.len() >= WAITING_MAX {
             return self.refusal(wait);
         }
@@ -129,7 +137,7 @@
     pub fn tick(&mut self, now: Instant) -> Vec<Settled> {
         self.drop_expired(now);
         self.expire_ask(now);
-        let mut settled = self.admit_waiting();
+        let mut settled = self.admit_waiting(now);
         settled.extend(self.refuse_late(now));
         settled
     }
@@ -145,9 +153,11 @@
         let expected = self.demand.expected(AHEAD, now);
         let wanted = self.waiting.len() as u64;
         // Asking for each token that was spent would cost a request a call.
-        if wanted == 0 && held >= expected.div_ceil(2) {
+        let report_due = self.report_at.is_some_and(|report_at| report_at <= now);
+        if wanted == 0 && held >= expected.div_ceil(2) && !report_due {
             return None;
         }
+        self.report_at = None;
         self.sequence += 1;
         self.in_flight = Some(InFlight {
             sequence: self.sequence,
@@ -172,6 +182,7 @@
             return Vec::new();
         };
         self.owner_failed = false;
+        self.answered_at = Some(now);
         let unmet = in_flight.wanted.saturating_sub(grant.granted);
         self.wait_per_token = match u32::try_from(unmet) {
             Ok(0) => Duration::ZERO,
@@ -192,12 +203,15 @@
 
     /// When [`tick`](Self::tick) and [`ask`](Self::ask) have to be called next.
     pub fn wake_at(&self) -> Option<Instant> {
-        let first_latest = self.waiting.iter().map(|waiter| waiter.latest).min()?;
+        let first_latest = self.waiting.iter().map(|waiter| waiter.latest).min();
         let ask_at = match self.in_flight {
             Some(in_flight) => Some(in_flight.sent_at + ASK_TIMEOUT),
+            None if self.waiting.is_empty() => self
+                .report_at
+                .map(|at| self.ask_at.map_or(at, |ask_at| ask_at.max(at))),
             None => self.ask_at,
         };
-        Some(ask_at.map_or(first_latest, |ask_at| ask_at.min(first_latest)))
+        [first_latest, ask_at].into_iter().flatten().min()
     }
 
     /// Calls that wait.
@@ -210,7 +224,7 @@
         self.grants.iter().map(|grant| grant.tokens).sum()
     }
 
-    fn spend(&mut self) -> bool {
+    fn spend(&mut self, now: Instant) -> bool {
         let Some(first) = self.grants.front_mut() else {
             return false;
         };
@@ -219,6 +233,7 @@
             self.grants.pop_front();
         }
         self.spent_total += 1;
+        self.report_at.get_or_insert(now + REPORT_PAUSE);
         true
     }
 
@@ -232,9 +247,9 @@
         self.grants.retain(|grant| grant.expires_at > now);
     }
 
-    fn admit_waiting(&mut self) -> Vec<Settled> {
+    fn admit_waiting(&mut self, now: Instant) -> Vec<Settled> {
         let mut settled = Vec::new();
-        while !self.waiting.is_empty() && self.spend() {
+        while !self.waiting.is_empty() && self.spend(now) {
             settled.extend(self.waiting.pop_front().map(|waiter| Settled {
                 waiter_id: waiter.waiter_id,
                 admission: Admission::Admitted,
@@ -248,7 +263,7 @@
         let mut kept = VecDeque::with_capacity(self.waiting.len());
         let mut settled = Vec::new();
         for waiter in std::mem::take(&mut self.waiting) {
-            let wait = self.expected_wait(kept.len() + 1);
+            let wait = self.expected_wait(kept.len() + 1, now);
             if now >= waiter.latest || now + wait > waiter.latest {
                 settled.push(Settled {
                     waiter_id: waiter.waiter_id,
@@ -262,9 +277,13 @@
         settled
     }
 
-    fn expected_wait(&self, position: usize) -> Duration {
+    /// Wait of the call at a position, less the time since the owner said so.
+    fn expected_wait(&self, position: usize, now: Instant) -> Duration {
         let position = u32::try_from(position).unwrap_or(u32::MAX);
-        self.wait_per_token.saturating_mul(position)
+        let age = self.answered_at.map_or(Duration::ZERO, |answered_at| {
+            now.saturating_duration_since(answered_at)
+        });
+        self.wait_per_token.saturating_mul(position).saturating_sub(age)
     }
 
     fn refusal(&self, wait: Duration) -> Admission {
@@ -291,6 +310,8 @@
 
     fn note_failure(&mut self, now: Instant) {
         self.owner_failed = true;
+        // The next request reports them; an owner that is away would be asked over and over.
+        self.report_at = None;
         self.wait_per_token = Duration::ZERO;
         self.ask_at = Some(now + FAILED_ASK_PAUSE);
     }
