--- a/crates/burdockroad/src/quota/holder.rs
+++ b/crates/burdockroad/src/quota/holder.rs
@@ -48,9 +48,10 @@
     spent_total: u64,
     /// When spent tokens have to be reported.
     report_at: Option<Instant>,
-    /// Time that each further waiting call adds to the wait, from the owner's last answer.
-    wait_per_token: Duration,
-    answered_at: Option<Instant>,
+    /// When the owner expects to have served those that waited when it was asked.
+    ready: Option<Ready>,
+    /// Time between two tokens at the account's rate; zero while it is not known.
+    pace: Duration,
     owner_failed: bool,
     demand: Demand,
 }
@@ -67,6 +68,13 @@
     latest: Instant,
 }
 
+/// When the calls that waited at the last answer are expected to have their tokens.
+#[derive(Clone, Copy, Debug)]
+struct Ready {
+    at: Instant,
+    covers: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct InFlight {
     sequence: u64,
@@ -112,6 +120,11 @@
         Self::default()
     }
 
+    /// Takes note of the account's rate, which tells how long calls in a queue have to wait.
+    pub fn set_rate(&mut self, rate_per_s: f64) {
+        self.pace = Duration::try_from_secs_f64(1.0 / rate_per_s).unwrap_or(Duration::ZERO);
+    }
+
     /// Admits a call, lets it wait, or refuses it when its wait would pass `latest`.
     pub fn admit(&mut self, waiter_id: WaiterId, latest: Instant, now: Instant) -> Admission {
         self.demand.record(now);
@@ -182,14 +195,13 @@
             return Vec::new();
         };
         self.owner_failed = false;
-        self.answered_at = Some(now);
         let unmet = in_flight.wanted.saturating_sub(grant.granted);
-        self.wait_per_token = match u32::try_from(unmet) {
-            Ok(0) => Duration::ZERO,
-            Ok(unmet) => grant.retry_after / unmet,
-            Err(_) => grant.retry_after,
-        };
-        self.ask_at = (unmet > 0).then(|| now + self.wait_per_token.clamp(ASK_PAUSE.0, ASK_PAUSE.1));
+        self.ready = (unmet > 0).then(|| Ready {
+            at: now + grant.retry_after,
+            covers: unmet,
+        });
+        let pause = grant.retry_after / u32::try_from(unmet.max(1)).unwrap_or(u32::MAX);
+        self.ask_at = (unmet > 0).then(|| now + pause.clamp(ASK_PAUSE.0, ASK_PAUSE.1));
         self.keep(in_flight.sent_at + grant.expires_after, grant.granted);
         self.tick(now)
     }
@@ -277,13 +289,19 @@
         settled
     }
 
-    /// Wait of the call at a position, less the time since the owner said so.
+    /// Time until the call at a position of the queue gets a token, as far as the owner has told.
+    ///
+    /// The owner's word covers the calls that waited when it was asked. An owner that is new makes all
+    /// of them wait alike, so its word must not be stretched to a time for each further call.
     fn expected_wait(&self, position: usize, now: Instant) -> Duration {
-        let position = u32::try_from(position).unwrap_or(u32::MAX);
-        let age = self.answered_at.map_or(Duration::ZERO, |answered_at| {
-            now.saturating_duration_since(answered_at)
-        });
-        self.wait_per_token.saturating_mul(position).saturating_sub(age)
+        let Some(ready) = self.ready else {
+            return Duration::ZERO;
+        };
+        let further = u64::try_from(position)
+            .unwrap_or(u64::MAX)
+            .saturating_sub(ready.covers);
+        let further = u32::try_from(further).unwrap_or(u32::MAX);
+        ready.at.saturating_duration_since(now) + self.pace.saturating_mul(further)
     }
 
     fn refusal(&self, wait: Duration) -> Admission {
@@ -312,7 +330,7 @@
         self.owner_failed = true;
         // The next request reports them; an owner that is away would be asked over and over.
         self.report_at = None;
-        self.wait_per_token = Duration::ZERO;
+        self.ready = None;
         self.ask_at = Some(now + FAILED_ASK_PAUSE);
     }
 }
