--- a/crates/burdockroad/src/quota/holder.rs
+++ b/crates/burdockroad/src/quota/holder.rs
@@ -19,6 +19,11 @@
 /// Shortest and longest time between two requests while calls wait.
 const ASK_PAUSE: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(100));
 
+/// Time after which spent tokens are reported if no other request reports them.
+///
+/// Tokens that the owner believes unspent take up room in the bucket, which then does not refill.
+const REPORT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Longest time that a call waits, whatever its own limit.
 const WAIT_MAX: Duration = Duration::from_secs(5);
 
@@ -41,6 +46,8 @@
     in_flight: Option<InFlight>,
     ask_at: Option<Instant>,
     spent_total: u64,
+    /// When spent tokens have to be reported.
+    report_at: Option<Instant>,
     /// When the owner expects to have served those that waited when it was asked.
     ready: Option<Ready>,
     /// Time between two tokens at the account's rate; zero while it is not known.
@@ -122,7 +129,7 @@
     pub fn admit(&mut self, waiter_id: WaiterId, latest: Instant, now: Instant) -> Admission {
         self.demand.record(now);
         self.drop_expired(now);
-        if self.waiting.is_empty() && self.spend() {
+        if self.waiting.is_empty() && self.spend(now) {
             return Admission::Admitted;
         }
         let latest = latest.min(now + WAIT_MAX);
@@ -143,7 +150,7 @@
     pub fn tick(&mut self, now: Instant) -> Vec<Settled> {
         self.drop_expired(now);
         self.expire_ask(now);
-        let mut settled = self.admit_waiting();
+        let mut settled = self.admit_waiting(now);
         settled.extend(self.refuse_late(now));
         settled
     }
@@ -159,9 +166,11 @@
         let expected = self.demand.expected(AHEAD, now);
         let wanted = self.waiting.len() as u64;
         // Asking for each token that was spent would cost a request a call.
-        if wanted == 0 && held >= expected.div_ceil(2) {
+        let report_due = self.report_at.is_some_and(|report_at| report_at <= now);
+        if wanted == 0 && held >= expected.div_ceil(2) && !report_due {
             return None;
         }
+        self.report_at = None;
         self.sequence += 1;
         self.in_flight = Some(InFlight {
             sequence: self.sequence,
@@ -206,12 +215,15 @@
 
     /// When [`tick`](Self::tick) and [`ask`](Self::ask) have to be called next.
     pub fn wake_at(&self) -> Option<Instant> {
-        let first_latest = self.waiting.iter().map(|waiter| waiter.latest).min()?;
+        let first_latest = self.waiting.iter().map(|waiter| waiter.latest).min();
         let ask_at = match self.in_flight {
             Some(in_flight) => Some(in_flight.sent_at + ASK_TIMEOUT),
+            None if self.waiting.is_empty() => self
+                .report_at
+                .map(|at| self.ask_at.map_or(at, |ask_at| ask_at.max(at))),
             None => self.ask_at,
         };
-        Some(ask_at.map_or(first_latest, |ask_at| ask_at.min(first_latest)))
+        [first_latest, ask_at].into_iter().flatten().min()
     }
 
     /// Calls that wait.
@@ -224,7 +236,7 @@
         self.grants.iter().map(|grant| grant.tokens).sum()
     }
 
-    fn spend(&mut self) -> bool {
+    fn spend(&mut self, now: Instant) -> bool {
         let Some(first) = self.grants.front_mut() else {
             return false;
         };
@@ -233,6 +245,7 @@
             self.grants.pop_front();
         }
         self.spent_total += 1;
+        self.report_at.get_or_insert(now + REPORT_PAUSE);
         true
     }
 
@@ -246,9 +259,9 @@
         self.grants.retain(|grant| grant.expires_at > now);
     }
 
-    fn admit_waiting(&mut self) -> Vec<Settled> {
+    fn admit_waiting(&mut self, now: Instant) -> Vec<Settled> {
         let mut settled = Vec::new();
-        while !self.waiting.is_empty() && self.spend() {
+        while !self.waiting.is_empty() && self.spend(now) {
             settled.extend(self.waiting.pop_front().map(|waiter| Settled {
                 waiter_id: waiter.waiter_id,
                 admission: Admission::Admitted,
@@ -315,6 +328,8 @@
 
     fn note_failure(&mut self, now: Instant) {
         self.owner_failed = true;
+        // The next request reports them; an owner that is away would be asked over and over.
+        self.report_at = None;
         self.ready = None;
         self.ask_at = Some(now + FAILED_ASK_PAUSE);
     }
