Measure over real processes too, by the same command

Change: the measure binary moves beside the site of processes and gains cases for added latency, a killed host of seven, a store that is down for a minute, and calls to the store. Measured: not run yet.

--- a/crates/burdockroad-daemon/src/bin/measure/main.rs
+++ b/crates/burdockroad-site/src/bin/measure/main.rs
@@ -10,6 +10,7 @@
 mod pool_cases;
 mod quota_cases;
 mod quota_fleet;
+mod site_cases;
 
 use std::process::ExitCode;
 
@@ -40,7 +41,7 @@
 /// A case: its name, and what measures its figure from a seed.
 type Case = (&'static str, fn(u64) -> Figure);
 
-const CASES: [Case; 7] = [
+const CASES: [Case; 14] = [
     ("trust_mixed", pool_cases::trust_mixed),
     ("flooding_account", pool_cases::flooding_account),
     ("tool_pauses", pool_cases::tool_pauses),
@@ -48,6 +49,13 @@
     ("decision_cost", cost::decision_cost),
     ("skewed_balancer", quota_cases::skewed_balancer),
     ("quota_windows", quota_cases::quota_windows),
+    ("added_latency", site_cases::added_latency),
+    ("added_latency_forwarded", site_cases::added_latency_forwarded),
+    ("host_killed", site_cases::host_killed),
+    ("host_killed_lost", site_cases::host_killed_lost),
+    ("store_down", site_cases::store_down),
+    ("store_writes", site_cases::store_writes),
+    ("store_reads", site_cases::store_reads),
 ];
 
 impl Figure {
--- /dev/null
+++ b/crates/burdockroad-site/src/bin/measure/site_cases.rs
@@ -0,0 +1,339 @@
+//! Cases over real daemon processes and stand-ins.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use burdockroad_site::{AccountOptions, Caller, Site, SiteOptions, completion};
+use http::{Method, Request};
+use http_body_util::Full;
+use serde_json::{Value, json};
+
+use crate::{Bound, Figure};
+
+/// Entry hosts of today's sites.
+const HOSTS: usize = 7;
+
+/// Programs that run at the same time.
+const PROGRAMS: usize = 56;
+
+/// Longest time from the kill of a host until the last of its programs moves on, in seconds.
+const MOVE_ON_MAX_S: f64 = 5.0;
+
+/// Longest added latency of a host at the median, in milliseconds.
+const ADDED_MAX_MS: f64 = 1.0;
+
+/// Writes and reads a second that the key-value service may see at peak load.
+const STORE_CALLS_MAX: (f64, f64) = (150.0, 300.0);
+
+/// How long a call may keep failing before its program counts as lost.
+const PROGRAM_PATIENCE: Duration = Duration::from_secs(30);
+
+/// What happened to the programs of a run.
+#[derive(Debug, Default)]
+struct Tally {
+    answered: AtomicU64,
+    lost: AtomicU64,
+    /// Longest time that any call took to be answered, in milliseconds.
+    longest_ms: AtomicU64,
+    stop: AtomicBool,
+}
+
+/// Added latency of one host over a direct call, at the median.
+pub fn added_latency(_seed: u64) -> Figure {
+    latency("added_latency", 1, false)
+}
+
+/// The same through the forward from another host.
+pub fn added_latency_forwarded(_seed: u64) -> Figure {
+    latency("added_latency_forwarded", 3, true)
+}
+
+/// Time until the last program of a killed host moves on.
+pub fn host_killed(_seed: u64) -> Figure {
+    let (tally, _) = block_on(run_programs(Duration::from_secs(25), Fault::KillOne));
+    let seconds = ms(&tally.longest_ms) / 1_000.0;
+    at_most(
+        "host_killed",
+        "last_program_moved_on_s",
+        0.0,
+        seconds,
+        MOVE_ON_MAX_S,
+    )
+}
+
+/// Programs that are lost with a killed host.
+pub fn host_killed_lost(_seed: u64) -> Figure {
+    let (tally, _) = block_on(run_programs(Duration::from_secs(25), Fault::KillOne));
+    let answered = ms(&tally.answered);
+    at_most(
+        "host_killed_lost",
+        "programs_lost_of_calls_answered",
+        answered,
+        ms(&tally.lost),
+        0.0,
+    )
+}
+
+/// Idempotent programs that fail while the key-value service is down for a minute.
+pub fn store_down(_seed: u64) -> Figure {
+    let (tally, _) = block_on(run_programs(
+        Duration::from_secs(75),
+        Fault::StoreDown(Duration::from_mins(1)),
+    ));
+    at_most(
+        "store_down",
+        "programs_failed_of_calls_answered",
+        ms(&tally.answered),
+        ms(&tally.lost),
+        0.0,
+    )
+}
+
+/// Writes a second that the key-value service sees.
+pub fn store_writes(_seed: u64) -> Figure {
+    let (_, counts) = block_on(run_programs(Duration::from_secs(20), Fault::None));
+    at_most(
+        "store_writes",
+        "peak_writes_per_s",
+        0.0,
+        peak(&counts, "writes"),
+        STORE_CALLS_MAX.0,
+    )
+}
+
+/// Reads a second that the key-value service sees, a waiting watch as one.
+pub fn store_reads(_seed: u64) -> Figure {
+    let (_, counts) = block_on(run_programs(Duration::from_secs(20), Fault::None));
+    at_most(
+        "store_reads",
+        "peak_reads_per_s",
+        0.0,
+        peak(&counts, "reads"),
+        STORE_CALLS_MAX.1,
+    )
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    KillOne,
+    StoreDown(Duration),
+}
+
+fn at_most(case: &'static str, name: &'static str, baseline: f64, value: f64, bound: f64) -> Figure {
+    Figure {
+        case,
+        name,
+        baseline,
+        value,
+        bound: Bound::AtMost(bound),
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts of a short run")]
+fn ms(count: &AtomicU64) -> f64 {
+    count.load(Ordering::Relaxed) as f64
+}
+
+fn peak(counts: &Value, which: &str) -> f64 {
+    counts[format!("peak_{which}_per_s")]
+        .as_f64()
+        .unwrap_or(f64::INFINITY)
+}
+
+fn block_on<T>(run: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build();
+    runtime.expect("a runtime").block_on(run)
+}
+
+fn options(daemons: usize, engines: usize) -> SiteOptions {
+    SiteOptions {
+        daemons,
+        engines,
+        accounts: vec![AccountOptions {
+            id: "masters",
+            rate_per_s: 100_000.0,
+            burst: 100_000,
+        }],
+        ..SiteOptions::default()
+    }
+}
+
+/// Runs programs on all hosts for a while, with a fault in between.
+async fn run_programs(lasts: Duration, fault: Fault) -> (Tally, Value) {
+    let mut site = Site::start(options(HOSTS, 10)).await;
+    let tally = Arc::new(Tally::default());
+    let site_ref = &mut site;
+    let counts = {
+        let victim = site_ref.daemons.pop().expect("a daemon");
+        let programs = (0..PROGRAMS).map(|number| run_program(site_ref, number, Arc::clone(&tally)));
+        let programs = futures_util::future::join_all(programs);
+        let (counts, _) = tokio::join!(cause(site_ref, victim, lasts, fault, &tally), programs);
+        counts
+    };
+    drop(site);
+    (Arc::into_inner(tally).expect("all programs have ended"), counts)
+}
+
+/// Lets the load run, causes the fault, and stops the load.
+async fn cause(
+    site: &Site,
+    mut victim: burdockroad_standins::processes::Process,
+    lasts: Duration,
+    fault: Fault,
+    tally: &Tally,
+) -> Value {
+    let warm = Duration::from_secs(5);
+    tokio::time::sleep(warm).await;
+    tally.longest_ms.store(0, Ordering::Relaxed);
+    match fault {
+        Fault::None => {}
+        Fault::KillOne => victim.kill().await.expect("killed"),
+        Fault::StoreDown(outage) => {
+            site.control(&site.kv, "/faults", &json!({ "down": true })).await;
+            tokio::time::sleep(outage).await;
+            site.control(&site.kv, "/faults", &json!({ "down": false })).await;
+        }
+    }
+    tokio::time::sleep(lasts.saturating_sub(warm)).await;
+    tally.stop.store(true, Ordering::Relaxed);
+    let counts = site.ask(&site.kv, "/counts").await;
+    drop(victim);
+    counts
+}
+
+/// One program after another, each of several calls through changing hosts.
+async fn run_program(site: &Site, number: usize, tally: Arc<Tally>) {
+    let caller = site.caller("masters");
+    let mut round = number;
+    while !tally.stop.load(Ordering::Relaxed) {
+        let Some(program) = create(&caller, round).await else {
+            tally.lost.fetch_add(1, Ordering::Relaxed);
+            continue;
+        };
+        for call in 1..=10 {
+            round += 1;
+            if !answer(&caller, round, &program, call, &tally).await {
+                tally.lost.fetch_add(1, Ordering::Relaxed);
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+async fn create(caller: &Caller<'_>, round: usize) -> Option<String> {
+    let since = Instant::now();
+    let mut host = round;
+    while since.elapsed() < PROGRAM_PATIENCE {
+        let sent = caller
+            .try_send(host % HOSTS, Method::POST, "/v1/programs", None, &json!({}))
+            .await;
+        if let Ok(answer) = sent
+            && answer.status == 201
+        {
+            return answer.json::<Value>().ok()?["id"].as_str().map(str::to_owned);
+        }
+        host += 1;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    None
+}
+
+/// Asks until the call is answered, through another host each time as a balancer would.
+async fn answer(caller: &Caller<'_>, round: usize, program: &str, call: u32, tally: &Tally) -> bool {
+    let since = Instant::now();
+    let body = completion(&format!("question {call}"), 16);
+    let mut host = round;
+    while since.elapsed() < PROGRAM_PATIENCE {
+        let path = "/v1/chat/completions";
+        let sent = caller
+            .try_send(host % HOSTS, Method::POST, path, Some((program, call)), &body)
+            .await;
+        if sent.is_ok_and(|answer| answer.status == 200) {
+            let took = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+            tally.longest_ms.fetch_max(took, Ordering::Relaxed);
+            tally.answered.fetch_add(1, Ordering::Relaxed);
+            return true;
+        }
+        host += 1;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    false
+}
+
+/// Median of calls through a host, less the median of the same calls to the engine itself.
+fn latency(case: &'static str, daemons: usize, forwarded: bool) -> Figure {
+    let (direct_ms, through_ms) = block_on(async {
+        let mut site_options = options(daemons, 1);
+        site_options.engine_options = vec!["--token-ms", "1", "--answer-tokens", "1"];
+        let site = Site::start(site_options).await;
+        let caller = site.caller("masters");
+        let body = completion("short", 1);
+        let host = if forwarded {
+            forwarding_host(&site, &caller).await
+        } else {
+            None
+        };
+        let (mut direct, mut through) = (Vec::new(), Vec::new());
+        for call in 1..=400 {
+            direct.push(time(direct_call(&site, &body)).await);
+            through.push(time(through_call(&caller, &body, host.as_ref(), call)).await);
+        }
+        (median_ms(direct), median_ms(through))
+    });
+    at_most(
+        case,
+        "median_added_ms",
+        direct_ms,
+        through_ms - direct_ms,
+        ADDED_MAX_MS,
+    )
+}
+
+/// A host and a program that another host owns.
+async fn forwarding_host(site: &Site, caller: &Caller<'_>) -> Option<(usize, String)> {
+    let program = caller.program(0, &json!({})).await;
+    let owner = site.owner_of(&program).await;
+    Some(((owner + 1) % site.daemons.len(), program))
+}
+
+async fn time(call: impl Future<Output = ()>) -> Duration {
+    let since = Instant::now();
+    call.await;
+    since.elapsed()
+}
+
+async fn direct_call(site: &Site, body: &Value) {
+    let address = site.engines[0].address().expect("an address");
+    let request = Request::post(format!("http://{address}/v1/chat/completions"));
+    let request = request.body(Full::from(body.to_string())).expect("a request");
+    let answer = site.http.send(request).await.expect("the engine answers");
+    assert!(answer.status.is_success(), "{}", answer.text());
+}
+
+async fn through_call(caller: &Caller<'_>, body: &Value, host: Option<&(usize, String)>, call: u32) {
+    let path = "/v1/chat/completions";
+    let answer = match host {
+        None => caller.send(0, Method::POST, path, None, body).await,
+        Some((host, program)) => {
+            caller
+                .send(*host, Method::POST, path, Some((program, call)), body)
+                .await
+        }
+    };
+    assert!(answer.status.is_success(), "{}", answer.text());
+}
+
+fn median_ms(mut times: Vec<Duration>) -> f64 {
+    times.sort_unstable();
+    times[times.len() / 2].as_secs_f64() * 1_000.0
+}
