--- a/crates/burdockroad-daemon/src/admin/server.rs
+++ b/crates/burdockroad-daemon/src/admin/server.rs
@@ -146,7 +146,6 @@
     };
     match VersionedDocument::from_bytes(&body) {
         Ok(versioned) => {
-            log::info!("event=operator_offers_document version={}", versioned.version);
             let version = handlers.document.offer_document(versioned);
             json(&DocumentAnswer { version })
         }
