--- a/crates/burdockroad-daemon/src/config_watch/shared.rs
+++ b/crates/burdockroad-daemon/src/config_watch/shared.rs
@@ -1,7 +1,7 @@
 //! What the tasks of the watch share.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -137,7 +137,8 @@
     fn observe_list(&self, hosts: &[ListedHost]) {
         // Hosts without an address for peers run endpoints only.
         let entry_hosts = hosts.iter().filter(|host| !host.peer_address.is_empty());
-        let host_ids = entry_hosts.map(|host| host.host_id.clone());
+        let host_ids: BTreeSet<HostId> = entry_hosts.map(|host| host.host_id.clone()).collect();
+        self.addresses().retain(|host_id, _| host_ids.contains(host_id));
         self.tracker().observe_list(host_ids);
     }
 }
--- a/crates/burdockroad/src/config/freshness.rs
+++ b/crates/burdockroad/src/config/freshness.rs
@@ -189,16 +189,20 @@
         Freshness::OutageForAll
     }
 
-    /// Whether most of the listed hosts answer; a host always hears itself, listed or not.
+    /// Whether most of the listed hosts answer; a host always hears itself.
+    ///
+    /// A list without this host is an old or a wrong one, by which nothing can be told: an empty one would
+    /// make a host that is cut off the only one of its fleet.
     fn hears_most(&self, now: Instant) -> bool {
         let Some(listed) = &self.listed else {
             return false;
         };
+        if !listed.contains(&self.host_id) {
+            return false;
+        }
         let others = listed.iter().filter(|host_id| **host_id != self.host_id);
-        let heard = others.clone().filter(|host_id| self.hears(host_id, now));
-        let heard = heard.count() + 1;
-        let all = others.count() + 1;
-        2 * heard > all
+        let heard = others.filter(|host_id| self.hears(host_id, now)).count() + 1;
+        2 * heard > listed.len()
     }
 
     fn hears(&self, host_id: &HostId, now: Instant) -> bool {
--- a/crates/burdockroad/tests/freshness.rs
+++ b/crates/burdockroad/tests/freshness.rs
@@ -292,6 +292,21 @@
     assert_eq!(host.decide(now + second), Freshness::CutOff);
 }
 
+#[test]
+fn observe_list_without_host() {
+    let now = Instant::now() + Duration::from_secs(1_000);
+    let mut host = FreshnessTracker::new(name(0), FreshnessLimits::default());
+    host.put_in_force(1);
+    assert_eq!(host.decide(now), Freshness::CutOff);
+    host.observe_list([]);
+    assert_eq!(host.decide(now), Freshness::CutOff);
+    host.observe_list([name(1)]);
+    host.observe_peer(&name(1), now, 1, None);
+    assert_eq!(host.decide(now), Freshness::CutOff);
+    host.observe_list([name(0), name(1)]);
+    assert_eq!(host.decide(now), Freshness::OutageForAll);
+}
+
 /// What one host does in one step, and how late the answers are, in steps.
 #[derive(Clone, Debug)]
 struct Move {
