Strengthen and split the tests of the stand-ins

Ruled out: leaving the gap to the select alone (bytes already under way when a direction passes again would be delivered).

Change: tests for the three, each seen failing with the mechanism off; contract tests split by subject; the record is bounded in bytes as well; a process shows its output when the test that started it fails.

--- a/crates/burdockroad-standins/src/engine/cache.rs
+++ b/crates/burdockroad-standins/src/engine/cache.rs
@@ -12,6 +12,9 @@
 
 use crate::engine::text::Prompt;
 
+#[cfg(test)]
+mod tests;
+
 const EVENTS_KEPT: usize = 10_000;
 
 /// Prefixes by program, of which the least recently used make room.
--- a/crates/burdockroad-standins/src/lib.rs
+++ b/crates/burdockroad-standins/src/lib.rs
@@ -14,6 +14,21 @@
 //!
 //! [`processes`] and [`http_client`] help tests to start and to drive them. [`load`] generates load, in
 //! a test or by the binary `burdockroad-load`.
+//!
+//! # Control
+//!
+//! What only a test may do stands on a second address, the control address, so that nothing that is
+//! passed on to a stand-in can reach it. `POST /faults` puts a set of faults in place of the one in
+//! force; a field that is left out means no such fault, and an unknown field is refused.
+//!
+//! | stand-in | control requests |
+//! |---|---|
+//! | [`kv`] | `POST /faults` ([`KvFaults`](kv::KvFaults)), `GET /counts` ([`KvCounts`](kv::KvCounts)) |
+//! | [`engine`] | `POST /faults` ([`EngineFaults`](engine::EngineFaults)), `GET /recorded`, `GET /stats` |
+//! | [`service`] | `POST /faults` ([`ServiceFaults`](service::ServiceFaults)), `GET /recorded` |
+//! | [`host_list`] | `POST /faults` ([`HostListFaults`](host_list::HostListFaults)), `PUT /hosts` |
+//! | [`weight_store`] | `GET /counts` |
+//! | [`proxy`] | `POST /faults` ([`ProxyFaults`](proxy::ProxyFaults)), `GET /counts` |
 
 pub use crate::{
     error::{Result, StandinError},
--- a/crates/burdockroad-standins/src/processes.rs
+++ b/crates/burdockroad-standins/src/processes.rs
@@ -7,6 +7,7 @@
     path::PathBuf,
     process::{ExitStatus, Stdio},
     sync::{Arc, Mutex, PoisonError},
+    thread,
     time::Duration,
 };
 
@@ -195,6 +196,15 @@
     }
 }
 
+impl Drop for Process {
+    /// Shows what the process printed when the test that started it fails.
+    fn drop(&mut self) {
+        if thread::panicking() {
+            eprintln!("output of {}:\n{}", self.name, self.output.text());
+        }
+    }
+}
+
 /// Returns loopback ports that were free a moment ago, all different.
 ///
 /// # Errors
--- a/crates/burdockroad-standins/src/record.rs
+++ b/crates/burdockroad-standins/src/record.rs
@@ -45,40 +45,62 @@
             body: String::from_utf8_lossy(&request.body).into_owned(),
         }
     }
+
+    fn bytes(&self) -> usize {
+        let headers = self
+            .headers
+            .iter()
+            .map(|field| field.name.len() + field.value.len());
+        self.target.len() + self.body.len() + headers.sum::<usize>()
+    }
 }
 
+/// Bytes of requests that are kept at most, besides the limit on their number.
+const KEPT_MAX_BYTES: usize = 256 << 20;
+
 /// The newest requests, up to a limit.
 #[derive(Debug)]
 pub(crate) struct Recorder {
     limit: usize,
-    requests: Mutex<VecDeque<Recorded>>,
+    kept: Mutex<Kept>,
+}
+
+#[derive(Debug, Default)]
+struct Kept {
+    requests: VecDeque<Recorded>,
+    bytes: usize,
 }
 
 impl Recorder {
     pub(crate) fn new(limit: usize) -> Self {
         Self {
             limit,
-            requests: Mutex::new(VecDeque::new()),
+            kept: Mutex::default(),
         }
     }
 
-    /// Records a request, in place of the oldest one when the limit is reached.
+    /// Records a request, in place of the oldest ones when a limit is reached.
     pub(crate) fn record(&self, request: &Received) {
         if self.limit == 0 {
             return;
         }
-        let mut requests = self.requests();
-        if requests.len() == self.limit {
-            requests.pop_front();
+        let recorded = Recorded::new(request);
+        let mut kept = self.kept();
+        kept.bytes += recorded.bytes();
+        kept.requests.push_back(recorded);
+        while kept.requests.len() > self.limit || kept.bytes > KEPT_MAX_BYTES {
+            let Some(oldest) = kept.requests.pop_front() else {
+                break;
+            };
+            kept.bytes -= oldest.bytes();
         }
-        requests.push_back(Recorded::new(request));
     }
 
     pub(crate) fn recorded(&self) -> Vec<Recorded> {
-        self.requests().iter().cloned().collect()
+        self.kept().requests.iter().cloned().collect()
     }
 
-    fn requests(&self) -> MutexGuard<'_, VecDeque<Recorded>> {
-        self.requests.lock().unwrap_or_else(PoisonError::into_inner)
+    fn kept(&self) -> MutexGuard<'_, Kept> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/burdockroad-standins/tests/kv_contract.rs
+++ b/crates/burdockroad-standins/tests/kv_contract.rs
@@ -1,102 +1,23 @@
 //! Contract of the key-value stand-in, as etcd's published v3 interface gives it.
 
-use std::time::Duration;
-
 use burdockroad_proto::{
     etcdserverpb::{
         Compare, DeleteRangeRequest, LeaseGrantRequest, LeaseKeepAliveRequest, LeaseRevokeRequest,
         PutRequest, RangeRequest, RequestOp, TxnRequest, WatchCancelRequest, WatchCreateRequest,
-        WatchProgressRequest, WatchRequest, WatchResponse,
+        WatchProgressRequest,
         compare::{CompareResult, CompareTarget, TargetUnion},
-        kv_client::KvClient,
-        lease_client::LeaseClient,
         request_op::Request as Op,
-        watch_client::WatchClient,
         watch_request::RequestUnion,
     },
     mvccpb::event::EventType,
 };
-use burdockroad_standins::{
-    http_client::HttpClient,
-    kv::{KvCounts, KvFaults, KvOptions, KvStandin, LoseReplies},
-};
-use http::Method;
-use serde_json::json;
-use tokio::sync::mpsc;
-use tokio_stream::wrappers::ReceiverStream;
-use tonic::{Code, Streaming, transport::Channel};
-
-/// Longest wait for something that has to come; a wait that ends by it is a failure.
-const DEADLINE: Duration = Duration::from_secs(20);
-
-struct Fixture {
-    standin: KvStandin,
-    keys: KvClient<Channel>,
-    leases: LeaseClient<Channel>,
-    watches: WatchClient<Channel>,
-}
-
-async fn start(options: KvOptions) -> Fixture {
-    let standin = KvStandin::start(options).await.unwrap();
-    let target = format!("http://{}", standin.address());
-    Fixture {
-        standin,
-        keys: KvClient::connect(target.clone()).await.unwrap(),
-        leases: LeaseClient::connect(target.clone()).await.unwrap(),
-        watches: WatchClient::connect(target).await.unwrap(),
-    }
-}
-
-struct WatchHandle {
-    requests: mpsc::Sender<WatchRequest>,
-    responses: Streaming<WatchResponse>,
-}
+use burdockroad_standins::kv::KvOptions;
+use tonic::Code;
 
-impl WatchHandle {
-    async fn send(&self, request: RequestUnion) {
-        let request_union = Some(request);
-        self.requests.send(WatchRequest { request_union }).await.unwrap();
-    }
-
-    async fn next(&mut self) -> Result<Option<WatchResponse>, tonic::Status> {
-        tokio::time::timeout(DEADLINE, self.responses.message())
-            .await
-            .unwrap()
-    }
-}
+use crate::support::{code_of, open_watch, put, range, start};
 
-async fn open_watch(fixture: &mut Fixture, create: WatchCreateRequest) -> WatchHandle {
-    let (requests, receiver) = mpsc::channel(8);
-    let request_union = Some(RequestUnion::CreateRequest(create));
-    requests.send(WatchRequest { request_union }).await.unwrap();
-    let stream = fixture
-        .watches
-        .watch(ReceiverStream::new(receiver))
-        .await
-        .unwrap();
-    let mut handle = WatchHandle {
-        requests,
-        responses: stream.into_inner(),
-    };
-    assert!(handle.next().await.unwrap().unwrap().created);
-    handle
-}
-
-fn put(key: &str, value: &str) -> PutRequest {
-    PutRequest {
-        key: key.into(),
-        value: value.into(),
-        ..PutRequest::default()
-    }
-}
-
-fn range(key: &str, range_end: &[u8]) -> RangeRequest {
-    RangeRequest {
-        key: key.into(),
-        range_end: range_end.to_vec(),
-        ..RangeRequest::default()
-    }
-}
+#[path = "support/kv.rs"]
+mod support;
 
 fn op(request: Op) -> RequestOp {
     RequestOp {
@@ -412,140 +333,6 @@
     fixture.standin.close().await;
 }
 
-#[tokio::test]
-async fn faults_down() {
-    let mut fixture = start(KvOptions::default()).await;
-    let create = WatchCreateRequest {
-        key: b"a".to_vec(),
-        ..WatchCreateRequest::default()
-    };
-    let mut watch = open_watch(&mut fixture, create).await;
-    fixture.standin.set_faults(KvFaults {
-        down: true,
-        ..KvFaults::default()
-    });
-    assert_eq!(watch.next().await.unwrap_err().code(), Code::Unavailable);
-    assert_eq!(code_of(fixture.keys.put(put("a", "1")).await), Code::Unavailable);
-    assert_eq!(
-        code_of(fixture.keys.range(range("a", &[])).await),
-        Code::Unavailable
-    );
-    fixture.standin.set_faults(KvFaults::default());
-    let found = fixture.keys.range(range("a", &[])).await.unwrap().into_inner();
-    assert_eq!(found.count, 0);
-    fixture.standin.close().await;
-}
-
-#[tokio::test]
-async fn faults_lose_replies() {
-    let mut fixture = start(KvOptions::default()).await;
-    // Which replies are lost, and the codes of three writes.
-    let cases = [
-        (
-            LoseReplies::Next(2),
-            [Code::Unavailable, Code::Unavailable, Code::Ok],
-        ),
-        (LoseReplies::Probability(1.0), [Code::Unavailable; 3]),
-        (LoseReplies::Probability(0.0), [Code::Ok; 3]),
-    ];
-    for (number, (lose_replies, codes)) in cases.into_iter().enumerate() {
-        fixture.standin.set_faults(KvFaults {
-            lose_replies,
-            ..KvFaults::default()
-        });
-        for code in codes {
-            assert_eq!(
-                code_of(fixture.keys.put(put("a", "1")).await),
-                code,
-                "{lose_replies:?}"
-            );
-        }
-        // The writes took effect all the same.
-        let entry = fixture
-            .keys
-            .range(range("a", &[]))
-            .await
-            .unwrap()
-            .into_inner()
-            .kvs
-            .remove(0);
-        assert_eq!(entry.version, 3 * (i64::try_from(number).unwrap() + 1));
-    }
-    fixture.standin.close().await;
-}
-
-#[tokio::test]
-async fn faults_break_watches() {
-    let mut fixture = start(KvOptions::default()).await;
-    let create = WatchCreateRequest {
-        key: b"a".to_vec(),
-        ..WatchCreateRequest::default()
-    };
-    let mut watch = open_watch(&mut fixture, create.clone()).await;
-    fixture.standin.set_faults(KvFaults {
-        break_watches: true,
-        ..KvFaults::default()
-    });
-    assert_eq!(watch.next().await.unwrap_err().code(), Code::Unavailable);
-    let mut watch = open_watch(&mut fixture, create).await;
-    fixture.keys.put(put("a", "1")).await.unwrap();
-    assert_eq!(watch.next().await.unwrap().unwrap().events.len(), 1);
-    fixture.standin.close().await;
-}
-
-#[tokio::test]
-async fn rates_refuse() {
-    let options = KvOptions {
-        writes_per_s: 0,
-        ..KvOptions::default()
-    };
-    let mut fixture = start(options).await;
-    assert_eq!(
-        code_of(fixture.keys.put(put("a", "1")).await),
-        Code::ResourceExhausted
-    );
-    let found = fixture.keys.range(range("a", &[])).await.unwrap().into_inner();
-    assert_eq!(found.count, 0);
-    let counts = fixture.standin.counts();
-    assert_eq!((counts.reads, counts.writes, counts.refused), (1, 0, 1));
-    fixture.standin.close().await;
-}
-
-#[tokio::test]
-async fn control_requests() {
-    let mut fixture = start(KvOptions::default()).await;
-    let control = format!("http://{}", fixture.standin.control_address());
-    let client = HttpClient::new();
-    // Faults, the status of the control request, and the code of a write after it.
-    let cases = [
-        (
-            json!({"down": true, "delay_ms": 1, "seed": 3}),
-            204,
-            Code::Unavailable,
-        ),
-        (json!({"lose_replies": 1}), 204, Code::Unavailable),
-        (json!({"lose_replies": 0.0, "break_watches": true}), 204, Code::Ok),
-        (json!({"lose_replies": "some"}), 400, Code::Ok),
-        (json!({"dwon": true}), 400, Code::Ok),
-    ];
-    for (faults, status, code) in cases {
-        let answer = client
-            .send_json(Method::POST, &format!("{control}/faults"), &faults)
-            .await
-            .unwrap();
-        assert_eq!(answer.status, status, "{faults}");
-        assert_eq!(code_of(fixture.keys.put(put("a", "1")).await), code, "{faults}");
-    }
-    let counts: KvCounts = client.get_json(&format!("{control}/counts")).await.unwrap();
-    assert_eq!(counts, fixture.standin.counts());
-    assert_eq!((counts.reads, counts.writes), (0, 4));
-    fixture.standin.close().await;
-}
-
-fn code_of<T>(result: Result<T, tonic::Status>) -> Code {
-    result.map_or_else(|status| status.code(), |_| Code::Ok)
-}
-
 fn text(bytes: &[u8]) -> String {
     String::from_utf8_lossy(bytes).into_owned()
 }
--- a/crates/burdockroad-standins/tests/proxy_contract.rs
+++ b/crates/burdockroad-standins/tests/proxy_contract.rs
@@ -142,6 +142,24 @@
     }
 }
 
+#[tokio::test]
+async fn drop_then_pass_under_way() {
+    let mut pair = Pair::connect().await;
+    pair.proxy.set_faults(ProxyFaults {
+        delay_ms: 200,
+        ..DROP_FORWARD
+    });
+    pair.client.write_all(b"lost").await.unwrap();
+    pair.wait_for_counts(|counts| counts.forward_dropped_bytes == 4)
+        .await;
+    // These bytes are under way when the direction passes again, behind the ones that are gone.
+    pair.client.write_all(b"behind").await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    pair.proxy.set_faults(ProxyFaults::default());
+    assert_eq!(read(&mut pair.server, DEADLINE).await, Read::End);
+    pair.proxy.close().await;
+}
+
 #[tokio::test]
 async fn drop_end_of_stream() {
     let mut pair = Pair::connect().await;
