Read the options of both binaries in one place

Ruled out: a parser with derives, since pico-args is the house's choice.

Conclusion: no change in what is accepted.

--- a/crates/burdockroad-standins/src/bin/burdockroad-load.rs
+++ b/crates/burdockroad-standins/src/bin/burdockroad-load.rs
@@ -1,13 +1,14 @@
 //! Generates a bounded load on loopback addresses and prints one line of figures for each account.
 
-use std::{fs, path::PathBuf, process::ExitCode, time::Duration};
+use std::{fs, path::PathBuf, process::ExitCode};
 
 use anyhow::{Context, bail};
-use burdockroad_standins::load::{self, LoadAccount, LoadOptions};
+use burdockroad_standins::{
+    arguments::{MS_PER_S, set, set_time},
+    load::{self, LoadAccount, LoadOptions},
+};
 use pico_args::Arguments;
 
-const MS_PER_S: f64 = 1e3;
-
 const HELP: &str = "\
 Usage: burdockroad-load --target IP:PORT [--target IP:PORT ...] --accounts FILE [OPTIONS]
 
@@ -99,28 +100,3 @@
     let text = fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
     serde_json::from_str(&text).with_context(|| format!("{} does not list accounts", path.display()))
 }
-
-/// Puts the value of an option, where it is given, in place of the default.
-fn set<T>(arguments: &mut Arguments, name: &'static str, field: &mut T) -> anyhow::Result<()>
-where
-    T: std::str::FromStr,
-    T::Err: std::fmt::Display,
-{
-    if let Some(value) = arguments.opt_value_from_str(name)? {
-        *field = value;
-    }
-    Ok(())
-}
-
-/// Puts a time in place of the default; `units_per_s` of its unit make a second.
-fn set_time(
-    arguments: &mut Arguments,
-    name: &'static str,
-    units_per_s: f64,
-    field: &mut Duration,
-) -> anyhow::Result<()> {
-    if let Some(units) = arguments.opt_value_from_str::<_, f64>(name)? {
-        *field = Duration::try_from_secs_f64(units / units_per_s)?;
-    }
-    Ok(())
-}
--- a/crates/burdockroad-standins/src/bin/burdockroad-standin/running.rs
+++ b/crates/burdockroad-standins/src/bin/burdockroad-standin/running.rs
@@ -1,9 +1,10 @@
 //! Starts a stand-in from its command line.
 
-use std::{net::SocketAddr, pin::Pin, time::Duration};
+use std::{net::SocketAddr, pin::Pin};
 
 use anyhow::bail;
 use burdockroad_standins::{
+    arguments::{MS_PER_S, US_PER_S, set, set_time},
     engine::{EngineOptions, EngineStandin, Fencing},
     host_list::{HostListOptions, HostListStandin, ListedHost},
     kv::{KvOptions, KvStandin},
@@ -13,9 +14,6 @@
 };
 use pico_args::Arguments;
 
-const MS_PER_S: f64 = 1e3;
-const US_PER_S: f64 = 1e6;
-
 /// A started stand-in, whatever its kind.
 pub(crate) struct Running {
     address: SocketAddr,
@@ -67,31 +65,33 @@
     set(arguments, "--control-listen", &mut options.control_listen)?;
     options.models = arguments.values_from_str("--model")?;
     set(arguments, "--slots", &mut options.slots)?;
-    set_ms(arguments, "--token-ms", &mut options.token_time)?;
+    set_time(arguments, "--token-ms", MS_PER_S, &mut options.token_time)?;
     set(arguments, "--batch-slowdown", &mut options.batch_slowdown)?;
-    set_us(
+    set_time(
         arguments,
         "--prefill-us-per-token",
+        US_PER_S,
         &mut options.prefill_per_token,
     )?;
     set(arguments, "--cache-tokens", &mut options.cache_tokens)?;
-    set_us(
+    set_time(
         arguments,
         "--transfer-us-per-token",
+        US_PER_S,
         &mut options.transfer_per_token,
     )?;
     options.answer_tokens = arguments.opt_value_from_str("--answer-tokens")?;
-    set_ms(arguments, "--event-lag-ms", &mut options.event_lag)?;
+    set_time(arguments, "--event-lag-ms", MS_PER_S, &mut options.event_lag)?;
     set(
         arguments,
         "--event-gap-probability",
         &mut options.event_gap_probability,
     )?;
-    set_ms(arguments, "--load-lag-ms", &mut options.load_lag)?;
+    set_time(arguments, "--load-lag-ms", MS_PER_S, &mut options.load_lag)?;
     if let Some(fencing) = arguments.opt_value_from_fn("--fencing", read_fencing)? {
         options.fencing = fencing;
     }
-    set_ms(arguments, "--load-ms", &mut options.load_time)?;
+    set_time(arguments, "--load-ms", MS_PER_S, &mut options.load_time)?;
     options.weight_store = arguments.opt_value_from_str("--weight-store")?;
     set(arguments, "--record-limit", &mut options.record_limit)?;
     set(arguments, "--seed", &mut options.seed)?;
@@ -108,7 +108,7 @@
     set(arguments, "--listen", &mut options.listen)?;
     set(arguments, "--control-listen", &mut options.control_listen)?;
     set(arguments, "--slots", &mut options.slots)?;
-    set_ms(arguments, "--execution-ms", &mut options.execution_time)?;
+    set_time(arguments, "--execution-ms", MS_PER_S, &mut options.execution_time)?;
     let service = ServiceStandin::start(options).await?;
     Ok(Running {
         address: service.address(),
@@ -124,7 +124,7 @@
     if let Some(hosts) = arguments.opt_value_from_fn("--hosts", read_hosts)? {
         options.hosts = hosts;
     }
-    set_ms(arguments, "--lag-ms", &mut options.lag)?;
+    set_time(arguments, "--lag-ms", MS_PER_S, &mut options.lag)?;
     let list = HostListStandin::start(options).await?;
     Ok(Running {
         address: list.address(),
@@ -170,31 +170,3 @@
         _ => bail!("--fencing is refused or ignored, not {text:?}"),
     }
 }
-
-/// Puts a time in milliseconds, which may have a fraction, in place of the default.
-fn set_ms(arguments: &mut Arguments, name: &'static str, field: &mut Duration) -> anyhow::Result<()> {
-    if let Some(milliseconds) = arguments.opt_value_from_str::<_, f64>(name)? {
-        *field = Duration::try_from_secs_f64(milliseconds / MS_PER_S)?;
-    }
-    Ok(())
-}
-
-/// Puts a time in microseconds, which may have a fraction, in place of the default.
-fn set_us(arguments: &mut Arguments, name: &'static str, field: &mut Duration) -> anyhow::Result<()> {
-    if let Some(microseconds) = arguments.opt_value_from_str::<_, f64>(name)? {
-        *field = Duration::try_from_secs_f64(microseconds / US_PER_S)?;
-    }
-    Ok(())
-}
-
-/// Puts the value of an option, where it is given, in place of the default.
-fn set<T>(arguments: &mut Arguments, name: &'static str, field: &mut T) -> anyhow::Result<()>
-where
-    T: std::str::FromStr,
-    T::Err: std::fmt::Display,
-{
-    if let Some(value) = arguments.opt_value_from_str(name)? {
-        *field = value;
-    }
-    Ok(())
-}
--- a/crates/burdockroad-standins/src/lib.rs
+++ b/crates/burdockroad-standins/src/lib.rs
@@ -35,6 +35,7 @@
     record::{HeaderField, Recorded},
 };
 
+pub mod arguments;
 pub mod engine;
 mod error;
 pub mod host_list;
