--- a/crates/burdockroad-daemon/src/programs/actor.rs
+++ b/crates/burdockroad-daemon/src/programs/actor.rs
@@ -10,7 +10,7 @@
 };
 
 use burdockroad::{
-    AccountId, PartitionId, ProgramId, Record,
+    AccountId, PartitionId, ProgramId, Record, partition_of_program,
     program::{
         Action, Begun, CallRequest, Cancelled, Hold, NewProgram, Outcome, Placement, Programs, Refusal,
         Sending, Tree,
@@ -153,6 +153,7 @@
     }
 
     fn get(&self, account_id: &AccountId, program_id: &ProgramId) -> Result<ProgramView, Refusal> {
+        self.check_owned(program_id)?;
         let (tree, _) = self.table.get(account_id, program_id)?;
         Ok(ProgramView {
             tree: tree.clone(),
@@ -160,6 +161,16 @@
         })
     }
 
+    /// A change that is made here after the partition has moved would be lost to its new owner.
+    ///
+    /// Changes and moves pass through this actor one at a time, so what this sees stays true until the
+    /// change is made: a move begins with a message that stops the partition.
+    fn check_owned(&self, program_id: &ProgramId) -> Result<(), Refusal> {
+        let partition = partition_of_program(program_id).ok_or(Refusal::UnknownProgram)?;
+        let owned = self.parts.ownership.borrow().owns(partition);
+        if owned { Ok(()) } else { Err(Refusal::NotOwner) }
+    }
+
     fn withdraw(&mut self, program_id: &ProgramId) {
         self.table.withdraw(program_id);
         self.running.remove(program_id);
@@ -171,6 +182,7 @@
         account_id: &AccountId,
         program_id: &ProgramId,
     ) -> Result<Appended, Refusal> {
+        self.check_owned(program_id)?;
         let actions = self.table.end(account_id, program_id, ENDED_BY_CALLER, now())?;
         Ok(self.perform(myself, actions))
     }
@@ -194,12 +206,14 @@
     }
 
     fn create(&mut self, new: NewProgram) -> Result<Appended, NotTaken> {
+        self.check_owned(&new.program_id)?;
         self.parts.journal.admit(Durability::Replicated)?;
         let record = self.table.create(new, now())?;
         Ok(self.append(vec![record], Durability::Replicated))
     }
 
     fn begin(&mut self, request: CallRequest) -> Result<Taken, NotTaken> {
+        self.check_owned(&request.program_id)?;
         if let Some(running) = self.running.get(&request.program_id)
             && running.request == request
         {
