--- a/crates/burdockroad-daemon/src/journal/actor.rs
+++ b/crates/burdockroad-daemon/src/journal/actor.rs
@@ -224,10 +224,12 @@
 
     fn poll(&mut self, myself: &ActorRef<JournalMessage>) {
         let now = Instant::now();
-        for action in self.writer.poll(now) {
+        let actions = self.writer.poll(now);
+        // Before the answers, so that nobody who got one sees the state before it.
+        self.publish(now);
+        for action in actions {
             self.carry_out(action, myself);
         }
-        self.publish(now);
         self.set_timer(myself, now);
     }
 
--- a/crates/burdockroad-daemon/tests/journal.rs
+++ b/crates/burdockroad-daemon/tests/journal.rs
@@ -26,7 +26,13 @@
 #[serde(tag = "do", rename_all = "snake_case", deny_unknown_fields)]
 enum Step {
     /// Starts a host, or starts it again as a new process without any copies.
-    Start { host: String, domain: String },
+    Start {
+        host: String,
+        domain: String,
+        /// Whether the others do not learn of it yet.
+        #[serde(default)]
+        hidden: bool,
+    },
     /// Opens the journal of a host.
     Open { host: String },
     /// Appends records and waits for the answer.
@@ -45,6 +51,8 @@
         durability: Level,
         then: Answer,
     },
+    /// Waits until the journal takes new work of that durability again.
+    Admitted { host: String, durability: Level },
     /// Tells a host which others are alive.
     Alive { host: String, others: Vec<String> },
     /// Stops or resumes answering peers, without forgetting anything.
@@ -107,7 +115,7 @@
 impl Run {
     async fn step(&mut self, step: &Step) {
         match step {
-            Step::Start { host, domain } => self.start(host, domain).await,
+            Step::Start { host, domain, hidden } => self.start(host, domain, *hidden).await,
             Step::Open { host } => self.host_mut(host).open().await,
             Step::Append {
                 host,
@@ -129,6 +137,11 @@
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
             }
+            Step::Admitted { host, durability } => {
+                while self.host(host).journal().admit((*durability).into()).is_err() {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
             Step::Alive { host, others } => {
                 let view = host::view(&self.hosts, host, others);
                 self.host(host).set_peers(view);
@@ -159,9 +172,12 @@
         }
     }
 
-    async fn start(&mut self, host_id: &str, domain: &str) {
+    async fn start(&mut self, host_id: &str, domain: &str, hidden: bool) {
         let host = Host::start(host_id, domain, &self.store).await;
         self.hosts.insert(host_id.to_owned(), host);
+        if hidden {
+            return;
+        }
         for host_id in self.hosts.keys() {
             let others: Vec<_> = self.hosts.keys().cloned().collect();
             let view = host::view(&self.hosts, host_id, &others);
