--- /dev/null
+++ b/crates/burdockroad-daemon/tests/processes/main.rs
@@ -0,0 +1,6 @@
+//! Real daemons, stand-ins and failures: each of them a process.
+
+mod failures;
+mod first_path;
+mod keys_and_rates;
+mod site;
