Wait until a paused process has stopped

Cause: processes::stop_resume_kill of the stand-ins failed in 3 of 5 runs on a busy machine: SIGSTOP takes effect a little after the call, and the process answered one more request. A test that pauses an owner would have begun before the pause as well. Change: Process::stop waits by waitid until the kernel reports the process as stopped. The test is unchanged.

--- a/crates/burdockroad-standins/src/processes.rs
+++ b/crates/burdockroad-standins/src/processes.rs
@@ -11,7 +11,10 @@
 };
 
 use nix::{
-    sys::signal::{self, Signal},
+    sys::{
+        signal::{self, Signal},
+        wait::{self, Id, WaitPidFlag},
+    },
     unistd::Pid,
 };
 use tokio::{
@@ -144,7 +147,12 @@
     ///
     /// Fails when the process has ended.
     pub fn stop(&self) -> Result<()> {
-        self.signal(Signal::SIGSTOP)
+        self.signal(Signal::SIGSTOP)?;
+        // The signal alone takes effect a little later, and the process may still answer meanwhile.
+        let stopped = WaitPidFlag::WSTOPPED | WaitPidFlag::WNOWAIT;
+        let waited = wait::waitid(Id::Pid(self.pid()?), stopped);
+        waited.map_err(|error| self.failed(error.desc()))?;
+        Ok(())
     }
 
     /// Lets a paused process go on (SIGCONT).
@@ -185,9 +193,13 @@
     }
 
     fn signal(&self, signal: Signal) -> Result<()> {
+        signal::kill(self.pid()?, signal).map_err(|error| self.failed(error.desc()))
+    }
+
+    fn pid(&self) -> Result<Pid> {
         let id = self.child.id().and_then(|id| i32::try_from(id).ok());
         let id = id.ok_or_else(|| self.failed("has ended"))?;
-        signal::kill(Pid::from_raw(id), signal).map_err(|error| self.failed(error.desc()))
+        Ok(Pid::from_raw(id))
     }
 
     fn failed(&self, reason: &str) -> StandinError {
