--- a/crates/burdockroad-daemon/src/daemon.rs
+++ b/crates/burdockroad-daemon/src/daemon.rs
@@ -260,6 +260,7 @@
             settings: self.settings.clone(),
             peers: self.views.peers(),
             clients: Arc::clone(&self.clients),
+            tails: Arc::clone(&self.tails),
             cleaning: Mutex::default(),
         }
     }
@@ -268,6 +269,7 @@
         let parts = ProgramsParts {
             journal: Arc::clone(journal) as _,
             releaser: Arc::new(self.engine_memory()),
+            ownership: self.views.ownership(),
             options: ProgramsOptions::default(),
         };
         Ok(ProgramsHandle::start(parts).await?)
@@ -293,7 +295,6 @@
             self.views.peers(),
             Arc::clone(&self.clients),
             Arc::clone(&self.tails),
-            self.views.me(),
         );
         CoordinatorOptions {
             views: self.views.clone(),
--- a/crates/burdockroad-daemon/tests/fleet.rs
+++ b/crates/burdockroad-daemon/tests/fleet.rs
@@ -8,7 +8,11 @@
 mod model;
 #[path = "fleet/model_store.rs"]
 mod model_store;
+#[path = "fleet/programs.rs"]
+mod programs;
 #[path = "fleet/service.rs"]
 mod service;
+#[path = "fleet/tails.rs"]
+mod tails;
 #[path = "fleet/trees.rs"]
 mod trees;
