Part standard and foreign derives, and keep callers from a host that is cut off

Cause: the formatter merged the derives that the house style parts; the balancer went on sending callers to a host that refuses their keys.

--- a/crates/burdockroad-cli/src/hosts.rs
+++ b/crates/burdockroad-cli/src/hosts.rs
@@ -42,7 +42,8 @@
 }
 
 /// A host on which a version is not in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Behind {
     /// Admin address of the host.
     pub address: String,
--- a/crates/burdockroad-daemon/src/admin/status.rs
+++ b/crates/burdockroad-daemon/src/admin/status.rs
@@ -17,7 +17,8 @@
 }
 
 /// What an operator has to know of a host.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Status {
     /// The host.
     pub host_id: HostId,
@@ -38,7 +39,8 @@
 }
 
 /// The document in force on a host.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DocumentStatus {
     /// Version; 0 as long as there is none.
     pub version: DocumentVersion,
@@ -47,14 +49,16 @@
 }
 
 /// Answer to a document that was handed over.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DocumentAnswer {
     /// Version that is in force now.
     pub version: DocumentVersion,
 }
 
 /// What a host owns.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OwnershipStatus {
     /// Version of the map that it knows.
     pub version: u64,
@@ -67,7 +71,8 @@
 }
 
 /// One endpoint, as the owner of its pool sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EndpointStatus {
     /// The endpoint.
     pub endpoint_id: EndpointId,
@@ -82,7 +87,8 @@
 }
 
 /// One program, as its owner sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ProgramSummary {
     /// The program.
     pub program_id: ProgramId,
--- a/crates/burdockroad-daemon/src/calls/completion.rs
+++ b/crates/burdockroad-daemon/src/calls/completion.rs
@@ -172,7 +172,8 @@
     finish_reason: Option<String>,
 }
 
-#[derive(Default, Deserialize)]
+#[derive(Default)]
+#[derive(Deserialize)]
 struct Delta {
     #[serde(default)]
     content: Option<String>,
@@ -192,7 +193,8 @@
     function: FunctionDelta,
 }
 
-#[derive(Default, Deserialize)]
+#[derive(Default)]
+#[derive(Deserialize)]
 struct FunctionDelta {
     #[serde(default)]
     name: Option<String>,
--- a/crates/burdockroad-daemon/src/daemon/operators.rs
+++ b/crates/burdockroad-daemon/src/daemon/operators.rs
@@ -11,6 +11,7 @@
 use async_trait::async_trait;
 use burdockroad::{
     AccountId, ProgramId,
+    config::Freshness,
     program::{Program, State, Tree},
 };
 
@@ -61,6 +62,9 @@
         if !self.in_force.borrow().is_loaded() {
             return Readiness::NotReady("no configuration document is in force".to_owned());
         }
+        if self.in_force.borrow().freshness() == Freshness::CutOff {
+            return Readiness::NotReady("cut off: keys cannot be checked here".to_owned());
+        }
         if self.ownership.borrow().owners.is_empty() {
             return Readiness::NotReady("the ownership map is not known yet".to_owned());
         }
--- a/crates/burdockroad-daemon/src/dispatch/polling.rs
+++ b/crates/burdockroad-daemon/src/dispatch/polling.rs
@@ -39,7 +39,8 @@
 }
 
 /// What an endpoint answers at `/load`.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct LoadAnswer {
     running: u32,
@@ -49,7 +50,8 @@
 }
 
 /// One event that an endpoint answers at `/cache/events`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct EventAnswer {
     sequence: u64,
     kind: EventKind,
@@ -58,7 +60,8 @@
     tokens: u64,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum EventKind {
     Held,
--- a/crates/burdockroad-daemon/src/http/operation.rs
+++ b/crates/burdockroad-daemon/src/http/operation.rs
@@ -193,7 +193,8 @@
 }
 
 /// Body of `POST /v1/programs`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct NewProgramRequest {
     /// Budget of a new root.
@@ -203,7 +204,8 @@
 }
 
 /// A budget; what it leaves out is taken from the document.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct BudgetRequest {
     /// Tokens that engines may generate.
--- a/crates/burdockroad-daemon/src/platform.rs
+++ b/crates/burdockroad-daemon/src/platform.rs
@@ -249,7 +249,8 @@
 }
 
 /// One host, as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct ListedHost {
     /// Name of the host.
     pub host_id: String,
@@ -263,7 +264,8 @@
 }
 
 /// Whether a host stays or is being taken away.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum HostState {
     /// In service.
--- a/crates/burdockroad-daemon/src/problem.rs
+++ b/crates/burdockroad-daemon/src/problem.rs
@@ -32,7 +32,8 @@
 }
 
 /// Whether a request ran at an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ran {
     /// It certainly did not.
--- a/crates/burdockroad-daemon/src/settings.rs
+++ b/crates/burdockroad-daemon/src/settings.rs
@@ -14,7 +14,8 @@
 use crate::platform::ListedHost;
 
 /// Settings of one daemon, read from a file in JSON with comments.
-#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of this host, as the platform's host list gives it.
@@ -136,7 +137,8 @@
 impl std::error::Error for SettingsError {}
 
 /// Where agreed and durable state is kept.
-#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum StoreSettings {
     /// The platform's key-value service.
@@ -152,7 +154,8 @@
 }
 
 /// Where the list of hosts comes from.
-#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum HostListSettings {
     /// The platform's host list, read by HTTP.
@@ -168,7 +171,8 @@
 }
 
 /// Limits towards callers.
-#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
 pub struct LimitSettings {
     /// Largest request body, in bytes.
--- a/crates/burdockroad-daemon/src/telemetry/accounts.rs
+++ b/crates/burdockroad-daemon/src/telemetry/accounts.rs
@@ -15,7 +15,8 @@
 const SIGNIFICANT_DIGITS: u8 = 1;
 
 /// What one account got in this window and the one before.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AccountService {
     /// The account.
     pub account_id: AccountId,
--- a/crates/burdockroad-daemon/tests/journal.rs
+++ b/crates/burdockroad-daemon/tests/journal.rs
@@ -22,7 +22,8 @@
 /// Longest wait for anything that is to happen.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(tag = "do", rename_all = "snake_case", deny_unknown_fields)]
 enum Step {
     /// Starts a host, or starts it again as a new process without any copies.
@@ -72,7 +73,8 @@
     Remove { by: String, of: String },
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Level {
     Queued,
@@ -80,7 +82,8 @@
     Stored,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Answer {
     Durable,
@@ -89,7 +92,8 @@
     TooLarge,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum StoreFault {
     None,
@@ -98,7 +102,8 @@
     ReplyLost,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Tail {
     NotKept,
--- a/crates/burdockroad-daemon/tests/key_value.rs
+++ b/crates/burdockroad-daemon/tests/key_value.rs
@@ -13,7 +13,8 @@
 /// Longest wait for an event of a watch.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(tag = "do", rename_all = "snake_case", deny_unknown_fields)]
 enum Step {
     Put {
@@ -59,7 +60,8 @@
     Reopen,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Held {
     value: Option<String>,
 }
--- a/crates/burdockroad-standins/src/engine/cache.rs
+++ b/crates/burdockroad-standins/src/engine/cache.rs
@@ -37,7 +37,8 @@
 }
 
 /// A program that the engine holds a prefix of.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HeldProgram {
     /// Name of the program.
     pub program_id: String,
@@ -46,7 +47,8 @@
 }
 
 /// A prefix on its way from one engine to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct ExportedPrefix {
     pub(crate) prompt: Prompt,
 }
@@ -155,7 +157,8 @@
 }
 
 /// What happened to a program's prefix.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CacheEventKind {
     /// The engine holds it now, in place of an earlier one.
@@ -167,7 +170,8 @@
 }
 
 /// One event of the prefix cache.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CacheEvent {
     /// Number of the event, from 1; a number that is left out is an event that got lost.
     pub sequence: u64,
--- a/crates/burdockroad-standins/src/engine/chat.rs
+++ b/crates/burdockroad-standins/src/engine/chat.rs
@@ -16,7 +16,8 @@
 const ASSISTANT: &str = "assistant";
 
 /// Body of `POST /v1/chat/completions`; fields that make no difference here are passed over.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct ChatRequest {
     pub(crate) model: String,
     messages: Vec<ChatMessage>,
@@ -32,7 +33,8 @@
     n: Option<u64>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ChatMessage {
     role: String,
     #[serde(default)]
@@ -41,20 +43,23 @@
     tool_calls: Option<serde_json::Value>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(untagged)]
 enum Content {
     Text(String),
     Parts(Vec<ContentPart>),
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ContentPart {
     #[serde(default)]
     text: String,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct StreamOptions {
     #[serde(default)]
     include_usage: bool,
@@ -120,7 +125,8 @@
 }
 
 /// Tokens that a call took.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub(crate) struct Usage {
     pub(crate) prompt_tokens: u64,
     pub(crate) completion_tokens: u64,
@@ -129,13 +135,15 @@
 }
 
 /// How many tokens of the prompt were not computed again.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub(crate) struct PromptTokensDetails {
     pub(crate) cached_tokens: u64,
 }
 
 /// Why an answer ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum FinishReason {
     Stop,
--- a/crates/burdockroad-standins/src/engine/orders.rs
+++ b/crates/burdockroad-standins/src/engine/orders.rs
@@ -28,7 +28,8 @@
 }
 
 /// An order and the number that tells old holders from new ones.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderRequest {
     /// Grows with each change of who gives the orders.
     pub fencing_number: u64,
@@ -37,7 +38,8 @@
 }
 
 /// What an engine is told to do; each names what to load, or the role to take.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Order {
     /// Load a model in place of the ones served so far.
@@ -51,7 +53,8 @@
 }
 
 /// How far an order is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderState {
     /// Earlier orders come first.
@@ -65,7 +68,8 @@
 }
 
 /// An order that was accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AcceptedOrder {
     /// The order as it was given.
     #[serde(flatten)]
@@ -75,7 +79,8 @@
 }
 
 /// The orders of an engine and what they made of it; the answer of `GET /orders`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrdersReport {
     /// Highest fencing number seen.
     pub highest_fencing_number: u64,
--- a/crates/burdockroad-standins/src/engine/stats.rs
+++ b/crates/burdockroad-standins/src/engine/stats.rs
@@ -6,7 +6,8 @@
 use tokio::time::Instant;
 
 /// What the engine computed since it was started.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineStats {
     /// Tokens of prompts that were computed.
     pub prompt_tokens_computed: u64,
@@ -19,7 +20,8 @@
 }
 
 /// The load that an endpoint reports.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// Calls being served.
     pub running: u64,
--- a/crates/burdockroad-standins/src/engine/text.rs
+++ b/crates/burdockroad-standins/src/engine/text.rs
@@ -10,7 +10,8 @@
 const LETTERS: &[u8; 32] = b"abcdefghijklmnopqrstuvwxyzaeiout";
 
 /// One message of a prompt, by digest and size.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct PromptPart {
     pub(crate) digest: u64,
     pub(crate) tokens: u64,
@@ -27,7 +28,8 @@
 }
 
 /// All messages of a prompt in their order.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub(crate) struct Prompt {
     pub(crate) parts: Vec<PromptPart>,
--- a/crates/burdockroad-standins/src/host_list.rs
+++ b/crates/burdockroad-standins/src/host_list.rs
@@ -22,7 +22,8 @@
 };
 
 /// One host, as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListedHost {
     /// Name of the host.
@@ -37,7 +38,8 @@
 }
 
 /// Whether a host stays or is being taken away.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HostState {
     /// In service.
@@ -47,7 +49,8 @@
 }
 
 /// Faults of the host list; a new set replaces the whole old one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct HostListFaults {
     /// The list is answered 503.
--- a/crates/burdockroad-standins/src/kv/faults.rs
+++ b/crates/burdockroad-standins/src/kv/faults.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Faults of the key-value stand-in; a new set replaces the whole old one.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct KvFaults {
     /// Calls fail as unavailable, and open watches break.
@@ -23,7 +24,8 @@
 }
 
 /// Which replies to writes are lost.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum LoseReplies {
     /// Those of this many writes from now on; in JSON a whole number.
@@ -39,7 +41,8 @@
 }
 
 /// How a lost reply looks to the client.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LostReply {
     /// An error of the connection, with the same code as when the service is down.
--- a/crates/burdockroad-standins/src/kv/meter.rs
+++ b/crates/burdockroad-standins/src/kv/meter.rs
@@ -11,7 +11,8 @@
 /// How often the stand-in was called.
 ///
 /// Leases count as writes, a request for progress as a read.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KvCounts {
     /// Reads that were let in.
     pub reads: u64,
--- a/crates/burdockroad-standins/src/load.rs
+++ b/crates/burdockroad-standins/src/load.rs
@@ -92,7 +92,8 @@
 }
 
 /// One client account and how much it sends.
-#[derive(Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadAccount {
     /// Name of the account, for the figures.
--- a/crates/burdockroad-standins/src/load/figures.rs
+++ b/crates/burdockroad-standins/src/load/figures.rs
@@ -14,7 +14,8 @@
 const US_PER_MS: f64 = 1e3;
 
 /// What all accounts of a load saw.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct LoadReport {
     /// Time from the start to the end of the last program.
     pub duration: Duration,
@@ -23,7 +24,8 @@
 }
 
 /// What one account saw.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct AccountReport {
     /// Name of the account.
     pub account_id: String,
@@ -54,7 +56,8 @@
 }
 
 /// How long something took.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct LatencyFigures {
     /// How often it happened.
     pub count: u64,
@@ -69,7 +72,8 @@
 }
 
 /// How often calls were refused in one way.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct RefusalCount {
     /// Last part of the problem's type, or the status where there is none.
     pub kind: String,
--- a/crates/burdockroad-standins/src/load/program.rs
+++ b/crates/burdockroad-standins/src/load/program.rs
@@ -70,7 +70,8 @@
     budget: NewBudget,
 }
 
-#[derive(Clone, Copy, Serialize)]
+#[derive(Clone, Copy)]
+#[derive(Serialize)]
 struct NewBudget {
     max_tokens: u64,
     max_calls: u32,
@@ -82,7 +83,8 @@
     id: String,
 }
 
-#[derive(Clone, Serialize)]
+#[derive(Clone)]
+#[derive(Serialize)]
 struct Message {
     role: &'static str,
     content: String,
--- a/crates/burdockroad-standins/src/proxy/faults.rs
+++ b/crates/burdockroad-standins/src/proxy/faults.rs
@@ -6,7 +6,8 @@
 use tokio::sync::watch;
 
 /// Faults of the proxy; a new set replaces the whole old one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ProxyFaults {
     /// What happens from the client to the target.
@@ -20,7 +21,8 @@
 }
 
 /// What happens from the client to the target.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Forward {
     /// Bytes pass.
@@ -33,7 +35,8 @@
 }
 
 /// What happens from the target to the client.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Backward {
     /// Bytes pass.
@@ -44,7 +47,8 @@
 }
 
 /// What the proxy passed on and what vanished.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ProxyCounts {
     /// Connections that were accepted and not refused.
     pub connections: u64,
--- a/crates/burdockroad-standins/src/record.rs
+++ b/crates/burdockroad-standins/src/record.rs
@@ -10,7 +10,8 @@
 use crate::http_server::Received;
 
 /// One request that a stand-in was sent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Recorded {
     /// Method, in capitals.
     pub method: String,
@@ -23,7 +24,8 @@
 }
 
 /// One header of a recorded request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HeaderField {
     /// Name, in small letters.
     pub name: String,
--- a/crates/burdockroad-standins/src/request_faults.rs
+++ b/crates/burdockroad-standins/src/request_faults.rs
@@ -7,7 +7,8 @@
 /// Faults in answering requests; a new set replaces the whole old one.
 ///
 /// When several apply to a request, the first in the order of the fields is taken.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RequestFaults {
     /// This many requests are answered 500 before they run.
--- a/crates/burdockroad-standins/src/service.rs
+++ b/crates/burdockroad-standins/src/service.rs
@@ -52,7 +52,8 @@
 }
 
 /// One request that the service was sent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServiceRequest {
     /// The request as it came.
     #[serde(flatten)]
@@ -64,7 +65,8 @@
 }
 
 /// What the service answers to an executed request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServiceAnswer {
     /// Number of the execution, from 1.
     pub execution: u64,
--- a/crates/burdockroad-standins/src/weight_store.rs
+++ b/crates/burdockroad-standins/src/weight_store.rs
@@ -49,7 +49,8 @@
 }
 
 /// What the store was asked for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WeightStoreCounts {
     /// Requests that got weights.
     pub served: u64,
--- a/crates/burdockroad/src/config/diff.rs
+++ b/crates/burdockroad/src/config/diff.rs
@@ -8,7 +8,8 @@
 use crate::config::document::Document;
 
 /// One difference between two documents.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Change {
     /// Where it is, with entities by their names, such as `accounts.trust-duty.burst`.
     pub path: String,
--- a/crates/burdockroad/src/config/document.rs
+++ b/crates/burdockroad/src/config/document.rs
@@ -14,7 +14,8 @@
 };
 
 /// Everything that operators decide, for all hosts and both sites.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// The sites that work can move between, with their shares of new programs.
@@ -35,7 +36,8 @@
 }
 
 /// One data centre.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Site {
     /// Name of the site.
@@ -47,7 +49,8 @@
 }
 
 /// One client account.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
     /// Name of the account.
@@ -70,7 +73,8 @@
 }
 
 /// One caller's key, of which only a hash is kept.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Key {
     /// Public name of the key.
@@ -85,7 +89,8 @@
 }
 
 /// Where calls can go: a model, or a plain service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// Name of the route; for a model route also the model name that callers give.
@@ -105,7 +110,8 @@
 }
 
 /// What answers on a route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum RouteKind {
     /// Model engines, at `/v1/chat/completions`.
@@ -115,7 +121,8 @@
 }
 
 /// Who may use a route.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum Access {
     /// Callers with a key of any account.
@@ -126,7 +133,8 @@
 }
 
 /// Endpoints that share one queue.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointSet {
     /// Name of the set.
@@ -144,7 +152,8 @@
 }
 
 /// What endpoints do with an order that carries an old fencing number.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum Fencing {
     /// They refuse it.
@@ -155,7 +164,8 @@
 }
 
 /// One process that answers calls.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Endpoint {
     /// Name of the endpoint.
@@ -178,7 +188,8 @@
 }
 
 /// Budgets of programs that do not state their own.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct BudgetDefaults {
     /// Tokens that engines may generate for a program and its sub-agents.
--- a/crates/burdockroad/src/config/finding.rs
+++ b/crates/burdockroad/src/config/finding.rs
@@ -14,7 +14,8 @@
 const PREFIX_BYTES_MIN: usize = 3;
 
 /// One fault of a text.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Finding {
     /// Line, from 1.
     pub line: usize,
--- a/crates/burdockroad/src/config/versioned.rs
+++ b/crates/burdockroad/src/config/versioned.rs
@@ -25,7 +25,8 @@
 }
 
 /// The stored form.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 struct Envelope {
     version: DocumentVersion,
     text: String,
--- a/crates/burdockroad/src/journal/segment.rs
+++ b/crates/burdockroad/src/journal/segment.rs
@@ -12,7 +12,8 @@
 const FORMAT: u8 = 1;
 
 /// What stands under one number of a journal.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum StoredSegment {
     /// Records of the journal's writer.
     Group(Segment),
@@ -21,7 +22,8 @@
 }
 
 /// Records that were written together.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Segment {
     /// Marks the writer's own segments, when a reply was lost.
     pub writer_id: WriterId,
@@ -36,7 +38,8 @@
 }
 
 /// A record, or a part of one that is too large for a segment.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Piece {
     /// Bytes of the encoded record.
     #[serde(with = "serde_bytes")]
@@ -46,7 +49,8 @@
 }
 
 /// The end of a journal.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Seal {
     /// The process that put it there.
     pub successor: Process,
--- a/crates/burdockroad/src/ownership/map.rs
+++ b/crates/burdockroad/src/ownership/map.rs
@@ -10,7 +10,8 @@
 };
 
 /// One run of a daemon on a host.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Process {
     /// The host.
     pub host_id: HostId,
@@ -19,7 +20,8 @@
 }
 
 /// Owner of one partition.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Owner {
     /// The owning process.
     pub process: Process,
--- a/crates/burdockroad/src/program/budget.rs
+++ b/crates/burdockroad/src/program/budget.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Limits that a program and all its sub-agents share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Budget {
     /// Tokens that engines may generate.
     pub max_tokens: u64,
@@ -16,7 +17,8 @@
 }
 
 /// Running account of one budget.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Ledger {
     /// The limits.
     pub budget: Budget,
--- a/crates/burdockroad/src/program/record.rs
+++ b/crates/burdockroad/src/program/record.rs
@@ -14,7 +14,8 @@
 pub type RequestDigest = [u8; 32];
 
 /// One change of one program tree.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// Root of the tree that changed.
     pub root_id: ProgramId,
@@ -25,7 +26,8 @@
 }
 
 /// What changed.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Event {
     /// A program began; without a parent it is the root of a new tree.
     Created {
@@ -84,7 +86,8 @@
 }
 
 /// What is recorded before a call may leave the host.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Intent {
     /// The call's position.
     pub call_number: CallNumber,
@@ -109,7 +112,8 @@
 }
 
 /// Kind of endpoint that a call is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum CallKind {
     /// A chat completion of a model engine.
     Completion,
@@ -118,7 +122,8 @@
 }
 
 /// How a call ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Outcome {
     /// The endpoint's whole answer arrived.
     Answered(Answer),
@@ -148,7 +153,8 @@
 }
 
 /// An endpoint's whole answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
@@ -164,7 +170,8 @@
 }
 
 /// Engine memory that an endpoint may hold for a program.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Hold {
     /// The program.
     pub program_id: ProgramId,
--- a/crates/burdockroad/src/program/tree.rs
+++ b/crates/burdockroad/src/program/tree.rs
@@ -11,7 +11,8 @@
 };
 
 /// Programs that share one budget.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Tree {
     /// The program that has no parent.
     pub root_id: ProgramId,
@@ -30,7 +31,8 @@
 }
 
 /// One program.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Program {
     /// Name of the program.
     pub id: ProgramId,
@@ -43,7 +45,8 @@
 }
 
 /// Whether a program runs or has ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum State {
     /// It takes further calls.
     Active,
@@ -57,7 +60,8 @@
 }
 
 /// One call of a program.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Call {
     /// What was recorded before it was sent; of the last attempt where there were several.
     pub intent: Intent,
