--- a/crates/burdockroad-daemon/tests/journal/host.rs
+++ b/crates/burdockroad-daemon/tests/journal/host.rs
@@ -12,15 +12,16 @@
 };
 
 use async_trait::async_trait;
-use burdockroad::journal::{SEGMENT_MAX_BYTES, WriterOptions};
+use burdockroad::journal::WriterOptions;
 use burdockroad_daemon::{
-    journal::{JournalParts, StoreJournal, StoreRecovery, TailStore},
+    journal::{JournalParts, StoreJournal, StoreRecovery, TailStore, writer_options},
     ownership::{PeerView, PeersReceiver, PeersView, Process},
     peer::{
         AdoptHandler, DocumentHandler, ForwardHandler, ForwardStream, GrantHandler, HeartbeatHandler,
         PeerClients, PeerHandlers, SlotHandler, TailHandler, serve,
     },
     platform::MemoryKeyValue,
+    settings::StoreSettings,
 };
 use burdockroad_proto::peer::{
     AcquireSlotRequest, AcquireSlotResponse, AdoptRequest, AdoptResponse, FetchDocumentResponse,
@@ -70,22 +71,30 @@
         }
     }
 
+    /// Opens the journal so that records that nobody waits for stay in the queue.
     pub(crate) async fn open(&mut self) {
         let options = WriterOptions {
-            me: self.process.clone(),
-            failure_domain: self.domain.clone(),
-            writer_id: rand::random(),
-            segment_max_bytes: SEGMENT_MAX_BYTES,
             writes_per_s: 200.0,
             writes_burst: 20.0,
-            // Long, so that records that nobody waits for stay in the queue.
             window_min: Duration::from_hours(1),
             window_max: Duration::from_hours(1),
-            append_timeout: Duration::from_secs(1),
             queue_max_bytes: 64 * 1024 * 1024,
             segments_max: 1_000,
             stored_max_bytes: 64 * 1024 * 1024,
+            ..self.service_options()
         };
+        self.open_with(options).await;
+    }
+
+    /// The options that a daemon has on the platform's key-value service.
+    pub(crate) fn service_options(&self) -> WriterOptions {
+        let service = StoreSettings::Service {
+            addresses: Vec::new(),
+        };
+        writer_options(&service, self.process.clone(), self.domain.clone())
+    }
+
+    pub(crate) async fn open_with(&mut self, options: WriterOptions) {
         let parts = JournalParts {
             store: Arc::clone(&self.store) as _,
             peers: self.peers.subscribe(),
