Bound retries by a budget for each account and route

Cause: a call was tried up to three times whatever the state of its endpoints, so an account whose calls all fail tripled its load. Ruled out: one budget for all (one account's failures would take the others' retries).

--- a/crates/burdockroad-daemon/src/calls.rs
+++ b/crates/burdockroad-daemon/src/calls.rs
@@ -12,7 +12,7 @@
 mod single_call;
 
 use std::{
-    sync::Arc,
+    sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant as StdInstant},
 };
 
@@ -20,6 +20,7 @@
     AccountId, EndpointId, KeyId, PoolId, RouteId,
     config::KeyMatch,
     program::{CallKind, RequestDigest},
+    retry::RetryBudgets,
 };
 use rand::RngExt;
 use tokio::time::Instant;
@@ -40,12 +41,6 @@
     telemetry::{Measure, RefusedBecause, Telemetry},
 };
 
-/// Tries that an idempotent call gets at different endpoints before its caller is told.
-const ATTEMPTS_MAX: u32 = 3;
-
-/// Shortest and longest wait before another try of a call, drawn at random between them.
-const BACK_OFF: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(50));
-
 /// On whose behalf a call runs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Caller {
@@ -119,6 +114,8 @@
     pub endpoints: Arc<dyn Endpoints>,
     /// The document in force.
     pub in_force: InForceReceiver,
+    /// Budgets of retries.
+    pub retries: Arc<Mutex<RetryBudgets>>,
     /// Durations and refusals of each account.
     pub telemetry: Telemetry,
     /// Limits of calls.
@@ -163,6 +160,23 @@
         }
     }
 
+    /// Pays a call into its account's budget of retries.
+    fn note_call(&self, plan: &Plan) {
+        let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
+        retries.note_call(&plan.caller.account_id, &plan.route_id);
+    }
+
+    /// Draws a retry for a call that was tried some times, and returns how long to wait before it.
+    fn draw_retry(&self, plan: &Plan, tried: &[EndpointId]) -> Option<Duration> {
+        let attempts = u32::try_from(tried.len()).unwrap_or(u32::MAX);
+        let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
+        if !retries.draw(&plan.caller.account_id, &plan.route_id, attempts) {
+            return None;
+        }
+        metrics::counter!("burdockroad_retries_total").increment(1);
+        Some(retries.back_off(attempts, &mut rand::rng()))
+    }
+
     /// Endpoints that another try should leave out: those tried before, as long as others are left.
     fn excluded(&self, plan: &Plan, tried: &[EndpointId]) -> Vec<EndpointId> {
         let in_force = self.in_force.borrow();
@@ -227,12 +241,6 @@
     Problem::new(ProblemKind::InvalidKey, "the key was withdrawn")
 }
 
-/// Time to wait before another try.
-fn back_off() -> Duration {
-    let (shortest, longest) = BACK_OFF;
-    rand::rng().random_range(shortest..longest)
-}
-
 /// Random name of one attempt, by which an engine's stream is cancelled or resumed.
 fn request_id() -> String {
     format!("{:032x}", rand::rng().random::<u128>())
--- a/crates/burdockroad-daemon/src/calls/program_call.rs
+++ b/crates/burdockroad-daemon/src/calls/program_call.rs
@@ -13,9 +13,9 @@
 use crate::{
     answer::{AnswerLog, AnswerReader, Frame, Head},
     calls::{
-        ATTEMPTS_MAX, CallRunner, EVENT_STREAM_CONTENT_TYPE, JSON_CONTENT_TYPE, Plan, Work,
+        CallRunner, EVENT_STREAM_CONTENT_TYPE, JSON_CONTENT_TYPE, Plan, Work,
         attempt::{Attempt, AttemptEnd, Failure, Whole},
-        back_off, clock,
+        clock,
         completion::{stream_body, whole_body},
         single_call::{SlotGuard, may_repeat, prompt_tokens, timed_out},
         withdrawn,
@@ -95,13 +95,17 @@
     async fn run_program_call(&self, mut call: ProgramCall, running: RunningCall) {
         let RunningCall { mut stop, .. } = running;
         let mut quota_paid = false;
+        self.note_call(&call.plan);
         loop {
             let outcome = self.try_program_call(&mut call, &mut stop, &mut quota_paid).await;
             match outcome {
                 Ok(rest) => return finish(&call.log, rest),
                 Err(Retry::Never(problem)) => return call.log.fail(&problem),
                 Err(Retry::Elsewhere(problem)) => {
-                    tokio::time::sleep(back_off()).await;
+                    let Some(wait) = self.draw_retry(&call.plan, &call.tried) else {
+                        return call.log.fail(&problem);
+                    };
+                    tokio::time::sleep(wait).await;
                     let Some(reopened) = self.reopen(&call).await else {
                         return call.log.fail(&problem);
                     };
@@ -277,9 +281,7 @@
 
 /// Whether a failed pass is followed by another.
 fn retry(call: &ProgramCall, failure: Failure, progress: Progress) -> Retry {
-    let tries = u32::try_from(call.tried.len()).unwrap_or(u32::MAX);
     let again = progress == Progress::Sent
-        && tries < ATTEMPTS_MAX
         && Instant::now() < call.latest
         && may_repeat(&call.plan, &failure, &call.log);
     if again {
--- a/crates/burdockroad-daemon/src/calls/single_call.rs
+++ b/crates/burdockroad-daemon/src/calls/single_call.rs
@@ -5,9 +5,9 @@
 use crate::{
     answer::{AnswerLog, AnswerReader, Frame},
     calls::{
-        ATTEMPTS_MAX, CallRunner, Plan, Work,
+        CallRunner, Plan, Work,
         attempt::{Attempt, AttemptEnd, Failure},
-        back_off, clock, withdrawn,
+        clock, withdrawn,
     },
     dispatch::{Slot, SlotRequest},
     problem::{Problem, ProblemKind, Ran},
@@ -45,6 +45,7 @@
         if !plan.caller.account_id.is_empty() {
             self.quota.admit(&plan.caller.account_id, latest).await?;
         }
+        self.note_call(plan);
         let mut tried = Vec::new();
         loop {
             let slot = self
@@ -64,11 +65,13 @@
                 Ok(()) => return Ok(()),
                 Err(failure) => failure,
             };
-            let count = u32::try_from(tried.len()).unwrap_or(u32::MAX);
-            if count >= ATTEMPTS_MAX || !may_repeat(plan, &failure, log) {
+            if !may_repeat(plan, &failure, log) {
                 return Err(failure.problem);
             }
-            tokio::time::sleep(back_off()).await;
+            let Some(wait) = self.draw_retry(plan, &tried) else {
+                return Err(failure.problem);
+            };
+            tokio::time::sleep(wait).await;
         }
     }
 
--- a/crates/burdockroad-daemon/src/daemon.rs
+++ b/crates/burdockroad-daemon/src/daemon.rs
@@ -11,7 +11,11 @@
     time::Duration,
 };
 
-use burdockroad::{PARTITIONS, membership, program::ProgramsOptions};
+use burdockroad::{
+    PARTITIONS, membership,
+    program::ProgramsOptions,
+    retry::{RetryBudgets, RetryOptions},
+};
 use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
 
 use self::{journals::Journals, observed_hosts::ObservedHostList, operators::Operators};
@@ -327,6 +331,7 @@
             dispatcher: Arc::clone(&dispatcher) as _,
             endpoints: Arc::clone(&self.endpoints),
             in_force: self.in_force.clone(),
+            retries: Arc::new(Mutex::new(RetryBudgets::new(RetryOptions::default()))),
             telemetry: self.telemetry.clone(),
             limits: self.call_limits(),
         };
--- a/crates/burdockroad/src/lib.rs
+++ b/crates/burdockroad/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`membership`] tells which hosts are up, and [`ownership`] which of them serves what.
 //! * [`quota`] keeps rate and burst of client accounts over all hosts.
 //! * [`config`] holds the one configuration [`Document`] and its checks.
+//! * [`retry`] decides whether and when a failed call is tried again.
 //!
 //! Entities stand in tables, and systems run over the tables each tick.
 
@@ -27,6 +28,7 @@
 pub mod ownership;
 pub mod program;
 pub mod quota;
+pub mod retry;
 
 pub use crate::{
     config::Document,
