--- a/crates/burdockroad-daemon/src/calls/program_call.rs
+++ b/crates/burdockroad-daemon/src/calls/program_call.rs
@@ -13,7 +13,7 @@
 use crate::{
     answer::{AnswerLog, AnswerReader, Frame, Head},
     calls::{
-        CallRunner, EVENT_STREAM_CONTENT_TYPE, JSON_CONTENT_TYPE, Plan, Work,
+        CallRunner, CompletionRequest, EVENT_STREAM_CONTENT_TYPE, JSON_CONTENT_TYPE, Plan, Work,
         attempt::{Attempt, AttemptEnd, Failure, Whole},
         clock,
         completion::{stream_body, whole_body},
@@ -167,10 +167,22 @@
             }
         };
         self.note_answer(&call.plan, &end.report);
+        self.note_waste(call, &end.report);
         guard.close(end.report);
         self.settle(call, end, progress).await
     }
 
+    /// Takes note of the history that the engine had to compute again.
+    fn note_waste(&self, call: &ProgramCall, report: &SlotReport) {
+        let known = CompletionRequest::estimated_tokens(call.usage.history_bytes);
+        let wasted = known
+            .min(report.prompt_tokens)
+            .saturating_sub(report.cached_tokens);
+        if wasted > 0 {
+            self.telemetry.cache_wasted(&call.plan.caller.account_id, wasted);
+        }
+    }
+
     async fn wait_for_slot(
         &self,
         call: &ProgramCall,
--- a/crates/burdockroad-daemon/src/edge/serve.rs
+++ b/crates/burdockroad-daemon/src/edge/serve.rs
@@ -1,6 +1,6 @@
 //! Requests at the host that owns their program.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use burdockroad::{
     ProgramId,
@@ -20,6 +20,7 @@
     http::{NewProgramRequest, Target, digest},
     problem::{Problem, ProblemKind},
     programs::NotTaken,
+    telemetry::Measure,
 };
 
 /// Time for which the answer to an idempotency key is kept.
@@ -93,7 +94,11 @@
         let account_id = request.caller.account_id.clone();
         let ended = self.runner.programs.end(account_id.clone(), id.clone()).await?;
         recorded(ended).await?;
-        let view = self.runner.programs.get(account_id, id.clone()).await?;
+        let view = self.runner.programs.get(account_id.clone(), id.clone()).await?;
+        let age = SystemTime::now()
+            .duration_since(view.tree.ledger.created_at)
+            .unwrap_or_default();
+        self.runner.telemetry.record(&account_id, Measure::Program, age);
         Ok(json_answer(200, &program_json::program(&view)))
     }
 
--- /dev/null
+++ b/crates/burdockroad-daemon/tests/call_order.rs
@@ -0,0 +1,316 @@
+//! What has to be durable before a call leaves, and before its answer ends.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use burdockroad::{
+    AccountId, Record,
+    config::VersionedDocument,
+    ownership::{Candidate, Process, first_map},
+    program::{Budget, Hold, NewProgram, ProgramsOptions},
+    program_id,
+    retry::{RetryBudgets, RetryOptions},
+};
+use burdockroad_daemon::{
+    answer::{AnswerReader, Frame},
+    calls::{CallLimits, CallRunner, Caller, CompletionRequest, Plan, ProgramPosition, ServiceRequest, Work},
+    config_watch::InForce,
+    dispatch::{Dispatcher, Slot, SlotRefusal, SlotReport, SlotRequest},
+    endpoint::HttpEndpoints,
+    journal::{Appended, Durability, Journal, JournalError},
+    ownership::OwnershipView,
+    programs::{MemoryReleaser, ProgramsHandle, ProgramsParts},
+    quota::{Quota, QuotaRefusal},
+    telemetry::Telemetry,
+};
+use burdockroad_standins::{
+    engine::{EngineOptions, EngineStandin},
+    service::{ServiceOptions, ServiceStandin},
+};
+use http::{HeaderMap, Method};
+use tokio::{
+    sync::{Notify, oneshot, watch},
+    time::Instant,
+};
+
+/// Time in which something that must not happen would have happened.
+const LONG_ENOUGH: Duration = Duration::from_millis(300);
+
+/// A journal whose appends become durable when the test says so.
+#[derive(Debug, Default)]
+struct HeldJournal {
+    held: Mutex<VecDeque<Held>>,
+    appended: Notify,
+}
+
+#[derive(Debug)]
+struct Held {
+    durability: Durability,
+    done: oneshot::Sender<Result<(), JournalError>>,
+}
+
+impl Journal for HeldJournal {
+    fn append(&self, _records: Vec<Record>, durability: Durability) -> Appended {
+        let (done, appended) = oneshot::channel();
+        self.held.lock().unwrap().push_back(Held { durability, done });
+        self.appended.notify_one();
+        appended
+    }
+}
+
+impl HeldJournal {
+    /// Waits for the next append, answers it, and returns how durable it had to be.
+    async fn answer(&self, outcome: Result<(), JournalError>) -> Durability {
+        loop {
+            let first = self.held.lock().unwrap().pop_front();
+            if let Some(held) = first {
+                held.done.send(outcome).unwrap_or_default();
+                return held.durability;
+            }
+            self.appended.notified().await;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct AllAdmitted;
+
+#[async_trait]
+impl Quota for AllAdmitted {
+    async fn admit(&self, _account_id: &AccountId, _latest: Instant) -> Result<(), QuotaRefusal> {
+        Ok(())
+    }
+}
+
+#[derive(Debug)]
+struct OneEndpoint(String);
+
+#[async_trait]
+impl Dispatcher for OneEndpoint {
+    async fn acquire(&self, _request: SlotRequest) -> Result<Slot, SlotRefusal> {
+        Ok(Slot {
+            slot_id: 1,
+            pool_id: "pool".to_owned(),
+            endpoint_id: "endpoint".to_owned(),
+            address: self.0.clone(),
+        })
+    }
+
+    fn release(&self, _slot: Slot, _report: SlotReport) {}
+}
+
+#[derive(Debug)]
+struct NoMemory;
+
+#[async_trait]
+impl MemoryReleaser for NoMemory {
+    async fn release(&self, _hold: &Hold) -> bool {
+        true
+    }
+}
+
+/// A runner with one program, whose creation is durable already.
+struct Bench {
+    runner: CallRunner,
+    journal: Arc<HeldJournal>,
+    program: String,
+    in_force: watch::Sender<Arc<InForce>>,
+}
+
+impl Bench {
+    async fn start(address: String) -> Self {
+        let journal = Arc::new(HeldJournal::default());
+        let me = Process {
+            host_id: "a".to_owned(),
+            incarnation: 1,
+        };
+        let candidate = Candidate {
+            process: me.clone(),
+            failure_domain: "d".to_owned(),
+            weight: 1,
+        };
+        let view = OwnershipView::new(me, &first_map(&[candidate], 1).unwrap(), true);
+        let (_keep, ownership) = watch::channel(Arc::new(view));
+        let programs = ProgramsHandle::start(ProgramsParts {
+            journal: Arc::clone(&journal) as _,
+            releaser: Arc::new(NoMemory),
+            ownership,
+            options: ProgramsOptions::default(),
+        })
+        .await
+        .unwrap();
+        let text = r#"{ "sites": [], "accounts": [], "routes": [], "endpoint_sets": [] }"#;
+        let document = VersionedDocument::new(1, text).unwrap();
+        let (in_force, receiver) = watch::channel(Arc::new(InForce::fixed(document)));
+        let program = program_id(7, "order");
+        let created = programs.create(new_program(&program)).await.unwrap();
+        assert_eq!(journal.answer(Ok(())).await, Durability::Replicated);
+        created.await.unwrap().unwrap();
+        let runner = CallRunner {
+            programs,
+            quota: Arc::new(AllAdmitted),
+            dispatcher: Arc::new(OneEndpoint(address)),
+            endpoints: Arc::new(HttpEndpoints::new()),
+            in_force: receiver,
+            retries: Arc::new(Mutex::new(RetryBudgets::new(RetryOptions::default()))),
+            telemetry: Telemetry::unrecorded(),
+            limits: CallLimits {
+                queue_timeout: Duration::from_secs(5),
+                answer_max_bytes: 1_000_000,
+            },
+        };
+        Self {
+            runner,
+            journal,
+            program,
+            in_force,
+        }
+    }
+
+    async fn call(&self, work: Work, idempotent: bool) -> AnswerReader {
+        let plan = Plan {
+            caller: Caller {
+                account_id: "trust".to_owned(),
+                key_id: None,
+            },
+            route_id: "route".to_owned(),
+            pool_ids: vec!["pool".to_owned()],
+            idempotent,
+            digest: [1; 32],
+            keeps_prefix: true,
+            work,
+            deadline: Instant::now() + Duration::from_secs(20),
+            traceparent: None,
+        };
+        let position = ProgramPosition {
+            program_id: self.program.clone(),
+            number: 1,
+        };
+        self.runner.program_call(plan, position).await.unwrap()
+    }
+}
+
+fn new_program(id: &str) -> NewProgram {
+    let budget = Budget {
+        max_tokens: 100,
+        max_calls: 5,
+        max_duration: Duration::from_mins(1),
+    };
+    NewProgram {
+        program_id: id.to_owned(),
+        account_id: "trust".to_owned(),
+        parent_id: None,
+        budget,
+    }
+}
+
+fn order() -> Work {
+    Work::Service(ServiceRequest {
+        method: Method::POST,
+        target: "/orders".to_owned(),
+        headers: HeaderMap::new(),
+        body: "one".into(),
+    })
+}
+
+fn question() -> Work {
+    let body = br#"{"model":"m","messages":[{"role":"user","content":"x"}],"stream":true,"max_tokens":3}"#;
+    Work::Completion(CompletionRequest::parse(body).unwrap())
+}
+
+/// All frames that come in a while; the last is the end only if the answer ended.
+async fn frames(reader: &mut AnswerReader, lasts: Duration) -> Vec<Frame> {
+    let mut frames = Vec::new();
+    while let Ok(frame) = tokio::time::timeout(lasts, reader.next()).await {
+        let last = matches!(frame, Frame::End | Frame::Cut(_));
+        frames.push(frame);
+        if last {
+            break;
+        }
+    }
+    frames
+}
+
+#[tokio::test]
+async fn order_leaves_after_its_intent_is_stored() {
+    let service = ServiceStandin::start(ServiceOptions::default()).await.unwrap();
+    let bench = Bench::start(service.address().to_string()).await;
+    let mut reader = bench.call(order(), false).await;
+    tokio::time::sleep(LONG_ENOUGH).await;
+    assert!(
+        service.recorded().is_empty(),
+        "the order left before its intent was stored"
+    );
+    assert_eq!(bench.journal.answer(Ok(())).await, Durability::Stored);
+    assert_eq!(bench.journal.answer(Ok(())).await, Durability::Replicated);
+    let frames = frames(&mut reader, Duration::from_secs(5)).await;
+    assert!(matches!(frames.last(), Some(Frame::End)), "{frames:?}");
+    assert_eq!(service.recorded().len(), 1);
+    drop(bench.in_force);
+}
+
+#[tokio::test]
+async fn order_not_recordable_does_not_run() {
+    let service = ServiceStandin::start(ServiceOptions::default()).await.unwrap();
+    let bench = Bench::start(service.address().to_string()).await;
+    let mut reader = bench.call(order(), false).await;
+    let unavailable = JournalError::Unavailable {
+        retry_after: Duration::from_secs(1),
+    };
+    assert_eq!(bench.journal.answer(Err(unavailable)).await, Durability::Stored);
+    bench.journal.answer(Ok(())).await;
+    let frames = frames(&mut reader, Duration::from_secs(5)).await;
+    let Some(Frame::Head(head)) = frames.first() else {
+        panic!("no head: {frames:?}");
+    };
+    assert_eq!(head.status, 503);
+    assert!(head.headers.contains_key("retry-after"));
+    assert!(
+        service.recorded().is_empty(),
+        "a call that is not run must not run"
+    );
+}
+
+#[tokio::test]
+async fn answer_ends_after_its_result_is_durable() {
+    let engine = EngineStandin::start(EngineOptions::default()).await.unwrap();
+    let bench = Bench::start(engine.address().to_string()).await;
+    let mut reader = bench.call(question(), true).await;
+    assert_eq!(bench.journal.answer(Ok(())).await, Durability::Replicated);
+    let before = frames(&mut reader, LONG_ENOUGH).await;
+    assert!(
+        before.len() > 1,
+        "the answer streams while it is generated: {before:?}"
+    );
+    let ended = |frames: &[Frame]| {
+        frames.iter().any(|frame| match frame {
+            Frame::End => true,
+            Frame::Data(data) => data.ends_with(b"[DONE]\n\n"),
+            Frame::Head(_) | Frame::Cut(_) => false,
+        })
+    };
+    assert!(
+        !ended(&before),
+        "the answer ended before its result was durable: {before:?}"
+    );
+    assert_eq!(bench.journal.answer(Ok(())).await, Durability::Replicated);
+    assert!(ended(&frames(&mut reader, Duration::from_secs(5)).await));
+}
+
+#[tokio::test]
+async fn answer_is_cut_when_its_host_was_fenced() {
+    let engine = EngineStandin::start(EngineOptions::default()).await.unwrap();
+    let bench = Bench::start(engine.address().to_string()).await;
+    let mut reader = bench.call(question(), true).await;
+    bench.journal.answer(Ok(())).await;
+    bench.journal.answer(Err(JournalError::Fenced)).await;
+    let frames = frames(&mut reader, Duration::from_secs(5)).await;
+    assert!(
+        matches!(frames.last(), Some(Frame::Cut(_))),
+        "not recorded, so not whole: {frames:?}"
+    );
+}
