Send small messages between hosts at once

Change: the listener's sockets are set themselves; a process test of resumed streams, since the one of whole answers passes by a second try too.

--- a/crates/burdockroad-daemon/src/peer/server.rs
+++ b/crates/burdockroad-daemon/src/peer/server.rs
@@ -12,7 +12,10 @@
 };
 use futures_util::Stream;
 use tokio::net::TcpListener;
-use tonic::{Request, Response, Status, transport::Server};
+use tonic::{
+    Request, Response, Status,
+    transport::{Server, server::TcpIncoming},
+};
 
 /// Largest message between peers, in bytes.
 const MESSAGE_MAX_BYTES: usize = 64 * 1024 * 1024;
@@ -174,9 +177,9 @@
     let service = PeerServer::new(handlers)
         .max_decoding_message_size(MESSAGE_MAX_BYTES)
         .max_encoding_message_size(MESSAGE_MAX_BYTES);
-    let incoming = tokio_stream::wrappers::TcpListenerStream::new(listener);
+    // The builder's own setting concerns only listeners that it opens itself.
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     Server::builder()
-        .tcp_nodelay(true)
         .add_service(service)
         .serve_with_incoming_shutdown(incoming, stop)
         .await?;
--- a/crates/burdockroad-site/tests/processes/endpoints.rs
+++ b/crates/burdockroad-site/tests/processes/endpoints.rs
@@ -54,6 +54,44 @@
     }
 }
 
+#[tokio::test]
+async fn cut_stream_is_resumed() {
+    let site = Site::start(one_engine(vec!["--token-ms", "5", "--answer-tokens", "30"])).await;
+    let caller = site.caller("masters");
+    let mut texts = Vec::new();
+    for faults in [json!({}), json!({ "cut_next": 1, "cut_after_tokens": 5 })] {
+        site.control(&site.engines[0], "/faults", &faults).await;
+        let mut stream = caller.stream(1, None, 30).await;
+        let mut text = String::new();
+        while let Some(data) = stream.next().await.expect("the stream is not cut") {
+            text.push_str(&String::from_utf8_lossy(&data));
+        }
+        assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+        texts.push(streamed_content(&text));
+    }
+    assert_eq!(
+        texts[0], texts[1],
+        "the resumed stream says the same, with nothing twice or missing"
+    );
+    assert_eq!(
+        completions(&site).await,
+        2,
+        "the cut call was resumed and not begun again"
+    );
+}
+
+/// The content of a stream's events, put together.
+fn streamed_content(events: &str) -> String {
+    let data = events.lines().filter_map(|line| line.strip_prefix("data: "));
+    let chunks = data.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+    let parts = chunks.filter_map(|chunk| {
+        chunk["choices"][0]["delta"]["content"]
+            .as_str()
+            .map(str::to_owned)
+    });
+    parts.collect()
+}
+
 #[tokio::test]
 async fn answer_of_dead_engine_is_never_whole() {
     let mut site = Site::start(one_engine(vec!["--token-ms", "50", "--answer-tokens", "200"])).await;
