--- a/crates/burdockroad-site/src/bin/slopes.rs
+++ b/crates/burdockroad-site/src/bin/slopes.rs
@@ -17,7 +17,7 @@
 const CALLS: usize = 4_000;
 
 /// Programs that a slope is taken over.
-const PROGRAMS: usize = 2_000;
+const PROGRAMS: usize = 4_000;
 
 /// Requests under way at a time.
 const AT_ONCE: usize = 16;
@@ -132,7 +132,7 @@
 async fn programs(site: &Site) -> Result<()> {
     let before = memory_bytes(&site.daemons)?;
     let caller = site.caller("masters");
-    let text = "x".repeat(4_000);
+    let text = "x".repeat(40_000);
     let workers = (0..AT_ONCE).map(|worker| {
         let caller = caller.clone();
         let body = completion(&text, 1);
@@ -152,7 +152,7 @@
     print(
         "program_memory",
         grown / count(PROGRAMS),
-        "bytes_per_program_with_4000_bytes_of_history",
+        "bytes_per_program_with_40000_bytes_of_history",
     );
     Ok(())
 }
