--- a/crates/burdockroad/src/program.rs
+++ b/crates/burdockroad/src/program.rs
@@ -6,9 +6,11 @@
 //! that is replayed twice, or after a newer snapshot, changes nothing.
 
 mod budget;
+mod checks;
 mod record;
 mod refusal;
 mod replay;
+mod request;
 mod table;
 mod tree;
 
@@ -17,8 +19,7 @@
     record::{Answer, CallKind, Event, Hold, Intent, Outcome, Record, RequestDigest},
     refusal::{Refusal, Shortage},
     replay::Replay,
-    table::{
-        Action, Begun, CallRequest, Cancelled, NewProgram, Placement, Programs, ProgramsOptions, Sending,
-    },
+    request::{Action, Begun, CallRequest, Cancelled, NewProgram, Placement, ProgramsOptions, Sending},
+    table::Programs,
     tree::{Call, Program, State, Tree, Usage},
 };
--- a/crates/burdockroad/src/program/table.rs
+++ b/crates/burdockroad/src/program/table.rs
@@ -7,10 +7,14 @@
 
 use crate::{
     error::Result,
-    ids::{AccountId, CallNumber, EndpointId, PartitionId, PoolId, ProgramId, RouteId, partition_of_program},
+    ids::{AccountId, EndpointId, PartitionId, ProgramId, partition_of_program},
     program::{
-        Answer, Budget, Call, CallKind, Event, Hold, Intent, Outcome, Program, Record, Refusal,
-        RequestDigest, Shortage, State, Tree, Usage,
+        Action, Begun, CallRequest, Cancelled, Event, Hold, Intent, NewProgram, Outcome, Placement, Program,
+        ProgramsOptions, Record, Refusal, Sending, State, Tree,
+        checks::{
+            check_active, check_budget, check_history, check_next, is_in_use, prompt, repeat_of_ended,
+            repeat_of_open, usage,
+        },
     },
 };
 
@@ -20,30 +24,9 @@
 /// Reason given for a program that reached its time limit.
 const TIME_LIMIT: &str = "its time limit has passed";
 
-/// Time after which a refused call may fit into tokens that other calls have set aside.
-const RESERVED_RETRY: Duration = Duration::from_secs(1);
-
 /// Time between two tries to release the same engine memory.
 const RELEASE_RETRY: Duration = Duration::from_secs(1);
 
-/// How the table treats programs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ProgramsOptions {
-    /// Time for which an ended tree's history stays readable.
-    pub retention: Duration,
-    /// Most bytes of messages and answers in one tree, so that a snapshot fits into a record.
-    pub history_max_bytes: u64,
-}
-
-impl Default for ProgramsOptions {
-    fn default() -> Self {
-        Self {
-            retention: Duration::from_mins(10),
-            history_max_bytes: 16 * 1024 * 1024,
-        }
-    }
-}
-
 /// The program trees that one host owns.
 ///
 /// Every method that changes a tree returns the records of the change; the caller appends them to its
@@ -62,102 +45,11 @@
 
 /// A call that this host has taken and not ended.
 #[derive(Clone, Debug)]
-struct OpenCall {
-    request: CallRequest,
+pub(super) struct OpenCall {
+    pub(super) request: CallRequest,
     sent: bool,
 }
 
-/// A program to be created.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NewProgram {
-    /// Its id, in a partition that this host owns.
-    pub program_id: ProgramId,
-    /// The account that it runs for.
-    pub account_id: AccountId,
-    /// The program whose sub-agent it is.
-    pub parent_id: Option<ProgramId>,
-    /// Its budget; a sub-agent shares its root's.
-    pub budget: Budget,
-}
-
-/// A call as its caller made it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CallRequest {
-    /// The account that the caller's key belongs to.
-    pub account_id: AccountId,
-    /// The program.
-    pub program_id: ProgramId,
-    /// The call's position in the program.
-    pub number: CallNumber,
-    /// Digest of the request.
-    pub digest: RequestDigest,
-    /// Route that it takes.
-    pub route_id: RouteId,
-    /// What kind of call it is.
-    pub kind: CallKind,
-    /// Whether a repeated run would do no harm.
-    pub idempotent: bool,
-    /// New messages of a completion, as JSON texts.
-    pub messages: Vec<String>,
-    /// Whether the engine is told to keep the program's prefix for its next call.
-    pub keeps_prefix: bool,
-}
-
-/// What to do with a call.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Begun {
-    /// Run it.
-    Run(Usage, Option<EndpointId>),
-    /// It runs already, for an earlier try of the caller.
-    Attach,
-    /// It was answered before.
-    Answered(Answer),
-}
-
-/// Where a call is to be sent.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Placement {
-    /// Pool of the endpoint.
-    pub pool_id: PoolId,
-    /// The endpoint.
-    pub endpoint_id: EndpointId,
-    /// Tokens that the engine may generate at most; 0 for a service.
-    pub wanted_tokens: u64,
-}
-
-/// A call that may be sent once its record is durable.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Sending {
-    /// The intent.
-    pub record: Record,
-    /// All messages of the conversation, as JSON texts.
-    pub prompt: Vec<String>,
-    /// Tokens set aside: the most that the engine may generate.
-    pub reserved_tokens: u64,
-    /// Time until the budget's time limit.
-    pub time_left: Duration,
-}
-
-/// A call that has to stop because its program ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Cancelled {
-    /// The program.
-    pub program_id: ProgramId,
-    /// The call's position.
-    pub number: CallNumber,
-}
-
-/// What a tick asks its caller to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Append a change to the journal.
-    Append(Record),
-    /// Stop a call.
-    Cancel(Cancelled),
-    /// Have an endpoint free what it holds, then report it by [`Programs::released`].
-    Release(Hold),
-}
-
 impl Programs {
     /// Makes an empty table.
     pub fn new(options: ProgramsOptions) -> Self {
@@ -680,110 +572,3 @@
         self.due.insert((at, root_id.clone()));
     }
 }
-
-fn repeat_of_open(
-    open: &OpenCall,
-    program: &Program,
-    request: &CallRequest,
-) -> std::result::Result<Begun, Refusal> {
-    let number = open.request.number;
-    if request.number < number {
-        return repeat_of_ended(program.call(request.number), request);
-    }
-    if request.number > number {
-        return Err(Refusal::WrongNumber { expected: number });
-    }
-    if request.digest != open.request.digest {
-        return Err(Refusal::DifferentRequest);
-    }
-    Ok(Begun::Attach)
-}
-
-fn repeat_of_ended(call: Option<&Call>, request: &CallRequest) -> std::result::Result<Begun, Refusal> {
-    let Some(call) = call else {
-        return Err(Refusal::WrongNumber { expected: 1 });
-    };
-    if call.intent.digest != request.digest {
-        return Err(Refusal::DifferentRequest);
-    }
-    match &call.outcome {
-        Some(Outcome::Answered(answer)) => Ok(Begun::Answered(answer.clone())),
-        Some(Outcome::Unknown { reason }) => Err(Refusal::OutcomeUnknown {
-            reason: reason.clone(),
-        }),
-        Some(Outcome::NotRun | Outcome::Failed { .. }) | None => Ok(Begun::Attach),
-    }
-}
-
-fn check_next(program: &Program, number: CallNumber) -> std::result::Result<(), Refusal> {
-    check_active(program)?;
-    let expected = program.next_number();
-    if number == expected {
-        Ok(())
-    } else {
-        Err(Refusal::WrongNumber { expected })
-    }
-}
-
-fn check_active(program: &Program) -> std::result::Result<(), Refusal> {
-    match &program.state {
-        State::Active => Ok(()),
-        State::Ended { reason, .. } => Err(Refusal::Ended {
-            reason: reason.clone(),
-        }),
-    }
-}
-
-fn check_budget(tree: &Tree, kind: CallKind, now: SystemTime) -> std::result::Result<(), Refusal> {
-    let ledger = &tree.ledger;
-    let over = |shortage, retry_after| {
-        Err(Refusal::OverBudget {
-            shortage,
-            retry_after,
-        })
-    };
-    if ledger.time_left(now).is_zero() {
-        return over(Shortage::Duration, None);
-    }
-    if ledger.free_calls() == 0 {
-        return over(Shortage::Calls, None);
-    }
-    if kind == CallKind::Completion && ledger.free_tokens() == 0 {
-        let retry_after = (ledger.reserved_tokens > 0).then_some(RESERVED_RETRY);
-        return over(Shortage::Tokens, retry_after);
-    }
-    Ok(())
-}
-
-fn check_history(tree: &Tree, request: &CallRequest, max_bytes: u64) -> std::result::Result<(), Refusal> {
-    let new_bytes: u64 = request.messages.iter().map(|message| message.len() as u64).sum();
-    if tree.history_bytes + new_bytes > max_bytes {
-        return Err(Refusal::HistoryFull { max_bytes });
-    }
-    Ok(())
-}
-
-fn usage(tree: &Tree, program: &Program) -> Usage {
-    let history_bytes = program.messages().map(|message| message.len() as u64).sum();
-    Usage {
-        attained_tokens: tree.ledger.spent_tokens,
-        history_bytes,
-    }
-}
-
-fn prompt(tree: &Tree, request: &CallRequest) -> Vec<String> {
-    if request.kind == CallKind::Service {
-        return Vec::new();
-    }
-    let earlier = tree.programs[&request.program_id].messages().map(str::to_owned);
-    earlier.chain(request.messages.iter().cloned()).collect()
-}
-
-/// Whether the endpoint is the one where an active program's next call finds its prefix.
-fn is_in_use(tree: &Tree, hold: &Hold) -> bool {
-    let program = tree
-        .programs
-        .get(&hold.program_id)
-        .filter(|program| program.state == State::Active);
-    program.is_some_and(|program| program.prefix_endpoint_id() == Some(&hold.endpoint_id))
-}
