--- a/crates/burdockroad-site/src/bin/slopes.rs
+++ b/crates/burdockroad-site/src/bin/slopes.rs
@@ -17,7 +17,7 @@
 const CALLS: usize = 4_000;
 
 /// Programs that a slope is taken over.
-const PROGRAMS: usize = 4_000;
+const PROGRAMS: usize = 1_000;
 
 /// Requests under way at a time.
 const AT_ONCE: usize = 16;
@@ -36,7 +36,14 @@
     let options = SiteOptions {
         daemons: 3,
         engines: 2,
-        engine_options: vec!["--token-ms", "1", "--answer-tokens", "1"],
+        engine_options: vec![
+            "--token-ms",
+            "1",
+            "--answer-tokens",
+            "1",
+            "--prefill-us-per-token",
+            "0",
+        ],
         slots: 64,
         accounts: vec![AccountOptions {
             id: "masters",
