Read a budget again only while other hosts hold some of it

Change: Ledger::wants_look reads only while other hosts hold tokens, once an interval for all calls that wait; calls of this host wake the others as before.

The test fails without the condition on other hosts.

--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -329,8 +329,10 @@
             Need::Write if store_is_lost(shared) => return HoldReply::StoreLost,
             Need::Write if patience.is_zero() => return HoldReply::NoStore,
             Need::Room => {
-                let ended = timeout(patience.min(ROOM_PAUSE), changed).await;
-                if ended.is_err() {
+                // Other hosts give back in the store, calls of this host by the notice.
+                let _ended = timeout(patience.min(ROOM_PAUSE), changed).await;
+                let wants_look = shared.tables().ledger.wants_look(program, Instant::now());
+                if wants_look {
                     look_again(shared, program).await;
                 }
             }
--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -21,6 +21,8 @@
 pub struct LedgerOptions {
     /// Time after a call's end in which the program's next call may carry what was given back.
     pub settle_after: Duration,
+    /// Time between two looks at what other hosts still hold of a program's budget.
+    pub look_interval: Duration,
     /// Idle time after which a program's row is forgotten; what it still held counts as spent.
     pub keep: Duration,
 }
@@ -29,6 +31,7 @@
     fn default() -> Self {
         Self {
             settle_after: Duration::from_millis(200),
+            look_interval: Duration::from_millis(80),
             keep: Duration::from_secs(90),
         }
     }
@@ -178,6 +181,21 @@
         Need::Write
     }
 
+    /// Whether it is time to read what the store holds of a program that has no room: only other hosts can
+    /// have given something back there, and one look serves all calls that wait.
+    pub fn wants_look(&mut self, program: &ProgramId, now: Instant) -> bool {
+        let interval = self.options.look_interval;
+        let Some(row) = self.rows.get_mut(program) else {
+            return false;
+        };
+        let looked_lately = row.looked_at.is_some_and(|at| now < at + interval);
+        if looked_lately || row.others_tokens() == 0 {
+            return false;
+        }
+        row.looked_at = Some(now);
+        true
+    }
+
     /// Ends a call that had taken `most_tokens` and handed out `used_tokens` of them.
     pub fn settle(&mut self, program: &ProgramId, most_tokens: u64, used_tokens: u64, now: Instant) {
         let settle_after = self.options.settle_after;
--- a/crates/burdockroad/src/gateway/budget/row.rs
+++ b/crates/burdockroad/src/gateway/budget/row.rs
@@ -31,6 +31,8 @@
     pub(super) pending: Option<Pending>,
     pub(super) queued: bool,
     pub(super) settle_at: Option<Instant>,
+    /// When the store was last read for what other hosts gave back.
+    pub(super) looked_at: Option<Instant>,
     pub(super) touched_at: Instant,
 }
 
@@ -60,6 +62,7 @@
             pending: None,
             queued: false,
             settle_at: None,
+            looked_at: None,
             touched_at: now,
         }
     }
--- a/crates/burdockroad/tests/gateway_budget.rs
+++ b/crates/burdockroad/tests/gateway_budget.rs
@@ -260,6 +260,38 @@
     assert!(world.handed_out_tokens <= BUDGET_TOKENS);
 }
 
+/// A program that never ends asks for tokens again and again while its own calls take all that is left: only
+/// other hosts' holds are a reason to read its budget, once for all calls that wait.
+#[test]
+fn wants_look_only_while_other_hosts_hold_tokens() {
+    let now = Instant::now();
+    let program = PROGRAM.to_owned();
+    let mut store = Store::default();
+    let mut keeper = Ledger::new(LedgerOptions::default(), 1);
+    keeper.enter(&program, 2 * MOST_TOKENS, MOST_TOKENS, true, now);
+    assert_eq!(keeper.take(&program, MOST_TOKENS), Need::Write);
+    for write in keeper.next_writes(16) {
+        let answer = store.write(&write);
+        keeper.complete(&program, answer);
+    }
+    assert_eq!(keeper.take(&program, MOST_TOKENS), Need::Ready);
+    assert!(!keeper.wants_look(&program, now));
+
+    let mut other = Ledger::new(LedgerOptions::default(), 2);
+    other.enter(&program, 2 * MOST_TOKENS, MOST_TOKENS, false, now);
+    for _ in 0..2 {
+        assert_eq!(other.take(&program, MOST_TOKENS), Need::Write);
+        for write in other.next_writes(16) {
+            let answer = store.write(&write);
+            other.complete(&program, answer);
+        }
+    }
+    keeper.complete(&program, Answer::Found(store.stored.clone()));
+    assert!(keeper.wants_look(&program, now));
+    assert!(!keeper.wants_look(&program, now));
+    assert!(keeper.wants_look(&program, now + Duration::from_millis(200)));
+}
+
 #[test]
 fn release_idle_gives_back_what_no_call_uses() {
     let mut world = World::new();
