Let programs begin only while those under way leave room

Turns that came through another host, and all tool calls there, counted as beginnings. The level below which hosts keep to their part was computed from the demand that was refused too. And under a burst the load grew to 1.1 calls a slot, since urgent and returning programs might add 0.55 to the limit of 1.0.

Change: a program begins with a generation; whether one that a host does not know has begun is said by the keeper of its budget, and it is counted after that. Programs begin while those under way, by their calls of late and six a second for those just begun, need less than 0.9 of the rate or the bucket lends the rest for two seconds. The gate on load: 0.85, 0.95 for urgent ones, 0.05 more for returning ones.

Ruled out: the number of parts of a prompt as a mark of a first turn (two in all turns of a line).

--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -43,6 +43,9 @@
 /// Time without an answer of the store from which calls that need it are refused at arrival.
 const STORE_LOST_MIN: Duration = Duration::from_millis(400);
 
+/// Time after the process's start from which programs that it does not know have not begun.
+const PROGRAMS_KNOWN_AFTER: Duration = Duration::from_secs(3);
+
 /// Time beyond a call's own after which tokens held for another host count as used.
 const HOLD_MARGIN: Duration = Duration::from_secs(2);
 
@@ -62,6 +65,8 @@
     pub(crate) load_per_slot: f64,
     /// Rank of the call; 0 is the most urgent.
     pub(crate) priority: u8,
+    /// When the account's rate has room for a program to begin; none when one may begin now.
+    pub(crate) begins_after: Option<Duration>,
     /// Time that the call has left.
     pub(crate) time_left: Duration,
 }
@@ -71,9 +76,14 @@
 #[derive(Serialize, Deserialize)]
 pub(crate) enum HoldReply {
     /// The tokens are held.
-    Held,
+    Held {
+        /// Whether the program begins with this call, as far as its keeper knows.
+        begins: bool,
+    },
     /// The program is to begin later, since the service is full.
     Later(Duration),
+    /// The program is to begin later, since its account's rate is used up.
+    OverRate(Duration),
     /// The budget cannot hold the call.
     Spent,
     /// Running calls take all that is left.
@@ -94,6 +104,11 @@
         /// When the caller may come back.
         retry_after: Duration,
     },
+    /// The program is to begin later, since its account's rate is used up.
+    OverRate {
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
     /// The store did not answer in time.
     NoStore {
         /// When the caller may come back.
@@ -107,6 +122,8 @@
     call_id: String,
     program: ProgramId,
     most_tokens: u64,
+    /// Whether the program begins with this call.
+    pub(crate) begins: bool,
     /// Host that holds them; none when this one does.
     keeper: Option<SocketAddr>,
 }
@@ -127,8 +144,9 @@
     if let Some(address) = keeper {
         let answered = hold_at(shared, address, &ask, wait_ends_at).await;
         match answered {
-            Some(HoldReply::Held) => return Ok(ask.into_hold(keeper)),
+            Some(HoldReply::Held { begins }) => return Ok(ask.into_hold(begins, keeper)),
             Some(HoldReply::Later(retry_after)) => return Err(NotHeld::Later { retry_after }),
+            Some(HoldReply::OverRate(retry_after)) => return Err(NotHeld::OverRate { retry_after }),
             Some(HoldReply::Spent | HoldReply::NoRoom) => return Err(NotHeld::Spent),
             Some(HoldReply::StoreLost) => {
                 return Err(NotHeld::NoStore {
@@ -143,8 +161,9 @@
         reply = hold_here(shared, &ask, keeper.is_none(), wait_ends_at).await;
     }
     match reply {
-        HoldReply::Held => Ok(ask.into_hold(None)),
+        HoldReply::Held { begins } => Ok(ask.into_hold(begins, None)),
         HoldReply::Later(retry_after) => Err(NotHeld::Later { retry_after }),
+        HoldReply::OverRate(retry_after) => Err(NotHeld::OverRate { retry_after }),
         HoldReply::Spent | HoldReply::NoRoom => Err(NotHeld::Spent),
         HoldReply::NoStore | HoldReply::StoreLost => Err(NotHeld::NoStore {
             retry_after: NO_STORE_RETRY,
@@ -184,10 +203,10 @@
 /// Holds tokens for a call of another host.
 pub(crate) async fn answer_hold(shared: &Shared, ask: HoldAsk) -> HoldReply {
     if shared.tables().remote_holds.contains_key(&ask.call_id) {
-        return HoldReply::Held;
+        return HoldReply::Held { begins: false };
     }
     let reply = hold_here(shared, &ask, true, Instant::now() + REMOTE_WAIT_MAX).await;
-    if reply == HoldReply::Held {
+    if matches!(reply, HoldReply::Held { .. }) {
         let hold = RemoteHold {
             program: ask.program,
             most_tokens: ask.most_tokens,
@@ -224,11 +243,12 @@
 }
 
 impl HoldAsk {
-    fn into_hold(self, keeper: Option<SocketAddr>) -> Hold {
+    fn into_hold(self, begins: bool, keeper: Option<SocketAddr>) -> Hold {
         Hold {
             call_id: self.call_id,
             program: self.program,
             most_tokens: self.most_tokens,
+            begins,
             keeper,
         }
     }
@@ -276,19 +296,23 @@
     lost_at.is_some_and(|at| at.elapsed() >= STORE_LOST_MIN)
 }
 
-/// When a program that has not begun may come back, if it may not begin now.
-fn kept_from_beginning(shared: &Shared, ask: &HoldAsk) -> Option<Duration> {
+/// Why a program that has not begun may not begin now, if so.
+fn kept_from_beginning(shared: &Shared, ask: &HoldAsk) -> Option<HoldReply> {
     let mut tables = shared.tables();
     if tables.ledger.knows(&ask.program) {
         return None;
     }
     let now = Instant::now();
+    let knows_programs = now >= shared.started_at + PROGRAMS_KNOWN_AFTER;
+    if let Some(retry_after) = ask.begins_after.filter(|_| knows_programs) {
+        return Some(HoldReply::OverRate(retry_after));
+    }
     let beginning = tables
         .gate
         .decide(&ask.program, ask.load_per_slot, ask.priority, rand::random(), now);
     match beginning {
         Beginning::Admitted => None,
-        Beginning::Refused { retry_after } => Some(retry_after),
+        Beginning::Refused { retry_after } => Some(HoldReply::Later(retry_after)),
     }
 }
 
@@ -309,13 +333,17 @@
 /// Holds tokens at this host; `keeps` says whether it keeps the program's account.
 async fn hold_here(shared: &Shared, ask: &HoldAsk, keeps: bool, wait_ends_at: Instant) -> HoldReply {
     let program = &ask.program;
-    if let Some(retry_after) = kept_from_beginning(shared, ask) {
-        return HoldReply::Later(retry_after);
+    if let Some(reply) = kept_from_beginning(shared, ask) {
+        return reply;
     }
-    shared
-        .tables()
-        .ledger
-        .enter(program, ask.budget_tokens, ask.most_tokens, keeps, Instant::now());
+    let begins = {
+        let mut tables = shared.tables();
+        let begins = !tables.ledger.knows(program);
+        tables
+            .ledger
+            .enter(program, ask.budget_tokens, ask.most_tokens, keeps, Instant::now());
+        begins
+    };
     let _waiting = Waiting { shared, ask };
     loop {
         let mut changed = pin!(shared.reservations_changed.notified());
@@ -323,7 +351,7 @@
         let need = shared.tables().ledger.take(program, ask.most_tokens);
         let patience = wait_ends_at.saturating_duration_since(Instant::now());
         match need {
-            Need::Ready => return HoldReply::Held,
+            Need::Ready => return HoldReply::Held { begins },
             Need::Spent => return HoldReply::Spent,
             Need::Room if patience.is_zero() => return HoldReply::NoRoom,
             Need::Write if store_is_lost(shared) => return HoldReply::StoreLost,
--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -22,7 +22,7 @@
     attempt::{Arrived, Call, CallerRequest, Opened, call_time},
     budgets::{HoldAsk, NotHeld, hold},
     refusal::Refusal,
-    shared::Shared,
+    shared::{Shared, Tables},
     stream::{AnswerBody, read_whole, relay_events},
 };
 
@@ -66,7 +66,7 @@
         record,
     };
     let mut call = Call::new(Arc::clone(&shared), arrived);
-    match run(&mut call).await {
+    match run(&mut call, admitted.standing).await {
         Ok(Opening::Whole(response)) => response,
         Ok(Opening::Events(opened)) => pass_on(call, opened),
         Err(refusal) => {
@@ -81,12 +81,25 @@
     route: Arc<Route>,
     account: Option<Arc<Account>>,
     service: String,
+    standing: Standing,
     limits: CallerLimits,
     directory_version: u64,
     directory_age: Duration,
     event_tokens: u64,
 }
 
+/// How a call stands with its account's rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    /// It is counted.
+    Counted,
+    /// Whether its program has begun is for the keeper of the program's account to say.
+    Open {
+        /// When a program may begin; none when one may begin now.
+        begins_after: Option<Duration>,
+    },
+}
+
 /// An answer that has begun.
 enum Opening {
     Whole(Response<AnswerBody>),
@@ -113,21 +126,15 @@
         Lookup::Anonymous => None,
         Lookup::Unknown => return Err(Refusal::UnknownKey),
     };
-    if let Some(account) = &account {
-        let now = Instant::now();
-        let program = head.program.as_ref();
-        let begins = program.is_some_and(|program| !tables.programs.is_known(&program.id, now));
-        if let Admission::Refused { retry_after } = tables.allowances.admit(&account.name, begins, now) {
-            return Err(Refusal::OverRate(retry_after));
-        }
-        if let Some(program) = program {
-            tables.programs.note(&program.id, now);
-        }
-    }
+    let standing = match &account {
+        Some(account) => count_in(&mut tables, head, route, account)?,
+        None => Standing::Counted,
+    };
     let service = choose_target(&route.targets).ok_or(Refusal::NoRoute)?;
     Ok(Admitted {
         route: Arc::clone(route),
         account,
+        standing,
         limits: directory.document().limits,
         directory_version: directory.version(),
         directory_age: tables.directory_at.map_or(Duration::ZERO, |at| at.elapsed()),
@@ -136,6 +143,39 @@
     })
 }
 
+/// Counts a call against its account's rate, unless it may begin a program: a program begins with a
+/// generation, and one that this host does not know may have begun through another.
+fn count_in(
+    tables: &mut Tables,
+    head: &CallHead,
+    route: &Route,
+    account: &Account,
+) -> Result<Standing, Refusal> {
+    let now = Instant::now();
+    let program = head.program.as_ref();
+    let unknown = program.filter(|program| !tables.programs.is_known(&program.id, now));
+    if route.kind.is_stream() && unknown.is_some_and(|program| program.budget_tokens.is_some()) {
+        let begins_after = match tables.allowances.may_begin(&account.name, now) {
+            Admission::Admitted => None,
+            Admission::Refused { retry_after } => Some(retry_after),
+        };
+        return Ok(Standing::Open { begins_after });
+    }
+    count(tables, head, account, false)?;
+    Ok(Standing::Counted)
+}
+
+fn count(tables: &mut Tables, head: &CallHead, account: &Account, begins: bool) -> Result<(), Refusal> {
+    let now = Instant::now();
+    if let Admission::Refused { retry_after } = tables.allowances.admit(&account.name, begins, now) {
+        return Err(Refusal::OverRate(retry_after));
+    }
+    if let Some(program) = &head.program {
+        tables.programs.note(&program.id, now);
+    }
+    Ok(())
+}
+
 fn event_tokens(directory: &Directory, service: &str) -> u64 {
     let engine = directory.service(service).and_then(|service| service.engine);
     engine.map_or(1, |engine| engine.event_tokens.max(1))
@@ -170,8 +210,12 @@
 }
 
 /// Reserves what the call may generate, and finds an endpoint that answers it.
-async fn run(call: &mut Call) -> Result<Opening, Refusal> {
-    set_aside_tokens(call).await?;
+async fn run(call: &mut Call, standing: Standing) -> Result<Opening, Refusal> {
+    set_aside_tokens(call, standing).await?;
+    if let (Standing::Open { .. }, Some(account)) = (standing, &call.account) {
+        let begins = call.hold.as_ref().is_some_and(|hold| hold.begins);
+        count(&mut call.shared.tables(), &call.head, account, begins)?;
+    }
     loop {
         let opened = call.open(call.head.last_event).await?;
         call.record.note_first_byte();
@@ -202,7 +246,7 @@
 }
 
 /// Sets a generation's tokens aside from its program's budget.
-async fn set_aside_tokens(call: &mut Call) -> Result<(), Refusal> {
+async fn set_aside_tokens(call: &mut Call, standing: Standing) -> Result<(), Refusal> {
     let Some(program) = &call.head.program else {
         return Ok(());
     };
@@ -221,6 +265,10 @@
         most_tokens,
         load_per_slot: call.load_per_slot(),
         priority: call.priority(),
+        begins_after: match standing {
+            Standing::Counted => None,
+            Standing::Open { begins_after } => begins_after,
+        },
         time_left: call.time_left(),
     };
     let answered = hold(&call.shared, ask).await;
@@ -231,6 +279,7 @@
             Ok(())
         }
         Err(NotHeld::Later { retry_after }) => Err(Refusal::NoEndpoint(retry_after)),
+        Err(NotHeld::OverRate { retry_after }) => Err(Refusal::OverRate(retry_after)),
         Err(NotHeld::Spent) => Err(Refusal::BudgetSpent),
         Err(NotHeld::NoStore { retry_after }) => Err(Refusal::NoReservation(retry_after)),
     }
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -54,6 +54,10 @@
     admitted: u64,
     #[serde(rename = "d")]
     demand_per_s: f32,
+    #[serde(rename = "r")]
+    running_per_s: f32,
+    #[serde(rename = "b")]
+    begun_per_s: f32,
     #[serde(rename = "l")]
     level: f32,
 }
@@ -137,6 +141,8 @@
             account: used.account,
             admitted: used.admitted,
             demand_per_s: f64::from(used.demand_per_s),
+            running_per_s: f64::from(used.running_per_s),
+            begun_per_s: f64::from(used.begun_per_s),
             level: f64::from(used.level),
         });
         UseReport {
@@ -184,6 +190,8 @@
         account: used.account.clone(),
         admitted: used.admitted,
         demand_per_s: used.demand_per_s as f32,
+        running_per_s: used.running_per_s as f32,
+        begun_per_s: used.begun_per_s as f32,
         level: used.level as f32,
     }
 }
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -25,6 +25,8 @@
 pub(crate) struct Shared {
     pub(crate) host: HostId,
     pub(crate) incarnation: Incarnation,
+    /// When the process started.
+    pub(crate) started_at: Instant,
     pub(crate) failure_domain: String,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) store: Arc<RelayedStore>,
@@ -85,6 +87,7 @@
         Self {
             host,
             incarnation,
+            started_at: now,
             failure_domain,
             dialect,
             store,
--- a/crates/burdockroad/src/gateway/allowance.rs
+++ b/crates/burdockroad/src/gateway/allowance.rs
@@ -39,6 +39,15 @@
 /// Part of the burst that is kept for programs that have begun.
 const RUNNING_PART: f64 = 0.25;
 
+/// Calls a second that a program makes while it runs.
+const PROGRAM_CALLS_PER_S: f64 = 6.0;
+
+/// Part of the rate that programs under way may need before others are kept from beginning.
+const BEGIN_PART: f64 = 0.9;
+
+/// Time over which what programs under way need beyond the rate may be taken from the bucket, in seconds.
+const BEGIN_HORIZON_S: f64 = 2.0;
+
 /// Time after its start in which a host takes over what hosts that run for longer know.
 const JOIN_TIME: Duration = Duration::from_secs(1);
 
@@ -82,6 +91,10 @@
     pub admitted: u64,
     /// Calls asked for a second, admitted or not.
     pub demand_per_s: f64,
+    /// Part of them that belongs to programs under way.
+    pub running_per_s: f64,
+    /// Programs begun a second.
+    pub begun_per_s: f64,
     /// Calls that the host believes may still be admitted by all hosts together.
     pub level: f64,
 }
@@ -112,6 +125,8 @@
     incarnation: u64,
     admitted: u64,
     demand_per_s: f64,
+    /// Calls a second that programs under way are expected to make.
+    needed_per_s: f64,
 }
 
 #[derive(Debug)]
@@ -128,6 +143,8 @@
     round_left: f64,
     admitted: u64,
     demand_per_s: f64,
+    running_per_s: f64,
+    begun_per_s: f64,
     peers: HashMap<HostId, PeerUse>,
 }
 
@@ -189,10 +206,26 @@
         };
         row.refill(hosts, silent, now);
         row.demand_per_s += 1.0 / DEMAND_WINDOW_S;
+        if !begins {
+            row.running_per_s += 1.0 / DEMAND_WINDOW_S;
+        }
         row.begin_round(self.round);
         row.decide(hosts, silent, begins)
     }
 
+    /// Whether the account's rate lets another program begin; nothing is counted.
+    pub fn may_begin(&mut self, account: &AccountId, now: Instant) -> Admission {
+        let hosts = self.peers.len() + 1;
+        let silent = self.silent(now);
+        let Some(row) = self.rows.get_mut(account) else {
+            return Admission::Admitted;
+        };
+        row.refill(hosts, silent, now);
+        row.begin_round(self.round);
+        let near_bottom = row.near_bottom_of(hosts, silent);
+        row.room_to_begin(near_bottom)
+    }
+
     /// Counts in what another host admitted.
     pub fn note_report(&mut self, report: &UseReport, now: Instant) {
         let Some(peer) = self.peers.get_mut(&report.host) else {
@@ -237,6 +270,8 @@
                 account: account.clone(),
                 admitted: row.admitted,
                 demand_per_s: row.demand_per_s,
+                running_per_s: row.running_per_s,
+                begun_per_s: row.begun_per_s,
                 level: row.level,
             });
         }
@@ -278,6 +313,8 @@
             round_left: ROUND_CALLS,
             admitted: 0,
             demand_per_s: 0.0,
+            running_per_s: 0.0,
+            begun_per_s: 0.0,
             peers: HashMap::new(),
         }
     }
@@ -293,7 +330,10 @@
         let part = if self.level < 0.0 { OVERDRAWN_PART } else { 1.0 };
         let own_max = (own_rate_per_s * REPORT_LAG_S).max(1.5);
         self.own_level = (self.own_level + elapsed_s * own_rate_per_s * part).min(own_max);
-        self.demand_per_s *= (-elapsed_s / DEMAND_WINDOW_S).exp();
+        let fading = (-elapsed_s / DEMAND_WINDOW_S).exp();
+        self.demand_per_s *= fading;
+        self.running_per_s *= fading;
+        self.begun_per_s *= fading;
     }
 
     /// Notes that all other hosts were heard of, so that the level is known again.
@@ -318,7 +358,7 @@
 
     fn decide(&mut self, hosts: usize, silent: usize, begins: bool) -> Admission {
         let alone = hosts - silent == 1;
-        let near_bottom = if alone { 1.0 } else { self.near_bottom() };
+        let near_bottom = self.near_bottom_of(hosts, silent);
         if begins {
             return self.decide_first(near_bottom);
         }
@@ -339,14 +379,27 @@
 
     /// Decides on a call that begins a program.
     fn decide_first(&mut self, near_bottom: f64) -> Admission {
-        let needed = near_bottom + self.burst * RUNNING_PART;
-        if self.level >= needed && self.round_left >= 1.0 {
-            self.round_left -= 1.0;
-            return self.count();
+        let room = self.room_to_begin(near_bottom);
+        if room != Admission::Admitted {
+            return room;
         }
-        if self.level >= needed && self.own_level >= 1.0 {
+        if self.round_left >= 1.0 {
+            self.round_left -= 1.0;
+        } else {
             self.own_level -= 1.0;
-            return self.count();
+        }
+        self.begun_per_s += 1.0 / DEMAND_WINDOW_S;
+        self.count()
+    }
+
+    /// Whether programs under way leave room for another one.
+    fn room_to_begin(&self, near_bottom: f64) -> Admission {
+        let beyond_rate = self.needed_per_s() - self.rate_per_s * BEGIN_PART;
+        let lent = (beyond_rate * BEGIN_HORIZON_S).max(0.0);
+        let needed = near_bottom + self.burst * RUNNING_PART + lent;
+        let is_free = self.round_left >= 1.0 || self.own_level >= 1.0;
+        if self.level >= needed && is_free {
+            return Admission::Admitted;
         }
         let wait_s = (needed - self.level).max(0.0) / self.rate_per_s;
         let wait = Duration::try_from_secs_f64(wait_s).unwrap_or(RETRY_AFTER_MAX);
@@ -355,11 +408,27 @@
         }
     }
 
+    fn near_bottom_of(&self, hosts: usize, silent: usize) -> f64 {
+        if hosts - silent == 1 {
+            1.0
+        } else {
+            self.near_bottom()
+        }
+    }
+
+    /// Calls a second that programs under way at all hosts are expected to make.
+    ///
+    /// What a program calls shows only after a while; until then it stands with what programs usually call.
+    /// Both fade over the same time, so that a program counts the same at any age.
+    fn needed_per_s(&self) -> f64 {
+        let others: f64 = self.peers.values().map(|used| used.needed_per_s).sum();
+        self.running_per_s + self.begun_per_s * PROGRAM_CALLS_PER_S + others
+    }
+
     /// Level below which reports come too late to keep the hosts from overdrawing the bucket by more than
     /// is tolerated.
     fn near_bottom(&self) -> f64 {
-        let others: f64 = self.peers.values().map(|used| used.demand_per_s).sum();
-        let unseen = (self.demand_per_s + others) * REPORT_LAG_S;
+        let unseen = self.needed_per_s() * REPORT_LAG_S;
         let tolerated = OVERDRAFT_CALLS + OVERDRAFT_PART * (self.rate_per_s + self.burst);
         (unseen - tolerated).clamp(1.0, (self.burst / 2.0).max(1.0))
     }
@@ -384,6 +453,7 @@
             incarnation: report.incarnation,
             admitted: used.admitted,
             demand_per_s: used.demand_per_s,
+            needed_per_s: used.running_per_s + used.begun_per_s * PROGRAM_CALLS_PER_S,
         };
         self.peers.insert(report.host.clone(), told);
     }
@@ -400,6 +470,7 @@
         for (host, used) in &mut self.peers {
             if !hosts.contains_key(host) {
                 used.demand_per_s = 0.0;
+                used.needed_per_s = 0.0;
             }
         }
     }
--- a/crates/burdockroad/src/gateway/begin.rs
+++ b/crates/burdockroad/src/gateway/begin.rs
@@ -12,13 +12,13 @@
 use crate::ids::ProgramId;
 
 /// Calls for each slot of a service from which programs are kept from beginning.
-const FULL_LOAD: f64 = 1.0;
+const FULL_LOAD: f64 = 0.85;
 
 /// What the most urgent programs may add to that.
-const URGENT_LOAD: f64 = 0.25;
+const URGENT_LOAD: f64 = 0.1;
 
 /// What programs that were refused before may add to that.
-const RETURNING_LOAD: f64 = 0.3;
+const RETURNING_LOAD: f64 = 0.05;
 
 /// Shortest time that a refused program is told to wait.
 const RETRY_MIN: Duration = Duration::from_millis(250);
--- a/crates/burdockroad/tests/gateway_allowance.rs
+++ b/crates/burdockroad/tests/gateway_allowance.rs
@@ -189,6 +189,7 @@
         admitted,
         demand_per_s: 1.0,
         level: 0.0,
+        ..HostUse::default()
     };
     let report = |incarnation, running_for, accounts| UseReport {
         host: name(1),
@@ -229,3 +230,89 @@
         );
     }
 }
+
+/// Calls of one program, one after the other.
+const PROGRAM_CALLS: usize = 10;
+const CALL_TIME: Duration = Duration::from_millis(150);
+/// Time from its first admitted call within which a program is of use to its caller.
+const PROGRAM_TIME: Duration = Duration::from_millis(2300);
+/// Times that one call of a program is sent before the program fails.
+const SENDS_MAX: usize = 4;
+
+struct Program {
+    host: usize,
+    began_at: Instant,
+    calls_left: usize,
+    sends: usize,
+    next_at: Instant,
+}
+
+/// Plays programs of one account over all hosts and counts those that end in time.
+fn programs_in_time(programs_per_s: f64, play: Duration) -> usize {
+    let mut hosts = Hosts::new();
+    hosts.idle(Duration::from_secs(5));
+    let mut running: Vec<Program> = Vec::new();
+    let mut in_time = 0;
+    let mut due = 0.0;
+    let mut begun = 0;
+    let ends_at = hosts.now + play;
+    while hosts.now < ends_at {
+        due += programs_per_s * STEP.as_secs_f64();
+        while due >= 1.0 {
+            due -= 1.0;
+            begun += 1;
+            running.push(Program {
+                host: begun % HOSTS,
+                began_at: hosts.now,
+                calls_left: PROGRAM_CALLS,
+                sends: 0,
+                next_at: hosts.now,
+            });
+        }
+        let now = hosts.now;
+        running.retain_mut(|program| {
+            if now < program.next_at {
+                return true;
+            }
+            if program.calls_left == 0 {
+                in_time += usize::from(now <= program.began_at + PROGRAM_TIME);
+                return false;
+            }
+            let begins = program.calls_left == PROGRAM_CALLS;
+            match hosts.tables[program.host].admit(&hosts.account, begins, now) {
+                Admission::Admitted => {
+                    if begins {
+                        program.began_at = now;
+                    }
+                    program.calls_left -= 1;
+                    program.sends = 0;
+                    program.next_at = now + CALL_TIME;
+                    true
+                }
+                Admission::Refused { retry_after } => {
+                    program.sends += 1;
+                    program.next_at = now + retry_after;
+                    program.sends < SENDS_MAX
+                }
+            }
+        });
+        hosts.step(&[], false, |_, _| true);
+    }
+    in_time
+}
+
+/// Seven times an account's usual programs: those that begin are given what they need to end, rather than all
+/// of them a part of it.
+#[test]
+fn flood_of_programs_lets_those_end_that_begin() {
+    let play = Duration::from_secs(20);
+    let in_time = programs_in_time(26.0, play);
+    let possible = RATE * 20 / PROGRAM_CALLS;
+    assert!(in_time >= possible * 8 / 10, "{in_time} of {possible}");
+}
+
+#[test]
+fn usual_programs_are_all_served() {
+    let in_time = programs_in_time(3.7, Duration::from_secs(20));
+    assert!(in_time >= 66, "{in_time} of 74, the last of them cut by the end");
+}
