Watch the store in three hosts, and pass reports on within a failure domain

Cause: every host watched three ranges of the store, and sent its report to every other host.

Change: three hosts of different failure domains, ranked by rendezvous among those heard of, watch with waits of 0.7 to 1 s; reports tell how far they know each range, and the others ask them for what is new (RangeLog), or the store when they do not answer. A report goes to all hosts of its failure domain and to one of each other, which passes it on; reports are CBOR. What a host may use before it has heard of all others is parted among them.

--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -264,7 +264,9 @@
         return None;
     }
     let heard = shared.tables().allowances.is_heard(&first, Instant::now());
-    heard.then(|| peers.get(&first).copied()).flatten()
+    heard
+        .then(|| peers.get(&first).map(|peer| peer.address))
+        .flatten()
 }
 
 /// Asks the keeper until it holds the tokens or the wait is over; none when it does not answer.
--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -1,4 +1,4 @@
-//! Following the configuration and the endpoints in the store.
+//! The configuration and the endpoints, as the store holds them.
 
 use std::{
     collections::HashMap,
@@ -7,122 +7,18 @@
 };
 
 use burdockroad::{EndpointId, gateway::Directory};
-use burdockroad_daemon::platform::{Entry, Revision, StoreError};
+use burdockroad_daemon::platform::{Entry, Revision};
 use serde::Serialize;
 use tokio::time::sleep;
 
-use crate::{Change, Changes, SharedStore, budgets::expire_holds, shared::Shared};
-
-/// Time for which a watch waits before it is asked anew, which also shows that its connection works.
-const WATCH_WAIT: Duration = Duration::from_secs(3);
-
-/// First pause after a call that failed; it doubles up to the longest.
-const FAILED_PAUSE_FIRST: Duration = Duration::from_millis(50);
-
-/// Longest pause after a call that failed.
-const FAILED_PAUSE_MAX: Duration = Duration::from_millis(400);
+use crate::{Change, budgets::expire_holds, follow::RangeReader, shared::Shared};
 
 /// Time in which endpoints whose entries lapsed while the store was away register again.
-const REGISTER_AGAIN: Duration = Duration::from_millis(2200);
+pub(crate) const REGISTER_AGAIN: Duration = Duration::from_millis(2200);
 
 /// Time between two looks at endpoints whose entries are missing.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Takes in what a range of the store holds.
-pub(crate) trait RangeReader: Send {
-    /// The range's prefix.
-    fn prefix(&self) -> &str;
-
-    /// Takes all entries; whatever else was known is gone.
-    fn replace(&mut self, entries: &[Entry]);
-
-    /// Takes one change.
-    fn change(&mut self, change: &Change);
-}
-
-/// Follows a range as long as the host runs.
-pub(crate) async fn follow(shared: Arc<Shared>, mut reader: Box<dyn RangeReader>) {
-    let mut pause = FAILED_PAUSE_FIRST;
-    let mut position = None;
-    loop {
-        let stepped = step(&shared, reader.as_mut(), position).await;
-        match stepped {
-            Ok(next) => {
-                note_store(&shared, None);
-                position = next;
-                pause = FAILED_PAUSE_FIRST;
-            }
-            Err(error) => {
-                note_store(&shared, Some(&error));
-                sleep(pause).await;
-                pause = (pause * 2).min(FAILED_PAUSE_MAX);
-            }
-        }
-    }
-}
-
-/// Reads the range, or waits for what changes behind `position`.
-async fn step(
-    shared: &Shared,
-    reader: &mut dyn RangeReader,
-    position: Option<Revision>,
-) -> Result<Option<Revision>, StoreError> {
-    let Some(after) = position else {
-        let snapshot = shared.store.read_range(reader.prefix()).await?;
-        reader.replace(&snapshot.entries);
-        return Ok(Some(snapshot.as_of));
-    };
-    match shared.store.changes(reader.prefix(), after, WATCH_WAIT).await? {
-        Changes::Known { changes, as_of } => {
-            for change in &changes {
-                reader.change(change);
-            }
-            Ok(Some(as_of.max(after)))
-        }
-        Changes::HistoryGone => {
-            shared.log.line(
-                "history_gone",
-                &HistoryLine {
-                    prefix: reader.prefix(),
-                    after,
-                },
-            );
-            Ok(None)
-        }
-    }
-}
-
-/// Notes whether the store answers.
-pub(crate) fn note_store(shared: &Shared, error: Option<&StoreError>) {
-    let now = Instant::now();
-    let mut tables = shared.tables();
-    match (error, tables.store_lost_at) {
-        (Some(error), None) => {
-            tables.store_lost_at = Some(now);
-            drop(tables);
-            shared.log.line(
-                "store_lost",
-                &ReasonLine {
-                    reason: error.to_string(),
-                },
-            );
-        }
-        (None, Some(lost_at)) => {
-            tables.store_lost_at = None;
-            tables.store_back_at = Some(now);
-            drop(tables);
-            let lost_for = now.saturating_duration_since(lost_at);
-            shared.log.line(
-                "store_back",
-                &BackLine {
-                    lost_ms: lost_for.as_millis(),
-                },
-            );
-        }
-        _ => {}
-    }
-}
-
 /// Reads the configuration.
 pub(crate) struct DocumentReader {
     shared: Arc<Shared>,
@@ -183,7 +79,7 @@
     fn change(&mut self, change: &Change) {
         match change {
             Change::Put(entry) => self.apply(entry),
-            Change::Removed { key } => self.shared.log.line("config_removed", &KeyLine { key }),
+            Change::Removed { key, .. } => self.shared.log.line("config_removed", &KeyLine { key }),
         }
     }
 }
@@ -278,7 +174,7 @@
     fn change(&mut self, change: &Change) {
         match change {
             Change::Put(entry) => self.put(entry),
-            Change::Removed { key } => {
+            Change::Removed { key, .. } => {
                 if let Some(id) = self.id_of(key) {
                     self.remove(id);
                 }
@@ -319,22 +215,11 @@
     reason: String,
 }
 
-#[derive(Serialize)]
-struct BackLine {
-    lost_ms: u128,
-}
-
 #[derive(Serialize)]
 struct KeyLine<'a> {
     key: &'a str,
 }
 
-#[derive(Serialize)]
-struct HistoryLine<'a> {
-    prefix: &'a str,
-    after: Revision,
-}
-
 #[derive(Serialize)]
 struct ConfigLine {
     version: u64,
--- a/crates/burdockroad-gateway/src/hosts.rs
+++ b/crates/burdockroad-gateway/src/hosts.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use crate::{Change, ConditionalWrite, LeaseId, SharedStore, Written, feed::RangeReader, shared::Shared};
+use crate::{Change, ConditionalWrite, LeaseId, SharedStore, Written, follow::RangeReader, shared::Shared};
 
 /// Prefix of the keys under which hosts register themselves.
 const HOSTS_PREFIX: &str = "burdockroad/hosts/";
@@ -32,11 +32,21 @@
 #[derive(Serialize, Deserialize)]
 struct HostEntry {
     address: SocketAddr,
+    failure_domain: String,
     incarnation: Incarnation,
 }
 
-/// Addresses of the other hosts.
-pub(crate) type Peers = BTreeMap<HostId, SocketAddr>;
+/// Another host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Peer {
+    /// Where it takes reports and calls.
+    pub(crate) address: SocketAddr,
+    /// Failure domain that it stands in.
+    pub(crate) failure_domain: String,
+}
+
+/// The other hosts.
+pub(crate) type Peers = BTreeMap<HostId, Peer>;
 
 /// Reads the hosts.
 pub(crate) struct HostReader {
@@ -66,7 +76,11 @@
             }
         };
         self.shared.peers.send_modify(|peers| {
-            peers.insert(host.to_owned(), parsed.address);
+            let peer = Peer {
+                address: parsed.address,
+                failure_domain: parsed.failure_domain,
+            };
+            peers.insert(host.to_owned(), peer);
         });
     }
 
@@ -104,7 +118,7 @@
     fn change(&mut self, change: &Change) {
         match change {
             Change::Put(entry) => self.put(entry),
-            Change::Removed { key } => {
+            Change::Removed { key, .. } => {
                 if let Some(host) = key.strip_prefix(HOSTS_PREFIX) {
                     self.shared.peers.send_modify(|peers| {
                         peers.remove(host);
@@ -159,6 +173,7 @@
     let lease = shared.store.open_lease(ENTRY_LIFE).await?;
     let entry = HostEntry {
         address,
+        failure_domain: shared.failure_domain.clone(),
         incarnation: shared.incarnation,
     };
     let value = serde_json::to_vec(&entry).map_err(|error| StoreError::Ambiguous {
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -18,11 +18,13 @@
 mod dialect;
 mod disk_host;
 mod feed;
+mod follow;
 mod hosts;
 mod metrics_page;
 mod peer;
 mod pool;
 mod process;
+mod range_log;
 mod refusal;
 mod relay;
 mod reports;
@@ -37,5 +39,6 @@
     dialect::{AnswerHead, BadHead, CallHead, DecodeError, Dialect, ForwardHead, ProgramHead, TokenCount},
     disk_host::run_disk_host,
     process::{HostError, HostOptions, Signals, run},
+    range_log::{RangeLog, RangeNews},
     store::{Change, Changes, ConditionalWrite, KeyState, LeaseId, RangeSnapshot, SharedStore, Written},
 };
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use burdockroad_daemon::platform::Revision;
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -17,6 +18,7 @@
 
 use crate::{
     budgets::{HoldAsk, HoldReply, answer_hold, answer_release},
+    follow::{RangeAnswer, answer_news},
     pool::{ConnectionPool, connect},
     relay::{StoreCall, StoreReply, answer_store_call},
     server::accept,
@@ -39,6 +41,13 @@
 pub(crate) enum PeerCall {
     /// Makes a call to the store.
     Store(StoreCall),
+    /// Asks what is new in a range of the store.
+    RangeNews {
+        /// The range's prefix.
+        prefix: String,
+        /// Revision up to which it is known.
+        after: Revision,
+    },
     /// Holds tokens of a program's budget.
     Hold(HoldAsk),
     /// Ends a hold.
@@ -56,6 +65,8 @@
 pub(crate) enum PeerReply {
     /// What the store answered.
     Store(StoreReply),
+    /// What is new in the range; none when this host has not read it.
+    RangeNews(Option<RangeAnswer>),
     /// Whether the tokens are held.
     Hold(HoldReply),
     /// The hold has ended.
@@ -160,6 +171,7 @@
     };
     let reply = match call {
         PeerCall::Store(call) => PeerReply::Store(answer_store_call(shared.store.direct(), call).await),
+        PeerCall::RangeNews { prefix, after } => PeerReply::RangeNews(answer_news(&shared, &prefix, after)),
         PeerCall::Hold(ask) => PeerReply::Hold(answer_hold(&shared, ask).await),
         PeerCall::Release { call_id, used_tokens } => {
             answer_release(&shared, &call_id, used_tokens);
--- a/crates/burdockroad-gateway/src/process.rs
+++ b/crates/burdockroad-gateway/src/process.rs
@@ -17,7 +17,8 @@
 
 use crate::{
     DecisionLog, Dialect, SharedStore,
-    feed::{DocumentReader, EndpointReader, follow, sweep},
+    feed::{DocumentReader, EndpointReader, sweep},
+    follow::follow,
     hosts::{HostReader, keep_registered},
     metrics_page,
     peer::{PeerClient, serve_peers},
--- a/crates/burdockroad-gateway/src/relay.rs
+++ b/crates/burdockroad-gateway/src/relay.rs
@@ -163,7 +163,7 @@
             Ok(PeerReply::Store(StoreReply::Unavailable(reason))) => Err(unavailable(&reason)),
             Ok(PeerReply::Store(StoreReply::Ambiguous(reason))) => Err(StoreError::Ambiguous { reason }),
             Ok(PeerReply::Store(reply)) => Ok(reply),
-            Ok(PeerReply::Hold(_) | PeerReply::Released) => Err(mismatched()),
+            Ok(PeerReply::RangeNews(_) | PeerReply::Hold(_) | PeerReply::Released) => Err(mismatched()),
             Err(error) => {
                 self.state().served.remove(&peer);
                 let reason = format!("host {peer} did not answer");
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -1,6 +1,7 @@
 //! Telling the other hosts what this one admits.
 //!
-//! A report is cumulative and small, so it goes as one datagram: a lost one is made up for by the next.
+//! It goes to each host of the own failure domain, and to one of each other, which passes it on: bytes between
+//! failure domains are paid for. A report is cumulative and small, so it goes as one datagram: a lost one is made up for by the next.
 //! A stream to each host was refused, since a report that waits for a lost one is worth nothing.
 
 use std::{
@@ -11,16 +12,20 @@
 };
 
 use burdockroad::{
-    EndpointId,
-    gateway::{EndpointCalls, HostUse, UseReport},
+    EndpointId, HostId,
+    gateway::{EndpointCalls, HostPlace, HostUse, UseReport, report_targets},
 };
+use burdockroad_daemon::platform::Revision;
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
     time::{MissedTickBehavior, interval},
 };
 
-use crate::shared::Shared;
+use crate::{
+    follow::{ToldRange, has_to_watch},
+    shared::{Shared, Tables},
+};
 
 /// Time between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
@@ -31,6 +36,12 @@
 /// Largest datagram that is read.
 const DATAGRAM_MAX_BYTES: usize = 4096;
 
+/// First byte of a datagram that is for its receiver.
+const FINAL: u8 = 0;
+
+/// First byte of a datagram that its receiver passes on in its failure domain.
+const PASS_ON: u8 = 1;
+
 /// A report on the wire.
 #[derive(Serialize, Deserialize)]
 struct WireReport {
@@ -42,9 +53,20 @@
     store_serves: bool,
     /// Calls at endpoints, in the first datagram of a report.
     in_flight: Option<Vec<WireCalls>>,
+    /// Ranges that the host watches, in the first datagram of a report.
+    ranges: Vec<WireRange>,
     accounts: Vec<WireUse>,
 }
 
+/// How far a host knows a range of the store.
+#[derive(Serialize, Deserialize)]
+struct WireRange {
+    #[serde(rename = "p")]
+    prefix: String,
+    #[serde(rename = "c")]
+    changed_at: Revision,
+}
+
 /// One account's calls; the names are short, since a report goes to every host seven times a second.
 #[derive(Serialize, Deserialize)]
 struct WireUse {
@@ -80,49 +102,123 @@
 pub(crate) async fn send_reports(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut ticks = interval(REPORT_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    // Hosts that started together do not all choose the same one to pass their reports on.
+    let mut turn = rand::random::<u16>().into();
     loop {
-        ticks.tick().await;
-        let (report, in_flight) = {
-            let mut tables = shared.tables();
-            let now = Instant::now();
-            let report = tables.allowances.report(&shared.host, shared.incarnation, now);
-            (report, tables.endpoints.all_in_flight())
-        };
-        let addresses: Vec<SocketAddr> = shared.peers.borrow().values().copied().collect();
-        for datagram in datagrams(&report, in_flight, shared.store.is_served()) {
-            for address in &addresses {
-                // The next report makes up for one that could not be sent.
-                if socket.send_to(&datagram, address).await.is_err() {
-                    metrics::counter!("burdockroad_reports_unsent_total").increment(1);
-                }
-            }
+        tokio::select! {
+            _tick = ticks.tick() => {}
+            () = shared.report_now.notified() => {}
+        }
+        turn += 1;
+        let (near, far) = addresses(&shared, turn);
+        for report in wire_reports(&shared) {
+            send_all(&socket, FINAL, &report, &near).await;
+            send_all(&socket, PASS_ON, &report, &far).await;
         }
     }
 }
 
-/// Takes in the reports of other hosts.
+/// Hosts of this failure domain, and those that pass reports on in the others.
+fn addresses(shared: &Shared, turn: usize) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let peers = shared.peers.borrow();
+    let places: Vec<HostPlace> = peers
+        .iter()
+        .map(|(host, peer)| HostPlace {
+            host: host.clone(),
+            failure_domain: peer.failure_domain.clone(),
+        })
+        .collect();
+    let targets = report_targets(&shared.failure_domain, &places, turn);
+    let targets = targets.iter().filter_map(|host| peers.get(host));
+    let (near, far): (Vec<_>, Vec<_>) =
+        targets.partition(|peer| peer.failure_domain == shared.failure_domain);
+    let of = |peers: Vec<&crate::hosts::Peer>| peers.into_iter().map(|peer| peer.address).collect();
+    (of(near), of(far))
+}
+
+async fn send_all(socket: &UdpSocket, kind: u8, report: &[u8], addresses: &[SocketAddr]) {
+    let mut datagram = Vec::with_capacity(report.len() + 1);
+    datagram.push(kind);
+    datagram.extend_from_slice(report);
+    for address in addresses {
+        // The next report makes up for one that could not be sent.
+        if socket.send_to(&datagram, address).await.is_err() {
+            metrics::counter!("burdockroad_reports_unsent_total").increment(1);
+        }
+    }
+}
+
+/// Takes in the reports of other hosts, and passes on what came for all of this failure domain.
 pub(crate) async fn receive_reports(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     loop {
-        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, _from)) = socket.recv_from(&mut buffer).await else {
             metrics::counter!("burdockroad_reports_unreadable_total").increment(1);
             tokio::time::sleep(REPORT_INTERVAL).await;
             continue;
         };
-        match serde_json::from_slice::<WireReport>(&buffer[..length]) {
-            Ok(report) => {
-                let now = Instant::now();
-                shared.store.note_peer(from, report.store_serves, now);
-                let mut tables = shared.tables();
-                if let Some(in_flight) = report.calls() {
-                    tables.endpoints.note_peer(&report.host, &in_flight, now);
-                }
-                tables.allowances.note_report(&report.decode(), now);
-            }
-            Err(_malformed) => {
-                metrics::counter!("burdockroad_reports_unreadable_total").increment(1);
+        let Some((kind, bytes)) = buffer[..length].split_first() else {
+            metrics::counter!("burdockroad_reports_unreadable_total").increment(1);
+            continue;
+        };
+        let Ok(report) = ciborium::from_reader::<WireReport, _>(bytes) else {
+            metrics::counter!("burdockroad_reports_unreadable_total").increment(1);
+            continue;
+        };
+        if *kind == PASS_ON {
+            let (near, _far) = addresses(&shared, 0);
+            send_all(&socket, FINAL, bytes, &near).await;
+        }
+        take_in(&shared, report);
+    }
+}
+
+/// Takes in a report; one of a host that is not registered says nothing.
+fn take_in(shared: &Shared, report: WireReport) {
+    let now = Instant::now();
+    let address = shared.peers.borrow().get(&report.host).map(|peer| peer.address);
+    let Some(address) = address else {
+        return;
+    };
+    shared.store.note_peer(address, report.store_serves, now);
+    let mut tables = shared.tables();
+    if let Some(in_flight) = report.calls() {
+        tables.endpoints.note_peer(&report.host, &in_flight, now);
+    }
+    let told_more = tables.note_ranges(&report.ranges, address);
+    tables.allowances.note_report(&report.decode(), now);
+    drop(tables);
+    if told_more {
+        shared.range_told.notify_waiters();
+    }
+}
+
+impl Tables {
+    /// Notes how far another host knows the ranges; whether that is further than was told before.
+    fn note_ranges(&mut self, ranges: &[WireRange], address: SocketAddr) -> bool {
+        let mut told_more = false;
+        for range in ranges {
+            let told = ToldRange {
+                address,
+                changed_at: range.changed_at,
+            };
+            let known = self.told_ranges.get(&range.prefix);
+            if known.is_none_or(|known| known.changed_at < told.changed_at) {
+                self.told_ranges.insert(range.prefix.clone(), told);
+                told_more = true;
             }
         }
+        told_more
+    }
+
+    /// How far this host knows the ranges.
+    fn known_ranges(&self) -> Vec<WireRange> {
+        let ranges = self.ranges.iter();
+        let ranges = ranges.map(|(prefix, log)| WireRange {
+            prefix: prefix.clone(),
+            changed_at: log.changed_at(),
+        });
+        ranges.collect()
     }
 }
 
@@ -154,34 +250,79 @@
     }
 }
 
-fn datagrams(report: &UseReport, in_flight: Vec<EndpointCalls>, store_serves: bool) -> Vec<Vec<u8>> {
-    let used: Vec<&HostUse> = report
-        .accounts
-        .iter()
-        .filter(|used| used.demand_per_s > 0.01)
-        .collect();
-    let mut chunks: Vec<&[&HostUse]> = used.chunks(ACCOUNTS_MAX).collect();
-    if chunks.is_empty() {
-        // An empty report still shows that the host is there.
-        chunks.push(&[]);
+/// This host's report, in as many datagrams as its accounts need.
+fn wire_reports(shared: &Shared) -> Vec<Vec<u8>> {
+    let watches = has_to_watch(shared);
+    let store_serves = shared.store.is_served();
+    let mut tables = shared.tables();
+    let now = Instant::now();
+    let report = tables.allowances.report(&shared.host, shared.incarnation, now);
+    let in_flight = tables.endpoints.all_in_flight();
+    let ranges = if watches {
+        tables.known_ranges()
+    } else {
+        Vec::new()
+    };
+    drop(tables);
+    let used = report.accounts.iter().filter(|used| used.demand_per_s > 0.01);
+    let used: Vec<WireUse> = used.map(wire_use).collect();
+    let mut chunks = split(used);
+    let first = WireReport {
+        in_flight: Some(in_flight.into_iter().map(WireCalls::from).collect()),
+        ranges,
+        ..wire_report(
+            &shared.host,
+            &report,
+            store_serves,
+            chunks.pop().unwrap_or_default(),
+        )
+    };
+    let rest = chunks
+        .into_iter()
+        .map(|chunk| wire_report(&shared.host, &report, store_serves, chunk));
+    std::iter::once(first)
+        .chain(rest)
+        .filter_map(|report| encode(&report))
+        .collect()
+}
+
+fn split(mut used: Vec<WireUse>) -> Vec<Vec<WireUse>> {
+    let mut chunks = Vec::new();
+    while used.len() > ACCOUNTS_MAX {
+        chunks.push(used.split_off(used.len() - ACCOUNTS_MAX));
     }
-    let running_ms = u64::try_from(report.running_for.as_millis()).unwrap_or(u64::MAX);
-    let in_flight = in_flight.into_iter().map(|told| WireCalls {
-        endpoint: told.endpoint,
-        calls: told.calls,
-    });
-    let mut in_flight = Some(in_flight.collect());
-    let datagrams = chunks.into_iter().map(|chunk| WireReport {
-        host: report.host.clone(),
+    chunks.push(used);
+    chunks
+}
+
+fn wire_report(host: &HostId, report: &UseReport, store_serves: bool, accounts: Vec<WireUse>) -> WireReport {
+    WireReport {
+        host: host.clone(),
         incarnation: report.incarnation,
-        running_ms,
+        running_ms: u64::try_from(report.running_for.as_millis()).unwrap_or(u64::MAX),
         store_serves,
-        in_flight: in_flight.take(),
-        accounts: chunk.iter().map(|used| wire_use(used)).collect(),
-    });
-    datagrams
-        .filter_map(|wire| serde_json::to_vec(&wire).ok())
-        .collect()
+        in_flight: None,
+        ranges: Vec::new(),
+        accounts,
+    }
+}
+
+fn encode(report: &WireReport) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    if ciborium::into_writer(report, &mut bytes).is_err() {
+        metrics::counter!("burdockroad_reports_unsent_total").increment(1);
+        return None;
+    }
+    Some(bytes)
+}
+
+impl From<EndpointCalls> for WireCalls {
+    fn from(told: EndpointCalls) -> Self {
+        Self {
+            endpoint: told.endpoint,
+            calls: told.calls,
+        }
+    }
 }
 
 #[expect(clippy::cast_possible_truncation, reason = "demand and level are estimates")]
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -16,8 +16,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    DecisionLog, Dialect, budgets::RemoteHold, feed::MissingEndpoints, hosts::Peers, peer::PeerClient,
-    pool::ConnectionPool, relay::RelayedStore,
+    DecisionLog, Dialect, RangeLog, budgets::RemoteHold, feed::MissingEndpoints, follow::ToldRange,
+    hosts::Peers, peer::PeerClient, pool::ConnectionPool, relay::RelayedStore,
 };
 
 /// Tables and borders of one host.
@@ -41,6 +41,10 @@
     pub(crate) reservation_wanted: Notify,
     /// A write of reservations has ended.
     pub(crate) reservations_changed: Notify,
+    /// What this host knows has changed, and the others are to hear of it at once.
+    pub(crate) report_now: Notify,
+    /// A host that watches has told of a change.
+    pub(crate) range_told: Notify,
     /// Whether the process is being stopped.
     pub(crate) stopping: AtomicBool,
     tables: Mutex<Tables>,
@@ -65,6 +69,10 @@
     pub(crate) store_back_at: Option<Instant>,
     /// Tokens held for calls of other hosts, by call.
     pub(crate) remote_holds: HashMap<String, RemoteHold>,
+    /// What this host knows of the ranges it follows, by prefix.
+    pub(crate) ranges: HashMap<String, RangeLog>,
+    /// How far hosts that watch know them, by prefix.
+    pub(crate) told_ranges: HashMap<String, ToldRange>,
     /// Which programs may begin while a service is full.
     pub(crate) gate: BeginGate,
     /// Programs whose calls were admitted lately.
@@ -98,6 +106,8 @@
             stop_begun: Notify::new(),
             reservation_wanted: Notify::new(),
             reservations_changed: Notify::new(),
+            report_now: Notify::new(),
+            range_told: Notify::new(),
             stopping: AtomicBool::new(false),
             tables: Mutex::new(Tables {
                 directory: None,
@@ -110,6 +120,8 @@
                 writes_lost_at: None,
                 store_back_at: None,
                 remote_holds: HashMap::new(),
+                ranges: HashMap::new(),
+                told_ranges: HashMap::new(),
                 gate: BeginGate::default(),
                 programs: RecentPrograms::default(),
                 missing_endpoints: MissingEndpoints::new(),
--- a/crates/burdockroad-gateway/src/store.rs
+++ b/crates/burdockroad-gateway/src/store.rs
@@ -95,9 +95,21 @@
     Removed {
         /// Which key.
         key: String,
+        /// Revision of the removal.
+        revision: Revision,
     },
 }
 
+impl Change {
+    /// Revision of the change.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Self::Put(entry) => entry.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// One write of several that are made together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -7,6 +7,7 @@
 //! * [`Ledger`] holds tokens of a program's budget before its calls run.
 //! * [`Allowances`] share an account's rate among the hosts that admit its calls.
 //! * [`EndpointTable`] chooses the endpoint of a call.
+//! * [`watchers`] and [`report_targets`] say who watches the store, and who is told what.
 //! * [`next_step`] says what follows a failed attempt.
 //! * [`EventBuffer`] cuts an event stream into whole events.
 
@@ -19,6 +20,7 @@
 mod placement;
 mod recent;
 mod retry;
+mod spread;
 
 pub use self::{
     allowance::{Admission, Allowances, HostUse, UseReport},
@@ -30,4 +32,5 @@
     placement::{Endpoint, EndpointCalls, EndpointTable, LoadReading, Outcome, Placement, PromptPart, Query},
     recent::RecentPrograms,
     retry::{Failure, NextStep, RetryState, next_step},
+    spread::{HostPlace, report_targets, watchers},
 };
--- a/crates/burdockroad/src/gateway/allowance.rs
+++ b/crates/burdockroad/src/gateway/allowance.rs
@@ -33,8 +33,8 @@
 /// Part of what is left that a host may use before it has heard of all others again.
 const ROUND_PART: f64 = 0.37;
 
-/// Calls that it may use at least.
-const ROUND_CALLS: f64 = 14.0;
+/// Calls that all hosts together may use so at least.
+const ROUND_CALLS: f64 = 98.0;
 
 /// Part of the burst that is kept for programs that have begun.
 const RUNNING_PART: f64 = 0.25;
@@ -209,7 +209,7 @@
         if !begins {
             row.running_per_s += 1.0 / DEMAND_WINDOW_S;
         }
-        row.begin_round(self.round);
+        row.begin_round(self.round, hosts);
         row.decide(hosts, silent, begins)
     }
 
@@ -221,7 +221,7 @@
             return Admission::Admitted;
         };
         row.refill(hosts, silent, now);
-        row.begin_round(self.round);
+        row.begin_round(self.round, hosts);
         let near_bottom = row.near_bottom_of(hosts, silent);
         row.room_to_begin(near_bottom)
     }
@@ -309,8 +309,8 @@
             level: 0.0,
             own_level: 0.0,
             refilled_at: started_at,
-            round: 0,
-            round_left: ROUND_CALLS,
+            round: u64::MAX,
+            round_left: 0.0,
             admitted: 0,
             demand_per_s: 0.0,
             running_per_s: 0.0,
@@ -337,10 +337,10 @@
     }
 
     /// Notes that all other hosts were heard of, so that the level is known again.
-    fn begin_round(&mut self, round: u64) {
+    fn begin_round(&mut self, round: u64, hosts: usize) {
         if self.round != round {
             self.round = round;
-            self.round_left = (self.level * ROUND_PART).max(ROUND_CALLS);
+            self.round_left = (self.level * ROUND_PART).max(ROUND_CALLS / as_f64(hosts));
         }
     }
 
--- a/crates/burdockroad/tests/gateway_placement.rs
+++ b/crates/burdockroad/tests/gateway_placement.rs
@@ -265,16 +265,16 @@
     let mut gate = BeginGate::default();
     let program = "program".to_owned();
     assert!(matches!(
-        gate.decide(&program, 1.1, 1, 0.0, now),
+        gate.decide(&program, 0.87, 1, 0.0, now),
         Beginning::Refused { .. }
     ));
-    assert_eq!(gate.decide(&program, 1.1, 1, 0.0, now), Beginning::Admitted);
+    assert_eq!(gate.decide(&program, 0.87, 1, 0.0, now), Beginning::Admitted);
     assert_eq!(
-        gate.decide(&"urgent".to_owned(), 1.1, 0, 0.0, now),
+        gate.decide(&"urgent".to_owned(), 0.87, 0, 0.0, now),
         Beginning::Admitted
     );
     assert_eq!(
-        gate.decide(&"other".to_owned(), 0.9, 1, 0.0, now),
+        gate.decide(&"other".to_owned(), 0.8, 1, 0.0, now),
         Beginning::Admitted
     );
 }
--- /dev/null
+++ b/crates/burdockroad/tests/gateway_spread.rs
@@ -0,0 +1,54 @@
+//! Which hosts watch the store, and which a report is sent to.
+
+use std::collections::BTreeSet;
+
+use burdockroad::gateway::{HostPlace, report_targets, watchers};
+
+fn places(domains: usize, each: usize) -> Vec<HostPlace> {
+    let hosts = (0..domains * each).map(|index| HostPlace {
+        host: format!("host-{index}"),
+        failure_domain: format!("domain-{}", index % domains),
+    });
+    hosts.collect()
+}
+
+#[test]
+fn watchers_are_few_and_in_different_domains() {
+    let hosts = places(4, 17);
+    let chosen = watchers(&hosts);
+    let domains: BTreeSet<&str> = chosen
+        .iter()
+        .filter_map(|host| hosts.iter().find(|place| place.host == *host))
+        .map(|place| place.failure_domain.as_str())
+        .collect();
+    assert_eq!(chosen.len(), 3);
+    assert_eq!(domains.len(), 3);
+}
+
+#[test]
+fn watchers_without_one_that_is_lost_keep_the_others() {
+    let hosts = places(3, 3);
+    let before = watchers(&hosts);
+    let left: Vec<HostPlace> = hosts
+        .into_iter()
+        .filter(|place| place.host != before[0])
+        .collect();
+    let after = watchers(&left);
+    assert_eq!(after.len(), 3);
+    assert!(after.contains(&before[1]) && after.contains(&before[2]));
+}
+
+#[test]
+fn watchers_of_a_host_that_hears_nobody_are_itself() {
+    let alone = places(1, 1);
+    assert_eq!(watchers(&alone), ["host-0"]);
+}
+
+#[test]
+fn report_targets_reach_each_other_domain_through_one_host() {
+    let others = places(4, 17);
+    let targets = report_targets("domain-0", &others, 5);
+    assert_eq!(targets.len(), 17 + 3);
+    let next = report_targets("domain-0", &others, 6);
+    assert_ne!(targets[17..], next[17..]);
+}
