--- a/crates/burdockroad/src/gateway/allowance.rs
+++ b/crates/burdockroad/src/gateway/allowance.rs
@@ -46,7 +46,7 @@
 const BEGIN_PART: f64 = 0.9;
 
 /// Time over which what programs under way need beyond the rate may be taken from the bucket, in seconds.
-const BEGIN_HORIZON_S: f64 = 2.0;
+const BEGIN_HORIZON_S: f64 = 0.7;
 
 /// Time after its start in which a host takes over what hosts that run for longer know.
 const JOIN_TIME: Duration = Duration::from_secs(1);
