--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -258,12 +258,14 @@
     }
     let most_tokens = tokens.answer_max.next_multiple_of(call.record.event_tokens);
     let waited_from = Instant::now();
+    let load_per_slot = call.load_per_slot();
+    call.record.load_per_slot = Some(load_per_slot);
     let ask = HoldAsk {
         call_id: call.head.call_id.clone(),
         program: program.id.clone(),
         budget_tokens,
         most_tokens,
-        load_per_slot: call.load_per_slot(),
+        load_per_slot,
         priority: call.priority(),
         begins_after: match standing {
             Standing::Counted => None,
@@ -355,6 +357,8 @@
     pub(crate) complete: bool,
     pub(crate) refused: Option<Refusal>,
     pub(crate) reserve_wait: Duration,
+    /// Calls for each slot of the service when the call asked for its tokens.
+    pub(crate) load_per_slot: Option<f64>,
     pub(crate) events: u64,
     pub(crate) resumed: u32,
     attempts: u32,
@@ -441,6 +445,8 @@
                 resumed: self.resumed,
                 events: self.events,
                 reserve_ms: as_ms(self.reserve_wait),
+                load_per_slot: self.load_per_slot.map(two_digits),
+                retry_after_ms: self.refused.and_then(Refusal::retry_after).map(as_ms),
                 first_byte_ms: self.first_byte.map(as_ms),
                 total_ms: as_ms(total),
             },
@@ -467,6 +473,8 @@
     resumed: u32,
     events: u64,
     reserve_ms: u64,
+    load_per_slot: Option<f64>,
+    retry_after_ms: Option<u64>,
     first_byte_ms: Option<u64>,
     total_ms: u64,
 }
@@ -479,6 +487,10 @@
     attempt: u32,
 }
 
+fn two_digits(number: f64) -> f64 {
+    (number * 100.0).round() / 100.0
+}
+
 fn as_ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
