Watch for oneself when no host tells that it watches; part long files by job

Cause: a host that hears only hosts which leave watching to others (they hear better ranked ones) would have followed nobody; and a host whose own watch got no answer went on to say that it watches.

--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -1,14 +1,14 @@
 //! A call from its head to its answer.
 
+mod record;
+
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use burdockroad::gateway::{
-    Account, Admission, CallerLimits, Directory, Endpoint, Failure, Lookup, Placement, Route, Target,
-};
+use burdockroad::gateway::{Account, Admission, CallerLimits, Directory, Lookup, Route, Target};
 use bytes::Bytes;
 use http::{Request, Response, header, request::Parts};
 use http_body::Body;
@@ -17,6 +17,8 @@
 use serde::Serialize;
 use tokio::time::timeout;
 
+pub(crate) use self::record::CallRecord;
+use self::record::as_ms;
 use crate::{
     CallHead,
     attempt::{Arrived, Call, CallerRequest, Opened, call_time},
@@ -49,13 +51,12 @@
         headers: parts.headers,
         body,
     };
-    let record = CallRecord {
-        directory_version: admitted.directory_version,
-        directory_age: admitted.directory_age,
-        event_tokens: admitted.event_tokens,
-        started_at: Some(started_at),
-        ..CallRecord::default()
-    };
+    let record = CallRecord::new(
+        started_at,
+        admitted.directory_version,
+        admitted.directory_age,
+        admitted.event_tokens,
+    );
     let arrived = Arrived {
         head,
         route: admitted.route,
@@ -345,152 +346,3 @@
     retry_after_ms: Option<u64>,
     total_ms: u64,
 }
-
-/// What a call did, for its log line.
-#[derive(Debug, Default)]
-pub(crate) struct CallRecord {
-    pub(crate) directory_version: u64,
-    pub(crate) directory_age: Duration,
-    pub(crate) event_tokens: u64,
-    pub(crate) started_at: Option<Instant>,
-    pub(crate) status: u16,
-    pub(crate) complete: bool,
-    pub(crate) refused: Option<Refusal>,
-    pub(crate) reserve_wait: Duration,
-    /// Calls for each slot of the service when the call asked for its tokens.
-    pub(crate) load_per_slot: Option<f64>,
-    pub(crate) events: u64,
-    pub(crate) resumed: u32,
-    attempts: u32,
-    endpoint: String,
-    endpoint_load: u32,
-    expected_ms: f64,
-    first_byte: Option<Duration>,
-}
-
-impl CallRecord {
-    /// Tokens that the caller was handed.
-    pub(crate) fn tokens_used(&self) -> u64 {
-        self.events * self.event_tokens
-    }
-
-    pub(crate) fn note_attempt(&mut self, placement: &Placement) {
-        self.attempts += 1;
-        self.endpoint.clone_from(&placement.endpoint.id);
-        self.endpoint_load = placement.load;
-        self.expected_ms = placement.expected_ms;
-    }
-
-    pub(crate) fn note_first_byte(&mut self) {
-        self.first_byte = self.started_at.map(|at| at.elapsed());
-    }
-
-    pub(crate) fn note_failure(
-        &self,
-        shared: &Shared,
-        head: &CallHead,
-        endpoint: &Endpoint,
-        failure: Failure,
-    ) {
-        let name = match failure {
-            Failure::Gone => "gone",
-            Failure::Unreachable => "unreachable",
-            Failure::Full => "full",
-            Failure::WrongEndpoint => "wrong_endpoint",
-            Failure::Unknown => "unknown",
-        };
-        metrics::counter!("burdockroad_attempts_failed_total", "failure" => name).increment(1);
-        shared.log.line(
-            "attempt_failed",
-            &FailureLine {
-                id: &head.call_id,
-                endpoint: &endpoint.id,
-                failure: name,
-                attempt: self.attempts,
-            },
-        );
-    }
-
-    /// Writes the call's line and counts it.
-    pub(crate) fn close(&self, shared: &Shared, head: &CallHead, route: &Route, account: Option<&Account>) {
-        let outcome = match (self.refused, self.complete) {
-            (Some(refusal), _) => refusal.name(),
-            (None, true) => "answered",
-            (None, false) => "caller_left",
-        };
-        let total = self.started_at.map_or(Duration::ZERO, |at| at.elapsed());
-        let account = account.map_or("-", |account| account.name.as_str());
-        metrics::counter!("burdockroad_calls_total", "outcome" => outcome).increment(1);
-        metrics::histogram!("burdockroad_call_duration_seconds", "route" => route.name.clone())
-            .record(total.as_secs_f64());
-        metrics::histogram!("burdockroad_account_call_duration_seconds", "account" => account.to_owned())
-            .record(total.as_secs_f64());
-        shared.log.line(
-            "call",
-            &CallLine {
-                id: &head.call_id,
-                outcome,
-                status: self.status,
-                route: &route.name,
-                account,
-                program: head.program.as_ref().map(|program| program.id.as_str()),
-                budget_tokens: head.program.as_ref().and_then(|program| program.budget_tokens),
-                answer_max_tokens: head.tokens.map(|tokens| tokens.answer_max),
-                config_version: self.directory_version,
-                config_age_ms: as_ms(self.directory_age),
-                endpoint: &self.endpoint,
-                endpoint_load: self.endpoint_load,
-                expected_ms: self.expected_ms.round(),
-                attempts: self.attempts,
-                resumed: self.resumed,
-                events: self.events,
-                reserve_ms: as_ms(self.reserve_wait),
-                load_per_slot: self.load_per_slot.map(two_digits),
-                retry_after_ms: self.refused.and_then(Refusal::retry_after).map(as_ms),
-                first_byte_ms: self.first_byte.map(as_ms),
-                total_ms: as_ms(total),
-            },
-        );
-    }
-}
-
-#[derive(Serialize)]
-struct CallLine<'a> {
-    id: &'a str,
-    outcome: &'static str,
-    status: u16,
-    route: &'a str,
-    account: &'a str,
-    program: Option<&'a str>,
-    budget_tokens: Option<u64>,
-    answer_max_tokens: Option<u64>,
-    config_version: u64,
-    config_age_ms: u64,
-    endpoint: &'a str,
-    endpoint_load: u32,
-    expected_ms: f64,
-    attempts: u32,
-    resumed: u32,
-    events: u64,
-    reserve_ms: u64,
-    load_per_slot: Option<f64>,
-    retry_after_ms: Option<u64>,
-    first_byte_ms: Option<u64>,
-    total_ms: u64,
-}
-
-#[derive(Serialize)]
-struct FailureLine<'a> {
-    id: &'a str,
-    endpoint: &'a str,
-    failure: &'static str,
-    attempt: u32,
-}
-
-fn two_digits(number: f64) -> f64 {
-    (number * 100.0).round() / 100.0
-}
-
-fn as_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/burdockroad-gateway/src/follow.rs
+++ b/crates/burdockroad-gateway/src/follow.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use burdockroad::gateway::{HostPlace, watchers};
+use burdockroad::gateway::{HostPlace, has_to_watch};
 use burdockroad_daemon::platform::{Entry, Revision, StoreError};
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
@@ -29,6 +29,9 @@
 /// Part of that by which waits differ, so that hosts which watch do not all ask at the same time.
 const WATCH_WAIT_SPREAD: f64 = 0.3;
 
+/// Age of the store's last answer from which a host no longer says that it watches.
+const ANSWER_AGE_MAX: Duration = Duration::from_millis(1250);
+
 /// First pause after a call that failed; it doubles up to the longest.
 const FAILED_PAUSE_FIRST: Duration = Duration::from_millis(50);
 
@@ -63,6 +66,8 @@
     pub(crate) address: SocketAddr,
     /// Revision of the last change that it knows.
     pub(crate) changed_at: Revision,
+    /// When a host last told that it watches the range.
+    pub(crate) heard_at: Instant,
 }
 
 /// What a host that watches knows of a range, for one that does not.
@@ -81,7 +86,7 @@
     let mut position = None;
     loop {
         if let Some(after) = position
-            && !has_to_watch(&shared)
+            && !watches(&shared, reader.prefix())
         {
             position = Some(follow_others(&shared, reader.as_mut(), after).await);
             continue;
@@ -90,6 +95,7 @@
         match stepped {
             Ok(next) => {
                 note_store(&shared, None);
+                note_answer(&shared, reader.prefix());
                 position = next;
                 pause = FAILED_PAUSE_FIRST;
             }
@@ -102,8 +108,8 @@
     }
 }
 
-/// Whether this host is one of those that watch the store for all.
-pub(crate) fn has_to_watch(shared: &Shared) -> bool {
+/// Whether this host watches a range of the store.
+fn watches(shared: &Shared, prefix: &str) -> bool {
     let now = Instant::now();
     if now < shared.started_at + FIRST_REPORTS {
         return false;
@@ -121,8 +127,28 @@
         host: host.clone(),
         failure_domain: peer.failure_domain.clone(),
     }));
+    let told = tables.told_ranges.get(prefix);
+    let told_age = told.map(|told| now.saturating_duration_since(told.heard_at));
     drop(tables);
-    watchers(&heard).contains(&shared.host)
+    has_to_watch(&shared.host, &heard, told_age)
+}
+
+/// How far this host knows the ranges that it watches, and of which the store has answered of late.
+pub(crate) fn watched_ranges(shared: &Shared) -> Vec<(String, Revision)> {
+    let now = Instant::now();
+    let answered: Vec<(String, Revision)> = {
+        let tables = shared.tables();
+        let ranges = tables.ranges.iter().filter(|(prefix, _)| {
+            let answered_at = tables.range_answered_at.get(*prefix);
+            answered_at.is_some_and(|at| now < *at + ANSWER_AGE_MAX)
+        });
+        ranges
+            .map(|(prefix, log)| (prefix.clone(), log.changed_at()))
+            .collect()
+    };
+    let mut watched = answered;
+    watched.retain(|(prefix, _)| watches(shared, prefix));
+    watched
 }
 
 /// Waits until a host that watches knows more than this one, and takes it; returns how far the range is
@@ -193,6 +219,11 @@
     })
 }
 
+fn note_answer(shared: &Shared, prefix: &str) {
+    let now = Instant::now();
+    shared.tables().range_answered_at.insert(prefix.to_owned(), now);
+}
+
 fn take_whole(shared: &Shared, reader: &mut dyn RangeReader, snapshot: &RangeSnapshot) {
     reader.replace(&snapshot.entries);
     let mut tables = shared.tables();
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -23,7 +23,7 @@
 };
 
 use crate::{
-    follow::{ToldRange, has_to_watch},
+    follow::{ToldRange, watched_ranges},
     shared::{Shared, Tables},
 };
 
@@ -185,7 +185,7 @@
     if let Some(in_flight) = report.calls() {
         tables.endpoints.note_peer(&report.host, &in_flight, now);
     }
-    let told_more = tables.note_ranges(&report.ranges, address);
+    let told_more = tables.note_ranges(&report.ranges, address, now);
     tables.allowances.note_report(&report.decode(), now);
     drop(tables);
     if told_more {
@@ -195,31 +195,24 @@
 
 impl Tables {
     /// Notes how far another host knows the ranges; whether that is further than was told before.
-    fn note_ranges(&mut self, ranges: &[WireRange], address: SocketAddr) -> bool {
+    fn note_ranges(&mut self, ranges: &[WireRange], address: SocketAddr, now: Instant) -> bool {
         let mut told_more = false;
         for range in ranges {
             let told = ToldRange {
                 address,
                 changed_at: range.changed_at,
+                heard_at: now,
             };
-            let known = self.told_ranges.get(&range.prefix);
-            if known.is_none_or(|known| known.changed_at < told.changed_at) {
-                self.told_ranges.insert(range.prefix.clone(), told);
-                told_more = true;
+            match self.told_ranges.get_mut(&range.prefix) {
+                Some(known) if known.changed_at >= told.changed_at => known.heard_at = now,
+                _ => {
+                    self.told_ranges.insert(range.prefix.clone(), told);
+                    told_more = true;
+                }
             }
         }
         told_more
     }
-
-    /// How far this host knows the ranges.
-    fn known_ranges(&self) -> Vec<WireRange> {
-        let ranges = self.ranges.iter();
-        let ranges = ranges.map(|(prefix, log)| WireRange {
-            prefix: prefix.clone(),
-            changed_at: log.changed_at(),
-        });
-        ranges.collect()
-    }
 }
 
 impl WireReport {
@@ -252,24 +245,20 @@
 
 /// This host's report, in as many datagrams as its accounts need.
 fn wire_reports(shared: &Shared) -> Vec<Vec<u8>> {
-    let watches = has_to_watch(shared);
+    let ranges = watched_ranges(shared).into_iter();
+    let ranges = ranges.map(|(prefix, changed_at)| WireRange { prefix, changed_at });
     let store_serves = shared.store.is_served();
     let mut tables = shared.tables();
     let now = Instant::now();
     let report = tables.allowances.report(&shared.host, shared.incarnation, now);
     let in_flight = tables.endpoints.all_in_flight();
-    let ranges = if watches {
-        tables.known_ranges()
-    } else {
-        Vec::new()
-    };
     drop(tables);
     let used = report.accounts.iter().filter(|used| used.demand_per_s > 0.01);
     let used: Vec<WireUse> = used.map(wire_use).collect();
     let mut chunks = split(used);
     let first = WireReport {
         in_flight: Some(in_flight.into_iter().map(WireCalls::from).collect()),
-        ranges,
+        ranges: ranges.collect(),
         ..wire_report(
             &shared.host,
             &report,
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -71,6 +71,8 @@
     pub(crate) remote_holds: HashMap<String, RemoteHold>,
     /// What this host knows of the ranges it follows, by prefix.
     pub(crate) ranges: HashMap<String, RangeLog>,
+    /// When the store last answered of a range, by prefix.
+    pub(crate) range_answered_at: HashMap<String, Instant>,
     /// How far hosts that watch know them, by prefix.
     pub(crate) told_ranges: HashMap<String, ToldRange>,
     /// Which programs may begin while a service is full.
@@ -121,6 +123,7 @@
                 store_back_at: None,
                 remote_holds: HashMap::new(),
                 ranges: HashMap::new(),
+                range_answered_at: HashMap::new(),
                 told_ranges: HashMap::new(),
                 gate: BeginGate::default(),
                 programs: RecentPrograms::default(),
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -7,7 +7,7 @@
 //! * [`Ledger`] holds tokens of a program's budget before its calls run.
 //! * [`Allowances`] share an account's rate among the hosts that admit its calls.
 //! * [`EndpointTable`] chooses the endpoint of a call.
-//! * [`watchers`] and [`report_targets`] say who watches the store, and who is told what.
+//! * [`has_to_watch`] and [`report_targets`] say who watches the store, and who is told what.
 //! * [`next_step`] says what follows a failed attempt.
 //! * [`EventBuffer`] cuts an event stream into whole events.
 
@@ -32,5 +32,5 @@
     placement::{Endpoint, EndpointCalls, EndpointTable, LoadReading, Outcome, Placement, PromptPart, Query},
     recent::RecentPrograms,
     retry::{Failure, NextStep, RetryState, next_step},
-    spread::{HostPlace, report_targets, watchers},
+    spread::{HostPlace, has_to_watch, report_targets, watchers},
 };
--- a/crates/burdockroad/src/gateway/spread.rs
+++ b/crates/burdockroad/src/gateway/spread.rs
@@ -4,13 +4,16 @@
 //! other's reports, where every call to the store and every byte between failure domains is paid for. A few
 //! hosts watch the store, and a report crosses to another failure domain once.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use crate::{ids::HostId, ownership::rendezvous_order};
 
 /// Hosts that watch the store; the others take what changes from them.
 const WATCHERS: usize = 3;
 
+/// Age of the last word of a host that watches from which a host watches for itself.
+const TOLD_AGE_MAX: Duration = Duration::from_millis(450);
+
 /// Name by which hosts are ranked for watching.
 const WATCH_NAME: &str = "watch";
 
@@ -38,6 +41,16 @@
     first
 }
 
+/// Whether a host has to watch a range: it is one of those that watch for all, or none of them has told it of
+/// late that it watches, as when it hears only hosts that leave watching to others.
+///
+/// `heard` are the hosts that are heard of, this one included; `told_age` is the time since a host told that
+/// it watches, none when none did.
+pub fn has_to_watch(host: &HostId, heard: &[HostPlace], told_age: Option<Duration>) -> bool {
+    let is_told = told_age.is_some_and(|age| age < TOLD_AGE_MAX);
+    !is_told || watchers(heard).contains(host)
+}
+
 /// The hosts that a report is sent to: all of the sender's failure domain, and one of each other, which
 /// passes it on there. Turn after turn it is another one, so that a dead one costs few reports.
 pub fn report_targets(failure_domain: &str, others: &[HostPlace], turn: usize) -> Vec<HostId> {
--- a/crates/burdockroad/tests/gateway_spread.rs
+++ b/crates/burdockroad/tests/gateway_spread.rs
@@ -1,8 +1,8 @@
 //! Which hosts watch the store, and which a report is sent to.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
-use burdockroad::gateway::{HostPlace, report_targets, watchers};
+use burdockroad::gateway::{HostPlace, has_to_watch, report_targets, watchers};
 
 fn places(domains: usize, each: usize) -> Vec<HostPlace> {
     let hosts = (0..domains * each).map(|index| HostPlace {
@@ -44,6 +44,19 @@
     assert_eq!(watchers(&alone), ["host-0"]);
 }
 
+/// A host that is cut from those that watch, but hears others which leave watching to them.
+#[test]
+fn has_to_watch_when_no_host_tells_that_it_watches() {
+    let heard = places(3, 3);
+    let chosen = watchers(&heard);
+    let other = heard.iter().find(|place| !chosen.contains(&place.host));
+    let other = &other.expect("some hosts do not watch").host;
+    assert!(!has_to_watch(other, &heard, Some(Duration::from_millis(150))));
+    assert!(has_to_watch(other, &heard, Some(Duration::from_secs(1))));
+    assert!(has_to_watch(other, &heard, None));
+    assert!(has_to_watch(&chosen[0], &heard, Some(Duration::ZERO)));
+}
+
 #[test]
 fn report_targets_reach_each_other_domain_through_one_host() {
     let others = places(4, 17);
