Add up what other hosts have in flight by what each tells

Change: a sum for each endpoint that changes by what a host tells and told before. The test of the latest word of each host passes before and after.

--- a/crates/burdockroad/src/gateway/placement.rs
+++ b/crates/burdockroad/src/gateway/placement.rs
@@ -143,7 +143,8 @@
 /// Calls of one other host.
 #[derive(Debug)]
 struct PeerCalls {
-    told: HashMap<EndpointId, u32>,
+    /// What it told of endpoints that were known then.
+    told: Vec<EndpointCalls>,
     heard_at: Instant,
 }
 
@@ -153,6 +154,9 @@
     in_flight: u32,
     /// Calls of other hosts, as last told by the endpoint or by them.
     foreign: u32,
+    /// Sum of what the other hosts last told; it changes by what each tells, since a sum over all hosts for
+    /// each report would take the square of their number.
+    told: u32,
     foreign_at: Option<Instant>,
     mean_ms: f64,
     mean_at: Option<Instant>,
@@ -291,15 +295,27 @@
 
     /// Takes another host's word of its calls at each endpoint; those that it does not name have none.
     pub fn note_peer(&mut self, host: &HostId, in_flight: &[EndpointCalls], now: Instant) {
-        let told = in_flight
-            .iter()
-            .map(|told| (told.endpoint.clone(), told.calls))
-            .collect();
+        let stale = self
+            .peers
+            .extract_if(|other, peer| other == host || now >= peer.heard_at + FOREIGN_AGE_MAX);
+        for (_, peer) in stale {
+            for told in peer.told {
+                if let Some(row) = self.rows.get_mut(&told.endpoint) {
+                    row.told = row.told.saturating_sub(told.calls);
+                }
+            }
+        }
+        let mut told = in_flight.to_vec();
+        told.retain(|told| match self.rows.get_mut(&told.endpoint) {
+            Some(row) => {
+                row.told += told.calls;
+                true
+            }
+            None => false,
+        });
         self.peers.insert(host.clone(), PeerCalls { told, heard_at: now });
-        self.peers.retain(|_, peer| now < peer.heard_at + FOREIGN_AGE_MAX);
-        for (id, row) in &mut self.rows {
-            let told = self.peers.values().filter_map(|peer| peer.told.get(id));
-            row.foreign = told.sum();
+        for row in self.rows.values_mut() {
+            row.foreign = row.told;
             row.foreign_at = Some(now);
         }
     }
@@ -320,6 +336,7 @@
             endpoint,
             in_flight: 0,
             foreign: 0,
+            told: 0,
             foreign_at: None,
             mean_ms: FIRST_TIME_MS,
             mean_at: None,
--- a/crates/burdockroad/tests/gateway_placement.rs
+++ b/crates/burdockroad/tests/gateway_placement.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use burdockroad::gateway::{
-    BeginGate, Beginning, Endpoint, EndpointTable, Failure, NextStep, Outcome, PromptPart, Query, RetryState,
-    RouteKind, next_step,
+    BeginGate, Beginning, Endpoint, EndpointCalls, EndpointTable, Failure, NextStep, Outcome, PromptPart,
+    Query, RetryState, RouteKind, next_step,
 };
 
 const SERVICE: &str = "engine";
@@ -148,6 +148,25 @@
     );
 }
 
+#[test]
+fn note_peer_counts_the_latest_word_of_each_host_that_is_heard() {
+    let mut table = table(2);
+    let mut now = Instant::now();
+    let calls = |index: usize, calls| EndpointCalls {
+        endpoint: format!("endpoint-{index}"),
+        calls,
+    };
+    table.note_peer(&"a".to_owned(), &[calls(0, 6), calls(7, 9)], now);
+    table.note_peer(&"b".to_owned(), &[calls(0, 3), calls(1, 3)], now);
+    assert!((table.load_per_slot(SERVICE, now) - 12.0 / 24.0).abs() < 1e-9);
+    now += Duration::from_millis(500);
+    table.note_peer(&"a".to_owned(), &[calls(1, 3)], now);
+    assert!((table.load_per_slot(SERVICE, now) - 9.0 / 24.0).abs() < 1e-9);
+    now += Duration::from_millis(500);
+    table.note_peer(&"a".to_owned(), &[calls(1, 3)], now);
+    assert!((table.load_per_slot(SERVICE, now) - 3.0 / 24.0).abs() < 1e-9);
+}
+
 #[test]
 fn next_step_never_repeats_what_may_have_run_once() {
     let state = RetryState {
