--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -1,8 +1,9 @@
 //! Telling the other hosts what this one admits.
 //!
-//! It goes to each host of the own failure domain, and to one of each other, which passes it on: bytes between
-//! failure domains are paid for. A report is cumulative and small, so it goes as one datagram: a lost one is made up for by the next.
-//! A stream to each host was refused, since a report that waits for a lost one is worth nothing.
+//! It goes to each host of the own failure domain, and to one of each other, which passes it on: bytes
+//! between failure domains are paid for. A report is cumulative and small, so it goes as one datagram: a
+//! lost one is made up for by the next. A stream to each host was refused, since a report that waits for a
+//! lost one is worth nothing.
 
 use std::{
     io,
