--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -22,7 +22,7 @@
 use crate::{
     CallHead, ForwardHead, ResponseHead,
     budgets::{Reservation, release},
-    call::CallRecord,
+    call::{CallRecord, KeptTurn},
     pool::{Connection, connect},
     refusal::Refusal,
     shared::Shared,
@@ -55,6 +55,8 @@
     pub(crate) account: Option<Arc<Account>>,
     pub(crate) service: String,
     pub(crate) request: CallerRequest,
+    /// Turn of the call, on a route whose turns the system keeps.
+    pub(crate) kept_turn: Option<KeptTurn>,
     pub(crate) started_at: Instant,
     pub(crate) deadline: Instant,
     pub(crate) record: CallRecord,
@@ -79,6 +81,7 @@
     pub(crate) account: Option<Arc<Account>>,
     pub(crate) service: String,
     pub(crate) request: CallerRequest,
+    pub(crate) kept_turn: Option<KeptTurn>,
     pub(crate) started_at: Instant,
     pub(crate) record: CallRecord,
 }
@@ -110,6 +113,7 @@
             account: admitted.account,
             service: admitted.service,
             request: admitted.request,
+            kept_turn: admitted.kept_turn,
             started_at: admitted.started_at,
             deadline,
             record: admitted.record,
--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -228,7 +228,7 @@
                 let response_timeout = REMOTE_WAIT_MAX + REMOTE_RESPONSE_MARGIN;
                 if shared
                     .peer_client
-                    .call(address, &call, response_timeout)
+                    .call::<PeerResponse>(address, &call, response_timeout)
                     .await
                     .is_err()
                 {
--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -1,5 +1,6 @@
 //! Serves one call, from its request head to the end of its response.
 
+mod kept_turn;
 mod record;
 
 use std::{
@@ -17,8 +18,11 @@
 use serde::Serialize;
 use tokio::time::timeout;
 
-pub(crate) use self::record::CallRecord;
 use self::record::as_ms;
+pub(crate) use self::{
+    kept_turn::KeptTurn,
+    record::{CallRecord, HistoryRead},
+};
 use crate::{
     CallHead,
     attempt::{AdmittedCall, Call, CallerRequest, OpenedResponse, call_timeout},
@@ -45,24 +49,36 @@
         Ok(body) => body,
         Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
     };
+    let history_requested_at = Instant::now();
+    let kept_turn = match begin_turn(&shared, &head, &context, &body).await {
+        Ok(kept_turn) => kept_turn,
+        Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
+    };
+    let history = kept_turn.as_ref().map(|turn| HistoryRead {
+        time: history_requested_at.elapsed(),
+        read_turns: turn.read_turns(),
+    });
+    let body = kept_turn.as_ref().map_or(body, KeptTurn::prompt);
     let request = CallerRequest {
         method: parts.method,
         target: parts.uri,
         headers: parts.headers,
         body,
     };
-    let record = CallRecord::new(
+    let mut record = CallRecord::new(
         started_at,
         context.directory_version,
         context.directory_age,
         context.event_tokens,
     );
+    record.history = history;
     let admitted_call = AdmittedCall {
         head,
         route: context.route,
         account: context.account,
         service: context.service,
         request,
+        kept_turn,
         started_at,
         record,
     };
@@ -213,6 +229,21 @@
     None
 }
 
+/// Reads the history that a call continues. Returns `None` on routes whose turns the system does not keep.
+async fn begin_turn(
+    shared: &Shared,
+    head: &CallHead,
+    context: &CallContext,
+    body: &Bytes,
+) -> Result<Option<KeptTurn>, Refusal> {
+    if !context.route.keeps_turns {
+        return Ok(None);
+    }
+    let account = context.account.as_deref();
+    let kept_turn = KeptTurn::begin(shared, head, &context.route, account, body.clone()).await?;
+    Ok(Some(kept_turn))
+}
+
 async fn read_body(body: Incoming, limits: &CallerLimits, body_timeout: Duration) -> Result<Bytes, Refusal> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
--- /dev/null
+++ b/crates/burdockroad-gateway/src/call/kept_turn.rs
@@ -0,0 +1,120 @@
+//! Turn of a conversation that the system keeps.
+
+use std::time::Duration;
+
+use burdockroad::gateway::{Account, OutputCollector, Route, Turn, TurnKey, prompt};
+use bytes::Bytes;
+
+use crate::{
+    CallHead,
+    clock::unix_ms,
+    refusal::Refusal,
+    shared::Shared,
+    turn_store::client::{History, HistoryError},
+};
+
+/// Longest id of a turn that can exist.
+const TURN_ID_MAX_BYTES: usize = 200;
+
+/// Time for which a turn is stored after it can no longer be continued, as a multiple of its retention time.
+/// Later turns of the chain need it until then; a chain that lasts longer is stored again.
+const STORAGE_FACTOR: u32 = 2;
+
+/// Additional storage time, because the clocks of hosts differ.
+const CLOCK_MARGIN: Duration = Duration::from_secs(10);
+
+/// A turn while its call is served.
+#[derive(Debug)]
+pub(crate) struct KeptTurn {
+    key: TurnKey,
+    history: History,
+    input: Bytes,
+    output: OutputCollector,
+    retention: Duration,
+}
+
+impl KeptTurn {
+    /// Reads the history that a call continues.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the previous turn does not exist or cannot be read, and when the call's own turn could not be
+    /// stored.
+    pub(crate) async fn begin(
+        shared: &Shared,
+        head: &CallHead,
+        route: &Route,
+        account: Option<&Account>,
+        input: Bytes,
+    ) -> Result<Self, Refusal> {
+        if !shared.turns.can_store() || shared.is_isolated() {
+            return Err(Refusal::TurnUnavailable);
+        }
+        let key = |turn: &str| TurnKey {
+            account: account.map_or_else(String::new, |account| account.name.clone()),
+            turn: turn.to_owned(),
+        };
+        let history = match head.previous_turn.as_deref() {
+            None => History::default(),
+            Some(previous) if previous.is_empty() || previous.len() > TURN_ID_MAX_BYTES => {
+                return Err(Refusal::UnknownTurn);
+            }
+            Some(previous) => shared
+                .turns
+                .history(&key(previous))
+                .await
+                .map_err(|error| match error {
+                    HistoryError::Nonexistent => Refusal::UnknownTurn,
+                    HistoryError::Uncertain => Refusal::TurnUnavailable,
+                })?,
+        };
+        Ok(Self {
+            key: key(&head.call_id),
+            history,
+            input,
+            output: OutputCollector::default(),
+            retention: route.retention,
+        })
+    }
+
+    /// Returns the prompt: the history and the new input.
+    pub(crate) fn prompt(&self) -> Bytes {
+        if self.history.turns.is_empty() {
+            return self.input.clone();
+        }
+        prompt(&self.history.turns, &self.input)
+    }
+
+    /// Returns the number of turns that were read from other hosts.
+    pub(crate) fn read_turns(&self) -> usize {
+        self.history.read_turns
+    }
+
+    /// Adds events that the caller receives.
+    pub(crate) fn push_events(&mut self, events: &[u8]) {
+        self.output.push(events);
+    }
+
+    /// Stores the turn. Returns the number of replicas, or `None` when the turn is not durable.
+    pub(crate) async fn store(self, shared: &Shared) -> Option<usize> {
+        let retention_ms = u64::try_from(self.retention.as_millis()).unwrap_or(u64::MAX);
+        let storage_time = self.retention * STORAGE_FACTOR + CLOCK_MARGIN;
+        let storage_ms = u64::try_from(storage_time.as_millis()).unwrap_or(u64::MAX);
+        let ended_unix_ms = unix_ms();
+        let previous = self.history.turns.last();
+        let turn = Turn {
+            previous: previous.map(|previous| previous.key.turn.clone()),
+            root: previous.map_or_else(|| self.key.turn.clone(), |previous| previous.root.clone()),
+            home_domain: previous.map_or_else(
+                || shared.failure_domain.clone(),
+                |previous| previous.home_domain.clone(),
+            ),
+            expires_unix_ms: ended_unix_ms.saturating_add(retention_ms),
+            stored_until_unix_ms: ended_unix_ms.saturating_add(storage_ms),
+            input: self.input,
+            output: self.output.finish(),
+            key: self.key,
+        };
+        shared.turns.store(turn, &self.history.turns, storage_time).await
+    }
+}
--- a/crates/burdockroad-gateway/src/call/record.rs
+++ b/crates/burdockroad-gateway/src/call/record.rs
@@ -23,6 +23,10 @@
     pub(crate) refusal: Option<Refusal>,
     /// Time that the call waited for its reservation.
     pub(crate) reservation_wait: Duration,
+    /// Reading of the history that the call continues; `None` for calls that bring it along.
+    pub(crate) history: Option<HistoryRead>,
+    /// Time until the call's turn was stored; `None` for calls whose turns the system does not keep.
+    pub(crate) store_time: Option<Duration>,
     /// Calls per slot of the service when the call requested its reservation.
     pub(crate) load_per_slot: Option<f64>,
     /// Events sent to the caller.
@@ -40,6 +44,15 @@
     time_to_first_byte: Option<Duration>,
 }
 
+/// Reading of the history that a call continues.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HistoryRead {
+    /// Duration of the reading.
+    pub(crate) time: Duration,
+    /// Number of turns that were read from other hosts.
+    pub(crate) read_turns: usize,
+}
+
 impl CallRecord {
     pub(crate) fn new(
         started_at: Instant,
@@ -132,6 +145,9 @@
                 resumed: self.resumed,
                 events: self.events,
                 reserve_ms: as_ms(self.reservation_wait),
+                history_ms: self.history.map(|history| as_ms(history.time)),
+                history_turns_read: self.history.map(|history| history.read_turns),
+                store_ms: self.store_time.map(as_ms),
                 load_per_slot: self.load_per_slot.map(round_to_hundredths),
                 retry_after_ms: self.refusal.and_then(Refusal::retry_after).map(as_ms),
                 first_byte_ms: self.time_to_first_byte.map(as_ms),
@@ -160,6 +176,12 @@
     resumed: u32,
     events: u64,
     reserve_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    history_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    history_turns_read: Option<usize>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    store_ms: Option<u64>,
     load_per_slot: Option<f64>,
     retry_after_ms: Option<u64>,
     first_byte_ms: Option<u64>,
--- a/crates/burdockroad-gateway/src/dialect.rs
+++ b/crates/burdockroad-gateway/src/dialect.rs
@@ -4,7 +4,7 @@
 
 use burdockroad::{
     ProgramId,
-    gateway::{Document, Endpoint, LoadReading, PromptPart},
+    gateway::{Document, Endpoint, LoadReading, PromptPart, TurnId},
 };
 use http::{HeaderMap, StatusCode};
 
@@ -78,6 +78,8 @@
     pub prompt_parts: Vec<PromptPart>,
     /// Last event that the caller has received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// Turn that the call continues, on routes whose turns the system keeps.
+    pub previous_turn: Option<TurnId>,
 }
 
 /// Information on the program that a call belongs to.
--- a/crates/burdockroad-gateway/src/disk_host.rs
+++ b/crates/burdockroad-gateway/src/disk_host.rs
@@ -1,17 +1,24 @@
-//! Host with a disk. The platform requires such hosts, but the gateway does not use them.
+//! Host with a disk, which stores the turns of conversations that the system keeps.
 //!
-//! All persistent state is in the shared store, so such a host stores no data. It only responds to removal
-//! orders, and reports immediately that its removal is complete.
+//! Other persistent state is in the shared store. A host that is being removed copies its turns to other hosts
+//! before it reports that its removal is complete.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
-use burdockroad::HostId;
+use burdockroad::{HostId, Incarnation};
 use burdockroad_daemon::platform::{Entry, StoreError};
 use bytes::Bytes;
 use serde::Serialize;
 use tokio::{sync::mpsc, time::sleep};
 
-use crate::{Change, Changes, ConditionalWrite, DecisionLog, Dialect, SharedStore, Signals, WriteOutcome};
+use crate::{
+    Change, Changes, ConditionalWrite, DecisionLog, Dialect, HostError, SharedStore, Signals, WriteOutcome,
+    server::listen,
+    turn_store::{
+        host::{TurnHostOptions, TurnHostState},
+        log::TurnLog,
+    },
+};
 
 /// Longest time of one watch request.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
@@ -19,23 +26,50 @@
 /// Interval before a failed call is retried.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Folder of the turns in the host's data folder.
+const TURNS_FOLDER: &str = "turns";
+
 /// Timeout for writing the last log lines.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Runs a host that stores no data, until it receives the stop signal.
+/// Options of a host with a disk.
+#[derive(Clone, Debug)]
+pub struct DiskHostOptions {
+    /// Id of the host.
+    pub host: HostId,
+    /// Random number that identifies this run of the process.
+    pub incarnation: Incarnation,
+    /// Failure domain of the host.
+    pub failure_domain: String,
+    /// Address at which other hosts call.
+    pub peer_address: SocketAddr,
+    /// Folder for the host's data; `None` if it stores none.
+    pub data_folder: Option<PathBuf>,
+    /// Number of hosts with a disk that may be lost at the same time without losing turns.
+    pub tolerated_losses: usize,
+}
+
+/// Runs a host with a disk until it receives the stop signal.
+///
+/// # Errors
+///
+/// Fails when the host cannot listen on its address.
 pub async fn run_disk_host(
-    host: HostId,
+    options: DiskHostOptions,
     dialect: Arc<dyn Dialect>,
     store: Arc<dyn SharedStore>,
     log: DecisionLog,
     mut signals: Signals,
-) {
+) -> Result<(), HostError> {
+    let host = options.host.clone();
     log.line("started", &HostLine { host: &host });
+    let turns = start_turn_host(options, &store, &log).await?;
     let orders = RemovalOrders {
         key: dialect.removal_order_key(&host),
         status_key: dialect.removal_status_key(&host),
         completed_status: Bytes::from(dialect.removal_completed_status()),
         store,
+        turns,
         log: log.clone(),
     };
     tokio::select! {
@@ -44,6 +78,45 @@
     }
     log.line("stopped", &HostLine { host: &host });
     log.close(LOG_FLUSH_TIMEOUT);
+    Ok(())
+}
+
+/// Starts to store turns. Returns `None` when the host has no data folder or its folder cannot be opened.
+async fn start_turn_host(
+    options: DiskHostOptions,
+    store: &Arc<dyn SharedStore>,
+    log: &DecisionLog,
+) -> Result<Option<Arc<TurnHostState>>, HostError> {
+    let Some(folder) = options.data_folder else {
+        return Ok(None);
+    };
+    let (turn_log, recovered) = match TurnLog::open(&folder.join(TURNS_FOLDER)) {
+        Ok(opened) => opened,
+        Err(error) => {
+            log_unusable_disk(log, &error);
+            return Ok(None);
+        }
+    };
+    for segment in &recovered {
+        log.line("segment_recovered", segment);
+    }
+    let listener = listen(options.peer_address).await;
+    let listener = listener.map_err(|cause| HostError::new(options.peer_address, cause))?;
+    let options = TurnHostOptions {
+        host: options.host,
+        incarnation: options.incarnation,
+        failure_domain: options.failure_domain,
+        address: options.peer_address,
+        tolerated_losses: options.tolerated_losses,
+    };
+    let state = Arc::new(TurnHostState::new(options, turn_log, log.clone()));
+    state.start(listener, store);
+    Ok(Some(state))
+}
+
+fn log_unusable_disk(log: &DecisionLog, error: &io::Error) {
+    let reason = error.to_string();
+    log.line("disk_unusable", &ErrorLine { reason });
 }
 
 async fn wait_for_stop(stop: &mut mpsc::Receiver<()>) {
@@ -61,6 +134,8 @@
     /// Value that reports a completed removal.
     completed_status: Bytes,
     store: Arc<dyn SharedStore>,
+    /// Turns of the host; `None` if it stores none.
+    turns: Option<Arc<TurnHostState>>,
     log: DecisionLog,
 }
 
@@ -70,7 +145,7 @@
         loop {
             if let Err(error) = self.follow().await {
                 let reason = error.to_string();
-                self.log.line("store_lost", &StoreErrorLine { reason });
+                self.log.line("store_lost", &ErrorLine { reason });
                 sleep(RETRY_INTERVAL).await;
             }
         }
@@ -98,11 +173,14 @@
         }
     }
 
-    /// Responds to an order by reporting that the removal is complete.
+    /// Responds to an order: copies the host's turns to other hosts and reports that the removal is complete.
     async fn respond(&self, order: &Entry) -> Result<(), StoreError> {
         if order.key != self.key {
             return Ok(());
         }
+        if let Some(turns) = &self.turns {
+            turns.leave().await;
+        }
         let write = ConditionalWrite {
             key: self.status_key.clone(),
             value: self.completed_status.clone(),
@@ -128,7 +206,7 @@
 }
 
 #[derive(Serialize)]
-struct StoreErrorLine {
+struct ErrorLine {
     reason: String,
 }
 
--- a/crates/burdockroad-gateway/src/hosts.rs
+++ b/crates/burdockroad-gateway/src/hosts.rs
@@ -14,7 +14,11 @@
 use tokio::time::sleep;
 
 use crate::{
-    Change, ConditionalWrite, LeaseId, SharedStore, WriteOutcome, follow::RangeSubscriber, shared::Shared,
+    Change, LeaseId, SharedStore,
+    follow::RangeSubscriber,
+    registration::{Registration, RegistrationErrorLine, renew},
+    shared::Shared,
+    turn_store::members::{TurnMembers, put_member, remove_member},
 };
 
 /// Key prefix under which hosts register themselves.
@@ -67,15 +71,18 @@
         if host == self.shared.host {
             return;
         }
+        match self
+            .shared
+            .turns
+            .update_members(|members| put_member(members, entry))
+        {
+            Ok(true) => return,
+            Ok(false) => {}
+            Err(error) => return self.log_unreadable(host, &error),
+        }
         let host_entry: HostEntry = match serde_json::from_slice(&entry.value) {
             Ok(host_entry) => host_entry,
-            Err(error) => {
-                let reason = error.to_string();
-                self.shared
-                    .log
-                    .line("host_unreadable", &HostUnreadableLine { host, reason });
-                return;
-            }
+            Err(error) => return self.log_unreadable(host, &error),
         };
         self.shared.peers.send_modify(|peers| {
             let peer = Peer {
@@ -86,6 +93,13 @@
         });
     }
 
+    fn log_unreadable(&self, host: &str, error: &serde_json::Error) {
+        let reason = error.to_string();
+        self.shared
+            .log
+            .line("host_unreadable", &HostUnreadableLine { host, reason });
+    }
+
     /// Updates the tables after a change of the registered hosts. The hosts share the accounts' rate limits
     /// and divide the budgets among themselves.
     fn update_tables(&self) {
@@ -112,6 +126,7 @@
 
     fn replace(&mut self, entries: &[Entry]) {
         self.shared.peers.send_modify(Peers::clear);
+        self.shared.turns.update_members(TurnMembers::clear);
         for entry in entries {
             self.put(entry);
         }
@@ -122,7 +137,11 @@
         match change {
             Change::Put(entry) => self.put(entry),
             Change::Removed { key, .. } => {
-                if let Some(host) = key.strip_prefix(HOSTS_PREFIX) {
+                let is_turn_host = self
+                    .shared
+                    .turns
+                    .update_members(|members| remove_member(members, key));
+                if !is_turn_host && let Some(host) = key.strip_prefix(HOSTS_PREFIX) {
                     self.shared.peers.send_modify(|peers| {
                         peers.remove(host);
                     });
@@ -137,7 +156,7 @@
 pub(crate) async fn keep_registered(shared: Arc<Shared>, address: SocketAddr) {
     let mut lease = None;
     loop {
-        match renew(&shared, lease, address).await {
+        match renew_entry(&shared, lease, address).await {
             Ok(renewed) => {
                 lease = Some(renewed);
                 tokio::select! {
@@ -169,14 +188,8 @@
     shared.tables().ledger.release_idle(Instant::now());
 }
 
-/// Renews the lease of this host's entry, or registers again when the lease has ended.
-async fn renew(shared: &Shared, lease: Option<LeaseId>, address: SocketAddr) -> Result<LeaseId, StoreError> {
-    if let Some(lease) = lease
-        && shared.store.renew_lease(lease).await?
-    {
-        return Ok(lease);
-    }
-    let lease = shared.store.open_lease(ENTRY_LIFETIME).await?;
+/// Returns this host's entry.
+fn registration(shared: &Shared, address: SocketAddr) -> Result<Registration, StoreError> {
     let entry = HostEntry {
         address,
         failure_domain: shared.failure_domain.clone(),
@@ -185,19 +198,19 @@
     let value = serde_json::to_vec(&entry).map_err(|error| StoreError::Ambiguous {
         reason: error.to_string(),
     })?;
-    let write = ConditionalWrite {
+    Ok(Registration {
         key: format!("{HOSTS_PREFIX}{}", shared.host),
         value: Bytes::from(value),
-        expected_revision: None,
-        unconditional: true,
-        lease: Some(lease),
-    };
-    match shared.store.write_all(&[write]).await? {
-        WriteOutcome::Done(_) => Ok(lease),
-        WriteOutcome::Conflict(_) | WriteOutcome::LeaseEnded => Err(StoreError::Ambiguous {
-            reason: "the lease ended before the entry was written".to_owned(),
-        }),
-    }
+        lifetime: ENTRY_LIFETIME,
+    })
+}
+
+async fn renew_entry(
+    shared: &Shared,
+    lease: Option<LeaseId>,
+    address: SocketAddr,
+) -> Result<LeaseId, StoreError> {
+    renew(&*shared.store, lease, &registration(shared, address)?).await
 }
 
 #[derive(Serialize)]
@@ -210,8 +223,3 @@
 struct HostsChangedLine {
     hosts: usize,
 }
-
-#[derive(Serialize)]
-struct RegistrationErrorLine {
-    reason: String,
-}
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -1,4 +1,4 @@
-//! Gateway host that forwards calls which carry their full conversation history.
+//! Gateway host that forwards calls which carry their conversation history or name the turn they continue.
 //!
 //! All hosts run the same process. It follows the configuration and the endpoints in the shared store, admits
 //! calls within the rate limits of their accounts, reserves tokens of programs' budgets, and forwards each
@@ -7,13 +7,15 @@
 //!
 //! # Guide
 //!
-//! * [`run`] runs a host with the given [`HostOptions`].
+//! * [`run`] runs a host with the given [`HostOptions`], and [`run_disk_host`] a host that stores turns.
 //! * [`Dialect`] translates headers and stored values, and [`SharedStore`] is the interface of the store.
+//! * [`TurnLog`] stores the turns of conversations on a disk.
 //! * [`DecisionLog`] writes one log line for each decision and never blocks the calls.
 
 mod attempt;
 mod budgets;
 mod call;
+mod clock;
 mod decision_log;
 mod dialect;
 mod disk_host;
@@ -26,6 +28,7 @@
 mod process;
 mod range_log;
 mod refusal;
+mod registration;
 mod relay;
 mod reports;
 mod reservations;
@@ -33,14 +36,16 @@
 mod shared;
 mod store;
 mod stream;
+mod turn_store;
 
 pub use self::{
     decision_log::DecisionLog,
     dialect::{
         CallHead, DecodeError, Dialect, ForwardHead, InvalidHead, ProgramHead, ResponseHead, TokenCount,
     },
-    disk_host::run_disk_host,
+    disk_host::{DiskHostOptions, run_disk_host},
     process::{HostError, HostOptions, Signals, run},
     range_log::{RangeLog, RangeUpdate},
     store::{Change, Changes, ConditionalWrite, KeyState, LeaseId, RangeSnapshot, SharedStore, WriteOutcome},
+    turn_store::log::{RecoveredSegment, TurnLog},
 };
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -13,13 +13,13 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{net::TcpListener, time::timeout};
 
 use crate::{
     budgets::{ReservationRequest, ReservationResponse, handle_release, handle_reserve},
     follow::{RangeUpdateResponse, range_update},
-    pool::{ConnectionPool, connect},
+    pool::{Connection, ConnectionPool, connect},
     relay::{StoreCall, StoreCallResponse, handle_store_call},
     server::accept,
     shared::Shared,
@@ -95,14 +95,25 @@
 impl PeerClient {
     /// Calls the host at `address`. Connecting, receiving the response head and receiving the body may each
     /// take up to `response_timeout`.
-    pub(crate) async fn call(
+    pub(crate) async fn call<R: DeserializeOwned>(
         &self,
         address: SocketAddr,
-        call: &PeerCall,
+        call: &impl Serialize,
         response_timeout: Duration,
-    ) -> Result<PeerResponse, PeerError> {
+    ) -> Result<R, PeerError> {
+        self.call_encoded(address, encode_message(call)?, response_timeout)
+            .await
+    }
+
+    /// Like [`call`](Self::call), with a call that is encoded already because several hosts receive it.
+    pub(crate) async fn call_encoded<R: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        call: Bytes,
+        response_timeout: Duration,
+    ) -> Result<R, PeerError> {
         let key = address.to_string();
-        let mut request = encode(call)?;
+        let mut request = message_request(call);
         if let Some(mut connection) = self.pool.take(&key, Instant::now()) {
             let result = timeout(response_timeout, connection.try_send_request(request)).await;
             match result {
@@ -125,13 +136,13 @@
         }
     }
 
-    async fn read(
+    async fn read<R: DeserializeOwned>(
         &self,
         key: &str,
-        connection: crate::pool::Connection,
+        connection: Connection,
         response: Response<Incoming>,
         response_timeout: Duration,
-    ) -> Result<PeerResponse, PeerError> {
+    ) -> Result<R, PeerError> {
         let read = timeout(response_timeout, response.into_body().collect()).await;
         let Ok(Ok(body)) = read else {
             return Err(PeerError::NoResponse);
@@ -142,12 +153,38 @@
     }
 }
 
-/// Serves the calls of other hosts.
+/// Serves the calls of other hosts to a gateway host.
 pub(crate) async fn serve_peers(shared: Arc<Shared>, listener: TcpListener) {
+    serve_messages(listener, move |call| respond(Arc::clone(&shared), call)).await;
+}
+
+async fn respond(shared: Arc<Shared>, call: PeerCall) -> PeerResponse {
+    match call {
+        PeerCall::Store(call) => PeerResponse::Store(handle_store_call(shared.store.direct(), call).await),
+        PeerCall::RangeUpdate { prefix, after } => {
+            PeerResponse::RangeUpdate(range_update(&shared, &prefix, after))
+        }
+        PeerCall::Reserve(request) => PeerResponse::Reservation(handle_reserve(&shared, request).await),
+        PeerCall::Release { call_id, used_tokens } => {
+            handle_release(&shared, &call_id, used_tokens);
+            PeerResponse::Released
+        }
+    }
+}
+
+/// Serves calls of the type `Q` that arrive at `listener`.
+pub(crate) async fn serve_messages<Q, R, F>(
+    listener: TcpListener,
+    handler: impl Fn(Q) -> F + Clone + Send + 'static,
+) where
+    Q: DeserializeOwned + Send + 'static,
+    R: Serialize + Send + 'static,
+    F: Future<Output = R> + Send + 'static,
+{
     loop {
         let stream = accept(&listener).await;
-        let shared = Arc::clone(&shared);
-        let service = service_fn(move |request| respond(Arc::clone(&shared), request));
+        let handler = handler.clone();
+        let service = service_fn(move |request| respond_to_message(handler.clone(), request));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_MAX)
@@ -159,10 +196,15 @@
     }
 }
 
-async fn respond(
-    shared: Arc<Shared>,
+async fn respond_to_message<Q, R, F>(
+    handler: impl Fn(Q) -> F,
     request: Request<Incoming>,
-) -> Result<Response<ResponseBody>, Infallible> {
+) -> Result<Response<ResponseBody>, Infallible>
+where
+    Q: DeserializeOwned,
+    R: Serialize,
+    F: Future<Output = R>,
+{
     let limited = Limited::new(request.into_body(), MESSAGE_MAX_BYTES);
     let call = match limited.collect().await {
         Ok(body) => ciborium::from_reader(&*body.to_bytes()).ok(),
@@ -174,17 +216,7 @@
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return Ok(response);
     };
-    let reply = match call {
-        PeerCall::Store(call) => PeerResponse::Store(handle_store_call(shared.store.direct(), call).await),
-        PeerCall::RangeUpdate { prefix, after } => {
-            PeerResponse::RangeUpdate(range_update(&shared, &prefix, after))
-        }
-        PeerCall::Reserve(request) => PeerResponse::Reservation(handle_reserve(&shared, request).await),
-        PeerCall::Release { call_id, used_tokens } => {
-            handle_release(&shared, &call_id, used_tokens);
-            PeerResponse::Released
-        }
-    };
+    let reply = handler(call).await;
     let mut bytes = Vec::new();
     let encoded = ciborium::into_writer(&reply, &mut bytes);
     let mut response = Response::new(ResponseBody::full(Bytes::from(bytes)));
@@ -194,13 +226,18 @@
     Ok(response)
 }
 
-fn encode(call: &PeerCall) -> Result<Request<Full<Bytes>>, PeerError> {
+/// Encodes a call to another host.
+pub(crate) fn encode_message(call: &impl Serialize) -> Result<Bytes, PeerError> {
     let mut bytes = Vec::new();
     ciborium::into_writer(call, &mut bytes).map_err(|_unencodable| PeerError::Unreachable)?;
-    let mut request = Request::new(Full::new(Bytes::from(bytes)));
+    Ok(Bytes::from(bytes))
+}
+
+fn message_request(message: Bytes) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(message));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static("/peer");
     let headers = request.headers_mut();
     headers.insert(header::HOST, HeaderValue::from_static("peer"));
-    Ok(request)
+    request
 }
--- a/crates/burdockroad-gateway/src/process.rs
+++ b/crates/burdockroad-gateway/src/process.rs
@@ -61,6 +61,8 @@
     pub peer_address: SocketAddr,
     /// Time from the stop signal to the end of the process.
     pub grace_period: Duration,
+    /// Number of hosts with a disk that may be lost at the same time without losing turns.
+    pub tolerated_losses: usize,
 }
 
 /// Signals from outside the process.
@@ -77,6 +79,12 @@
     cause: io::Error,
 }
 
+impl HostError {
+    pub(crate) fn new(address: SocketAddr, cause: io::Error) -> Self {
+        Self { address, cause }
+    }
+}
+
 impl fmt::Display for HostError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "cannot listen on {}", self.address)
@@ -109,9 +117,7 @@
     log.line("started", &started);
     let peer_client = Arc::new(PeerClient::default());
     let shared = Arc::new(Shared::new(
-        options.host.clone(),
-        options.incarnation,
-        options.failure_domain.clone(),
+        &options,
         dialect,
         Arc::new(RelayedStore::new(store, Arc::clone(&peer_client), log.clone())),
         peer_client,
@@ -156,10 +162,7 @@
 async fn start_background_tasks(options: &HostOptions, shared: &Arc<Shared>) -> Result<(), HostError> {
     let socket = reports::bind(options.peer_address)
         .await
-        .map_err(|cause| HostError {
-            address: options.peer_address,
-            cause,
-        })?;
+        .map_err(|cause| HostError::new(options.peer_address, cause))?;
     let calls = bind_listener(options.peer_address).await?;
     let clone_shared = || Arc::clone(shared);
     tokio::spawn(follow(
@@ -179,6 +182,7 @@
     tokio::spawn(keep_registered(clone_shared(), options.peer_address));
     tokio::spawn(serve_peers(clone_shared(), calls));
     tokio::spawn(Arc::clone(&shared.store).probe());
+    tokio::spawn(Arc::clone(&shared.turns).probe_lost_hosts());
     tokio::spawn(reports::send_reports(clone_shared(), Arc::clone(&socket)));
     tokio::spawn(reports::receive_reports(clone_shared(), socket));
     Ok(())
@@ -187,7 +191,7 @@
 async fn bind_listener(address: SocketAddr) -> Result<TcpListener, HostError> {
     listen(address)
         .await
-        .map_err(|cause| HostError { address, cause })
+        .map_err(|cause| HostError::new(address, cause))
 }
 
 /// Lets callers move to other hosts, completes the calls in progress, and returns within the grace period.
--- a/crates/burdockroad-gateway/src/refusal.rs
+++ b/crates/burdockroad-gateway/src/refusal.rs
@@ -10,6 +10,10 @@
 /// `Retry-After` of a host that is not ready. It is short because another host can serve the caller.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// `Retry-After` when the turn that a call continues cannot be read. A host that stores turns is asked again
+/// after this time, too.
+const TURN_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Reason why a call ends without an endpoint's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
@@ -25,6 +29,12 @@
     NoRoute,
     /// The API key is missing or unknown.
     UnknownKey,
+    /// The turn that the call continues does not exist.
+    UnknownTurn,
+    /// Turns cannot be stored at the moment, or the turn that the call continues cannot be read.
+    TurnUnavailable,
+    /// The call's turn could not be stored, so later calls could not continue it.
+    TurnNotStored,
     /// The account exceeds its rate limit.
     OverRate(Duration),
     /// The program's budget has too few tokens left for the call.
@@ -51,6 +61,9 @@
             Self::BodyIncomplete => "body_incomplete",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::UnknownTurn => "unknown_turn",
+            Self::TurnUnavailable => "turn_unavailable",
+            Self::TurnNotStored => "turn_not_stored",
             Self::OverRate(_) => "over_rate",
             Self::BudgetExhausted => "budget_spent",
             Self::NoReservation(_) => "no_reservation",
@@ -64,18 +77,20 @@
     /// Returns the HTTP status. 408, 429 and 503 promise that the call has not run and will not run.
     pub(crate) fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::NoReservation(_) | Self::NoEndpoint(_) | Self::DeadlineExceededUnsent => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::TurnUnavailable
+            | Self::NoReservation(_)
+            | Self::NoEndpoint(_)
+            | Self::DeadlineExceededUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::InvalidHead(_) => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
-            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoRoute | Self::UnknownTurn => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-            Self::UnknownOutcome => StatusCode::BAD_GATEWAY,
+            Self::UnknownOutcome | Self::TurnNotStored => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -83,6 +98,7 @@
     pub(crate) fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NotReady => Some(NOT_READY_RETRY_AFTER),
+            Self::TurnUnavailable => Some(TURN_RETRY_AFTER),
             Self::OverRate(wait) | Self::NoReservation(wait) | Self::NoEndpoint(wait) => Some(wait),
             _ => None,
         }
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -15,22 +15,22 @@
 
 use burdockroad::{
     EndpointId, HostId,
-    gateway::{AccountUsage, EndpointCalls, HostLocation, UsageReport, report_targets},
+    gateway::{AccountUsage, EndpointCalls, HostLocation, UsageReport, report_interval, report_targets},
 };
 use burdockroad_daemon::platform::Revision;
 use serde::{Deserialize, Serialize};
-use tokio::{
-    net::UdpSocket,
-    time::{MissedTickBehavior, interval},
-};
+use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
     follow::{AnnouncedRange, watched_ranges},
     shared::{Shared, Tables},
 };
 
-/// Interval between two reports.
-const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval between two reports of a watcher, whose announcements the other hosts wait for.
+const WATCHER_REPORT_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Backoff after a datagram that could not be received.
+const RECEIVE_BACKOFF: Duration = Duration::from_millis(150);
 
 /// Maximum number of accounts in one datagram. A datagram with this many accounts stays below the usual
 /// packet size.
@@ -105,21 +105,25 @@
 
 /// Sends reports until the host stops.
 pub(crate) async fn send_reports(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
-    let mut ticks = interval(REPORT_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     // The random start value prevents hosts that started together from all choosing the same forwarding host.
     let mut round_number = rand::random::<u16>().into();
     loop {
-        tokio::select! {
-            _tick = ticks.tick() => {}
-            () = shared.report_now.notified() => {}
-        }
         round_number += 1;
         let (local, remote) = report_addresses(&shared, round_number);
-        for report in wire_reports(&shared) {
+        let ranges = watched_ranges(&shared);
+        let interval = if ranges.is_empty() {
+            report_interval(shared.peers.borrow().len() + 1)
+        } else {
+            WATCHER_REPORT_INTERVAL
+        };
+        for report in wire_reports(&shared, ranges) {
             send_all(&socket, DELIVER, &report, &local).await;
             send_all(&socket, FORWARD, &report, &remote).await;
         }
+        tokio::select! {
+            () = sleep(interval) => {}
+            () = shared.report_now.notified() => {}
+        }
     }
 }
 
@@ -159,7 +163,7 @@
     loop {
         let Ok((length, _from)) = socket.recv_from(&mut buffer).await else {
             metrics::counter!("burdockroad_reports_unreadable_total").increment(1);
-            tokio::time::sleep(REPORT_INTERVAL).await;
+            sleep(RECEIVE_BACKOFF).await;
             continue;
         };
         let Some((kind, bytes)) = buffer[..length].split_first() else {
@@ -254,9 +258,10 @@
 }
 
 /// Encodes this host's report in as many datagrams as its accounts need.
-fn wire_reports(shared: &Shared) -> Vec<Vec<u8>> {
-    let ranges = watched_ranges(shared).into_iter();
-    let ranges = ranges.map(|(prefix, last_change)| WireRange { prefix, last_change });
+fn wire_reports(shared: &Shared, ranges: Vec<(String, Revision)>) -> Vec<Vec<u8>> {
+    let ranges = ranges
+        .into_iter()
+        .map(|(prefix, last_change)| WireRange { prefix, last_change });
     let is_served_directly = shared.store.is_served_directly();
     let mut tables = shared.tables();
     let now = Instant::now();
--- a/crates/burdockroad-gateway/src/server.rs
+++ b/crates/burdockroad-gateway/src/server.rs
@@ -93,7 +93,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let mut response = call::serve(Arc::clone(&shared), request).await;
-    if shared.is_stopping() {
+    if shared.is_stopping() || shared.is_isolated() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -18,8 +18,9 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    DecisionLog, Dialect, RangeLog, budgets::RemoteReservation, feed::MissingEndpoints,
+    DecisionLog, Dialect, HostOptions, RangeLog, budgets::RemoteReservation, feed::MissingEndpoints,
     follow::AnnouncedRange, hosts::Peers, peer::PeerClient, pool::ConnectionPool, relay::RelayedStore,
+    turn_store::client::TurnClient,
 };
 
 /// State of one host.
@@ -34,6 +35,8 @@
     pub(crate) store: Arc<RelayedStore>,
     pub(crate) log: DecisionLog,
     pub(crate) pool: ConnectionPool,
+    /// Turns of conversations that the system keeps.
+    pub(crate) turns: Arc<TurnClient>,
     /// The other registered hosts.
     pub(crate) peers: watch::Sender<Peers>,
     pub(crate) peer_client: Arc<PeerClient>,
@@ -88,9 +91,7 @@
 
 impl Shared {
     pub(crate) fn new(
-        host: HostId,
-        incarnation: Incarnation,
-        failure_domain: String,
+        options: &HostOptions,
         dialect: Arc<dyn Dialect>,
         store: Arc<RelayedStore>,
         peer_client: Arc<PeerClient>,
@@ -98,14 +99,19 @@
     ) -> Self {
         let now = Instant::now();
         Self {
-            host,
-            incarnation,
+            host: options.host.clone(),
+            incarnation: options.incarnation,
             started_at: now,
-            failure_domain,
+            failure_domain: options.failure_domain.clone(),
             dialect,
             store,
             log,
             pool: ConnectionPool::default(),
+            turns: Arc::new(TurnClient::new(
+                options.tolerated_losses,
+                options.failure_domain.clone(),
+                Arc::clone(&peer_client),
+            )),
             peers: watch::Sender::new(Peers::new()),
             peer_client,
             stop_started: Notify::new(),
@@ -119,7 +125,7 @@
                 directory_applied_at: None,
                 endpoints: EndpointTable::new(),
                 rate_limiter: RateLimiter::new(now),
-                ledger: Ledger::new(LedgerOptions::default(), incarnation),
+                ledger: Ledger::new(LedgerOptions::default(), options.incarnation),
                 host_count: 0,
                 store_unreachable_since: None,
                 writes_failing_since: None,
@@ -144,10 +150,24 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Returns whether the host can serve calls.
+    /// Returns whether the host can serve new programs.
     pub(crate) fn is_ready(&self) -> bool {
         let tables = self.tables();
-        !self.is_stopping() && tables.directory.is_some() && tables.host_count > 0
+        let is_started = tables.directory.is_some() && tables.host_count > 0;
+        drop(tables);
+        is_started && !self.is_stopping() && !self.is_isolated()
+    }
+
+    /// Returns whether this host reaches neither the store nor another host. Other hosts can then serve its
+    /// callers better.
+    pub(crate) fn is_isolated(&self) -> bool {
+        if self.store.is_served_directly() {
+            return false;
+        }
+        let now = Instant::now();
+        let peers = self.peers.borrow();
+        let tables = self.tables();
+        !peers.is_empty() && !peers.keys().any(|host| tables.rate_limiter.is_live(host, now))
     }
 }
 
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -4,7 +4,7 @@
     fmt, io,
     pin::Pin,
     task::{Context, Poll},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use burdockroad::gateway::EventBuffer;
@@ -17,6 +17,7 @@
 
 use crate::{
     attempt::{Call, OpenedResponse},
+    call::KeptTurn,
     pool::Connection,
     refusal::Refusal,
 };
@@ -99,19 +100,33 @@
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
     events: EventBuffer,
-    ended: bool,
+    /// Turn of the call, on a route whose turns the system keeps.
+    kept_turn: Option<KeptTurn>,
+    progress: Progress,
+}
+
+/// How much of a stream was relayed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// Events may still arrive.
+    Relaying,
+    /// All events were relayed. The caller sees the end of the stream when the turn is stored.
+    AllRelayed,
+    /// The caller has seen the end, or the stream broke off.
+    Ended,
 }
 
 /// Relays an event stream to the caller. If the endpoint's stream breaks off and the route allows repeats,
 /// the relay continues with a new stream, possibly from another endpoint.
-pub(crate) fn relay_events(call: Call, opened: OpenedResponse) -> ResponseBody {
+pub(crate) fn relay_events(mut call: Call, opened: OpenedResponse) -> ResponseBody {
     let relay = Relay {
         events: EventBuffer::after(call.head.last_event),
+        kept_turn: call.kept_turn.take(),
         call,
         keep_alive: opened.head.keep_alive,
         connection: Some(opened.connection),
         body: opened.response.into_body(),
-        ended: false,
+        progress: Progress::Relaying,
     };
     ResponseBody::Events(Box::pin(stream::unfold(relay, |mut relay| async move {
         let chunk = relay.next_chunk().await?;
@@ -130,28 +145,53 @@
     /// Returns the next complete events for the caller; `None` at the end of the stream.
     async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
         loop {
-            if self.ended {
-                return None;
+            match self.progress {
+                Progress::Relaying => {}
+                Progress::AllRelayed => return self.store_turn().await,
+                Progress::Ended => return None,
             }
             let ready = match self.read_frame().await {
                 ReadResult::Data(data) => self.events.push(&data),
                 ReadResult::End => self.end(),
                 ReadResult::Broken => match self.resume().await {
                     Ok(()) => continue,
-                    Err(refusal) => {
-                        self.ended = true;
-                        self.call.record.refusal = Some(refusal);
-                        return Some(Err(io::Error::from(io::ErrorKind::ConnectionAborted)));
-                    }
+                    Err(refusal) => return Some(Err(self.break_off(refusal))),
                 },
             };
             self.call.record.events = self.events.released();
             if !ready.is_empty() {
+                if let Some(kept_turn) = &mut self.kept_turn {
+                    kept_turn.push_events(&ready);
+                }
                 return Some(Ok(ready));
             }
         }
     }
 
+    /// Stores the turn of the call before the caller sees the end of the stream, because a caller that has
+    /// seen the end may continue the turn. Its events are not delayed.
+    async fn store_turn(&mut self) -> Option<io::Result<Bytes>> {
+        if let Some(kept_turn) = self.kept_turn.take() {
+            let started_at = Instant::now();
+            let storing = timeout(self.call.time_left(), kept_turn.store(&self.call.shared));
+            let replicas = storing.await.ok().flatten();
+            self.call.record.store_time = Some(started_at.elapsed());
+            if replicas.is_none() {
+                return Some(Err(self.break_off(Refusal::TurnNotStored)));
+            }
+        }
+        self.progress = Progress::Ended;
+        self.call.record.complete = true;
+        None
+    }
+
+    /// Ends the stream before its end, so that the caller sees that it is incomplete.
+    fn break_off(&mut self, refusal: Refusal) -> io::Error {
+        self.progress = Progress::Ended;
+        self.call.record.refusal = Some(refusal);
+        io::Error::from(io::ErrorKind::ConnectionAborted)
+    }
+
     async fn read_frame(&mut self) -> ReadResult {
         let time_left = self.call.time_left();
         let frame_timeout = if self.call.route.kind.may_retry() {
@@ -168,11 +208,10 @@
 
     /// Ends the stream and returns the remaining data.
     fn end(&mut self) -> Bytes {
-        self.ended = true;
+        self.progress = Progress::AllRelayed;
         if let Some(connection) = self.connection.take() {
             self.call.finish(connection, self.keep_alive);
         }
-        self.call.record.complete = true;
         self.events.take_remainder()
     }
 
--- /dev/null
+++ b/crates/burdockroad-gateway/src/turn_store.rs
@@ -0,0 +1,13 @@
+//! Storage of the turns of conversations that the system keeps.
+//!
+//! Hosts with disks store the turns; gateway hosts write and read them. Each disk host appends the turns it
+//! receives to its [`TurnLog`](log::TurnLog) and copies from the other disk hosts the turns that it should
+//! store but does not. [`burdockroad::gateway`] decides which hosts store a turn and when it is durable.
+
+pub(crate) mod client;
+pub(crate) mod host;
+pub(crate) mod log;
+pub(crate) mod members;
+pub(crate) mod messages;
+pub(crate) mod removal;
+pub(crate) mod sync;
--- /dev/null
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -0,0 +1,283 @@
+//! Writes and reads turns at the hosts that store them.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use burdockroad::{
+    HostId,
+    gateway::{
+        Lookup, LookupOutcome, LookupReply, Replication, ReplicationProgress, Turn, TurnCache,
+        TurnHostHealth, TurnKey, renewals,
+    },
+};
+use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use tokio::time::sleep;
+
+use crate::{
+    clock::unix_ms,
+    peer::{PeerClient, encode_message},
+    turn_store::{
+        members::{TurnMembers, readable, writable},
+        messages::{TurnCall, TurnResponse},
+    },
+};
+
+/// Timeout of a call that stores a turn. After it, the turn is sent to another host.
+const STORE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Timeout of a call that reads turns. After it, another host is asked.
+const READ_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Interval before a turn that was not stored is sent to the same host again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Interval at which lost hosts are looked for.
+const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Memory for recent turns, in bytes.
+const CACHE_BYTES: usize = 8 << 20;
+
+/// Client of the hosts that store turns, with a cache of recent turns.
+#[derive(Debug)]
+pub(crate) struct TurnClient {
+    /// Number of these hosts that may be lost at the same time without losing turns.
+    tolerated_losses: usize,
+    failure_domain: String,
+    peer_client: Arc<PeerClient>,
+    state: Mutex<ClientState>,
+}
+
+#[derive(Debug)]
+struct ClientState {
+    members: TurnMembers,
+    health: TurnHostHealth,
+    cache: TurnCache,
+}
+
+/// Chain of turns that a call continues.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct History {
+    /// The turns, oldest first.
+    pub(crate) turns: Vec<Arc<Turn>>,
+    /// Number of turns that were read from other hosts.
+    pub(crate) read_turns: usize,
+}
+
+/// Reason why a chain could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HistoryError {
+    /// The turn does not exist.
+    Nonexistent,
+    /// The turn may exist, but not all hosts that may store it responded.
+    Uncertain,
+}
+
+impl TurnClient {
+    pub(crate) fn new(tolerated_losses: usize, failure_domain: String, peer_client: Arc<PeerClient>) -> Self {
+        Self {
+            tolerated_losses,
+            failure_domain,
+            peer_client,
+            state: Mutex::new(ClientState {
+                members: TurnMembers::new(),
+                health: TurnHostHealth::default(),
+                cache: TurnCache::new(CACHE_BYTES),
+            }),
+        }
+    }
+
+    /// Changes the table of the hosts that store turns.
+    pub(crate) fn update_members<T>(&self, change: impl FnOnce(&mut TurnMembers) -> T) -> T {
+        change(&mut self.lock().members)
+    }
+
+    /// Returns whether enough hosts are left for a turn to be durable.
+    pub(crate) fn can_store(&self) -> bool {
+        let state = self.lock();
+        let hosts = writable(&state.members);
+        let lost = hosts
+            .iter()
+            .filter(|host| state.health.is_lost(&host.host))
+            .count();
+        lost < hosts.len() && lost <= self.tolerated_losses
+    }
+
+    /// Returns the chain that ends with a turn.
+    pub(crate) async fn history(&self, key: &TurnKey) -> Result<History, HistoryError> {
+        let mut newest_first: Vec<Arc<Turn>> = self.lock().cache.newest_of_chain(key);
+        let mut read_turns = 0;
+        let mut next = match newest_first.last() {
+            Some(oldest) => oldest.previous_key(),
+            None => Some(key.clone()),
+        };
+        while let Some(missing) = next {
+            let read = self.read_chain(&missing).await;
+            let read = match read {
+                // An ancestor of a turn that exists must exist, too.
+                Err(_) if !newest_first.is_empty() => return Err(HistoryError::Uncertain),
+                read => read?,
+            };
+            read_turns += read.len();
+            newest_first.extend(read.into_iter().map(Arc::new));
+            next = newest_first.last().and_then(|oldest| oldest.previous_key());
+        }
+        if newest_first
+            .first()
+            .is_none_or(|turn| turn.expires_unix_ms <= unix_ms())
+        {
+            return Err(HistoryError::Nonexistent);
+        }
+        newest_first.reverse();
+        let mut state = self.lock();
+        for turn in &newest_first {
+            state.cache.insert(Arc::clone(turn));
+        }
+        Ok(History {
+            turns: newest_first,
+            read_turns,
+        })
+    }
+
+    /// Stores a turn that continues `history`. Returns the number of replicas, or `None` when the turn is not
+    /// durable.
+    pub(crate) async fn store(
+        &self,
+        turn: Turn,
+        history: &[Arc<Turn>],
+        storage_time: Duration,
+    ) -> Option<usize> {
+        let storage_time_ms = u64::try_from(storage_time.as_millis()).unwrap_or(u64::MAX);
+        let mut turns = renewals(history, &turn, unix_ms(), storage_time_ms);
+        turns.push(turn.clone());
+        let message = encode_message(&TurnCall::Store(turns)).ok()?;
+        let (mut replication, members) = {
+            let state = self.lock();
+            let hosts = writable(&state.members);
+            let replication = Replication::new(&turn, &hosts, self.tolerated_losses, &state.health);
+            (replication, state.members.clone())
+        };
+        let mut in_flight = FuturesUnordered::new();
+        loop {
+            while let Some(host) = replication.next_host() {
+                let address = members.get(&host).map(|member| member.address);
+                in_flight.push(self.store_at(host, address, message.clone()));
+            }
+            match replication.progress() {
+                ReplicationProgress::Durable => {
+                    self.lock().cache.insert(Arc::new(turn));
+                    return Some(replication.replicas());
+                }
+                ReplicationProgress::Failed => return None,
+                ReplicationProgress::Pending => {}
+            }
+            match in_flight.next().await {
+                Some((_, true)) => replication.record_stored(),
+                Some((host, false)) => {
+                    let is_lost = self.lock().health.is_lost(&host);
+                    replication.record_failed(host, is_lost);
+                }
+                None => return None,
+            }
+        }
+    }
+
+    /// Stores an encoded call at one host. Returns whether it is on the host's disk.
+    async fn store_at(&self, host: HostId, address: Option<SocketAddr>, message: Bytes) -> (HostId, bool) {
+        let Some(address) = address else {
+            return (host, false);
+        };
+        let response = self
+            .peer_client
+            .call_encoded(address, message, STORE_TIMEOUT)
+            .await;
+        let stored = matches!(response, Ok(TurnResponse::Stored));
+        self.record_health(&host, stored);
+        if !stored {
+            sleep(RETRY_INTERVAL).await;
+        }
+        (host, stored)
+    }
+
+    /// Reads the newest turns of a chain from the hosts that may store them, newest turn first.
+    async fn read_chain(&self, key: &TurnKey) -> Result<Vec<Turn>, HistoryError> {
+        let (mut lookup, members) = {
+            let state = self.lock();
+            let hosts = readable(&state.members);
+            let lookup = Lookup::new(key, &self.failure_domain, &hosts, &state.health);
+            (lookup, state.members.clone())
+        };
+        let mut chain = Vec::new();
+        while let Some(host) = lookup.next_host() {
+            let Some(member) = members.get(&host) else {
+                continue;
+            };
+            let call = TurnCall::ReadChain(key.clone());
+            let response = self.peer_client.call(member.address, &call, READ_TIMEOUT).await;
+            self.record_health(&host, response.is_ok());
+            let reply = match response {
+                Ok(TurnResponse::Chain(turns)) if !turns.is_empty() => {
+                    chain = turns;
+                    LookupReply::Found
+                }
+                Ok(TurnResponse::Absent { complete: true }) => LookupReply::Absent,
+                Ok(_) => LookupReply::Incomplete,
+                Err(_) => LookupReply::NoReply,
+            };
+            lookup.record(reply);
+        }
+        match lookup.outcome() {
+            LookupOutcome::Found => Ok(chain),
+            LookupOutcome::Nonexistent => Err(HistoryError::Nonexistent),
+            LookupOutcome::Uncertain => Err(HistoryError::Uncertain),
+        }
+    }
+
+    /// Records whether a host responded.
+    fn record_health(&self, host: &HostId, responded: bool) {
+        let mut state = self.lock();
+        if responded {
+            state.health.record_response(host);
+        } else {
+            state.health.record_failure(host, Instant::now());
+        }
+    }
+
+    /// Probes lost hosts, so that they are used again when they are back.
+    pub(crate) async fn probe_lost_hosts(self: Arc<Self>) {
+        loop {
+            sleep(PROBE_CHECK_INTERVAL).await;
+            let due = self.lock().health.take_due_probes(Instant::now());
+            for host in due {
+                let client = Arc::clone(&self);
+                tokio::spawn(async move { client.probe(host).await });
+            }
+        }
+    }
+
+    fn address_of(&self, host: &str) -> Option<SocketAddr> {
+        self.lock().members.get(host).map(|member| member.address)
+    }
+
+    async fn probe(&self, host: HostId) {
+        let Some(address) = self.address_of(&host) else {
+            // A host that is not registered any more is not used.
+            self.record_health(&host, true);
+            return;
+        };
+        let call = TurnCall::Missing(Vec::new());
+        let response = self
+            .peer_client
+            .call::<TurnResponse>(address, &call, READ_TIMEOUT)
+            .await;
+        self.record_health(&host, response.is_ok());
+    }
+
+    /// Locks the state. The lock is never held across an `await`.
+    fn lock(&self) -> MutexGuard<'_, ClientState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/burdockroad-gateway/src/turn_store/messages.rs
@@ -0,0 +1,56 @@
+//! Calls to hosts that store turns.
+
+use burdockroad::{
+    Incarnation,
+    gateway::{IndexPage, Turn, TurnKey},
+};
+use serde::{Deserialize, Serialize};
+
+/// Call to a host that stores turns.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub(crate) enum TurnCall {
+    /// Stores turns. The response follows when they are on the disk.
+    Store(Vec<Turn>),
+    /// Reads the newest turns of the chain that ends with this turn.
+    ReadChain(TurnKey),
+    /// Reads single turns.
+    Read(Vec<TurnKey>),
+    /// Lists the turns that the host has stored since a position in its index.
+    List {
+        /// Run of the host that the position belongs to; with another run, the list starts anew.
+        incarnation: Incarnation,
+        /// Position in the index.
+        from: u64,
+    },
+    /// Asks which of these turns the host does not have.
+    Missing(Vec<TurnKey>),
+}
+
+/// Response to a [`TurnCall`].
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub(crate) enum TurnResponse {
+    /// All turns of the call are on the disk.
+    Stored,
+    /// The turns may not be on the disk: it failed, or the host is being removed.
+    NotStored,
+    /// Turns of a chain, newest turn first. Further turns of the chain may be stored elsewhere.
+    Chain(Vec<Turn>),
+    /// The host does not have the turn.
+    Absent {
+        /// Whether the host has copied all turns that it should store.
+        complete: bool,
+    },
+    /// Turns that were read; those missing here were not found or did not fit into the response.
+    Turns(Vec<Turn>),
+    /// Part of the host's index.
+    Page {
+        /// Run of the host that the position of the page belongs to.
+        incarnation: Incarnation,
+        /// Turns and the position of the next page.
+        page: IndexPage,
+    },
+    /// The turns that the host does not have.
+    Missing(Vec<TurnKey>),
+}
--- /dev/null
+++ b/crates/burdockroad-gateway/src/turn_store/sync.rs
@@ -0,0 +1,218 @@
+//! Copies turns from the other hosts that store turns.
+//!
+//! A host lists the turns that each other host has stored since its last listing, and copies those that it
+//! should store but does not: after its disk was lost, after it was unreachable, and when it takes the place
+//! of another host. Turns never change, so copies need no comparison.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use burdockroad::{
+    HostId, Incarnation,
+    gateway::{IndexPage, TurnHost, TurnHostHealth, TurnKey, missing_replicas},
+};
+use serde::Serialize;
+use tokio::time::sleep;
+
+use super::{
+    host::TurnHostState,
+    members::TurnMember,
+    messages::{TurnCall, TurnResponse},
+};
+
+/// Interval between two listings while turns are stored.
+const SYNC_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Interval between two listings while neither this host nor another has any turn.
+const IDLE_SYNC_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Timeout of a call to another host.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Maximum number of turns in one listing.
+pub(super) const PAGE_MAX_TURNS: usize = 2000;
+
+/// Maximum number of turns requested in one call.
+const FETCH_MAX_TURNS: usize = 200;
+
+/// Copying of turns from the other hosts.
+struct Synchronizer {
+    state: Arc<TurnHostState>,
+    positions: HashMap<HostId, Position>,
+    /// Health of the other hosts. The replicas of lost hosts are taken over.
+    health: TurnHostHealth,
+    /// Hosts among which the replicas were last divided.
+    live_hosts: Vec<TurnHost>,
+}
+
+/// How far another host's index was read.
+#[derive(Clone, Copy, Default)]
+struct Position {
+    incarnation: Incarnation,
+    next: u64,
+}
+
+/// Reason why a copy from another host ended early. It is continued in the next round.
+#[derive(Clone, Copy, Debug)]
+enum SyncError {
+    /// The other host did not respond as expected.
+    NoResponse,
+    /// The copied turns could not be written to the disk.
+    DiskFailed,
+}
+
+/// Copies turns until the host stops.
+pub(super) async fn synchronize(state: Arc<TurnHostState>) {
+    let mut synchronizer = Synchronizer {
+        state,
+        positions: HashMap::new(),
+        health: TurnHostHealth::default(),
+        live_hosts: Vec::new(),
+    };
+    loop {
+        synchronizer.run_round().await;
+        let idle =
+            synchronizer.state.log.is_empty() && synchronizer.positions.values().all(|at| at.next == 0);
+        let complete = synchronizer.state.complete.load(Ordering::Relaxed);
+        sleep(if idle && complete {
+            IDLE_SYNC_INTERVAL
+        } else {
+            SYNC_INTERVAL
+        })
+        .await;
+    }
+}
+
+impl Synchronizer {
+    /// Lists the new turns of all other hosts and copies those that this host should store.
+    async fn run_round(&mut self) {
+        let members = self.state.members();
+        let others: Vec<(HostId, TurnMember)> = members
+            .into_iter()
+            .filter(|(host, _)| *host != self.state.host)
+            .collect();
+        self.update_live_hosts(&others);
+        let mut reached = 0;
+        for (host, member) in &others {
+            match self.copy_from(host, member).await {
+                Ok(()) => {
+                    reached += 1;
+                    self.health.record_response(host);
+                }
+                Err(SyncError::DiskFailed) => self.health.record_response(host),
+                Err(SyncError::NoResponse) => self.health.record_failure(host, Instant::now()),
+            }
+        }
+        let unreached = others.len() - reached;
+        let registered = self.state.registered.load(Ordering::Relaxed);
+        if registered && unreached <= self.state.tolerated_losses {
+            self.state.complete.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Divides the replicas among the hosts that respond. When these change, all indexes are read again,
+    /// because this host may have to store other turns.
+    fn update_live_hosts(&mut self, others: &[(HostId, TurnMember)]) {
+        let live = others
+            .iter()
+            .filter(|(host, member)| !member.leaving && !self.health.is_lost(host));
+        let mut live_hosts: Vec<TurnHost> = live
+            .map(|(host, member)| TurnHost {
+                host: host.clone(),
+                failure_domain: member.failure_domain.clone(),
+            })
+            .collect();
+        live_hosts.push(self.state.location());
+        if live_hosts != self.live_hosts {
+            let hosts = live_hosts.len();
+            self.state
+                .decisions
+                .line("turn_hosts_changed", &LiveHostsLine { hosts });
+            self.live_hosts = live_hosts;
+            self.positions.clear();
+        }
+    }
+
+    /// Copies the turns that this host should store from another host.
+    async fn copy_from(&mut self, host: &HostId, member: &TurnMember) -> Result<(), SyncError> {
+        loop {
+            let position = self.positions.get(host).copied().unwrap_or_default();
+            let call = TurnCall::List {
+                incarnation: position.incarnation,
+                from: position.next,
+            };
+            let TurnResponse::Page { incarnation, page } = self.call(member, &call).await? else {
+                return Err(SyncError::NoResponse);
+            };
+            let copied = self.copy_missing(member, &page).await?;
+            if copied > 0 {
+                let line = TurnsCopiedLine {
+                    from: host,
+                    turns: copied,
+                };
+                self.state.decisions.line("turns_copied", &line);
+            }
+            let position = Position {
+                incarnation,
+                next: page.next,
+            };
+            self.positions.insert(host.clone(), position);
+            if page.turns.len() < PAGE_MAX_TURNS {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Copies the listed turns that this host should store. Returns their number.
+    async fn copy_missing(&self, member: &TurnMember, page: &IndexPage) -> Result<usize, SyncError> {
+        if self.state.is_leaving() {
+            return Ok(0);
+        }
+        let missing = missing_replicas(
+            &self.state.host,
+            &page.turns,
+            self.state.tolerated_losses + 1,
+            &self.live_hosts,
+            |key| self.state.log.contains(key),
+        );
+        let mut missing: Vec<TurnKey> = missing.into_iter().cloned().collect();
+        let mut copied = 0;
+        while !missing.is_empty() {
+            let requested = missing.iter().take(FETCH_MAX_TURNS).cloned().collect();
+            let TurnResponse::Turns(turns) = self.call(member, &TurnCall::Read(requested)).await? else {
+                return Err(SyncError::NoResponse);
+            };
+            copied += turns.len();
+            let received = turns.len();
+            self.state.log.append(turns).await.map_err(|error| {
+                self.state.log_disk_error(&error);
+                SyncError::DiskFailed
+            })?;
+            missing.retain(|key| !self.state.log.contains(key));
+            if received == 0 {
+                // The remaining turns have expired since they were listed.
+                break;
+            }
+        }
+        Ok(copied)
+    }
+
+    async fn call(&self, member: &TurnMember, call: &TurnCall) -> Result<TurnResponse, SyncError> {
+        let response = self.state.client.call(member.address, call, CALL_TIMEOUT).await;
+        response.map_err(|_no_response| SyncError::NoResponse)
+    }
+}
+
+#[derive(Serialize)]
+struct LiveHostsLine {
+    hosts: usize,
+}
+
+#[derive(Serialize)]
+struct TurnsCopiedLine<'a> {
+    from: &'a str,
+    turns: usize,
+}
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -12,6 +12,7 @@
 //!   report.
 //! * [`next_step`] selects the action after a failed attempt.
 //! * [`EventBuffer`] splits an event stream into complete events.
+//! * [`Turn`] and the types around it keep the history of conversations on routes that ask for it.
 
 mod budget;
 mod directory;
@@ -23,6 +24,7 @@
 mod rate_limit;
 mod retry;
 mod running;
+mod turns;
 
 pub use self::{
     budget::{
@@ -30,7 +32,7 @@
         VersionedBudget,
     },
     directory::{AccountLookup, Directory},
-    dissemination::{HostLocation, report_targets, should_watch, watchers},
+    dissemination::{HostLocation, report_interval, report_targets, should_watch, watchers},
     document::{Account, CallerLimits, Document, EngineInfo, Route, RouteKind, Service, Target},
     events::EventBuffer,
     placement::{
@@ -40,4 +42,9 @@
     rate_limit::{AccountUsage, Admission, RateLimiter, UsageReport},
     retry::{Failure, NextStep, RetryState, next_step},
     running::RunningPrograms,
+    turns::{
+        IndexPage, IndexedTurn, Lookup, LookupOutcome, LookupReply, OutputCollector, Replication,
+        ReplicationProgress, Turn, TurnCache, TurnHost, TurnHostHealth, TurnId, TurnIndex, TurnKey,
+        is_replica, missing_replicas, prompt, renewals, replica_order,
+    },
 };
--- a/crates/burdockroad/src/gateway/dissemination.rs
+++ b/crates/burdockroad/src/gateway/dissemination.rs
@@ -4,7 +4,10 @@
 //! other's reports. Each request to the store and each byte between failure domains has a cost. Therefore
 //! only a few hosts watch the store, and a report is sent only once to each other failure domain.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use crate::{ids::HostId, ownership::rendezvous_order};
 
@@ -17,6 +20,13 @@
 /// Key of the rendezvous hash that ranks hosts as watchers.
 const WATCH_RANK_KEY: &str = "watch";
 
+/// Shortest interval between two reports of a host.
+const REPORT_INTERVAL_MIN: Duration = Duration::from_millis(150);
+
+/// Reports that a host receives per second at most. The processor time that reports take therefore stays the
+/// same when a fleet grows; the reports of each host come less often instead.
+const RECEIVED_REPORTS_MAX_PER_S: u32 = 480;
+
 /// Host with its failure domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostLocation {
@@ -26,15 +36,26 @@
     pub failure_domain: String,
 }
 
+/// Returns the interval between two reports of a host in a fleet of `hosts`.
+pub fn report_interval(hosts: usize) -> Duration {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    let interval = Duration::from_secs(1) / RECEIVED_REPORTS_MAX_PER_S * hosts;
+    interval.max(REPORT_INTERVAL_MIN)
+}
+
 /// Returns the hosts that watch the store on behalf of all, selected from the live hosts.
 ///
 /// They are in different failure domains if there are enough domains.
 pub fn watchers(live: &[HostLocation]) -> Vec<HostId> {
+    let domain_of: HashMap<&str, &str> = live
+        .iter()
+        .map(|location| (location.host.as_str(), location.failure_domain.as_str()))
+        .collect();
     let ranked = rendezvous_order(WATCH_RANK_KEY, live.iter().map(|location| location.host.clone()));
     let mut domains = BTreeSet::new();
     let (mut first, rest): (Vec<HostId>, Vec<HostId>) = ranked.into_iter().partition(|host| {
-        let location = live.iter().find(|location| location.host == *host);
-        location.is_some_and(|location| domains.insert(&location.failure_domain))
+        let domain = domain_of.get(host.as_str());
+        domain.is_some_and(|domain| domains.insert(*domain))
     });
     first.extend(rest);
     first.truncate(WATCHER_COUNT);
--- a/crates/burdockroad/src/gateway/document.rs
+++ b/crates/burdockroad/src/gateway/document.rs
@@ -40,8 +40,10 @@
     pub endpoints_max: u32,
     /// Whether calls without a key are accepted.
     pub public: bool,
-    /// Time after a program has stopped within which it may resume.
+    /// Time after a program has stopped within which it may resume, and for which its turns are kept.
     pub retention: Duration,
+    /// Whether the system keeps the turns of conversations, so that callers send only their new input.
+    pub keeps_turns: bool,
 }
 
 /// Kind of a route's calls, which determines whether a call may be repeated.
--- a/crates/burdockroad/src/gateway/rate_limit.rs
+++ b/crates/burdockroad/src/gateway/rate_limit.rs
@@ -14,10 +14,20 @@
 };
 
 use self::bucket::AccountBucket;
-use crate::ids::{AccountId, HostId};
+use crate::{
+    gateway::report_interval,
+    ids::{AccountId, HostId},
+};
+
+/// Age of the last report from which a host counts as unresponsive, in a fleet whose hosts report at the
+/// shortest interval.
+const UNRESPONSIVE_AFTER_MIN: Duration = Duration::from_millis(500);
 
-/// Age of the last report from which a host counts as unresponsive.
-const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(500);
+/// Report intervals after which a host counts as unresponsive. A datagram may be lost.
+const UNRESPONSIVE_AFTER_REPORTS: u32 = 3;
+
+/// Time that a report takes to arrive.
+const REPORT_DELAY: Duration = Duration::from_millis(50);
 
 /// Time after its start during which a host adopts the levels reported by hosts that have run longer.
 const STARTUP_SYNC_PERIOD: Duration = Duration::from_secs(1);
@@ -206,21 +216,32 @@
         }
     }
 
-    /// Returns whether a host is live: its last report is younger than `UNRESPONSIVE_AFTER`.
+    /// Returns whether a host is live: its last report is recent.
     pub fn is_live(&self, host: &str, now: Instant) -> bool {
         let peer = self.peers.get(host);
-        peer.is_some_and(|peer| peer.is_live(now))
+        peer.is_some_and(|peer| peer.is_live(self.unresponsive_after(), now))
     }
 
     /// Returns the number of unresponsive hosts, which may admit calls unseen by this host.
     fn unresponsive_hosts(&self, now: Instant) -> usize {
-        self.peers.values().filter(|peer| !peer.is_live(now)).count()
+        let unresponsive_after = self.unresponsive_after();
+        let unresponsive = self
+            .peers
+            .values()
+            .filter(|peer| !peer.is_live(unresponsive_after, now));
+        unresponsive.count()
+    }
+
+    /// Returns the age of the last report from which a host counts as unresponsive.
+    fn unresponsive_after(&self) -> Duration {
+        let reports = report_interval(self.peers.len() + 1) * UNRESPONSIVE_AFTER_REPORTS;
+        (reports + REPORT_DELAY).max(UNRESPONSIVE_AFTER_MIN)
     }
 }
 
 impl PeerState {
-    fn is_live(&self, now: Instant) -> bool {
+    fn is_live(&self, unresponsive_after: Duration, now: Instant) -> bool {
         self.last_report_at
-            .is_some_and(|at| now < at + UNRESPONSIVE_AFTER)
+            .is_some_and(|at| now < at + unresponsive_after)
     }
 }
--- a/crates/burdockroad/src/gateway/rate_limit/bucket.rs
+++ b/crates/burdockroad/src/gateway/rate_limit/bucket.rs
@@ -5,15 +5,15 @@
     time::{Duration, Instant},
 };
 
-use super::{AccountUsage, Admission, PeerState, UsageReport};
-use crate::ids::{AccountId, HostId};
+use super::{AccountUsage, Admission, PeerState, REPORT_DELAY, UsageReport};
+use crate::{
+    gateway::report_interval,
+    ids::{AccountId, HostId},
+};
 
 /// Time constant of the demand averages, in seconds.
 const DEMAND_WINDOW_S: f64 = 1.0;
 
-/// Time until calls admitted at one host are seen by the others, in seconds.
-const REPORT_LAG_S: f64 = 0.2;
-
 /// Fraction of its share that a host may use while the account's bucket is overdrawn.
 const OVERDRAWN_RATE_FACTOR: f64 = 0.8;
 
@@ -67,6 +67,8 @@
     /// Calls that this host may admit from its share of the rate.
     own_level: f64,
     refilled_at: Instant,
+    /// Time until calls admitted at one host are seen by the others, in seconds.
+    report_lag_s: f64,
     round: u64,
     /// Calls that may be admitted from the common level until the current report round ends.
     round_remaining: f64,
@@ -87,6 +89,7 @@
             level: 0.0,
             own_level: 0.0,
             refilled_at: started_at,
+            report_lag_s: 0.0,
             round: u64::MAX,
             round_remaining: 0.0,
             admitted: 0,
@@ -135,7 +138,8 @@
         } else {
             1.0
         };
-        let own_max = (own_rate_per_s * REPORT_LAG_S).max(1.5);
+        self.report_lag_s = (report_interval(hosts) + REPORT_DELAY).as_secs_f64();
+        let own_max = (own_rate_per_s * self.report_lag_s).max(1.5);
         self.own_level = (self.own_level + elapsed_s * own_rate_per_s * rate_factor).min(own_max);
         let decay = (-elapsed_s / DEMAND_WINDOW_S).exp();
         self.demand_per_s *= decay;
@@ -243,7 +247,7 @@
 
     /// Returns the level below which reports arrive too late to keep the overdraft within its tolerance.
     fn low_watermark(&self) -> f64 {
-        let unseen = self.expected_per_s() * REPORT_LAG_S;
+        let unseen = self.expected_per_s() * self.report_lag_s;
         let tolerated = OVERDRAFT_CALLS + OVERDRAFT_FRACTION * (self.rate_per_s + self.burst);
         (unseen - tolerated).clamp(1.0, (self.burst / 2.0).max(1.0))
     }
--- /dev/null
+++ b/crates/burdockroad/src/gateway/turns.rs
@@ -0,0 +1,31 @@
+//! Decisions for conversations whose history the system keeps.
+//!
+//! A turn is one call of a conversation: the input that the caller sent and the output that the endpoint
+//! generated. The caller names the previous turn instead of repeating the history. A [`Turn`] is written once
+//! and never changes, so replicas of it cannot disagree, and no leader or quorum is needed:
+//!
+//! * [`replica_order`] ranks the hosts that store a turn, and [`Replication`] decides when it is durable.
+//!   [`TurnHostHealth`] tells which of these hosts are lost.
+//! * [`Lookup`] decides whether a turn that was not found does not exist.
+//! * [`TurnCache`] holds recent turns in memory, and [`prompt`] joins a chain of turns with the new input.
+//! * [`OutputCollector`] extracts a turn's output from its event stream.
+//! * [`TurnIndex`] lists the turns on a host's disk, and [`missing_replicas`] selects those to copy from
+//!   another host.
+
+mod cache;
+mod health;
+mod index;
+mod lookup;
+mod output;
+mod replication;
+mod turn;
+
+pub use self::{
+    cache::TurnCache,
+    health::TurnHostHealth,
+    index::{IndexPage, IndexedTurn, TurnIndex},
+    lookup::{Lookup, LookupOutcome, LookupReply},
+    output::OutputCollector,
+    replication::{Replication, ReplicationProgress, TurnHost, is_replica, missing_replicas, replica_order},
+    turn::{Turn, TurnId, TurnKey, prompt, renewals},
+};
--- /dev/null
+++ b/crates/burdockroad/src/gateway/turns/health.rs
@@ -0,0 +1,76 @@
+//! Which of the hosts that store turns are lost.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use crate::ids::HostId;
+
+/// Time between the first and the last of a host's consecutive failures after which it counts as lost. A host
+/// that is only slow for a moment must not count as lost, because a turn then gets fewer replicas.
+const LOST_MIN: Duration = Duration::from_millis(500);
+
+/// Interval at which a lost host is probed.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Health of the hosts that store turns, as seen by one host that calls them.
+#[derive(Clone, Debug, Default)]
+pub struct TurnHostHealth {
+    failing: HashMap<HostId, Failures>,
+}
+
+/// Consecutive failures of a host.
+#[derive(Clone, Copy, Debug)]
+struct Failures {
+    first: Instant,
+    last: Instant,
+    last_probe: Instant,
+}
+
+impl Failures {
+    fn is_lost(&self) -> bool {
+        self.last.saturating_duration_since(self.first) >= LOST_MIN
+    }
+}
+
+impl TurnHostHealth {
+    /// Records that a host responded.
+    pub fn record_response(&mut self, host: &str) {
+        self.failing.remove(host);
+    }
+
+    /// Records that a host did not respond, or failed to store a turn.
+    pub fn record_failure(&mut self, host: &HostId, now: Instant) {
+        let failures = self.failing.entry(host.clone()).or_insert(Failures {
+            first: now,
+            last: now,
+            last_probe: now,
+        });
+        failures.last = now;
+    }
+
+    /// Returns whether the last call to a host failed.
+    pub fn is_failing(&self, host: &str) -> bool {
+        self.failing.contains_key(host)
+    }
+
+    /// Returns whether a host counts as lost.
+    pub fn is_lost(&self, host: &str) -> bool {
+        let failures = self.failing.get(host);
+        failures.is_some_and(Failures::is_lost)
+    }
+
+    /// Returns the lost hosts that should be probed now. They are next returned after [`PROBE_INTERVAL`].
+    pub fn take_due_probes(&mut self, now: Instant) -> Vec<HostId> {
+        let due = self
+            .failing
+            .iter_mut()
+            .filter(|(_, failures)| failures.is_lost() && now >= failures.last_probe + PROBE_INTERVAL);
+        let due = due.map(|(host, failures)| {
+            failures.last_probe = now;
+            host.clone()
+        });
+        due.collect()
+    }
+}
--- /dev/null
+++ b/crates/burdockroad/src/gateway/turns/index.rs
@@ -0,0 +1,131 @@
+//! Index of the turns on a host's disk.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::{Turn, TurnId, TurnKey};
+
+/// Turn in the index of a host, as listed to other hosts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct IndexedTurn {
+    /// Name of the turn.
+    pub key: TurnKey,
+    /// First turn of the chain.
+    pub root: TurnId,
+    /// Failure domain of the host that served the first turn of the chain.
+    pub home_domain: String,
+}
+
+/// Part of an index.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct IndexPage {
+    /// Turns in the order in which they were stored.
+    pub turns: Vec<IndexedTurn>,
+    /// Position from which the next page continues.
+    pub next: u64,
+}
+
+/// Turns on a disk, with the locations of their records. `L` tells where the disk holds a record.
+#[derive(Debug)]
+pub struct TurnIndex<L> {
+    entries: HashMap<TurnKey, IndexEntry<L>>,
+    /// Names of the turns by position, in the order in which they were stored.
+    by_position: BTreeMap<u64, TurnKey>,
+    next_position: u64,
+}
+
+#[derive(Debug)]
+struct IndexEntry<L> {
+    location: L,
+    position: u64,
+    root: TurnId,
+    home_domain: String,
+    expires_unix_ms: u64,
+    stored_until_unix_ms: u64,
+}
+
+impl<L> Default for TurnIndex<L> {
+    fn default() -> Self {
+        Self {
+            entries: HashMap::new(),
+            by_position: BTreeMap::new(),
+            next_position: 0,
+        }
+    }
+}
+
+impl<L: Clone> TurnIndex<L> {
+    /// Adds a turn. Of several records of a turn, the one that is stored for the longest time is indexed.
+    pub fn insert(&mut self, turn: &Turn, location: L) {
+        if let Some(present) = self.entries.get(&turn.key) {
+            if present.stored_until_unix_ms >= turn.stored_until_unix_ms {
+                return;
+            }
+            self.by_position.remove(&present.position);
+        }
+        let entry = IndexEntry {
+            location,
+            position: self.next_position,
+            root: turn.root.clone(),
+            home_domain: turn.home_domain.clone(),
+            expires_unix_ms: turn.expires_unix_ms,
+            stored_until_unix_ms: turn.stored_until_unix_ms,
+        };
+        self.entries.insert(turn.key.clone(), entry);
+        self.by_position.insert(self.next_position, turn.key.clone());
+        self.next_position += 1;
+    }
+
+    /// Returns whether the turn is indexed.
+    pub fn contains(&self, key: &TurnKey) -> bool {
+        self.entries.contains_key(key)
+    }
+
+    /// Returns whether the turn may be continued: it is indexed and has not expired.
+    pub fn may_continue(&self, key: &TurnKey, now_unix_ms: u64) -> bool {
+        let entry = self.entries.get(key);
+        entry.is_some_and(|entry| entry.expires_unix_ms > now_unix_ms)
+    }
+
+    /// Returns the location of a turn.
+    pub fn location(&self, key: &TurnKey) -> Option<L> {
+        self.entries.get(key).map(|entry| entry.location.clone())
+    }
+
+    /// Returns at most `page_max` turns from position `from`.
+    pub fn page(&self, from: u64, page_max: usize) -> IndexPage {
+        let mut next = from.min(self.next_position);
+        let mut turns = Vec::new();
+        for (position, key) in self.by_position.range(from..).take(page_max) {
+            next = position + 1;
+            if let Some(entry) = self.entries.get(key) {
+                turns.push(IndexedTurn {
+                    key: key.clone(),
+                    root: entry.root.clone(),
+                    home_domain: entry.home_domain.clone(),
+                });
+            }
+        }
+        IndexPage { turns, next }
+    }
+
+    /// Removes the turns whose storage time has passed.
+    pub fn remove_expired(&mut self, now_unix_ms: u64) {
+        let entries = &mut self.entries;
+        entries.retain(|_, entry| entry.stored_until_unix_ms > now_unix_ms);
+        self.by_position.retain(|_, key| entries.contains_key(key));
+    }
+
+    /// Returns the number of turns.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether the index has no turns.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/burdockroad/src/gateway/turns/lookup.rs
@@ -0,0 +1,85 @@
+//! Decision whether a turn exists.
+//!
+//! Load pattern: callers that name turns that never existed, beside callers whose turns are stored on hosts
+//! that are unreachable at the moment. A caller gives its program up when a turn does not exist, so the turn
+//! is reported as nonexistent only after every host that may store it has said so.
+
+use std::collections::VecDeque;
+
+use crate::{
+    gateway::{TurnHost, TurnHostHealth, TurnKey, replica_order},
+    ids::HostId,
+};
+
+/// Reply of one host to a lookup.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LookupReply {
+    /// The host has the turn.
+    Found,
+    /// The host does not have the turn, and has all turns that it should store.
+    Absent,
+    /// The host does not have the turn, but may still have to copy it from another host.
+    Incomplete,
+    /// The host did not reply.
+    NoReply,
+}
+
+/// Outcome of a lookup.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LookupOutcome {
+    /// A host has the turn.
+    Found,
+    /// The turn does not exist.
+    Nonexistent,
+    /// The turn may exist.
+    Uncertain,
+}
+
+/// Lookup of one turn at the hosts that may store it, one after the other.
+#[derive(Clone, Debug)]
+pub struct Lookup {
+    untried: VecDeque<HostId>,
+    outcome: LookupOutcome,
+}
+
+impl Lookup {
+    /// Starts a lookup by a host of `failure_domain`. Hosts of the same domain are asked first, failing hosts
+    /// last. Lost hosts are not asked, and the lookup counts them as not having replied.
+    pub fn new(key: &TurnKey, failure_domain: &str, hosts: &[TurnHost], health: &TurnHostHealth) -> Self {
+        let order = replica_order(&key.turn, failure_domain, hosts);
+        let (lost, usable): (Vec<HostId>, Vec<HostId>) =
+            order.into_iter().partition(|host| health.is_lost(host));
+        let mut untried = VecDeque::from(usable);
+        untried
+            .make_contiguous()
+            .sort_by_key(|host| health.is_failing(host));
+        let outcome = if hosts.is_empty() || !lost.is_empty() {
+            LookupOutcome::Uncertain
+        } else {
+            LookupOutcome::Nonexistent
+        };
+        Self { untried, outcome }
+    }
+
+    /// Returns the next host to ask; `None` when the outcome is known.
+    pub fn next_host(&mut self) -> Option<HostId> {
+        if self.outcome == LookupOutcome::Found {
+            return None;
+        }
+        self.untried.pop_front()
+    }
+
+    /// Records the reply of a host.
+    pub fn record(&mut self, reply: LookupReply) {
+        match reply {
+            LookupReply::Found => self.outcome = LookupOutcome::Found,
+            LookupReply::Absent => {}
+            LookupReply::Incomplete | LookupReply::NoReply => self.outcome = LookupOutcome::Uncertain,
+        }
+    }
+
+    /// Returns the outcome of the replies so far.
+    pub fn outcome(&self) -> LookupOutcome {
+        self.outcome
+    }
+}
--- /dev/null
+++ b/crates/burdockroad/src/gateway/turns/output.rs
@@ -0,0 +1,66 @@
+//! Extraction of a turn's output from its event stream.
+
+use bytes::{Bytes, BytesMut};
+
+/// Collects the data of an event stream's events, each followed by a line feed.
+///
+/// # Example
+///
+/// ```
+/// use burdockroad::gateway::OutputCollector;
+///
+/// let mut collector = OutputCollector::default();
+/// collector.push(b"id: 1\ndata: first\n\n");
+/// collector.push(b"id: 2\ndata: second\n\n");
+/// assert_eq!(collector.finish(), "first\nsecond\n");
+/// ```
+#[derive(Debug, Default)]
+pub struct OutputCollector {
+    output: BytesMut,
+    /// Data of the event whose lines are being read; `None` until its first data field.
+    event_data: Option<BytesMut>,
+}
+
+impl OutputCollector {
+    /// Adds complete events.
+    pub fn push(&mut self, events: &[u8]) {
+        for line in events.split_inclusive(|byte| *byte == b'\n') {
+            let line = line.strip_suffix(b"\n").unwrap_or(line);
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if line.is_empty() {
+                self.end_event();
+            } else if let Some(data) = data_of(line) {
+                self.push_data(data);
+            }
+        }
+    }
+
+    /// Returns the output. The last event of the stream may lack the empty line.
+    pub fn finish(mut self) -> Bytes {
+        self.end_event();
+        self.output.freeze()
+    }
+
+    /// Adds one data field. An event's fields are separated by line feeds.
+    fn push_data(&mut self, data: &[u8]) {
+        if let Some(event_data) = &mut self.event_data {
+            event_data.extend_from_slice(b"\n");
+            event_data.extend_from_slice(data);
+        } else {
+            self.event_data = Some(BytesMut::from(data));
+        }
+    }
+
+    fn end_event(&mut self) {
+        if let Some(data) = self.event_data.take() {
+            self.output.extend_from_slice(&data);
+            self.output.extend_from_slice(b"\n");
+        }
+    }
+}
+
+/// Returns the value of a line's data field; `None` for other fields.
+fn data_of(line: &[u8]) -> Option<&[u8]> {
+    let value = line.strip_prefix(b"data:")?;
+    Some(value.strip_prefix(b" ").unwrap_or(value))
+}
--- a/crates/burdockroad/tests/gateway_calls.rs
+++ b/crates/burdockroad/tests/gateway_calls.rs
@@ -22,6 +22,7 @@
         endpoints_max: 1,
         public,
         retention: Duration::ZERO,
+        keeps_turns: false,
     }
 }
 
--- /dev/null
+++ b/crates/burdockroad/tests/gateway_turns.rs
@@ -0,0 +1,356 @@
+//! Decisions on turns of conversations that the system keeps.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use burdockroad::gateway::{
+    EventBuffer, IndexedTurn, Lookup, LookupOutcome, LookupReply, OutputCollector, Replication,
+    ReplicationProgress, Turn, TurnCache, TurnHost, TurnHostHealth, TurnIndex, TurnKey, is_replica,
+    missing_replicas, prompt, renewals, replica_order,
+};
+use bytes::Bytes;
+use proptest::prelude::{Strategy, any, prop, prop_assert, prop_assert_eq, proptest};
+
+fn key(turn: &str) -> TurnKey {
+    TurnKey {
+        account: "account".to_owned(),
+        turn: turn.to_owned(),
+    }
+}
+
+fn turn(id: &str, previous: Option<&str>, input: &[u8], output: &[u8]) -> Turn {
+    Turn {
+        key: key(id),
+        previous: previous.map(str::to_owned),
+        root: "root".to_owned(),
+        home_domain: "a".to_owned(),
+        expires_unix_ms: 1000,
+        stored_until_unix_ms: 2000,
+        input: Bytes::copy_from_slice(input),
+        output: Bytes::copy_from_slice(output),
+    }
+}
+
+fn hosts(domains: &[&str]) -> Vec<TurnHost> {
+    let hosts = domains.iter().enumerate().map(|(number, domain)| TurnHost {
+        host: format!("h{number}"),
+        failure_domain: (*domain).to_owned(),
+    });
+    hosts.collect()
+}
+
+/// One turn of a random conversation: the turn it continues, its input and the data of its events.
+#[derive(Clone, Debug)]
+struct RandomTurn {
+    continues: prop::sample::Index,
+    is_first: bool,
+    input: Vec<u8>,
+    events: Vec<Vec<u8>>,
+}
+
+fn random_turn() -> impl Strategy<Value = RandomTurn> {
+    let data = prop::collection::vec(
+        any::<u8>().prop_filter("no line break", |byte| !b"\r\n".contains(byte)),
+        0..40,
+    );
+    let fields = (
+        any::<prop::sample::Index>(),
+        prop::bool::weighted(0.2),
+        prop::collection::vec(any::<u8>(), 0..60),
+        prop::collection::vec(data, 0..5),
+    );
+    fields.prop_map(|(continues, is_first, input, events)| RandomTurn {
+        continues,
+        is_first,
+        input,
+        events,
+    })
+}
+
+/// Returns the event stream of a turn.
+fn stream_of(events: &[Vec<u8>]) -> Vec<u8> {
+    let mut stream = Vec::new();
+    for (number, data) in events.iter().enumerate() {
+        stream.extend_from_slice(format!("id: {}\ndata: ", number + 1).as_bytes());
+        stream.extend_from_slice(data);
+        stream.extend_from_slice(b"\n\n");
+    }
+    stream
+}
+
+/// Collects the output of a stream that arrives in chunks of a size.
+fn collect_output(stream: &[u8], chunk_bytes: usize) -> Bytes {
+    let mut events = EventBuffer::after(None);
+    let mut output = OutputCollector::default();
+    for chunk in stream.chunks(chunk_bytes) {
+        output.push(&events.push(chunk));
+    }
+    output.push(&events.take_remainder());
+    output.finish()
+}
+
+proptest! {
+    /// In a random tree of turns, the prompt of each turn is what its ancestors' inputs and events add up to,
+    /// however the events were cut into chunks.
+    #[test]
+    fn prompt_for_any_tree_of_turns_is_rebuilt_byte_for_byte(
+        conversation in prop::collection::vec(random_turn(), 1..24),
+        chunk_bytes in 1_usize..50,
+    ) {
+        let mut cache = TurnCache::new(1 << 20);
+        let mut histories: Vec<Vec<u8>> = Vec::new();
+        for (number, random) in conversation.iter().enumerate() {
+            let previous = (number > 0 && !random.is_first).then(|| random.continues.index(number));
+            let mut expected = previous.map_or_else(Vec::new, |previous| histories[previous].clone());
+            let chain = previous.map_or_else(Vec::new, |previous| {
+                let mut newest_first = cache.newest_of_chain(&key(&previous.to_string()));
+                newest_first.reverse();
+                newest_first
+            });
+            expected.extend_from_slice(&random.input);
+            prop_assert_eq!(&*prompt(&chain, &random.input), &*expected);
+            for data in &random.events {
+                expected.extend_from_slice(data);
+                expected.push(b'\n');
+            }
+            histories.push(expected);
+            let output = collect_output(&stream_of(&random.events), chunk_bytes);
+            let previous = previous.map(|previous| previous.to_string());
+            let ended = turn(&number.to_string(), previous.as_deref(), &random.input, &output);
+            cache.insert(Arc::new(ended));
+        }
+    }
+
+    #[test]
+    fn turn_cache_for_any_turns_stays_within_its_capacity(sizes in prop::collection::vec(0_usize..3000, 1..60)) {
+        let mut cache = TurnCache::new(8000);
+        for (number, size) in sizes.iter().enumerate() {
+            cache.insert(Arc::new(turn(&number.to_string(), None, &vec![0; *size], b"")));
+            prop_assert!(cache.used_bytes() <= 8000);
+        }
+    }
+}
+
+#[test]
+fn output_of_events_with_other_fields_contains_only_their_data() {
+    let mut output = OutputCollector::default();
+    output.push(
+        b"burdockroad-weight-versions: 3\nid: 1\ndata: a\n\n: comment\n\nid: 2\r\ndata:b\r\ndata: c\r\n\r\n",
+    );
+    output.push(b"id: 3\ndata:\n\nid: 4\ndata: last");
+    assert_eq!(output.finish(), "a\nb\nc\n\nlast\n");
+}
+
+#[test]
+fn newest_of_chain_after_eviction_returns_the_turns_up_to_the_gap() {
+    let mut cache = TurnCache::new(2600);
+    cache.insert(Arc::new(turn("1", None, &[0; 400], b"")));
+    cache.insert(Arc::new(turn("2", Some("1"), &[0; 400], b"")));
+    cache.insert(Arc::new(turn("3", Some("2"), &[0; 400], b"")));
+    assert_eq!(cache.newest_of_chain(&key("3")).len(), 3);
+    cache.insert(Arc::new(turn("other", None, &[0; 400], b"")));
+    let newest = cache.newest_of_chain(&key("3"));
+    let ids: Vec<&str> = newest.iter().map(|turn| turn.key.turn.as_str()).collect();
+    assert_eq!(ids, ["3", "2"]);
+    let other_account = TurnKey {
+        account: "another".to_owned(),
+        turn: "3".to_owned(),
+    };
+    assert!(cache.newest_of_chain(&other_account).is_empty());
+}
+
+#[test]
+fn replica_order_starts_at_home_and_spreads_over_failure_domains() {
+    let hosts = hosts(&["a", "a", "b", "b", "c", "c"]);
+    for root in ["r1", "r2", "r3", "r4", "r5"] {
+        let order = replica_order(root, "b", &hosts);
+        let domain = |host: &str| {
+            let host = hosts.iter().find(|other| other.host == host);
+            host.expect("a known host").failure_domain.clone()
+        };
+        assert_eq!(order.len(), 6);
+        assert_eq!(domain(&order[0]), "b");
+        let mut first_three: Vec<String> = order[..3].iter().map(|host| domain(host)).collect();
+        first_three.sort();
+        assert_eq!(first_three, ["a", "b", "c"]);
+    }
+}
+
+fn replicate(hosts: &[TurnHost], tolerated_losses: usize) -> Replication {
+    let health = TurnHostHealth::default();
+    Replication::new(&turn("1", None, b"", b""), hosts, tolerated_losses, &health)
+}
+
+#[test]
+fn replication_with_a_failed_host_uses_the_next_host_first() {
+    let mut replication = replicate(&hosts(&["a", "b", "c"]), 1);
+    let first = replication.next_host().expect("a host");
+    assert!(replication.next_host().is_some());
+    assert!(replication.next_host().is_none());
+    replication.record_failed(first.clone(), false);
+    let third = replication.next_host().expect("a host");
+    assert_ne!(third, first);
+    replication.record_stored();
+    assert_eq!(replication.progress(), ReplicationProgress::Pending);
+    replication.record_failed(third, true);
+    assert_eq!(replication.next_host(), Some(first));
+    replication.record_stored();
+    assert_eq!(replication.progress(), ReplicationProgress::Durable);
+    assert_eq!(replication.replicas(), 2);
+}
+
+#[test]
+fn replication_with_more_lost_hosts_than_tolerated_fails() {
+    let mut replication = replicate(&hosts(&["a", "b", "c"]), 1);
+    let first = replication.next_host().expect("a host");
+    let second = replication.next_host().expect("a host");
+    replication.record_failed(first, true);
+    assert!(replication.next_host().is_some());
+    replication.record_stored();
+    replication.record_failed(second, true);
+    assert_eq!(replication.progress(), ReplicationProgress::Failed);
+    assert_eq!(replicate(&[], 1).progress(), ReplicationProgress::Failed);
+}
+
+#[test]
+fn replication_needs_one_replica_less_for_each_lost_host() {
+    let mut replication = replicate(&hosts(&["a", "b", "c"]), 2);
+    let lost: Vec<_> = std::iter::from_fn(|| replication.next_host()).take(2).collect();
+    assert!(replication.next_host().is_some());
+    for host in lost {
+        replication.record_failed(host, true);
+    }
+    assert_eq!(replication.progress(), ReplicationProgress::Pending);
+    replication.record_stored();
+    assert_eq!(replication.progress(), ReplicationProgress::Durable);
+}
+
+#[test]
+fn replication_does_not_wait_for_hosts_that_are_known_to_be_lost() {
+    let now = Instant::now();
+    let hosts = hosts(&["a", "b", "c"]);
+    let order = replica_order("root", "a", &hosts);
+    let mut health = TurnHostHealth::default();
+    health.record_failure(&order[0], now);
+    health.record_failure(&order[0], now + Duration::from_secs(1));
+    health.record_failure(&order[1], now);
+    let ended = turn("1", None, b"", b"");
+    let mut replication = Replication::new(&ended, &hosts, 2, &health);
+    let sent: Vec<_> = std::iter::from_fn(|| replication.next_host()).collect();
+    assert_eq!(sent, [order[2].clone(), order[1].clone()]);
+    replication.record_stored();
+    replication.record_stored();
+    assert_eq!(replication.progress(), ReplicationProgress::Durable);
+}
+
+#[test]
+fn host_is_lost_after_failures_for_half_a_second_and_probed_until_it_responds() {
+    let now = Instant::now();
+    let later = |after_ms: u64| now + Duration::from_millis(after_ms);
+    let host = "h".to_owned();
+    let mut health = TurnHostHealth::default();
+    health.record_failure(&host, now);
+    health.record_failure(&host, later(490));
+    assert!(health.is_failing(&host) && !health.is_lost(&host));
+    assert!(health.take_due_probes(later(5000)).is_empty());
+    health.record_failure(&host, later(500));
+    assert!(health.is_lost(&host));
+    assert_eq!(health.take_due_probes(later(600)), std::slice::from_ref(&host));
+    assert!(health.take_due_probes(later(700)).is_empty());
+    assert_eq!(health.take_due_probes(later(1100)), std::slice::from_ref(&host));
+    health.record_response(&host);
+    assert!(!health.is_failing(&host) && !health.is_lost(&host));
+}
+
+#[test]
+fn lookup_is_nonexistent_only_after_all_hosts_said_so() {
+    use LookupReply::{Absent, Found, Incomplete, NoReply};
+
+    let hosts = hosts(&["a", "b"]);
+    let outcome = |replies: &[LookupReply]| {
+        let mut lookup = Lookup::new(&key("1"), "a", &hosts, &TurnHostHealth::default());
+        for reply in replies {
+            assert!(lookup.next_host().is_some());
+            lookup.record(*reply);
+        }
+        assert!(lookup.next_host().is_none());
+        lookup.outcome()
+    };
+    assert_eq!(outcome(&[Found]), LookupOutcome::Found);
+    assert_eq!(outcome(&[Absent, Absent]), LookupOutcome::Nonexistent);
+    assert_eq!(outcome(&[Absent, Found]), LookupOutcome::Found);
+    assert_eq!(outcome(&[NoReply, Absent]), LookupOutcome::Uncertain);
+    assert_eq!(outcome(&[Absent, Incomplete]), LookupOutcome::Uncertain);
+    let mut health = TurnHostHealth::default();
+    let unknown_hosts = Lookup::new(&key("1"), "a", &[], &health);
+    assert_eq!(unknown_hosts.outcome(), LookupOutcome::Uncertain);
+    let now = Instant::now();
+    health.record_failure(&hosts[0].host, now);
+    health.record_failure(&hosts[0].host, now + Duration::from_secs(1));
+    let mut with_lost_host = Lookup::new(&key("1"), "a", &hosts, &health);
+    assert_eq!(with_lost_host.next_host(), Some(hosts[1].host.clone()));
+    with_lost_host.record(Absent);
+    assert!(with_lost_host.next_host().is_none());
+    assert_eq!(with_lost_host.outcome(), LookupOutcome::Uncertain);
+}
+
+#[test]
+fn renewals_of_a_long_conversation_are_the_turns_that_would_be_removed_first() {
+    let old = Arc::new(turn("1", None, b"a", b"b"));
+    let newest = Turn {
+        expires_unix_ms: 2001,
+        ..turn("2", Some("1"), b"", b"")
+    };
+    let renewed = renewals(&[Arc::clone(&old)], &newest, 1900, 2000);
+    assert_eq!(renewed.len(), 1);
+    assert_eq!(renewed[0].stored_until_unix_ms, 3900);
+    assert_eq!(renewed[0].expires_unix_ms, old.expires_unix_ms);
+    let short = turn("2", Some("1"), b"", b"");
+    assert!(renewals(&[old], &short, 500, 2000).is_empty());
+}
+
+#[test]
+fn turn_index_lists_stored_turns_until_their_storage_time_has_passed() {
+    let mut index = TurnIndex::default();
+    index.insert(&turn("1", None, b"", b""), 10);
+    index.insert(&turn("2", Some("1"), b"", b""), 20);
+    index.insert(&turn("1", None, b"", b""), 30);
+    assert_eq!(index.location(&key("1")), Some(10));
+    assert!(index.may_continue(&key("1"), 999));
+    assert!(!index.may_continue(&key("1"), 1000));
+    let page = index.page(0, 1);
+    assert_eq!(page.turns[0].key, key("1"));
+    assert_eq!(index.page(page.next, 10).turns[0].key, key("2"));
+    assert!(index.page(2, 10).turns.is_empty());
+    let renewed = Turn {
+        stored_until_unix_ms: 3000,
+        ..turn("1", None, b"", b"")
+    };
+    index.insert(&renewed, 40);
+    assert_eq!(index.location(&key("1")), Some(40));
+    index.remove_expired(2000);
+    assert_eq!(index.len(), 1);
+    assert!(index.contains(&key("1")));
+    assert_eq!(index.page(0, 10).turns.len(), 1);
+}
+
+#[test]
+fn missing_replicas_are_those_that_the_host_should_store_but_does_not() {
+    let hosts = hosts(&["a", "b", "c"]);
+    let listed: Vec<IndexedTurn> = (0..40)
+        .map(|number| IndexedTurn {
+            key: key(&number.to_string()),
+            root: number.to_string(),
+            home_domain: "a".to_owned(),
+        })
+        .collect();
+    let host = "h1".to_owned();
+    let missing = missing_replicas(&host, &listed, 2, &hosts, |key| key.turn.ends_with('0'));
+    for turn in &listed {
+        let expected = is_replica(&host, turn, 2, &hosts) && !turn.key.turn.ends_with('0');
+        assert_eq!(missing.contains(&&turn.key), expected);
+    }
+    assert!(!missing.is_empty() && missing.len() < 36);
+}
