Send the reports of a large fleet through collectors

A host received about 1,100 reports a second, in as many datagrams.

Change: from 80 hosts, each failure domain has two collectors among its live hosts; a host alternates between them, and each sends what it received in 0.1 s together.

--- a/crates/burdockroad-gateway/src/process.rs
+++ b/crates/burdockroad-gateway/src/process.rs
@@ -184,6 +184,7 @@
     tokio::spawn(Arc::clone(&shared.store).probe());
     tokio::spawn(Arc::clone(&shared.turns).probe_lost_hosts());
     tokio::spawn(reports::send_reports(clone_shared(), Arc::clone(&socket)));
+    tokio::spawn(reports::send_collected(clone_shared(), Arc::clone(&socket)));
     tokio::spawn(reports::receive_reports(clone_shared(), socket));
     Ok(())
 }
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -6,6 +6,8 @@
 //! streams are not used because a report would wait for the retransmission of an older one and arrive
 //! outdated.
 
+mod collector;
+
 use std::{
     io,
     net::SocketAddr,
@@ -15,12 +17,16 @@
 
 use burdockroad::{
     EndpointId, HostId,
-    gateway::{AccountUsage, EndpointCalls, HostLocation, UsageReport, report_interval, report_targets},
+    gateway::{
+        AccountUsage, EndpointCalls, HostLocation, UsageReport, collects_reports, report_interval,
+        report_targets, split_reports,
+    },
 };
 use burdockroad_daemon::platform::Revision;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
 
+pub(crate) use self::collector::{CollectedReports, send_collected};
 use crate::{
     follow::{AnnouncedRange, watched_ranges},
     shared::{Shared, Tables},
@@ -37,7 +43,7 @@
 const ACCOUNTS_MAX: usize = 24;
 
 /// Size of the receive buffer. A longer datagram is truncated, and then counted as unreadable.
-const DATAGRAM_MAX_BYTES: usize = 4096;
+const DATAGRAM_MAX_BYTES: usize = 8192;
 
 /// First byte of a datagram that is meant only for its receiver.
 const DELIVER: u8 = 0;
@@ -45,6 +51,16 @@
 /// First byte of a datagram that its receiver forwards to the hosts of its failure domain.
 const FORWARD: u8 = 1;
 
+/// First byte of a datagram with a report for the collector that receives it.
+const COLLECT: u8 = 2;
+
+/// First byte of a datagram with several reports that are meant only for its receiver.
+const DELIVER_BATCH: u8 = 3;
+
+/// First byte of a datagram with several reports that its receiver forwards to the hosts of its failure
+/// domain.
+const FORWARD_BATCH: u8 = 4;
+
 /// A report on the wire.
 #[derive(Serialize, Deserialize)]
 struct WireReport {
@@ -109,16 +125,20 @@
     let mut round_number = rand::random::<u16>().into();
     loop {
         round_number += 1;
-        let (local, remote) = report_addresses(&shared, round_number);
         let ranges = watched_ranges(&shared);
-        let interval = if ranges.is_empty() {
-            report_interval(shared.peers.borrow().len() + 1)
-        } else {
+        let hosts = shared.peers.borrow().len() + 1;
+        let is_watcher = !ranges.is_empty();
+        let interval = if is_watcher {
             WATCHER_REPORT_INTERVAL
+        } else {
+            report_interval(hosts)
         };
-        for report in wire_reports(&shared, ranges) {
-            send_all(&socket, DELIVER, &report, &local).await;
-            send_all(&socket, FORWARD, &report, &remote).await;
+        let reports = wire_reports(&shared, ranges);
+        // The announcements of watchers must not be lost with a collector.
+        if collects_reports(hosts) && !is_watcher {
+            send_to_collector(&shared, &socket, reports, round_number).await;
+        } else {
+            send_directly(&shared, &socket, &reports, round_number).await;
         }
         tokio::select! {
             () = sleep(interval) => {}
@@ -127,6 +147,24 @@
     }
 }
 
+async fn send_directly(shared: &Shared, socket: &UdpSocket, reports: &[Vec<u8>], round_number: usize) {
+    let (local, remote) = report_addresses(shared, round_number);
+    for report in reports {
+        send_all(socket, DELIVER, report, &local).await;
+        send_all(socket, FORWARD, report, &remote).await;
+    }
+}
+
+async fn send_to_collector(shared: &Shared, socket: &UdpSocket, reports: Vec<Vec<u8>>, round_number: usize) {
+    let collector = collector::local_collector(shared, round_number);
+    for report in reports {
+        match collector {
+            Some(address) => send_all(socket, COLLECT, &report, &[address]).await,
+            None => shared.collected_reports.add(report),
+        }
+    }
+}
+
 /// Returns the addresses of the hosts in this failure domain, and of the forwarding hosts in the others.
 fn report_addresses(shared: &Shared, round_number: usize) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
     let peers = shared.peers.borrow();
@@ -150,10 +188,14 @@
     datagram.push(kind);
     datagram.extend_from_slice(report);
     for address in addresses {
-        // The reports are cumulative, so the next one replaces a report that was not sent.
-        if socket.send_to(&datagram, address).await.is_err() {
-            metrics::counter!("burdockroad_reports_unsent_total").increment(1);
-        }
+        send(socket, &datagram, *address).await;
+    }
+}
+
+/// Sends a datagram. The reports are cumulative, so the next one replaces a report that was not sent.
+async fn send(socket: &UdpSocket, datagram: &[u8], address: SocketAddr) {
+    if socket.send_to(datagram, address).await.is_err() {
+        metrics::counter!("burdockroad_reports_unsent_total").increment(1);
     }
 }
 
@@ -166,19 +208,49 @@
             sleep(RECEIVE_BACKOFF).await;
             continue;
         };
-        let Some((kind, bytes)) = buffer[..length].split_first() else {
-            metrics::counter!("burdockroad_reports_unreadable_total").increment(1);
-            continue;
-        };
-        let Ok(report) = ciborium::from_reader::<WireReport, _>(bytes) else {
-            metrics::counter!("burdockroad_reports_unreadable_total").increment(1);
-            continue;
-        };
-        if *kind == FORWARD {
-            let (local, _remote) = report_addresses(&shared, 0);
-            send_all(&socket, DELIVER, bytes, &local).await;
+        receive_datagram(&shared, &socket, &mut buffer[..length]).await;
+    }
+}
+
+/// Applies the reports of a datagram, and passes them on as its first byte says.
+async fn receive_datagram(shared: &Shared, socket: &UdpSocket, datagram: &mut [u8]) {
+    let Some((kind, bytes)) = datagram.split_first() else {
+        metrics::counter!("burdockroad_reports_unreadable_total").increment(1);
+        return;
+    };
+    match *kind {
+        DELIVER => read_report(shared, bytes),
+        FORWARD => {
+            let local = shared.addresses_in_domain();
+            send_all(socket, DELIVER, bytes, &local).await;
+            read_report(shared, bytes);
         }
-        apply_report(&shared, report);
+        COLLECT => {
+            shared.collected_reports.add(bytes.to_vec());
+            read_report(shared, bytes);
+        }
+        DELIVER_BATCH => read_batch(shared, bytes),
+        FORWARD_BATCH => {
+            read_batch(shared, bytes);
+            datagram[0] = DELIVER_BATCH;
+            for address in shared.addresses_in_domain() {
+                send(socket, datagram, address).await;
+            }
+        }
+        _ => metrics::counter!("burdockroad_reports_unreadable_total").increment(1),
+    }
+}
+
+fn read_batch(shared: &Shared, batch: &[u8]) {
+    for report in split_reports(batch) {
+        read_report(shared, report);
+    }
+}
+
+fn read_report(shared: &Shared, report: &[u8]) {
+    match ciborium::from_reader::<WireReport, _>(report) {
+        Ok(report) => apply_report(shared, report),
+        Err(_malformed) => metrics::counter!("burdockroad_reports_unreadable_total").increment(1),
     }
 }
 
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -20,7 +21,7 @@
 use crate::{
     DecisionLog, Dialect, HostOptions, RangeLog, budgets::RemoteReservation, feed::MissingEndpoints,
     follow::AnnouncedRange, hosts::Peers, peer::PeerClient, pool::ConnectionPool, relay::RelayedStore,
-    turn_store::client::TurnClient,
+    reports::CollectedReports, turn_store::client::TurnClient,
 };
 
 /// State of one host.
@@ -35,6 +36,8 @@
     pub(crate) store: Arc<RelayedStore>,
     pub(crate) log: DecisionLog,
     pub(crate) pool: ConnectionPool,
+    /// Reports of hosts in this failure domain that this host sends to the others.
+    pub(crate) collected_reports: CollectedReports,
     /// Turns of conversations that the system keeps.
     pub(crate) turns: Arc<TurnClient>,
     /// The other registered hosts.
@@ -107,6 +110,7 @@
             store,
             log,
             pool: ConnectionPool::default(),
+            collected_reports: CollectedReports::default(),
             turns: Arc::new(TurnClient::new(
                 options.tolerated_losses,
                 options.failure_domain.clone(),
@@ -158,6 +162,15 @@
         is_started && !self.is_stopping() && !self.is_isolated()
     }
 
+    /// Returns the addresses of the other hosts in this failure domain.
+    pub(crate) fn addresses_in_domain(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        let local = peers
+            .values()
+            .filter(|peer| peer.failure_domain == self.failure_domain);
+        local.map(|peer| peer.address).collect()
+    }
+
     /// Returns whether this host reaches neither the store nor another host. Other hosts can then serve its
     /// callers better.
     pub(crate) fn is_isolated(&self) -> bool {
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -9,7 +9,7 @@
 //! * [`ProgramStartGate`] refuses new programs while a service is congested.
 //! * [`EndpointTable`] chooses the endpoint of a call.
 //! * [`should_watch`] selects the hosts that watch the store, and [`report_targets`] the recipients of a
-//!   report.
+//!   report; in large fleets a [`collector`] sends the reports of many hosts together.
 //! * [`next_step`] selects the action after a failed attempt.
 //! * [`EventBuffer`] splits an event stream into complete events.
 //! * [`Turn`] and the types around it keep the history of conversations on routes that ask for it.
@@ -22,6 +22,7 @@
 mod placement;
 mod program_start;
 mod rate_limit;
+mod report_batch;
 mod retry;
 mod running;
 mod turns;
@@ -32,7 +33,9 @@
         VersionedBudget,
     },
     directory::{AccountLookup, Directory},
-    dissemination::{HostLocation, report_interval, report_targets, should_watch, watchers},
+    dissemination::{
+        HostLocation, collector, collects_reports, report_interval, report_targets, should_watch, watchers,
+    },
     document::{Account, CallerLimits, Document, EngineInfo, Route, RouteKind, Service, Target},
     events::EventBuffer,
     placement::{
@@ -40,6 +43,7 @@
     },
     program_start::{ProgramStartGate, StartDecision},
     rate_limit::{AccountUsage, Admission, RateLimiter, UsageReport},
+    report_batch::{join_reports, split_reports},
     retry::{Failure, NextStep, RetryState, next_step},
     running::RunningPrograms,
     turns::{
--- a/crates/burdockroad/src/gateway/dissemination.rs
+++ b/crates/burdockroad/src/gateway/dissemination.rs
@@ -27,6 +27,16 @@
 /// same when a fleet grows; the reports of each host come less often instead.
 const RECEIVED_REPORTS_MAX_PER_S: u32 = 480;
 
+/// Fleet size from which the reports of a failure domain are sent through collectors.
+const COLLECTED_FLEET_MIN_HOSTS: usize = 80;
+
+/// Number of hosts that collect the reports of a failure domain. With the loss of one of them, only every
+/// second report is lost until it counts as unresponsive.
+const COLLECTOR_COUNT: usize = 2;
+
+/// Key of the rendezvous hash that ranks hosts as collectors.
+const COLLECTOR_RANK_KEY: &str = "collector";
+
 /// Host with its failure domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostLocation {
@@ -43,6 +53,31 @@
     interval.max(REPORT_INTERVAL_MIN)
 }
 
+/// Returns whether reports are sent through collectors in a fleet of `hosts`.
+///
+/// A collector sends the reports of its failure domain together, so a host receives a few datagrams in place
+/// of one from every other host. A small fleet sends its reports directly, because they arrive sooner.
+pub fn collects_reports(hosts: usize) -> bool {
+    hosts >= COLLECTED_FLEET_MIN_HOSTS
+}
+
+/// Returns the host that collects a report in a failure domain, selected from the live hosts; `None` if none
+/// of them is in the domain.
+///
+/// The caller increments `rotation` with each report, which alternates between the collectors.
+pub fn collector(failure_domain: &str, live: &[HostLocation], rotation: usize) -> Option<HostId> {
+    let in_domain = live
+        .iter()
+        .filter(|location| location.failure_domain == failure_domain);
+    let mut ranked = rendezvous_order(
+        COLLECTOR_RANK_KEY,
+        in_domain.map(|location| location.host.clone()),
+    );
+    ranked.truncate(COLLECTOR_COUNT);
+    let selected = rotation.checked_rem(ranked.len())?;
+    Some(ranked.swap_remove(selected))
+}
+
 /// Returns the hosts that watch the store on behalf of all, selected from the live hosts.
 ///
 /// They are in different failure domains if there are enough domains.
--- a/crates/burdockroad/src/gateway/rate_limit.rs
+++ b/crates/burdockroad/src/gateway/rate_limit.rs
@@ -15,7 +15,7 @@
 
 use self::bucket::AccountBucket;
 use crate::{
-    gateway::report_interval,
+    gateway::{collects_reports, report_interval},
     ids::{AccountId, HostId},
 };
 
@@ -29,6 +29,9 @@
 /// Time that a report takes to arrive.
 const REPORT_DELAY: Duration = Duration::from_millis(50);
 
+/// Time that a report takes to arrive through collectors.
+const COLLECTED_REPORT_DELAY: Duration = Duration::from_millis(200);
+
 /// Time after its start during which a host adopts the levels reported by hosts that have run longer.
 const STARTUP_SYNC_PERIOD: Duration = Duration::from_secs(1);
 
@@ -234,8 +237,18 @@
 
     /// Returns the age of the last report from which a host counts as unresponsive.
     fn unresponsive_after(&self) -> Duration {
-        let reports = report_interval(self.peers.len() + 1) * UNRESPONSIVE_AFTER_REPORTS;
-        (reports + REPORT_DELAY).max(UNRESPONSIVE_AFTER_MIN)
+        let hosts = self.peers.len() + 1;
+        let reports = report_interval(hosts) * UNRESPONSIVE_AFTER_REPORTS;
+        (reports + report_delay(hosts)).max(UNRESPONSIVE_AFTER_MIN)
+    }
+}
+
+/// Returns the time that a report takes to arrive in a fleet of `hosts`.
+fn report_delay(hosts: usize) -> Duration {
+    if collects_reports(hosts) {
+        COLLECTED_REPORT_DELAY
+    } else {
+        REPORT_DELAY
     }
 }
 
--- a/crates/burdockroad/src/gateway/rate_limit/bucket.rs
+++ b/crates/burdockroad/src/gateway/rate_limit/bucket.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use super::{AccountUsage, Admission, PeerState, REPORT_DELAY, UsageReport};
+use super::{AccountUsage, Admission, PeerState, UsageReport, report_delay};
 use crate::{
     gateway::report_interval,
     ids::{AccountId, HostId},
@@ -138,7 +138,7 @@
         } else {
             1.0
         };
-        self.report_lag_s = (report_interval(hosts) + REPORT_DELAY).as_secs_f64();
+        self.report_lag_s = (report_interval(hosts) + report_delay(hosts)).as_secs_f64();
         let own_max = (own_rate_per_s * self.report_lag_s).max(1.5);
         self.own_level = (self.own_level + elapsed_s * own_rate_per_s * rate_factor).min(own_max);
         let decay = (-elapsed_s / DEMAND_WINDOW_S).exp();
