Let each host of a large fleet use the whole level of a rate limit

Sub-agents that call at once through one host were refused beside room in the bucket.

Change: from 80 hosts on a host may use the whole level. Ruled out: an equal part for each host that has calls of the account, as it stays below one call. A flood is bounded by what it sends until it is reported.

Test: calls_of_sub_agents_through_one_host_are_admitted_in_a_large_fleet failed first (18 of 80 refused, 4 allowed) and passes; a flood of ten times the rate through 1, 3, 10 and all hosts stays within rate, burst and tolerance (it also did before).

--- a/crates/burdockroad/src/gateway/rate_limit/bucket.rs
+++ b/crates/burdockroad/src/gateway/rate_limit/bucket.rs
@@ -7,7 +7,7 @@
 
 use super::{AccountUsage, Admission, PeerState, UsageReport, report_delay};
 use crate::{
-    gateway::report_interval,
+    gateway::{collects_reports, report_interval},
     ids::{AccountId, HostId},
 };
 
@@ -149,8 +149,14 @@
 
     /// Starts a new report round if one has completed: all other hosts have reported, so the level is up to
     /// date.
+    ///
+    /// In a large fleet, each host has so few of an account's calls that an equal part of the level would be
+    /// less than one call, and every call would be refused. A host there may use the whole level: what a flood
+    /// admits until it is reported is below the calls of a quota window.
     pub(super) fn start_round(&mut self, round: u64, hosts: usize) {
-        if self.round != round {
+        if collects_reports(hosts) {
+            self.round_remaining = f64::INFINITY;
+        } else if self.round != round {
             self.round = round;
             self.round_remaining = (self.level * ROUND_FRACTION).max(ROUND_MIN_CALLS / hosts_as_f64(hosts));
         }
