Probe disk hosts that failed once, and do not wait long for a slow one

Turns that met a dead host waited 300 ms (store_ms, 99th percentile).

Change: every failing host is probed each half second; after 80 ms a turn is also sent to the next host.

--- a/crates/burdockroad-gateway/src/process.rs
+++ b/crates/burdockroad-gateway/src/process.rs
@@ -182,7 +182,7 @@
     tokio::spawn(keep_registered(clone_shared(), options.peer_address));
     tokio::spawn(serve_peers(clone_shared(), calls));
     tokio::spawn(Arc::clone(&shared.store).probe());
-    tokio::spawn(Arc::clone(&shared.turns).probe_lost_hosts());
+    tokio::spawn(Arc::clone(&shared.turns).probe_failing_hosts());
     tokio::spawn(reports::send_reports(clone_shared(), Arc::clone(&socket)));
     tokio::spawn(reports::send_collected(clone_shared(), Arc::clone(&socket)));
     tokio::spawn(reports::receive_reports(clone_shared(), socket));
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -15,7 +15,7 @@
 };
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     clock::unix_ms,
@@ -32,10 +32,14 @@
 /// Timeout of a call that reads turns. After it, another host is asked.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time without a response after which a turn is also sent to another host. The end of the caller's stream waits
+/// for the turn.
+const HEDGE_DELAY: Duration = Duration::from_millis(80);
+
 /// Interval before a turn that was not stored is sent to the same host again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Interval at which lost hosts are looked for.
+/// Interval at which failing hosts are looked for.
 const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Memory for recent turns, in bytes.
@@ -160,11 +164,13 @@
             let replication = Replication::new(&turn, &hosts, self.tolerated_losses, &state.health);
             (replication, state.members.clone())
         };
+        let address_of = |host: &HostId| members.get(host).map(|member| member.address);
         let mut in_flight = FuturesUnordered::new();
+        let mut waiting: Vec<HostId> = Vec::new();
         loop {
             while let Some(host) = replication.next_host() {
-                let address = members.get(&host).map(|member| member.address);
-                in_flight.push(self.store_at(host, address, message.clone()));
+                waiting.push(host.clone());
+                in_flight.push(self.store_at(host.clone(), address_of(&host), message.clone()));
             }
             match replication.progress() {
                 ReplicationProgress::Durable => {
@@ -174,13 +180,22 @@
                 ReplicationProgress::Failed => return None,
                 ReplicationProgress::Pending => {}
             }
-            match in_flight.next().await {
-                Some((_, true)) => replication.record_stored(),
-                Some((host, false)) => {
-                    let is_lost = self.lock().health.is_lost(&host);
-                    replication.record_failed(host, is_lost);
+            let Ok(ended) = timeout(HEDGE_DELAY, in_flight.next()).await else {
+                for slow in std::mem::take(&mut waiting) {
+                    self.record_health(&slow, false);
+                    if let Some(host) = replication.next_extra_host() {
+                        in_flight.push(self.store_at(host.clone(), address_of(&host), message.clone()));
+                    }
                 }
-                None => return None,
+                continue;
+            };
+            let (host, stored) = ended?;
+            waiting.retain(|waiting| *waiting != host);
+            if stored {
+                replication.record_stored();
+            } else {
+                let is_lost = self.lock().health.is_lost(&host);
+                replication.record_failed(host, is_lost);
             }
         }
     }
@@ -246,8 +261,8 @@
         }
     }
 
-    /// Probes lost hosts, so that they are used again when they are back.
-    pub(crate) async fn probe_lost_hosts(self: Arc<Self>) {
+    /// Probes failing hosts, so that they are used again when they are back.
+    pub(crate) async fn probe_failing_hosts(self: Arc<Self>) {
         loop {
             sleep(PROBE_CHECK_INTERVAL).await;
             let due = self.lock().health.take_due_probes(Instant::now());
--- a/crates/burdockroad/src/gateway/turns/health.rs
+++ b/crates/burdockroad/src/gateway/turns/health.rs
@@ -11,7 +11,7 @@
 /// that is only slow for a moment must not count as lost, because a turn then gets fewer replicas.
 const LOST_MIN: Duration = Duration::from_millis(500);
 
-/// Interval at which a lost host is probed.
+/// Interval at which a failing host is probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Health of the hosts that store turns, as seen by one host that calls them.
@@ -61,12 +61,13 @@
         failures.is_some_and(Failures::is_lost)
     }
 
-    /// Returns the lost hosts that should be probed now. They are next returned after [`PROBE_INTERVAL`].
+    /// Returns the failing hosts that should be probed now. They are next returned after [`PROBE_INTERVAL`].
+    /// Without probes, a host that failed once would not be used again while the others respond.
     pub fn take_due_probes(&mut self, now: Instant) -> Vec<HostId> {
         let due = self
             .failing
             .iter_mut()
-            .filter(|(_, failures)| failures.is_lost() && now >= failures.last_probe + PROBE_INTERVAL);
+            .filter(|(_, failures)| now >= failures.last_probe + PROBE_INTERVAL);
         let due = due.map(|(host, failures)| {
             failures.last_probe = now;
             host.clone()
--- a/crates/burdockroad/src/gateway/turns/replication.rs
+++ b/crates/burdockroad/src/gateway/turns/replication.rs
@@ -130,6 +130,14 @@
         Some(host)
     }
 
+    /// Returns a further host to send the turn to because the requests in flight take too long; `None` if
+    /// every host was tried.
+    pub fn next_extra_host(&mut self) -> Option<HostId> {
+        let host = self.untried.pop_front()?;
+        self.in_flight += 1;
+        Some(host)
+    }
+
     /// Records that a host stored the turn.
     pub fn record_stored(&mut self) {
         self.in_flight -= 1;
