Register disk hosts again when the store loses their entries, and tidy up

Cause: a host with a disk renews its entry every two minutes; if the store ended its lease early, no gateway host would send it turns until then. Change: such a host writes its entry again when its watch says that it is gone.

--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -54,10 +54,7 @@
         Ok(kept_turn) => kept_turn,
         Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
     };
-    let history = kept_turn.as_ref().map(|turn| HistoryRead {
-        time: history_requested_at.elapsed(),
-        read_turns: turn.read_turns(),
-    });
+    let history_time = history_requested_at.elapsed();
     let body = kept_turn.as_ref().map_or(body, KeptTurn::prompt);
     let request = CallerRequest {
         method: parts.method,
@@ -71,7 +68,10 @@
         context.directory_age,
         context.event_tokens,
     );
-    record.history = history;
+    record.history = kept_turn.as_ref().map(|turn| HistoryRead {
+        time: history_time,
+        read_turns: turn.read_turns(),
+    });
     let admitted_call = AdmittedCall {
         head,
         route: context.route,
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -26,8 +26,9 @@
     stream::ResponseBody,
 };
 
-/// Largest body of a call between hosts.
-const MESSAGE_MAX_BYTES: usize = 2 << 20;
+/// Largest body of a call between hosts. A turn contains a request body, which the operator usually limits to
+/// 4 MiB, and an output.
+const MESSAGE_MAX_BYTES: usize = 8 << 20;
 
 /// Time after which this host closes an idle connection from another host.
 const IDLE_MAX: Duration = Duration::from_secs(10);
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -4,7 +4,7 @@
 //! forwards the report within its domain, because traffic between failure domains is billed. Reports are
 //! cumulative and small, so they are sent as datagrams, and each report replaces a lost one before it. TCP
 //! streams are not used because a report would wait for the retransmission of an older one and arrive
-//! outdated.
+//! outdated. In a large fleet, reports go to a collector of the failure domain, which sends them together.
 
 mod collector;
 
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -42,6 +42,9 @@
 /// Interval at which failing hosts are looked for.
 const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Longest chain that is read. The limit ends a cycle of turns whose callers used an id twice.
+const HISTORY_MAX_TURNS: usize = 4096;
+
 /// Memory for recent turns, in bytes.
 const CACHE_BYTES: usize = 8 << 20;
 
@@ -119,6 +122,9 @@
             None => Some(key.clone()),
         };
         while let Some(missing) = next {
+            if newest_first.len() >= HISTORY_MAX_TURNS {
+                return Err(HistoryError::Uncertain);
+            }
             let read = self.read_chain(&missing).await;
             let read = match read {
                 // An ancestor of a turn that exists must exist, too.
--- a/crates/burdockroad-gateway/src/turn_store/host.rs
+++ b/crates/burdockroad-gateway/src/turn_store/host.rs
@@ -10,10 +10,14 @@
     time::Duration,
 };
 
-use burdockroad::{HostId, Incarnation, gateway::TurnHost};
+use burdockroad::{HostId, Incarnation, gateway::HostLocation};
 use burdockroad_daemon::platform::StoreError;
 use serde::Serialize;
-use tokio::{net::TcpListener, sync::watch, time::sleep};
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, watch},
+    time::sleep,
+};
 
 use crate::{
     DecisionLog, LeaseId, SharedStore,
@@ -59,6 +63,8 @@
     /// Whether the registered hosts are known.
     pub(super) registered: AtomicBool,
     membership: watch::Sender<Membership>,
+    /// Notified when the store no longer has the entry of this host.
+    entry_removed: Notify,
     members: Mutex<TurnMembers>,
 }
 
@@ -97,6 +103,7 @@
             complete: AtomicBool::new(false),
             registered: AtomicBool::new(false),
             membership: watch::Sender::new(Membership::Active),
+            entry_removed: Notify::new(),
             members: Mutex::new(TurnMembers::new()),
         }
     }
@@ -125,8 +132,8 @@
         *self.membership.borrow() != Membership::Active
     }
 
-    pub(super) fn location(&self) -> TurnHost {
-        TurnHost {
+    pub(super) fn location(&self) -> HostLocation {
+        HostLocation {
             host: self.host.clone(),
             failure_domain: self.failure_domain.clone(),
         }
@@ -196,6 +203,7 @@
                         () = sleep(RENEW_INTERVAL) => lease = renewed,
                         // A new entry is written, which replaces the entry on the previous lease.
                         _changed = membership.changed() => lease = None,
+                        () = self.entry_removed.notified() => lease = None,
                     }
                 }
                 Err(error) => {
@@ -248,7 +256,10 @@
             let publish = |members: &TurnMembers| {
                 self.lock_members().clone_from(members);
                 let is_registered = members.contains_key(&self.host);
-                self.registered.store(is_registered, Ordering::Relaxed);
+                let was_registered = self.registered.swap(is_registered, Ordering::Relaxed);
+                if was_registered && !is_registered {
+                    self.entry_removed.notify_one();
+                }
             };
             if follow_members(&*store, WATCH_TIMEOUT, publish).await.is_err() {
                 metrics::counter!("burdockroad_turn_hosts_unread_total").increment(1);
--- a/crates/burdockroad-gateway/src/turn_store/members.rs
+++ b/crates/burdockroad-gateway/src/turn_store/members.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use burdockroad::{HostId, gateway::TurnHost};
+use burdockroad::{HostId, gateway::HostLocation};
 use burdockroad_daemon::platform::{Entry, StoreError};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -35,18 +35,18 @@
 pub(crate) type TurnMembers = BTreeMap<HostId, TurnMember>;
 
 /// Returns the members that store new turns.
-pub(crate) fn writable(members: &TurnMembers) -> Vec<TurnHost> {
+pub(crate) fn writable(members: &TurnMembers) -> Vec<HostLocation> {
     locations(members, |member| !member.leaving)
 }
 
 /// Returns the members that may hold turns.
-pub(crate) fn readable(members: &TurnMembers) -> Vec<TurnHost> {
+pub(crate) fn readable(members: &TurnMembers) -> Vec<HostLocation> {
     locations(members, |_| true)
 }
 
-fn locations(members: &TurnMembers, include: impl Fn(&TurnMember) -> bool) -> Vec<TurnHost> {
+fn locations(members: &TurnMembers, include: impl Fn(&TurnMember) -> bool) -> Vec<HostLocation> {
     let included = members.iter().filter(|(_, member)| include(member));
-    let hosts = included.map(|(host, member)| TurnHost {
+    let hosts = included.map(|(host, member)| HostLocation {
         host: host.clone(),
         failure_domain: member.failure_domain.clone(),
     });
--- a/crates/burdockroad-gateway/src/turn_store/removal.rs
+++ b/crates/burdockroad-gateway/src/turn_store/removal.rs
@@ -4,7 +4,7 @@
 
 use burdockroad::{
     HostId,
-    gateway::{IndexedTurn, TurnHost, TurnKey, is_replica},
+    gateway::{HostLocation, IndexedTurn, TurnKey, is_replica},
 };
 use tokio::time::sleep;
 
@@ -68,7 +68,7 @@
 }
 
 /// Returns the turns that a host should store when this host is gone.
-fn keys_of(host: &HostId, turns: &[IndexedTurn], replicas: usize, hosts: &[TurnHost]) -> Vec<TurnKey> {
+fn keys_of(host: &HostId, turns: &[IndexedTurn], replicas: usize, hosts: &[HostLocation]) -> Vec<TurnKey> {
     let of_host = turns
         .iter()
         .filter(|turn| is_replica(host, turn, replicas, hosts));
--- a/crates/burdockroad-gateway/src/turn_store/sync.rs
+++ b/crates/burdockroad-gateway/src/turn_store/sync.rs
@@ -12,7 +12,7 @@
 
 use burdockroad::{
     HostId, Incarnation,
-    gateway::{IndexPage, TurnHost, TurnHostHealth, TurnKey, missing_replicas},
+    gateway::{HostLocation, IndexPage, TurnHostHealth, TurnKey, missing_replicas},
 };
 use serde::Serialize;
 use tokio::time::sleep;
@@ -45,7 +45,7 @@
     /// Health of the other hosts. The replicas of lost hosts are taken over.
     health: TurnHostHealth,
     /// Hosts among which the replicas were last divided.
-    live_hosts: Vec<TurnHost>,
+    live_hosts: Vec<HostLocation>,
 }
 
 /// How far another host's index was read.
@@ -119,8 +119,8 @@
         let live = others
             .iter()
             .filter(|(host, member)| !member.leaving && !self.health.is_lost(host));
-        let mut live_hosts: Vec<TurnHost> = live
-            .map(|(host, member)| TurnHost {
+        let mut live_hosts: Vec<HostLocation> = live
+            .map(|(host, member)| HostLocation {
                 host: host.clone(),
                 failure_domain: member.failure_domain.clone(),
             })
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -48,7 +48,7 @@
     running::RunningPrograms,
     turns::{
         IndexPage, IndexedTurn, Lookup, LookupOutcome, LookupReply, OutputCollector, Replication,
-        ReplicationProgress, Turn, TurnCache, TurnHost, TurnHostHealth, TurnId, TurnIndex, TurnKey,
-        is_replica, missing_replicas, prompt, renewals, replica_order,
+        ReplicationProgress, Turn, TurnCache, TurnHostHealth, TurnId, TurnIndex, TurnKey, is_replica,
+        missing_replicas, prompt, renewals, replica_order,
     },
 };
--- a/crates/burdockroad/src/gateway/turns.rs
+++ b/crates/burdockroad/src/gateway/turns.rs
@@ -26,6 +26,6 @@
     index::{IndexPage, IndexedTurn, TurnIndex},
     lookup::{Lookup, LookupOutcome, LookupReply},
     output::OutputCollector,
-    replication::{Replication, ReplicationProgress, TurnHost, is_replica, missing_replicas, replica_order},
+    replication::{Replication, ReplicationProgress, is_replica, missing_replicas, replica_order},
     turn::{Turn, TurnId, TurnKey, prompt, renewals},
 };
--- a/crates/burdockroad/src/gateway/turns/health.rs
+++ b/crates/burdockroad/src/gateway/turns/health.rs
@@ -1,7 +1,7 @@
 //! Which of the hosts that store turns are lost.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -61,6 +61,14 @@
         failures.is_some_and(Failures::is_lost)
     }
 
+    /// Splits an order of hosts into those to use, failing hosts last, and the number of lost hosts.
+    pub(super) fn split_order(&self, order: Vec<HostId>) -> (VecDeque<HostId>, usize) {
+        let (lost, mut usable): (Vec<HostId>, Vec<HostId>) =
+            order.into_iter().partition(|host| self.is_lost(host));
+        usable.sort_by_key(|host| self.is_failing(host));
+        (VecDeque::from(usable), lost.len())
+    }
+
     /// Returns the failing hosts that should be probed now. They are next returned after [`PROBE_INTERVAL`].
     /// Without probes, a host that failed once would not be used again while the others respond.
     pub fn take_due_probes(&mut self, now: Instant) -> Vec<HostId> {
--- a/crates/burdockroad/src/gateway/turns/lookup.rs
+++ b/crates/burdockroad/src/gateway/turns/lookup.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 
 use crate::{
-    gateway::{TurnHost, TurnHostHealth, TurnKey, replica_order},
+    gateway::{HostLocation, TurnHostHealth, TurnKey, replica_order},
     ids::HostId,
 };
 
@@ -45,15 +45,10 @@
 impl Lookup {
     /// Starts a lookup by a host of `failure_domain`. Hosts of the same domain are asked first, failing hosts
     /// last. Lost hosts are not asked, and the lookup counts them as not having replied.
-    pub fn new(key: &TurnKey, failure_domain: &str, hosts: &[TurnHost], health: &TurnHostHealth) -> Self {
+    pub fn new(key: &TurnKey, failure_domain: &str, hosts: &[HostLocation], health: &TurnHostHealth) -> Self {
         let order = replica_order(&key.turn, failure_domain, hosts);
-        let (lost, usable): (Vec<HostId>, Vec<HostId>) =
-            order.into_iter().partition(|host| health.is_lost(host));
-        let mut untried = VecDeque::from(usable);
-        untried
-            .make_contiguous()
-            .sort_by_key(|host| health.is_failing(host));
-        let outcome = if hosts.is_empty() || !lost.is_empty() {
+        let (untried, lost) = health.split_order(order);
+        let outcome = if hosts.is_empty() || lost > 0 {
             LookupOutcome::Uncertain
         } else {
             LookupOutcome::Nonexistent
--- a/crates/burdockroad/src/gateway/turns/replication.rs
+++ b/crates/burdockroad/src/gateway/turns/replication.rs
@@ -7,29 +7,21 @@
 use std::collections::VecDeque;
 
 use crate::{
-    gateway::{IndexedTurn, Turn, TurnHostHealth, TurnKey},
+    gateway::{HostLocation, IndexedTurn, Turn, TurnHostHealth, TurnKey},
     ids::HostId,
     ownership::rendezvous_order,
 };
 
-/// Host that stores turns.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TurnHost {
-    /// Id of the host.
-    pub host: HostId,
-    /// Failure domain of the host.
-    pub failure_domain: String,
-}
-
 /// Returns the hosts in the order in which they should store the chain that starts with the turn `root`.
 ///
 /// Hosts of the chain's home domain come first, because the next turn of the conversation usually arrives in
 /// the same domain. Every further host is of a failure domain without a replica, as long as there is one.
-pub fn replica_order(root: &str, home_domain: &str, hosts: &[TurnHost]) -> Vec<HostId> {
-    let mut ranked: VecDeque<&TurnHost> = rendezvous_order(root, hosts.iter().map(|host| host.host.clone()))
-        .into_iter()
-        .filter_map(|id| hosts.iter().find(|host| host.host == id))
-        .collect();
+pub fn replica_order(root: &str, home_domain: &str, hosts: &[HostLocation]) -> Vec<HostId> {
+    let mut ranked: VecDeque<&HostLocation> =
+        rendezvous_order(root, hosts.iter().map(|host| host.host.clone()))
+            .into_iter()
+            .filter_map(|id| hosts.iter().find(|host| host.host == id))
+            .collect();
     let mut order = Vec::with_capacity(ranked.len());
     let mut used_domains: Vec<&str> = Vec::new();
     while !ranked.is_empty() {
@@ -44,7 +36,7 @@
 }
 
 /// Returns the position of the next host of the order.
-fn next_position(ranked: &VecDeque<&TurnHost>, used_domains: &[&str], home_domain: &str) -> usize {
+fn next_position(ranked: &VecDeque<&HostLocation>, used_domains: &[&str], home_domain: &str) -> usize {
     if used_domains.is_empty() {
         let home = ranked.iter().position(|host| host.failure_domain == home_domain);
         return home.unwrap_or(0);
@@ -56,7 +48,7 @@
 }
 
 /// Returns whether a host is among the `replicas` hosts that should store a turn.
-pub fn is_replica(host: &HostId, turn: &IndexedTurn, replicas: usize, hosts: &[TurnHost]) -> bool {
+pub fn is_replica(host: &HostId, turn: &IndexedTurn, replicas: usize, hosts: &[HostLocation]) -> bool {
     let order = replica_order(&turn.root, &turn.home_domain, hosts);
     order.iter().take(replicas).any(|replica| replica == host)
 }
@@ -66,7 +58,7 @@
     host: &HostId,
     listed: &'a [IndexedTurn],
     replicas: usize,
-    hosts: &[TurnHost],
+    hosts: &[HostLocation],
     is_stored: impl Fn(&TurnKey) -> bool,
 ) -> Vec<&'a TurnKey> {
     let missing = listed
@@ -103,20 +95,20 @@
 impl Replication {
     /// Starts the replication of `turn` to those of `hosts` that are not lost. Failing hosts are tried last,
     /// so that the turn does not wait for them.
-    pub fn new(turn: &Turn, hosts: &[TurnHost], tolerated_losses: usize, health: &TurnHostHealth) -> Self {
+    pub fn new(
+        turn: &Turn,
+        hosts: &[HostLocation],
+        tolerated_losses: usize,
+        health: &TurnHostHealth,
+    ) -> Self {
         let order = replica_order(&turn.root, &turn.home_domain, hosts);
-        let (lost, usable): (Vec<HostId>, Vec<HostId>) =
-            order.into_iter().partition(|host| health.is_lost(host));
-        let mut untried = VecDeque::from(usable);
-        untried
-            .make_contiguous()
-            .sort_by_key(|host| health.is_failing(host));
+        let (untried, lost) = health.split_order(order);
         Self {
             tolerated_losses,
             untried,
             in_flight: 0,
             stored: 0,
-            lost: lost.len(),
+            lost,
         }
     }
 
--- a/crates/burdockroad/tests/gateway_turn_losses.rs
+++ b/crates/burdockroad/tests/gateway_turn_losses.rs
@@ -4,7 +4,7 @@
 use std::collections::HashSet;
 
 use burdockroad::gateway::{
-    IndexedTurn, Lookup, LookupOutcome, LookupReply, Replication, ReplicationProgress, Turn, TurnHost,
+    HostLocation, IndexedTurn, Lookup, LookupOutcome, LookupReply, Replication, ReplicationProgress, Turn,
     TurnHostHealth, TurnKey, missing_replicas,
 };
 use bytes::Bytes;
@@ -49,7 +49,7 @@
 
 /// Model with its parameters.
 struct Model {
-    locations: Vec<TurnHost>,
+    locations: Vec<HostLocation>,
     tolerated_losses: usize,
     turn: Turn,
     /// Whether hosts copy turns from each other.
@@ -58,7 +58,7 @@
 
 impl Model {
     fn new(hosts: usize, tolerated_losses: usize) -> Self {
-        let locations = (0..hosts).map(|number| TurnHost {
+        let locations = (0..hosts).map(|number| HostLocation {
             host: format!("h{number}"),
             failure_domain: format!("d{number}"),
         });
@@ -188,7 +188,7 @@
 
     /// Copies the turn to a host from the other hosts that are up.
     fn copy_to(&self, world: &mut World, number: usize) {
-        let live: Vec<TurnHost> = self
+        let live: Vec<HostLocation> = self
             .locations
             .iter()
             .zip(&world.hosts)
--- a/crates/burdockroad/tests/gateway_turns.rs
+++ b/crates/burdockroad/tests/gateway_turns.rs
@@ -6,9 +6,9 @@
 };
 
 use burdockroad::gateway::{
-    EventBuffer, IndexedTurn, Lookup, LookupOutcome, LookupReply, OutputCollector, Replication,
-    ReplicationProgress, Turn, TurnCache, TurnHost, TurnHostHealth, TurnIndex, TurnKey, is_replica,
-    missing_replicas, prompt, renewals, replica_order,
+    EventBuffer, HostLocation, IndexedTurn, Lookup, LookupOutcome, LookupReply, OutputCollector, Replication,
+    ReplicationProgress, Turn, TurnCache, TurnHostHealth, TurnIndex, TurnKey, is_replica, missing_replicas,
+    prompt, renewals, replica_order,
 };
 use bytes::Bytes;
 use proptest::prelude::{Strategy, any, prop, prop_assert, prop_assert_eq, proptest};
@@ -33,8 +33,8 @@
     }
 }
 
-fn hosts(domains: &[&str]) -> Vec<TurnHost> {
-    let hosts = domains.iter().enumerate().map(|(number, domain)| TurnHost {
+fn hosts(domains: &[&str]) -> Vec<HostLocation> {
+    let hosts = domains.iter().enumerate().map(|(number, domain)| HostLocation {
         host: format!("h{number}"),
         failure_domain: (*domain).to_owned(),
     });
@@ -178,7 +178,7 @@
     }
 }
 
-fn replicate(hosts: &[TurnHost], tolerated_losses: usize) -> Replication {
+fn replicate(hosts: &[HostLocation], tolerated_losses: usize) -> Replication {
     let health = TurnHostHealth::default();
     Replication::new(&turn("1", None, b"", b""), hosts, tolerated_losses, &health)
 }
