Store turns on all hosts that are left after a removal

Change: when fewer hosts are registered than should store a turn, all of them store it. Test: replication_to_fewer_hosts_than_should_store_a_turn_uses_all_of_them, seen failing first.

--- a/crates/burdockroad/src/gateway/turns/replication.rs
+++ b/crates/burdockroad/src/gateway/turns/replication.rs
@@ -82,7 +82,8 @@
 ///
 /// A turn is durable when `tolerated_losses` + 1 hosts have stored it. When all other hosts are lost, one
 /// replica less is enough for each lost host, because that many fewer hosts may still be lost. A host that
-/// fails without being lost is tried again.
+/// fails without being lost is tried again. When fewer hosts are registered than should store a turn, because
+/// the operator has removed others, all of them store it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Replication {
     tolerated_losses: usize,
@@ -104,7 +105,7 @@
         let order = replica_order(&turn.root, &turn.home_domain, hosts);
         let (untried, lost) = health.split_order(order);
         Self {
-            tolerated_losses,
+            tolerated_losses: tolerated_losses.min(hosts.len().saturating_sub(1)),
             untried,
             in_flight: 0,
             stored: 0,
--- a/crates/burdockroad/tests/gateway_turns.rs
+++ b/crates/burdockroad/tests/gateway_turns.rs
@@ -239,6 +239,17 @@
     assert_eq!(replication.progress(), ReplicationProgress::Durable);
 }
 
+/// After hosts were removed by the operator, fewer may be left than should store a turn.
+#[test]
+fn replication_to_fewer_hosts_than_should_store_a_turn_uses_all_of_them() {
+    let mut replication = replicate(&hosts(&["a", "b"]), 2);
+    while replication.next_host().is_some() {}
+    replication.record_stored();
+    assert_eq!(replication.progress(), ReplicationProgress::Pending);
+    replication.record_stored();
+    assert_eq!(replication.progress(), ReplicationProgress::Durable);
+}
+
 #[test]
 fn replication_does_not_wait_for_hosts_that_are_known_to_be_lost() {
     let now = Instant::now();
