Log how endpoints frame their streams and how these break off

Cause: the logs could not tell whether a truncated stream was taken for a complete one because its response ended with the connection, resumed at a stream that ended early, or was broken off unseen by the caller. Change: the call line has the framing of the endpoint's last stream and the bytes after its last complete event; a new line stream_broken, and a counter, give the cause of each break. Decisions are unchanged.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -23,6 +23,7 @@
     CallHead, ForwardHead, ResponseHead,
     budgets::{Reservation, release},
     call::{CallRecord, KeptTurn},
+    framing::Framing,
     pool::{Connection, connect},
     refusal::Refusal,
     shared::Shared,
@@ -100,6 +101,7 @@
 pub(crate) struct OpenedResponse {
     pub(crate) response: Response<Incoming>,
     pub(crate) head: ResponseHead,
+    pub(crate) framing: Framing,
     pub(crate) connection: Connection,
 }
 
@@ -316,6 +318,7 @@
                     .dialect
                     .read_response(response.status(), response.headers());
                 Ok(SendOutcome::Responded(OpenedResponse {
+                    framing: Framing::of(response.headers()),
                     response,
                     head,
                     connection,
--- a/crates/burdockroad-gateway/src/call/record.rs
+++ b/crates/burdockroad-gateway/src/call/record.rs
@@ -5,7 +5,12 @@
 use burdockroad::gateway::{Account, Endpoint, Failure, Placement, Route};
 use serde::Serialize;
 
-use crate::{CallHead, refusal::Refusal, shared::Shared};
+use crate::{
+    CallHead,
+    framing::{Framing, StreamBreak},
+    refusal::Refusal,
+    shared::Shared,
+};
 
 /// Data for a call's log line.
 #[derive(Debug, Default)]
@@ -33,6 +38,10 @@
     pub(crate) events: u64,
     /// Number of times that the stream was resumed.
     pub(crate) resumed: u32,
+    /// Framing of the endpoint's last stream; `None` for calls that got no stream.
+    pub(crate) framing: Option<Framing>,
+    /// Bytes after the last complete event when the endpoint's stream ended.
+    pub(crate) partial_bytes: usize,
     attempts: u32,
     /// Endpoint of the last attempt.
     endpoint: String,
@@ -111,6 +120,31 @@
         );
     }
 
+    /// Logs that the endpoint's stream broke off, with the bytes after its last complete event.
+    pub(crate) fn record_break(
+        &self,
+        shared: &Shared,
+        head: &CallHead,
+        cause: StreamBreak,
+        partial_bytes: usize,
+    ) {
+        let framing = self.framing.map_or("none", Framing::name);
+        let cause = cause.name();
+        metrics::counter!("burdockroad_streams_broken_total", "cause" => cause, "framing" => framing)
+            .increment(1);
+        shared.log.line(
+            "stream_broken",
+            &StreamBrokenLine {
+                id: &head.call_id,
+                endpoint: &self.endpoint,
+                cause,
+                framing,
+                partial_bytes,
+                events: self.events,
+            },
+        );
+    }
+
     /// Writes the call's log line and updates the metrics.
     pub(crate) fn close(&self, shared: &Shared, head: &CallHead, route: &Route, account: Option<&Account>) {
         let outcome = match (self.refusal, self.complete) {
@@ -144,6 +178,8 @@
                 attempts: self.attempts,
                 resumed: self.resumed,
                 events: self.events,
+                framing: self.framing.map(Framing::name),
+                partial_bytes: self.partial_bytes,
                 reserve_ms: as_ms(self.reservation_wait),
                 history_ms: self.history.map(|history| as_ms(history.time)),
                 history_turns_read: self.history.map(|history| history.read_turns),
@@ -175,6 +211,10 @@
     attempts: u32,
     resumed: u32,
     events: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    framing: Option<&'static str>,
+    #[serde(skip_serializing_if = "is_zero")]
+    partial_bytes: usize,
     reserve_ms: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
     history_ms: Option<u64>,
@@ -196,6 +236,24 @@
     attempt: u32,
 }
 
+#[derive(Serialize)]
+struct StreamBrokenLine<'a> {
+    id: &'a str,
+    endpoint: &'a str,
+    cause: &'static str,
+    framing: &'static str,
+    partial_bytes: usize,
+    events: u64,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+fn is_zero(number: &usize) -> bool {
+    *number == 0
+}
+
 fn round_to_hundredths(number: f64) -> f64 {
     (number * 100.0).round() / 100.0
 }
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod disk_host;
 mod feed;
 mod follow;
+mod framing;
 mod hosts;
 mod metrics_page;
 mod peer;
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -18,6 +18,7 @@
 use crate::{
     attempt::{Call, OpenedResponse},
     call::KeptTurn,
+    framing::StreamBreak,
     pool::Connection,
     refusal::Refusal,
 };
@@ -119,6 +120,7 @@
 /// Relays an event stream to the caller. If the endpoint's stream breaks off and the route allows repeats,
 /// the relay continues with a new stream, possibly from another endpoint.
 pub(crate) fn relay_events(mut call: Call, opened: OpenedResponse) -> ResponseBody {
+    call.record.framing = Some(opened.framing);
     let relay = Relay {
         events: EventBuffer::after(call.head.last_event),
         kept_turn: call.kept_turn.take(),
@@ -138,7 +140,7 @@
 enum ReadResult {
     Data(Bytes),
     End,
-    Broken,
+    Broken(StreamBreak),
 }
 
 impl Relay {
@@ -153,10 +155,13 @@
             let ready = match self.read_frame().await {
                 ReadResult::Data(data) => self.events.push(&data),
                 ReadResult::End => self.end(),
-                ReadResult::Broken => match self.resume().await {
-                    Ok(()) => continue,
-                    Err(refusal) => return Some(Err(self.break_off(refusal))),
-                },
+                ReadResult::Broken(cause) => {
+                    self.record_break(cause);
+                    match self.resume().await {
+                        Ok(()) => continue,
+                        Err(refusal) => return Some(Err(self.break_off(refusal))),
+                    }
+                }
             };
             self.call.record.events = self.events.released();
             if !ready.is_empty() {
@@ -202,13 +207,23 @@
         match timeout(frame_timeout, self.body.frame()).await {
             Ok(Some(Ok(frame))) => ReadResult::Data(frame.into_data().unwrap_or_default()),
             Ok(None) => ReadResult::End,
-            Ok(Some(Err(_))) | Err(_) => ReadResult::Broken,
+            Ok(Some(Err(_))) => ReadResult::Broken(StreamBreak::ConnectionFailed),
+            Err(_elapsed) => ReadResult::Broken(StreamBreak::NoData),
         }
     }
 
+    /// Logs how the endpoint's stream broke off.
+    fn record_break(&self, cause: StreamBreak) {
+        let partial_bytes = self.events.partial_bytes();
+        self.call
+            .record
+            .record_break(&self.call.shared, &self.call.head, cause, partial_bytes);
+    }
+
     /// Ends the stream and returns the remaining data.
     fn end(&mut self) -> Bytes {
         self.progress = Progress::AllRelayed;
+        self.call.record.partial_bytes = self.events.partial_bytes();
         if let Some(connection) = self.connection.take() {
             self.call.finish(connection, self.keep_alive);
         }
@@ -230,6 +245,7 @@
             return Err(Refusal::UnknownOutcome);
         }
         self.call.record.resumed += 1;
+        self.call.record.framing = Some(opened.framing);
         self.keep_alive = opened.head.keep_alive;
         self.connection = Some(opened.connection);
         self.body = opened.response.into_body();
--- a/crates/burdockroad/src/gateway/events.rs
+++ b/crates/burdockroad/src/gateway/events.rs
@@ -48,6 +48,11 @@
         !self.pending.is_empty()
     }
 
+    /// Returns the number of bytes after the last complete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns the remaining bytes of a stream that ended regularly; its last event may lack the empty line.
     pub fn take_remainder(&mut self) -> Bytes {
         self.scanned_bytes = 0;
