End a stream only between two events, not wherever its response ends

Cause: the relay took the end of the endpoint's response for the end of the stream, and passed the incomplete event on. A response with neither length nor chunks ends with its connection, which a crash closes, too. Class: an end of input taken for a proof of completeness. Why this works: EventBuffer::check_end decides completeness from the events; the framing only adds doubt. Any other end goes the way of a lost connection: resume where the route allows it, else break off; nothing is stored as a turn. The turns' property test asks that a whole stream is complete, where it took a remainder.

--- a/crates/burdockroad-gateway/src/call/record.rs
+++ b/crates/burdockroad-gateway/src/call/record.rs
@@ -40,8 +40,6 @@
     pub(crate) resumed: u32,
     /// Framing of the endpoint's last stream; `None` for calls that got no stream.
     pub(crate) framing: Option<Framing>,
-    /// Bytes after the last complete event when the endpoint's stream ended.
-    pub(crate) partial_bytes: usize,
     attempts: u32,
     /// Endpoint of the last attempt.
     endpoint: String,
@@ -179,7 +177,6 @@
                 resumed: self.resumed,
                 events: self.events,
                 framing: self.framing.map(Framing::name),
-                partial_bytes: self.partial_bytes,
                 reserve_ms: as_ms(self.reservation_wait),
                 history_ms: self.history.map(|history| as_ms(history.time)),
                 history_turns_read: self.history.map(|history| history.read_turns),
@@ -213,8 +210,6 @@
     events: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
     framing: Option<&'static str>,
-    #[serde(skip_serializing_if = "is_zero")]
-    partial_bytes: usize,
     reserve_ms: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
     history_ms: Option<u64>,
@@ -246,14 +241,6 @@
     events: u64,
 }
 
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde passes the field by reference"
-)]
-fn is_zero(number: &usize) -> bool {
-    *number == 0
-}
-
 fn round_to_hundredths(number: f64) -> f64 {
     (number * 100.0).round() / 100.0
 }
--- a/crates/burdockroad-gateway/src/framing.rs
+++ b/crates/burdockroad-gateway/src/framing.rs
@@ -1,5 +1,6 @@
 //! Framing of endpoints' responses, and the ways in which their streams break off.
 
+use burdockroad::gateway::Truncation;
 use http::{HeaderMap, header};
 
 /// How a response marks the end of its body.
@@ -25,6 +26,11 @@
         }
     }
 
+    /// Returns whether the end of the body proves that all of it has arrived.
+    pub(crate) fn is_delimited(self) -> bool {
+        self != Self::UntilClose
+    }
+
     /// Returns the name used in logs and metrics.
     pub(crate) fn name(self) -> &'static str {
         match self {
@@ -42,6 +48,8 @@
     ConnectionFailed,
     /// No data arrived in time.
     NoData,
+    /// The response ended, but its events are incomplete.
+    Truncated(Truncation),
 }
 
 impl StreamBreak {
@@ -50,6 +58,8 @@
         match self {
             Self::ConnectionFailed => "connection_failed",
             Self::NoData => "no_data",
+            Self::Truncated(Truncation::InsideEvent) => "inside_event",
+            Self::Truncated(Truncation::BeforeFirstEvent) => "before_first_event",
         }
     }
 }
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -18,7 +18,7 @@
 use crate::{
     attempt::{Call, OpenedResponse},
     call::KeptTurn,
-    framing::StreamBreak,
+    framing::{Framing, StreamBreak},
     pool::Connection,
     refusal::Refusal,
 };
@@ -98,6 +98,7 @@
 struct Relay {
     call: Call,
     body: Incoming,
+    framing: Framing,
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
     events: EventBuffer,
@@ -127,6 +128,7 @@
         call,
         keep_alive: opened.head.keep_alive,
         connection: Some(opened.connection),
+        framing: opened.framing,
         body: opened.response.into_body(),
         progress: Progress::Relaying,
     };
@@ -154,7 +156,10 @@
             }
             let ready = match self.read_frame().await {
                 ReadResult::Data(data) => self.events.push(&data),
-                ReadResult::End => self.end(),
+                ReadResult::End => {
+                    self.end();
+                    continue;
+                }
                 ReadResult::Broken(cause) => {
                     self.record_break(cause);
                     match self.resume().await {
@@ -206,7 +211,7 @@
         };
         match timeout(frame_timeout, self.body.frame()).await {
             Ok(Some(Ok(frame))) => ReadResult::Data(frame.into_data().unwrap_or_default()),
-            Ok(None) => ReadResult::End,
+            Ok(None) => self.check_end(),
             Ok(Some(Err(_))) => ReadResult::Broken(StreamBreak::ConnectionFailed),
             Err(_elapsed) => ReadResult::Broken(StreamBreak::NoData),
         }
@@ -220,14 +225,20 @@
             .record_break(&self.call.shared, &self.call.head, cause, partial_bytes);
     }
 
-    /// Ends the stream and returns the remaining data.
-    fn end(&mut self) -> Bytes {
+    /// Returns whether the stream was complete when its response ended.
+    fn check_end(&self) -> ReadResult {
+        match self.events.check_end(self.framing.is_delimited()) {
+            Ok(()) => ReadResult::End,
+            Err(truncation) => ReadResult::Broken(StreamBreak::Truncated(truncation)),
+        }
+    }
+
+    /// Ends a complete stream.
+    fn end(&mut self) {
         self.progress = Progress::AllRelayed;
-        self.call.record.partial_bytes = self.events.partial_bytes();
         if let Some(connection) = self.connection.take() {
             self.call.finish(connection, self.keep_alive);
         }
-        self.events.take_remainder()
     }
 
     /// Opens a new stream that continues after the last event sent to the caller.
@@ -246,6 +257,7 @@
         }
         self.call.record.resumed += 1;
         self.call.record.framing = Some(opened.framing);
+        self.framing = opened.framing;
         self.keep_alive = opened.head.keep_alive;
         self.connection = Some(opened.connection);
         self.body = opened.response.into_body();
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -37,7 +37,7 @@
         HostLocation, collector, collects_reports, report_interval, report_targets, should_watch, watchers,
     },
     document::{Account, CallerLimits, Document, EngineInfo, Route, RouteKind, Service, Target},
-    events::EventBuffer,
+    events::{EventBuffer, Truncation},
     placement::{
         Endpoint, EndpointCalls, EndpointTable, LoadReading, Outcome, Placement, PlacementQuery, PromptPart,
     },
--- a/crates/burdockroad/src/gateway/events.rs
+++ b/crates/burdockroad/src/gateway/events.rs
@@ -2,6 +2,15 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Part of a stream after which it broke off, although its response has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Truncation {
+    /// The last event is incomplete.
+    InsideEvent,
+    /// No event has arrived.
+    BeforeFirstEvent,
+}
+
 /// Buffer that receives the bytes of an event stream and returns complete events.
 ///
 /// An endpoint may stop in the middle of an event. The incomplete event stays in the buffer, so a stream that
@@ -43,25 +52,39 @@
         self.scanned_bytes = 0;
     }
 
-    /// Returns whether the buffer contains an incomplete event.
-    pub fn has_partial(&self) -> bool {
-        !self.pending.is_empty()
-    }
-
     /// Returns the number of bytes after the last complete event.
     pub fn partial_bytes(&self) -> usize {
         self.pending.len()
     }
 
-    /// Returns the remaining bytes of a stream that ended regularly; its last event may lack the empty line.
-    pub fn take_remainder(&mut self) -> Bytes {
-        self.scanned_bytes = 0;
-        let rest = self.pending.split();
-        let mut ready = BytesMut::new();
-        if !rest.is_empty() {
-            self.release(&rest, &mut ready);
+    /// Checks that a stream that has ended is complete.
+    ///
+    /// `is_delimited` says whether the framing of the response proves that its whole body has arrived. A
+    /// response that ends with its connection proves nothing, since a crash closes connections, too.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream ended inside an event, whatever the framing, or before the first event of a
+    /// response that is not delimited.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use burdockroad::gateway::{EventBuffer, Truncation};
+    ///
+    /// let mut buffer = EventBuffer::after(None);
+    /// buffer.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    /// assert_eq!(buffer.check_end(true), Err(Truncation::InsideEvent));
+    /// ```
+    pub fn check_end(&self, is_delimited: bool) -> Result<(), Truncation> {
+        if !self.pending.is_empty() {
+            return Err(Truncation::InsideEvent);
         }
-        ready.freeze()
+        // A resumed stream may have no events left, so only a stream from the start must have one.
+        if !is_delimited && self.last_id.is_none() {
+            return Err(Truncation::BeforeFirstEvent);
+        }
+        Ok(())
     }
 
     /// Returns the id of the last event released to the caller.
--- a/crates/burdockroad/tests/gateway_calls.rs
+++ b/crates/burdockroad/tests/gateway_calls.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use burdockroad::gateway::{
-    Account, AccountLookup, Directory, Document, EventBuffer, Route, RouteKind, Target,
+    Account, AccountLookup, Directory, Document, EventBuffer, Route, RouteKind, Target, Truncation,
 };
 
 fn route(prefix: &str, public: bool) -> Route {
@@ -94,7 +94,7 @@
 fn push_after_discard_resumes_at_event_boundary() {
     let mut buffer = EventBuffer::after(None);
     let first = buffer.push(b"id: 1\ndata: a\n\nid: 2\nda");
-    assert!(buffer.has_partial());
+    assert_eq!(buffer.check_end(true), Err(Truncation::InsideEvent));
     buffer.discard_partial();
     // The endpoint that resumes the stream repeats an event that was already returned.
     let second = buffer.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
@@ -102,9 +102,27 @@
 }
 
 #[test]
-fn take_remainder_returns_event_without_empty_line() {
-    let mut buffer = EventBuffer::after(Some(4));
-    assert!(buffer.push(b"id: 5\ndata: a\n").is_empty());
-    assert_eq!(&*buffer.take_remainder(), b"id: 5\ndata: a\n");
-    assert_eq!(buffer.last_id(), Some(5));
+fn check_end_inside_event_is_truncated_for_any_framing() {
+    let text = b"id: 5\ndata: a\n\nid: 6\r\ndata: b\r\n\r\n";
+    let boundaries = [15, text.len()];
+    for length in 1..=text.len() {
+        let mut buffer = EventBuffer::after(Some(4));
+        buffer.push(&text[..length]);
+        let expected = if boundaries.contains(&length) {
+            Ok(())
+        } else {
+            Err(Truncation::InsideEvent)
+        };
+        assert_eq!(buffer.check_end(true), expected, "after {length} bytes");
+        assert_eq!(buffer.check_end(false), expected, "after {length} bytes");
+    }
+}
+
+#[test]
+fn check_end_without_events_is_truncated_unless_delimited_or_resumed() {
+    let new_stream = EventBuffer::after(None);
+    assert_eq!(new_stream.check_end(true), Ok(()));
+    assert_eq!(new_stream.check_end(false), Err(Truncation::BeforeFirstEvent));
+    let resumed_stream = EventBuffer::after(Some(6));
+    assert_eq!(resumed_stream.check_end(false), Ok(()));
 }
--- a/crates/burdockroad/tests/gateway_turns.rs
+++ b/crates/burdockroad/tests/gateway_turns.rs
@@ -87,7 +87,7 @@
     for chunk in stream.chunks(chunk_bytes) {
         output.push(&events.push(chunk));
     }
-    output.push(&events.take_remainder());
+    assert_eq!(events.check_end(true), Ok(()));
     output.finish()
 }
 
