Write the events that have arrived before a response is broken off

Cause: an error of a response's body makes the server drop the connection together with bytes that are not written yet. Class: an abort that overtakes data. Change: the relay yields once before the error, and the server writes what it has while the body is pending.

--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -13,7 +13,7 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::{task::yield_now, time::timeout};
 
 use crate::{
     attempt::{Call, OpenedResponse},
@@ -164,7 +164,7 @@
                     self.record_break(cause);
                     match self.resume().await {
                         Ok(()) => continue,
-                        Err(refusal) => return Some(Err(self.break_off(refusal))),
+                        Err(refusal) => return Some(Err(self.break_off(refusal).await)),
                     }
                 }
             };
@@ -187,7 +187,7 @@
             let replicas = storing.await.ok().flatten();
             self.call.record.store_time = Some(started_at.elapsed());
             if replicas.is_none() {
-                return Some(Err(self.break_off(Refusal::TurnNotStored)));
+                return Some(Err(self.break_off(Refusal::TurnNotStored).await));
             }
         }
         self.progress = Progress::Ended;
@@ -196,7 +196,9 @@
     }
 
     /// Ends the stream before its end, so that the caller sees that it is incomplete.
-    fn break_off(&mut self, refusal: Refusal) -> io::Error {
+    async fn break_off(&mut self, refusal: Refusal) -> io::Error {
+        // An error discards the events that are not written yet; the server writes them while this yields.
+        yield_now().await;
         self.progress = Progress::Ended;
         self.call.record.refusal = Some(refusal);
         io::Error::from(io::ErrorKind::ConnectionAborted)
