Check that the daemon resumes streams that close inside an event

Cause looked for elsewhere: the daemon joins an engine's streams, too. Change: the engine stand-in can end its streams with their connection, without length and chunks, and cut them inside an event; stream_closed_inside_event_is_resumed does both.

--- a/crates/burdockroad-site/tests/processes/endpoints.rs
+++ b/crates/burdockroad-site/tests/processes/endpoints.rs
@@ -58,11 +58,24 @@
 
 #[tokio::test]
 async fn stream_truncated_is_resumed() {
+    check_truncated_stream_is_resumed(&json!({ "cut_next": 1, "cut_after_tokens": 5 })).await;
+}
+
+/// A response that ends with its connection looks complete when the engine crashes inside an event.
+#[tokio::test]
+async fn stream_closed_inside_event_is_resumed() {
+    let faults = json!({
+        "cut_next": 1, "cut_after_tokens": 5, "cut_inside_event": true, "until_close": true,
+    });
+    check_truncated_stream_is_resumed(&faults).await;
+}
+
+async fn check_truncated_stream_is_resumed(truncation: &Value) {
     let site = Site::start(one_engine(vec!["--token-ms", "5", "--answer-tokens", "30"])).await;
     let caller = site.caller("masters");
     let mut texts = Vec::new();
-    for faults in [json!({}), json!({ "cut_next": 1, "cut_after_tokens": 5 })] {
-        site.post_control(&site.engines[0], "/faults", &faults).await;
+    for faults in [&json!({}), truncation] {
+        site.post_control(&site.engines[0], "/faults", faults).await;
         let mut stream = caller.stream(1, None, 30).await;
         let mut text = String::new();
         while let Some(data) = stream.next().await.expect("the stream is not truncated") {
--- a/crates/burdockroad-standins/src/engine.rs
+++ b/crates/burdockroad-standins/src/engine.rs
@@ -302,6 +302,10 @@
         (state.fault_injector.next_fault(), delay)
     }
 
+    fn ends_streams_with_connection(&self) -> bool {
+        self.state().fault_injector.faults.until_close
+    }
+
     fn new_stream_id(&self) -> String {
         format!("s{}", self.streams.fetch_add(1, Ordering::Relaxed))
     }
--- a/crates/burdockroad-standins/src/engine/api.rs
+++ b/crates/burdockroad-standins/src/engine/api.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use http::{HeaderName, HeaderValue, Response, StatusCode, Version, header};
 use tokio::time::Instant;
 
 use crate::{
@@ -63,9 +63,12 @@
     async fn complete(&self, request: &ReceivedRequest) -> HandlerResult {
         let (fault, delay) = self.shared.next_fault();
         tokio::time::sleep(delay).await;
-        let cut_after = match fault {
+        let cut = match fault {
             RequestFault::None => None,
-            RequestFault::Cut { after_tokens } => Some(after_tokens),
+            RequestFault::Cut {
+                after_tokens,
+                inside_event,
+            } => Some((after_tokens, inside_event)),
             RequestFault::Hang => return std::future::pending().await,
             RequestFault::Fail => {
                 let status = StatusCode::INTERNAL_SERVER_ERROR;
@@ -76,19 +79,30 @@
             Ok(queued) => queued,
             Err(error_response) => return Ok(*error_response),
         };
-        let reader = match cut_after {
-            Some(tokens) => reader.cut_after(tokens),
+        let reader = match cut {
+            Some((tokens, inside_event)) => reader.cut_after(tokens, inside_event),
             None => reader,
         };
         let metadata = CompletionMetadata::new(&stream_id, &chat.model, chat.include_usage());
         let response = if chat.stream {
-            event_stream(reader, metadata)
+            self.event_stream(reader, metadata)
         } else {
             reader.completion(metadata).await?
         };
         Ok(with_stream_id(response, &stream_id))
     }
 
+    fn event_stream(&self, reader: Reader, metadata: CompletionMetadata) -> Response<ResponseBody> {
+        let mut response = Response::new(http_server::stream_body(reader.events(metadata)));
+        if self.shared.ends_streams_with_connection() {
+            // The server sends a body of unknown length in HTTP/1.0 without chunks.
+            *response.version_mut() = Version::HTTP_10;
+        }
+        let media_type = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(header::CONTENT_TYPE, media_type);
+        response
+    }
+
     /// Validates a request, queues its sequence and attaches a reader to it.
     fn queue(&self, request: &ReceivedRequest) -> Result<(ChatRequest, String, Reader), ErrorResponse> {
         let chat: ChatRequest = serde_json::from_slice(&request.body)
@@ -169,7 +183,7 @@
         self.shared.wake_batch_and_readers();
         let reader = Reader::new(&self.shared, stream_id.to_owned(), reader_id, from);
         let metadata = CompletionMetadata::new(stream_id, "", true);
-        with_stream_id(event_stream(reader, metadata), stream_id)
+        with_stream_id(self.event_stream(reader, metadata), stream_id)
     }
 
     fn cache_events(&self, request: &ReceivedRequest) -> Response<ResponseBody> {
@@ -245,13 +259,6 @@
         .map_err(|_not_a_number| Box::new(bad_request("invalid_value", "X-Priority is not an integer")))
 }
 
-fn event_stream(reader: Reader, metadata: CompletionMetadata) -> Response<ResponseBody> {
-    let mut response = Response::new(http_server::stream_body(reader.events(metadata)));
-    let media_type = HeaderValue::from_static("text/event-stream");
-    response.headers_mut().insert(header::CONTENT_TYPE, media_type);
-    response
-}
-
 fn with_stream_id(mut response: Response<ResponseBody>, stream_id: &str) -> Response<ResponseBody> {
     if let Ok(value) = HeaderValue::from_str(stream_id) {
         response
--- a/crates/burdockroad-standins/src/engine/reader.rs
+++ b/crates/burdockroad-standins/src/engine/reader.rs
@@ -16,6 +16,9 @@
     http_server::{ConnectionCut, HandlerResult},
 };
 
+/// First bytes of an event.
+const PARTIAL_EVENT: Bytes = Bytes::from_static(b"data: {\"id\"");
+
 /// Reads the tokens of one stream as they are generated.
 ///
 /// Dropping the reader suspends the sequence and frees its slot. When the caller closes the connection,
@@ -29,6 +32,8 @@
     next_token: u64,
     /// Token index at which the connection is cut.
     cut_after: Option<u64>,
+    /// Bytes that are sent before the connection is cut.
+    partial_event: Option<Bytes>,
 }
 
 /// Item that a reader yields.
@@ -46,12 +51,14 @@
             id,
             next_token: first_token,
             cut_after: None,
+            partial_event: None,
         }
     }
 
-    /// Cuts the connection after `tokens` tokens.
-    pub(crate) fn cut_after(mut self, tokens: u64) -> Self {
+    /// Cuts the connection after `tokens` tokens, or a few bytes later, inside the next event.
+    pub(crate) fn cut_after(mut self, tokens: u64, inside_event: bool) -> Self {
         self.cut_after = Some(tokens);
+        self.partial_event = inside_event.then_some(PARTIAL_EVENT);
         self
     }
 
@@ -80,6 +87,9 @@
                 }
                 Ok(StreamItem::End(reason, usage)) => Some((Ok(metadata.final_events(reason, usage)), None)),
                 Err(cut) => {
+                    if let Some(partial) = reader.partial_event.take() {
+                        return Some((Ok(partial), Some((reader, metadata))));
+                    }
                     // An error makes hyper discard buffered output, so yield once to let hyper write it.
                     tokio::task::yield_now().await;
                     Some((Err(cut), None))
--- a/crates/burdockroad-standins/src/request_faults.rs
+++ b/crates/burdockroad-standins/src/request_faults.rs
@@ -27,6 +27,10 @@
     pub cut_probability: f64,
     /// Tokens that an engine sends before it cuts the connection.
     pub cut_after_tokens: u64,
+    /// Whether an engine sends a part of the next event before it cuts the connection.
+    pub cut_inside_event: bool,
+    /// Whether an engine's event streams have neither a length nor chunks and end with their connection.
+    pub until_close: bool,
     /// Delay before each request is executed.
     pub delay_ms: u64,
     /// Bytes of padding that a service adds to each response.
@@ -41,7 +45,7 @@
     None,
     Fail,
     Hang,
-    Cut { after_tokens: u64 },
+    Cut { after_tokens: u64, inside_event: bool },
 }
 
 /// Active faults and their random number generator.
@@ -69,6 +73,7 @@
         if take(&mut faults.cut_next) || self.rng.random_bool(faults.cut_probability.clamp(0.0, 1.0)) {
             return RequestFault::Cut {
                 after_tokens: faults.cut_after_tokens,
+                inside_event: faults.cut_inside_event,
             };
         }
         RequestFault::None
