Send callers of HTTP/1.0 whole responses with a length

What callers would see: with HTTP/1.0 a broken-off stream as a complete one. Cause: to these callers a body of unknown length ends with its connection, in the gateway and the daemon alike; an error in the body closes the connection, too. Change: responses to them are read as a whole (8 MiB and 4 MiB at most) and sent with their length; one that breaks off becomes a refusal of unknown outcome. Refused: to reset the connection, which may discard data that has arrived and which not every client tells from a close.

--- a/crates/burdockroad-daemon/src/http.rs
+++ b/crates/burdockroad-daemon/src/http.rs
@@ -3,8 +3,10 @@
 mod intake;
 mod operation;
 mod server;
+mod with_length;
 
 pub use self::{
     operation::{BudgetRequest, CallHeaders, NewProgramRequest, Operation, Target, digest},
     server::{CallerServer, CallerServerParts},
+    with_length::{TruncatedBody, requires_length, with_length},
 };
--- a/crates/burdockroad-daemon/src/http/server.rs
+++ b/crates/burdockroad-daemon/src/http/server.rs
@@ -25,7 +25,10 @@
     calls::{Caller, EVENT_STREAM_CONTENT_TYPE},
     config_watch::InForceReceiver,
     edge::{Edge, Frames},
-    http::intake::{self, IntakeLimits},
+    http::{
+        intake::{self, IntakeLimits},
+        requires_length, with_length,
+    },
     problem::{PROBLEM_CONTENT_TYPE, Problem, ProblemKind, Ran},
     settings::LimitSettings,
 };
@@ -36,6 +39,9 @@
 /// Delay between the last event of a truncated stream and the abort of its connection.
 const TRUNCATION_DELAY: Duration = Duration::from_millis(50);
 
+/// Longest response to an HTTP/1.0 caller, in bytes.
+const BUFFERED_MAX_BYTES: usize = 4 * 1024 * 1024;
+
 /// Retry delay for a caller whose request reaches a stopping host.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -139,9 +145,25 @@
         let problem = Problem::new(ProblemKind::Stopping, "this host is stopping; retry the request");
         return problem_response(&problem.retry_after(STOPPING_RETRY_AFTER));
     }
-    match serve(request, parts).await {
+    let version = request.version();
+    let response = match serve(request, parts).await {
         Ok((caller, frames)) => stream_response(parts, caller, frames).await,
         Err(problem) => problem_response(&problem),
+    };
+    if requires_length(version) {
+        return buffered_response(response).await;
+    }
+    response
+}
+
+/// Returns a response with its length, or a problem if it was truncated.
+async fn buffered_response(response: Response<ResponseBody>) -> Response<ResponseBody> {
+    match with_length(response, BUFFERED_MAX_BYTES).await {
+        Ok(response) => response.map(|body| body.map_err(|never| match never {}).boxed_unsync()),
+        Err(error) => {
+            let problem = Problem::new(ProblemKind::EndpointFailed, error.to_string());
+            problem_response(&problem.ran(Ran::Unknown))
+        }
     }
 }
 
--- a/crates/burdockroad-gateway/src/server.rs
+++ b/crates/burdockroad-gateway/src/server.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use burdockroad_daemon::http::{TruncatedBody, requires_length, with_length};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -21,7 +22,12 @@
     time::sleep,
 };
 
-use crate::{call, shared::Shared, stream::ResponseBody};
+use crate::{
+    call,
+    refusal::Refusal,
+    shared::Shared,
+    stream::{RESPONSE_MAX_BYTES, ResponseBody},
+};
 
 /// Time after which an idle connection to the readiness or metrics page is closed.
 const PAGE_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -92,7 +98,11 @@
     shared: Arc<Shared>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
+    let version = request.version();
     let mut response = call::serve(Arc::clone(&shared), request).await;
+    if requires_length(version) {
+        response = buffered_response(&shared, response).await;
+    }
     if shared.is_stopping() || shared.is_isolated() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -100,6 +110,14 @@
     Ok(response)
 }
 
+/// Returns a response with its length, or a refusal if it was broken off.
+async fn buffered_response(shared: &Shared, response: Response<ResponseBody>) -> Response<ResponseBody> {
+    match with_length(response, RESPONSE_MAX_BYTES).await {
+        Ok(response) => response.map(ResponseBody::Full),
+        Err(TruncatedBody) => Refusal::UnknownOutcome.response(&*shared.dialect, None),
+    }
+}
+
 /// Serves the balancer's readiness checks.
 pub(crate) async fn serve_readiness(shared: Arc<Shared>, listener: TcpListener) {
     serve_pages(listener, move |path| {
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -26,8 +26,8 @@
 /// Time without data after which a stream that may be repeated counts as broken.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1400);
 
-/// Longest response that is not a stream, in bytes.
-const RESPONSE_MAX_BYTES: usize = 8 << 20;
+/// Longest response that is read as a whole, in bytes.
+pub(crate) const RESPONSE_MAX_BYTES: usize = 8 << 20;
 
 /// Body of a response to a caller.
 pub(crate) enum ResponseBody {
--- a/crates/burdockroad-site/src/caller.rs
+++ b/crates/burdockroad-site/src/caller.rs
@@ -2,7 +2,7 @@
 
 use burdockroad_standins::http_client::{HttpResponse, HttpStream};
 use bytes::Bytes;
-use http::{Method, Request};
+use http::{Method, Request, Version};
 use http_body_util::Full;
 use serde_json::{Value, json};
 
@@ -112,10 +112,26 @@
 
     /// Starts a completion with a streamed response.
     pub async fn stream(&self, daemon: usize, position: Option<(&str, u32)>, max_tokens: u64) -> HttpStream {
+        let request = self.stream_request(daemon, position, max_tokens);
+        self.site.http.open(request).await.expect("the daemon responds")
+    }
+
+    /// Starts a completion with a streamed response, as an HTTP/1.0 client.
+    pub async fn stream_http_1_0(&self, daemon: usize, max_tokens: u64) -> HttpStream {
+        let mut request = self.stream_request(daemon, None, max_tokens);
+        *request.version_mut() = Version::HTTP_10;
+        self.site.http.open(request).await.expect("the daemon responds")
+    }
+
+    fn stream_request(
+        &self,
+        daemon: usize,
+        position: Option<(&str, u32)>,
+        max_tokens: u64,
+    ) -> Request<Full<Bytes>> {
         let mut body = completion("stream", max_tokens);
         body["stream"] = true.into();
-        let request = self.request(daemon, Method::POST, "/v1/chat/completions", position, &body);
-        self.site.http.open(request).await.expect("the daemon responds")
+        self.request(daemon, Method::POST, "/v1/chat/completions", position, &body)
     }
 
     fn request(
--- a/crates/burdockroad-site/tests/processes/endpoints.rs
+++ b/crates/burdockroad-site/tests/processes/endpoints.rs
@@ -137,6 +137,31 @@
     assert!(refused.status.is_server_error(), "{}", refused.text());
 }
 
+/// An HTTP/1.0 response without a length would end with its connection, also when it is truncated.
+#[tokio::test]
+async fn stream_engine_killed_is_refused_for_http_1_0_caller() {
+    let mut site = Site::start(one_engine(vec!["--token-ms", "20", "--answer-tokens", "100"])).await;
+    let caller = site.caller("masters");
+    let mut whole = caller.stream_http_1_0(0, 10).await;
+    assert!(whole.headers.contains_key("content-length"));
+    let mut text = String::new();
+    while let Some(data) = whole.next().await.expect("the stream is not truncated") {
+        text.push_str(&String::from_utf8_lossy(&data));
+    }
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    let key = caller.key.clone();
+    let engine = site.engines.pop().expect("one engine");
+    let killed = async {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let mut engine = engine;
+        engine.kill().await.expect("the process can be killed");
+    };
+    let caller = burdockroad_site::Caller { site: &site, key };
+    let (response, ()) = tokio::join!(caller.stream_http_1_0(0, 100), killed);
+    assert_eq!(response.status, 502);
+    assert!(response.headers.contains_key("content-length"));
+}
+
 #[tokio::test]
 async fn completion_engine_fails_retried_on_another() {
     let site = Site::start(SiteOptions::default()).await;
