Log the software versions of endpoints and the streams that callers take up

Cause: the logs could not tell streams that a caller took up at another version (hypothesis 1) from those that the host resumed at another (hypothesis 2) or an endpoint that changed its version under its id (hypothesis 3). Change: endpoints carry their software version; endpoint_changed, attempt_failed and call lines show it, and call lines show the last event and the call that began the stream, where the caller names them. Decisions are unchanged.

--- a/crates/burdockroad-gateway/src/call/record.rs
+++ b/crates/burdockroad-gateway/src/call/record.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use burdockroad::gateway::{Account, Endpoint, Failure, Placement, Route};
+use burdockroad::{
+    SoftwareVersion,
+    gateway::{Account, Endpoint, Failure, Placement, Route},
+};
 use serde::Serialize;
 
 use crate::{
@@ -43,6 +46,8 @@
     attempts: u32,
     /// Endpoint of the last attempt.
     endpoint: String,
+    /// Version of the software of that endpoint.
+    software_version: SoftwareVersion,
     /// Estimated number of calls at that endpoint when it was chosen.
     endpoint_load: u32,
     /// Expected time to the first byte of the last attempt, in milliseconds.
@@ -84,6 +89,8 @@
     pub(crate) fn record_attempt(&mut self, placement: &Placement) {
         self.attempts += 1;
         self.endpoint.clone_from(&placement.endpoint.id);
+        self.software_version
+            .clone_from(&placement.endpoint.software_version);
         self.endpoint_load = placement.load;
         self.expected_ms = placement.expected_ms;
     }
@@ -112,6 +119,7 @@
             &AttemptFailedLine {
                 id: &head.call_id,
                 endpoint: &endpoint.id,
+                software_version: &endpoint.software_version,
                 failure: name,
                 attempt: self.attempts,
             },
@@ -171,6 +179,9 @@
                 config_version: self.directory_version,
                 config_age_ms: as_ms(self.directory_age),
                 endpoint: &self.endpoint,
+                software_version: &self.software_version,
+                last_event: head.last_event,
+                stream_origin: head.stream_origin.as_deref(),
                 endpoint_load: self.endpoint_load,
                 expected_ms: self.expected_ms.round(),
                 attempts: self.attempts,
@@ -203,6 +214,11 @@
     config_version: u64,
     config_age_ms: u64,
     endpoint: &'a str,
+    software_version: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    last_event: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    stream_origin: Option<&'a str>,
     endpoint_load: u32,
     expected_ms: f64,
     attempts: u32,
@@ -227,6 +243,7 @@
 struct AttemptFailedLine<'a> {
     id: &'a str,
     endpoint: &'a str,
+    software_version: &'a str,
     failure: &'static str,
     attempt: u32,
 }
--- a/crates/burdockroad-gateway/src/dialect.rs
+++ b/crates/burdockroad-gateway/src/dialect.rs
@@ -78,6 +78,8 @@
     pub prompt_parts: Vec<PromptPart>,
     /// Last event that the caller has received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the stream's first event, when it resumes a stream.
+    pub stream_origin: Option<String>,
     /// Turn that the call continues, on routes whose turns the system keeps.
     pub previous_turn: Option<TurnId>,
 }
--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -127,6 +127,7 @@
             endpoint: id,
             service: &endpoint.service,
             address: endpoint.address.to_string(),
+            software_version: &endpoint.software_version,
             draining: endpoint.draining,
             revision: entry.revision,
         };
@@ -253,6 +254,7 @@
     endpoint: &'a str,
     service: &'a str,
     address: String,
+    software_version: &'a str,
     #[serde(rename = "leaving")]
     draining: bool,
     revision: Revision,
--- a/crates/burdockroad/src/gateway/placement.rs
+++ b/crates/burdockroad/src/gateway/placement.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use crate::ids::{EndpointId, HostId};
+use crate::ids::{EndpointId, HostId, SoftwareVersion};
 
 /// Weight of the latest sample in an endpoint's mean time to the first byte.
 const TIME_SMOOTHING: f64 = 0.15;
@@ -73,6 +73,8 @@
     pub draining: bool,
     /// Start time of this run in Unix milliseconds; 0 if not reported.
     pub started_unix_ms: u64,
+    /// Version of its software. Events of two versions do not fit together in one stream.
+    pub software_version: SoftwareVersion,
 }
 
 /// Load that an endpoint reports with its response.
--- a/crates/burdockroad/src/ids.rs
+++ b/crates/burdockroad/src/ids.rs
@@ -26,6 +26,9 @@
 /// Public part of a caller's key, which may be logged.
 pub type KeyId = String;
 
+/// Version of the software that an endpoint runs, in no order.
+pub type SoftwareVersion = String;
+
 /// Id of a partition: a share of the programs and accounts that has one owner at a time.
 pub type PartitionId = u16;
 
--- a/crates/burdockroad/tests/gateway_placement.rs
+++ b/crates/burdockroad/tests/gateway_placement.rs
@@ -22,6 +22,7 @@
         slots: 12,
         draining: false,
         started_unix_ms: 1,
+        software_version: "v1".to_owned(),
     }
 }
 
