Let a stream go on only at the software version that began it

Cause: placement of a stream that goes on looked at load and prompt only; nothing carried the version from the attempt that brought the first event to the next one, neither within a call nor between hosts. Class: state of a stream kept by a connection, although the stream outlives it. Why this works: the first event binds the call to its endpoint's version, and placement takes no other; hosts that outlive the first one hold the version before the caller has an event, and are found from the stream's id alone. Where the version is not known while several serve, the call is refused and has not run.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 };
 
 use burdockroad::{
-    EndpointId,
+    EndpointId, SoftwareVersion,
     gateway::{
         Account, Endpoint, Failure, NextStep, Outcome, Placement, PlacementQuery, RetryState, Route,
         next_step,
@@ -27,6 +27,7 @@
     pool::{Connection, connect},
     refusal::Refusal,
     shared::Shared,
+    stream_origins::{announce, version_of},
 };
 
 /// Time reserved for sending the response to the caller before the caller's deadline.
@@ -68,6 +69,8 @@
     possibly_ran_on: Vec<EndpointId>,
     /// Endpoint of the attempt in progress; `None` between two attempts.
     current_endpoint: Option<Endpoint>,
+    /// Software version that began the call's stream, which must go on there; `None` before its first event.
+    stream_version: Option<SoftwareVersion>,
     /// Tokens of the program's budget reserved for the call.
     pub(crate) reservation: Option<Reservation>,
     /// Endpoint that the next attempt must use; `None` when the attempt chooses one.
@@ -123,6 +126,7 @@
             attempted: Vec::new(),
             possibly_ran_on: Vec::new(),
             current_endpoint: None,
+            stream_version: None,
             reservation: None,
             next_endpoint: None,
         }
@@ -132,6 +136,37 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Determines the software version at which a stream that the caller takes up goes on.
+    pub(crate) async fn find_stream_version(&mut self) -> Result<(), Refusal> {
+        if self.head.last_event.is_none() || !self.route.kind.is_stream() || !self.route.kind.may_retry() {
+            return Ok(());
+        }
+        let origin = self.head.stream_origin.as_ref();
+        let version = version_of(&self.shared, &self.service, origin).await;
+        self.stream_version = Some(version.ok_or(Refusal::UnknownStream)?);
+        Ok(())
+    }
+
+    /// Records that the caller is about to receive the first event of its stream, which binds the stream to the
+    /// software version of its endpoint.
+    pub(crate) fn begin_stream(&mut self) {
+        if self.stream_version.is_some() || !self.route.kind.may_retry() {
+            return;
+        }
+        let Some(endpoint) = &self.current_endpoint else {
+            return;
+        };
+        let version = endpoint.software_version.clone();
+        announce(
+            &self.shared,
+            &self.service,
+            &self.head.call_id,
+            &version,
+            self.time_left(),
+        );
+        self.stream_version = Some(version);
+    }
+
     /// Sends the call to endpoints until one responds. A stream resumes after event `last_event`.
     pub(crate) async fn open(&mut self, last_event: Option<u64>) -> Result<OpenedResponse, Refusal> {
         loop {
@@ -198,7 +233,8 @@
 
     /// Returns the endpoint of the next attempt; `None` when no endpoint can take the call.
     fn choose_endpoint(&mut self) -> Option<Placement> {
-        if let Some(endpoint) = self.next_endpoint.take() {
+        let next_endpoint = self.next_endpoint.take();
+        if let Some(endpoint) = next_endpoint.filter(|endpoint| self.may_go_on_at(endpoint)) {
             return Some(Placement {
                 endpoint,
                 expected_ms: 0.0,
@@ -207,6 +243,7 @@
         }
         let query = PlacementQuery {
             service: &self.service,
+            software_version: self.stream_version.as_ref(),
             failure_domain: &self.shared.failure_domain,
             parts: &self.head.prompt_parts,
             tried: &self.attempted,
@@ -216,6 +253,17 @@
         tables.endpoints.choose(query, rand::random(), Instant::now())
     }
 
+    /// Returns whether an endpoint still runs the software version that began the stream. An endpoint may start
+    /// again under its id with another version.
+    fn may_go_on_at(&self, endpoint: &Endpoint) -> bool {
+        let Some(version) = &self.stream_version else {
+            return true;
+        };
+        let tables = self.shared.tables();
+        let current = tables.endpoints.get(&endpoint.id).unwrap_or(endpoint);
+        current.software_version == *version
+    }
+
     /// Waits for [`FULL_BACKOFF`] when all endpoints were full. Fails when the call may have run, when the
     /// service has no endpoint, or when the call would then have taken longer than a quarter of the route's
     /// latency objective or half of the time left.
@@ -223,7 +271,12 @@
         if self.retries.unknown > 0 {
             return Err(self.give_up_refusal());
         }
-        let usable = self.shared.tables().endpoints.usable(&self.service);
+        let usable = {
+            let tables = self.shared.tables();
+            tables
+                .endpoints
+                .usable(&self.service, self.stream_version.as_ref())
+        };
         if usable == 0 {
             return Err(Refusal::NoEndpoint(NO_ENDPOINT_RETRY_AFTER));
         }
--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -259,6 +259,7 @@
 /// Reserves the tokens that the call may generate, counts the call against the rate limit if it is not
 /// counted yet, and sends the call to endpoints until one responds.
 async fn run(call: &mut Call, rate_status: RateStatus) -> Result<ServedResponse, Refusal> {
+    call.find_stream_version().await?;
     reserve_tokens(call, rate_status).await?;
     if let (RateStatus::Undecided { .. }, Some(account)) = (rate_status, &call.account) {
         let starts_program = call
--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -11,7 +11,12 @@
 use serde::Serialize;
 use tokio::time::sleep;
 
-use crate::{Change, budgets::expire_remote_reservations, follow::RangeSubscriber, shared::Shared};
+use crate::{
+    Change,
+    budgets::expire_remote_reservations,
+    follow::RangeSubscriber,
+    shared::{Shared, Tables},
+};
 
 /// Time after an outage of the store in which endpoints whose entries expired during the outage may register
 /// again.
@@ -123,6 +128,9 @@
         let mut tables = self.shared.tables();
         tables.missing_endpoints.remove(id);
         let is_unchanged = tables.endpoints.get(id) == Some(&endpoint);
+        if !is_unchanged {
+            record_departure(&mut tables, id);
+        }
         let line = EndpointChangedLine {
             endpoint: id,
             service: &endpoint.service,
@@ -209,13 +217,27 @@
         let mut tables = shared.tables();
         tables.running_programs.evict_expired(now);
         tables.start_gate.evict_expired(now);
+        tables.stream_origins.evict_expired(now);
         drop(tables);
         shared.pool.remove_expired(now);
     }
 }
 
+/// Records the version of an endpoint that leaves or changes.
+fn record_departure(tables: &mut Tables, id: &str) {
+    if let Some(known) = tables.endpoints.get(id) {
+        let version = known.software_version.clone();
+        tables
+            .version_history
+            .record_departure(&known.service, version, Instant::now());
+    }
+}
+
 fn remove_endpoint(shared: &Shared, id: &str) {
-    shared.tables().endpoints.remove(id);
+    let mut tables = shared.tables();
+    record_departure(&mut tables, id);
+    tables.endpoints.remove(id);
+    drop(tables);
     shared.pool.close_idle(id);
     shared
         .log
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod shared;
 mod store;
 mod stream;
+mod stream_origins;
 mod turn_store;
 
 pub use self::{
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use burdockroad::{SoftwareVersion, gateway::StreamId};
 use burdockroad_daemon::platform::Revision;
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
@@ -24,6 +25,7 @@
     server::accept,
     shared::Shared,
     stream::ResponseBody,
+    stream_origins::known_version,
 };
 
 /// Largest body of a call between hosts. A turn contains a request body, which the operator usually limits to
@@ -53,6 +55,11 @@
     /// Reserves tokens of a program's budget.
     #[serde(rename = "Hold")]
     Reserve(ReservationRequest),
+    /// Requests the software version that began a stream.
+    StreamVersion {
+        /// Id of the stream.
+        stream: StreamId,
+    },
     /// Settles a reservation.
     Release {
         /// Id of the call that the tokens were reserved for.
@@ -74,6 +81,8 @@
     /// Result of the reservation request.
     #[serde(rename = "Hold")]
     Reservation(ReservationResponse),
+    /// Version that began the stream; `None` if the responding host does not hold it.
+    StreamVersion(Option<SoftwareVersion>),
     /// The reservation is settled.
     Released,
 }
@@ -166,6 +175,7 @@
             PeerResponse::RangeUpdate(range_update(&shared, &prefix, after))
         }
         PeerCall::Reserve(request) => PeerResponse::Reservation(handle_reserve(&shared, request).await),
+        PeerCall::StreamVersion { stream } => PeerResponse::StreamVersion(known_version(&shared, &stream)),
         PeerCall::Release { call_id, used_tokens } => {
             handle_release(&shared, &call_id, used_tokens);
             PeerResponse::Released
--- a/crates/burdockroad-gateway/src/process.rs
+++ b/crates/burdockroad-gateway/src/process.rs
@@ -116,11 +116,15 @@
     };
     log.line("started", &started);
     let peer_client = Arc::new(PeerClient::default());
+    let datagrams = reports::bind(options.peer_address)
+        .await
+        .map_err(|cause| HostError::new(options.peer_address, cause))?;
     let shared = Arc::new(Shared::new(
         &options,
         dialect,
         Arc::new(RelayedStore::new(store, Arc::clone(&peer_client), log.clone())),
         peer_client,
+        datagrams,
         log.clone(),
     ));
     let open_connections = Arc::new(OpenConnections::default());
@@ -160,9 +164,6 @@
 }
 
 async fn start_background_tasks(options: &HostOptions, shared: &Arc<Shared>) -> Result<(), HostError> {
-    let socket = reports::bind(options.peer_address)
-        .await
-        .map_err(|cause| HostError::new(options.peer_address, cause))?;
     let calls = bind_listener(options.peer_address).await?;
     let clone_shared = || Arc::clone(shared);
     tokio::spawn(follow(
@@ -183,9 +184,9 @@
     tokio::spawn(serve_peers(clone_shared(), calls));
     tokio::spawn(Arc::clone(&shared.store).probe());
     tokio::spawn(Arc::clone(&shared.turns).probe_failing_hosts());
-    tokio::spawn(reports::send_reports(clone_shared(), Arc::clone(&socket)));
-    tokio::spawn(reports::send_collected(clone_shared(), Arc::clone(&socket)));
-    tokio::spawn(reports::receive_reports(clone_shared(), socket));
+    tokio::spawn(reports::send_reports(clone_shared()));
+    tokio::spawn(reports::send_collected(clone_shared()));
+    tokio::spawn(reports::receive_reports(clone_shared()));
     Ok(())
 }
 
--- a/crates/burdockroad-gateway/src/refusal.rs
+++ b/crates/burdockroad-gateway/src/refusal.rs
@@ -14,6 +14,9 @@
 /// after this time, too.
 const TURN_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` when the version of a stream is not known. Another host may know it.
+const STREAM_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// Reason why a call ends without an endpoint's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
@@ -35,6 +38,8 @@
     TurnUnavailable,
     /// The call's turn could not be stored, so later calls could not continue it.
     TurnNotStored,
+    /// The software version that began the stream which the caller takes up is not known.
+    UnknownStream,
     /// The account exceeds its rate limit.
     OverRate(Duration),
     /// The program's budget has too few tokens left for the call.
@@ -64,6 +69,7 @@
             Self::UnknownTurn => "unknown_turn",
             Self::TurnUnavailable => "turn_unavailable",
             Self::TurnNotStored => "turn_not_stored",
+            Self::UnknownStream => "unknown_stream",
             Self::OverRate(_) => "over_rate",
             Self::BudgetExhausted => "budget_spent",
             Self::NoReservation(_) => "no_reservation",
@@ -79,6 +85,7 @@
         match self {
             Self::NotReady
             | Self::TurnUnavailable
+            | Self::UnknownStream
             | Self::NoReservation(_)
             | Self::NoEndpoint(_)
             | Self::DeadlineExceededUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -99,6 +106,7 @@
         match self {
             Self::NotReady => Some(NOT_READY_RETRY_AFTER),
             Self::TurnUnavailable => Some(TURN_RETRY_AFTER),
+            Self::UnknownStream => Some(STREAM_RETRY_AFTER),
             Self::OverRate(wait) | Self::NoReservation(wait) | Self::NoEndpoint(wait) => Some(wait),
             _ => None,
         }
--- a/crates/burdockroad-gateway/src/relay.rs
+++ b/crates/burdockroad-gateway/src/relay.rs
@@ -173,9 +173,12 @@
                 Err(StoreError::Ambiguous { reason })
             }
             Ok(PeerResponse::Store(response)) => Ok(response),
-            Ok(PeerResponse::RangeUpdate(_) | PeerResponse::Reservation(_) | PeerResponse::Released) => {
-                Err(unexpected_response())
-            }
+            Ok(
+                PeerResponse::RangeUpdate(_)
+                | PeerResponse::Reservation(_)
+                | PeerResponse::StreamVersion(_)
+                | PeerResponse::Released,
+            ) => Err(unexpected_response()),
             Err(error) => {
                 self.state().served_peers.remove(&peer);
                 let reason = format!("host {peer} did not respond");
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -30,6 +30,7 @@
 use crate::{
     follow::{AnnouncedRange, watched_ranges},
     shared::{Shared, Tables},
+    stream_origins::{self, STREAM_ORIGIN},
 };
 
 /// Interval between two reports of a watcher, whose announcements the other hosts wait for.
@@ -114,13 +115,14 @@
     calls: u32,
 }
 
-/// Opens the socket for reports.
+/// Opens the socket for datagrams to and from other hosts.
 pub(crate) async fn bind(address: SocketAddr) -> io::Result<Arc<UdpSocket>> {
     Ok(Arc::new(UdpSocket::bind(address).await?))
 }
 
 /// Sends reports until the host stops.
-pub(crate) async fn send_reports(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+pub(crate) async fn send_reports(shared: Arc<Shared>) {
+    let socket = Arc::clone(&shared.datagrams);
     // The random start value prevents hosts that started together from all choosing the same forwarding host.
     let mut round_number = rand::random::<u16>().into();
     loop {
@@ -200,7 +202,8 @@
 }
 
 /// Receives the reports of other hosts, and forwards those that are meant for this failure domain.
-pub(crate) async fn receive_reports(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+pub(crate) async fn receive_reports(shared: Arc<Shared>) {
+    let socket = Arc::clone(&shared.datagrams);
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     loop {
         let Ok((length, _from)) = socket.recv_from(&mut buffer).await else {
@@ -230,6 +233,7 @@
             read_report(shared, bytes);
         }
         DELIVER_BATCH => read_batch(shared, bytes),
+        STREAM_ORIGIN => stream_origins::receive(shared, bytes),
         FORWARD_BATCH => {
             read_batch(shared, bytes);
             datagram[0] = DELIVER_BATCH;
--- a/crates/burdockroad-gateway/src/reports/collector.rs
+++ b/crates/burdockroad-gateway/src/reports/collector.rs
@@ -10,7 +10,7 @@
     HostId,
     gateway::{HostLocation, collector, join_reports},
 };
-use tokio::{net::UdpSocket, time::sleep};
+use tokio::time::sleep;
 
 use super::{DELIVER_BATCH, FORWARD_BATCH, send};
 use crate::shared::Shared;
@@ -39,7 +39,8 @@
 
 /// Sends the collected reports to the hosts of this failure domain, and to one collector of each other domain,
 /// until the host stops.
-pub(crate) async fn send_collected(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+pub(crate) async fn send_collected(shared: Arc<Shared>) {
+    let socket = Arc::clone(&shared.datagrams);
     let mut rotation = 0;
     loop {
         sleep(COLLECTION_INTERVAL).await;
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -14,9 +14,13 @@
     EndpointId, HostId, Incarnation,
     gateway::{
         Directory, EndpointTable, Ledger, LedgerOptions, ProgramStartGate, RateLimiter, RunningPrograms,
+        StreamOrigins, VersionHistory,
     },
 };
-use tokio::sync::{Notify, watch};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, watch},
+};
 
 use crate::{
     DecisionLog, Dialect, HostOptions, RangeLog, budgets::RemoteReservation, feed::MissingEndpoints,
@@ -36,6 +40,8 @@
     pub(crate) store: Arc<RelayedStore>,
     pub(crate) log: DecisionLog,
     pub(crate) pool: ConnectionPool,
+    /// Socket for datagrams to and from other hosts.
+    pub(crate) datagrams: Arc<UdpSocket>,
     /// Reports of hosts in this failure domain that this host sends to the others.
     pub(crate) collected_reports: CollectedReports,
     /// Turns of conversations that the system keeps.
@@ -65,6 +71,10 @@
     pub(crate) directory: Option<Arc<Directory>>,
     pub(crate) directory_applied_at: Option<Instant>,
     pub(crate) endpoints: EndpointTable,
+    /// Versions of endpoints that have left.
+    pub(crate) version_history: VersionHistory,
+    /// Versions of streams that callers may take up.
+    pub(crate) stream_origins: StreamOrigins,
     pub(crate) rate_limiter: RateLimiter,
     /// Budgets of the programs that this host serves.
     pub(crate) ledger: Ledger,
@@ -98,6 +108,7 @@
         dialect: Arc<dyn Dialect>,
         store: Arc<RelayedStore>,
         peer_client: Arc<PeerClient>,
+        datagrams: Arc<UdpSocket>,
         log: DecisionLog,
     ) -> Self {
         let now = Instant::now();
@@ -110,6 +121,7 @@
             store,
             log,
             pool: ConnectionPool::default(),
+            datagrams,
             collected_reports: CollectedReports::default(),
             turns: Arc::new(TurnClient::new(
                 options.tolerated_losses,
@@ -128,6 +140,8 @@
                 directory: None,
                 directory_applied_at: None,
                 endpoints: EndpointTable::new(),
+                version_history: VersionHistory::default(),
+                stream_origins: StreamOrigins::default(),
                 rate_limiter: RateLimiter::new(now),
                 ledger: Ledger::new(LedgerOptions::default(), options.incarnation),
                 host_count: 0,
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -170,6 +170,7 @@
             };
             self.call.record.events = self.events.released();
             if !ready.is_empty() {
+                self.call.begin_stream();
                 if let Some(kept_turn) = &mut self.kept_turn {
                     kept_turn.push_events(&ready);
                 }
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -12,6 +12,7 @@
 //!   report; in large fleets a [`collector`] sends the reports of many hosts together.
 //! * [`next_step`] selects the action after a failed attempt.
 //! * [`EventBuffer`] splits an event stream into complete events.
+//! * [`StreamOrigins`] holds the software versions that streams began at, so that they go on at the same one.
 //! * [`Turn`] and the types around it keep the history of conversations on routes that ask for it.
 
 mod budget;
@@ -25,7 +26,9 @@
 mod report_batch;
 mod retry;
 mod running;
+mod stream_origin;
 mod turns;
+mod version_history;
 
 pub use self::{
     budget::{
@@ -46,9 +49,11 @@
     report_batch::{join_reports, split_reports},
     retry::{Failure, NextStep, RetryState, next_step},
     running::RunningPrograms,
+    stream_origin::{StreamId, StreamOrigins, stream_holders},
     turns::{
         IndexPage, IndexedTurn, Lookup, LookupOutcome, LookupReply, OutputCollector, Replication,
         ReplicationProgress, Turn, TurnCache, TurnHostHealth, TurnId, TurnIndex, TurnKey, is_replica,
         missing_replicas, prompt, renewals, replica_order,
     },
+    version_history::VersionHistory,
 };
--- a/crates/burdockroad/src/gateway/placement.rs
+++ b/crates/burdockroad/src/gateway/placement.rs
@@ -107,6 +107,8 @@
 pub struct PlacementQuery<'a> {
     /// Service that the call is for.
     pub service: &'a str,
+    /// Version of the endpoint's software, for a stream that goes on; `None` for a new call.
+    pub software_version: Option<&'a SoftwareVersion>,
     /// Failure domain of this host.
     pub failure_domain: &'a str,
     /// Parts of the prompt, in order.
@@ -209,13 +211,22 @@
         self.rows.keys()
     }
 
-    /// Returns the number of a service's endpoints that take new calls.
-    pub fn usable(&self, service: &str) -> usize {
+    /// Returns the number of a service's endpoints that take new calls, or that streams of a version can go
+    /// on at.
+    pub fn usable(&self, service: &str, version: Option<&SoftwareVersion>) -> usize {
         let rows = self.rows.values();
         rows.filter(|row| row.endpoint.service == service && !row.endpoint.draining)
+            .filter(|row| row.has_version(version))
             .count()
     }
 
+    /// Returns the software versions of a service's endpoints, one for each endpoint.
+    pub fn software_versions(&self, service: &str) -> impl Iterator<Item = &SoftwareVersion> {
+        let rows = self.rows.values();
+        rows.filter(move |row| row.endpoint.service == service)
+            .map(|row| &row.endpoint.software_version)
+    }
+
     /// Returns the calls per slot of a service's endpoints; 0 if it has none.
     pub fn load_per_slot(&self, service: &str, now: Instant) -> f64 {
         let rows = self.rows.values();
@@ -254,6 +265,7 @@
             .rows
             .values()
             .filter(|row| row.endpoint.service == query.service)
+            .filter(|row| row.has_version(query.software_version))
             .filter(|row| !row.endpoint.draining && !query.tried.contains(&row.endpoint.id))
             .filter(|row| row.in_flight < query.in_flight_max);
         let estimates = candidates.map(|row| {
@@ -366,6 +378,11 @@
         }
     }
 
+    /// Returns whether the endpoint has a version; any version if it is `None`.
+    fn has_version(&self, version: Option<&SoftwareVersion>) -> bool {
+        version.is_none_or(|version| self.endpoint.software_version == *version)
+    }
+
     fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
     }
--- a/crates/burdockroad/tests/gateway_placement.rs
+++ b/crates/burdockroad/tests/gateway_placement.rs
@@ -37,6 +37,7 @@
 fn query<'a>(parts: &'a [PromptPart], tried: &'a [String]) -> PlacementQuery<'a> {
     PlacementQuery {
         service: SERVICE,
+        software_version: None,
         failure_domain: "domain",
         parts,
         tried,
@@ -78,6 +79,28 @@
     }
 }
 
+#[test]
+fn choose_for_stream_selects_only_its_software_version() {
+    let now = Instant::now();
+    let mut table = table(4);
+    table.insert(Endpoint {
+        software_version: "v2".to_owned(),
+        ..endpoint(1)
+    });
+    let version = "v2".to_owned();
+    let of_version = |tried: &[String]| {
+        let query = PlacementQuery {
+            software_version: Some(&version),
+            ..query(&[], tried)
+        };
+        table.choose(query, 0, now).map(|placement| placement.endpoint.id)
+    };
+    assert_eq!(of_version(&[]).as_deref(), Some("endpoint-1"));
+    assert_eq!(of_version(&["endpoint-1".to_owned()]), None);
+    assert_eq!(table.usable(SERVICE, Some(&version)), 1);
+    assert_eq!(table.usable(SERVICE, None), 4);
+}
+
 #[test]
 fn choose_falls_back_to_failing_endpoint() {
     let now = Instant::now();
