Send no new calls to an endpoint that says that it leaves

The host went by the store's entry alone, which may come later, expire, or come back. Change: a response that says so marks that run of the endpoint; it takes no new calls, also when its entry is written again or comes back, until another run has its id.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -20,7 +20,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    CallHead, ForwardHead, ResponseHead,
+    CallHead, EndpointPhase, ForwardHead, ResponseHead,
     budgets::{Reservation, release},
     call::{CallRecord, KeptTurn},
     framing::Framing,
@@ -336,7 +336,7 @@
         let pooled = self.shared.pool.take(&endpoint.id, Instant::now());
         if let Some(connection) = pooled {
             match self.send(connection, request).await? {
-                SendOutcome::Responded(opened) => return self.classify(opened),
+                SendOutcome::Responded(opened) => return self.classify(endpoint, opened),
                 SendOutcome::Unsent(unsent) => request = unsent,
             }
         }
@@ -347,7 +347,7 @@
             _ => Failure::Unreachable,
         })?;
         match self.send(connection, request).await? {
-            SendOutcome::Responded(opened) => self.classify(opened),
+            SendOutcome::Responded(opened) => self.classify(endpoint, opened),
             SendOutcome::Unsent(_) => Err(Failure::Unreachable),
         }
     }
@@ -386,7 +386,7 @@
 
     /// Returns a usable response unchanged. Any other response is a failure: the call did not run, or its
     /// outcome is unknown.
-    fn classify(&self, opened: OpenedResponse) -> Result<OpenedResponse, Failure> {
+    fn classify(&self, endpoint: &Endpoint, opened: OpenedResponse) -> Result<OpenedResponse, Failure> {
         let head = &opened.head;
         if head.call_id.as_deref() != Some(&*self.head.call_id) && !head.wrong_endpoint && !head.not_run {
             return Err(Failure::Unknown);
@@ -394,6 +394,9 @@
         if head.wrong_endpoint {
             return Err(Failure::WrongEndpoint);
         }
+        if head.phase == EndpointPhase::Leaving {
+            self.record_leaving(endpoint);
+        }
         if head.not_run {
             return Err(Failure::Full);
         }
@@ -410,6 +413,15 @@
         Ok(opened)
     }
 
+    /// Lets the endpoint get no new calls, because it states that it leaves.
+    fn record_leaving(&self, endpoint: &Endpoint) {
+        let mut tables = self.shared.tables();
+        tables.endpoints.record_leaving(&endpoint.id, Instant::now());
+        drop(tables);
+        self.shared.pool.close_idle(&endpoint.id);
+        metrics::counter!("burdockroad_endpoints_leaving_total").increment(1);
+    }
+
     fn forward_request(&self, endpoint: &Endpoint, last_event: Option<u64>) -> Request<Full<Bytes>> {
         let mut headers = self.request.headers.clone();
         let forward = ForwardHead {
--- a/crates/burdockroad-gateway/src/dialect.rs
+++ b/crates/burdockroad-gateway/src/dialect.rs
@@ -130,12 +130,23 @@
     pub not_run: bool,
     /// Whether the address now belongs to another endpoint.
     pub wrong_endpoint: bool,
+    /// Phase of the endpoint's run.
+    pub phase: EndpointPhase,
     /// Load of the endpoint.
     pub load: Option<LoadReading>,
     /// Time for which the endpoint keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
 
+/// Phase of an endpoint's run, as the endpoint itself states it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointPhase {
+    /// It takes calls.
+    Serving,
+    /// It leaves, and takes no new calls for long.
+    Leaving,
+}
+
 /// Error of a request head that cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct InvalidHead {
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -43,7 +43,8 @@
 pub use self::{
     decision_log::DecisionLog,
     dialect::{
-        CallHead, DecodeError, Dialect, ForwardHead, InvalidHead, ProgramHead, ResponseHead, TokenCount,
+        CallHead, DecodeError, Dialect, EndpointPhase, ForwardHead, InvalidHead, ProgramHead, ResponseHead,
+        TokenCount,
     },
     disk_host::{DiskHostOptions, run_disk_host},
     process::{HostError, HostOptions, Signals, run},
--- a/crates/burdockroad/src/gateway/placement.rs
+++ b/crates/burdockroad/src/gateway/placement.rs
@@ -44,6 +44,9 @@
 /// Maximum duration of an ejection.
 const EJECTION_MAX: Duration = Duration::from_secs(4);
 
+/// Time for which an endpoint that said that it leaves is remembered. Endpoints leave within less.
+const LEAVING_MEMORY: Duration = Duration::from_hours(1);
+
 /// Maximum number of cached prompt parts tracked per endpoint.
 const CACHED_PARTS_MAX: usize = 1500;
 
@@ -143,9 +146,19 @@
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     rows: HashMap<EndpointId, EndpointRow>,
+    /// Endpoints that said themselves that they leave, with the start time of the run that said so. It outlives
+    /// their rows, because an entry that expired may come back.
+    leaving: HashMap<EndpointId, LeavingRun>,
     peers: HashMap<HostId, PeerCalls>,
 }
 
+/// A run of an endpoint that said that it leaves.
+#[derive(Debug)]
+struct LeavingRun {
+    started_unix_ms: u64,
+    said_at: Instant,
+}
+
 /// Calls of one other host.
 #[derive(Debug)]
 struct PeerCalls {
@@ -157,6 +170,8 @@
 #[derive(Debug)]
 struct EndpointRow {
     endpoint: Endpoint,
+    /// Whether this run of the endpoint said that it leaves.
+    leaving: bool,
     in_flight: u32,
     /// Estimated calls of other hosts, from the latest report of the endpoint or of another host.
     peer_calls: u32,
@@ -191,11 +206,33 @@
                 row.endpoint = endpoint;
             }
             _ => {
-                self.rows.insert(endpoint.id.clone(), EndpointRow::new(endpoint));
+                let mut row = EndpointRow::new(endpoint);
+                row.leaving = self.is_leaving(&row.endpoint);
+                self.rows.insert(row.endpoint.id.clone(), row);
             }
         }
     }
 
+    /// Records that an endpoint said that it leaves. Its run takes no new calls from then on, whatever its entry
+    /// says.
+    pub fn record_leaving(&mut self, id: &str, now: Instant) {
+        let Some(row) = self.rows.get_mut(id) else {
+            return;
+        };
+        row.leaving = true;
+        let run = LeavingRun {
+            started_unix_ms: row.endpoint.started_unix_ms,
+            said_at: now,
+        };
+        self.leaving.retain(|_, run| now < run.said_at + LEAVING_MEMORY);
+        self.leaving.insert(id.to_owned(), run);
+    }
+
+    fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        let run = self.leaving.get(&endpoint.id);
+        run.is_some_and(|run| run.started_unix_ms == endpoint.started_unix_ms)
+    }
+
     /// Removes an endpoint.
     pub fn remove(&mut self, id: &str) {
         self.rows.remove(id);
@@ -215,7 +252,7 @@
     /// on at.
     pub fn usable(&self, service: &str, version: Option<&SoftwareVersion>) -> usize {
         let rows = self.rows.values();
-        rows.filter(|row| row.endpoint.service == service && !row.endpoint.draining)
+        rows.filter(|row| row.endpoint.service == service && row.takes_calls())
             .filter(|row| row.has_version(version))
             .count()
     }
@@ -230,7 +267,7 @@
     /// Returns the calls per slot of a service's endpoints; 0 if it has none.
     pub fn load_per_slot(&self, service: &str, now: Instant) -> f64 {
         let rows = self.rows.values();
-        let usable = rows.filter(|row| row.endpoint.service == service && !row.endpoint.draining);
+        let usable = rows.filter(|row| row.endpoint.service == service && row.takes_calls());
         let (load, slots) = usable.fold((0, 0), |(load, slots), row| {
             (load + row.load(now), slots + row.endpoint.slots)
         });
@@ -266,7 +303,7 @@
             .values()
             .filter(|row| row.endpoint.service == query.service)
             .filter(|row| row.has_version(query.software_version))
-            .filter(|row| !row.endpoint.draining && !query.tried.contains(&row.endpoint.id))
+            .filter(|row| row.takes_calls() && !query.tried.contains(&row.endpoint.id))
             .filter(|row| row.in_flight < query.in_flight_max);
         let estimates = candidates.map(|row| {
             let estimate_ms = row.estimate_ms(&query, service_mean_ms, now) + row.jitter_ms(jitter_seed);
@@ -365,6 +402,7 @@
     fn new(endpoint: Endpoint) -> Self {
         Self {
             endpoint,
+            leaving: false,
             in_flight: 0,
             peer_calls: 0,
             reported_calls: 0,
@@ -378,6 +416,10 @@
         }
     }
 
+    fn takes_calls(&self) -> bool {
+        !self.endpoint.draining && !self.leaving
+    }
+
     /// Returns whether the endpoint has a version; any version if it is `None`.
     fn has_version(&self, version: Option<&SoftwareVersion>) -> bool {
         version.is_none_or(|version| self.endpoint.software_version == *version)
--- a/crates/burdockroad/tests/gateway_placement.rs
+++ b/crates/burdockroad/tests/gateway_placement.rs
@@ -101,6 +101,26 @@
     assert_eq!(table.usable(SERVICE, None), 4);
 }
 
+#[test]
+fn choose_skips_endpoint_that_said_that_it_leaves_until_its_next_run() {
+    let now = Instant::now();
+    let mut table = table(1);
+    table.record_leaving("endpoint-0", now);
+    assert!(table.choose(query(&[], &[]), 0, now).is_none());
+    assert_eq!(table.usable(SERVICE, None), 0);
+    // Its entry is written again, or expires and comes back.
+    table.insert(endpoint(0));
+    assert!(table.choose(query(&[], &[]), 0, now).is_none());
+    table.remove("endpoint-0");
+    table.insert(endpoint(0));
+    assert!(table.choose(query(&[], &[]), 0, now).is_none());
+    table.insert(Endpoint {
+        started_unix_ms: 2,
+        ..endpoint(0)
+    });
+    assert_eq!(chosen(&table, &[], 0, now), "endpoint-0");
+}
+
 #[test]
 fn choose_falls_back_to_failing_endpoint() {
     let now = Instant::now();
