--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -1,7 +1,9 @@
 //! Attempts of one call at endpoints, until one of them responds.
 
+mod exchange;
+mod stream_version;
+
 use std::{
-    io,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -14,28 +16,23 @@
     },
 };
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::Full;
+use http::{HeaderMap, Method, Response, Uri};
 use hyper::body::Incoming;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::{
-    CallHead, EndpointPhase, ForwardHead, ResponseHead,
+    CallHead, ResponseHead,
     budgets::{Reservation, release},
     call::{CallRecord, KeptTurn},
     framing::Framing,
-    pool::{Connection, connect},
+    pool::Connection,
     refusal::Refusal,
     shared::Shared,
-    stream_origins::{announce, version_of},
 };
 
 /// Time reserved for sending the response to the caller before the caller's deadline.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
 
-/// Timeout for the response head of a call that may be repeated. After it, the call is sent again.
-const HEAD_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// Backoff before the next attempt when all endpoints were full.
 const FULL_BACKOFF: Duration = Duration::from_millis(15);
 
@@ -136,37 +133,6 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Determines the software version at which a stream that the caller takes up goes on.
-    pub(crate) async fn find_stream_version(&mut self) -> Result<(), Refusal> {
-        if self.head.last_event.is_none() || !self.route.kind.is_stream() || !self.route.kind.may_retry() {
-            return Ok(());
-        }
-        let origin = self.head.stream_origin.as_ref();
-        let version = version_of(&self.shared, &self.service, origin).await;
-        self.stream_version = Some(version.ok_or(Refusal::UnknownStream)?);
-        Ok(())
-    }
-
-    /// Records that the caller is about to receive the first event of its stream, which binds the stream to the
-    /// software version of its endpoint.
-    pub(crate) fn begin_stream(&mut self) {
-        if self.stream_version.is_some() || !self.route.kind.may_retry() {
-            return;
-        }
-        let Some(endpoint) = &self.current_endpoint else {
-            return;
-        };
-        let version = endpoint.software_version.clone();
-        announce(
-            &self.shared,
-            &self.service,
-            &self.head.call_id,
-            &version,
-            self.time_left(),
-        );
-        self.stream_version = Some(version);
-    }
-
     /// Sends the call to endpoints until one responds. A stream resumes after event `last_event`.
     pub(crate) async fn open(&mut self, last_event: Option<u64>) -> Result<OpenedResponse, Refusal> {
         loop {
@@ -253,17 +219,6 @@
         tables.endpoints.choose(query, rand::random(), Instant::now())
     }
 
-    /// Returns whether an endpoint still runs the software version that began the stream. An endpoint may start
-    /// again under its id with another version.
-    fn may_go_on_at(&self, endpoint: &Endpoint) -> bool {
-        let Some(version) = &self.stream_version else {
-            return true;
-        };
-        let tables = self.shared.tables();
-        let current = tables.endpoints.get(&endpoint.id).unwrap_or(endpoint);
-        current.software_version == *version
-    }
-
     /// Waits for [`FULL_BACKOFF`] when all endpoints were full. Fails when the call may have run, when the
     /// service has no endpoint, or when the call would then have taken longer than a quarter of the route's
     /// latency objective or half of the time left.
@@ -325,120 +280,6 @@
         result
     }
 
-    /// Sends the request and waits for the response head. A pooled connection that was closed before any
-    /// byte was written is replaced by a new one.
-    async fn exchange(
-        &self,
-        endpoint: &Endpoint,
-        last_event: Option<u64>,
-    ) -> Result<OpenedResponse, Failure> {
-        let mut request = self.forward_request(endpoint, last_event);
-        let pooled = self.shared.pool.take(&endpoint.id, Instant::now());
-        if let Some(connection) = pooled {
-            match self.send(connection, request).await? {
-                SendOutcome::Responded(opened) => return self.classify(endpoint, opened),
-                SendOutcome::Unsent(unsent) => request = unsent,
-            }
-        }
-        metrics::counter!("burdockroad_endpoint_connections_total").increment(1);
-        let connecting = connect(endpoint.address, self.time_left()).await;
-        let connection = connecting.map_err(|error| match error.kind() {
-            io::ErrorKind::ConnectionRefused => Failure::NotListening,
-            _ => Failure::Unreachable,
-        })?;
-        match self.send(connection, request).await? {
-            SendOutcome::Responded(opened) => self.classify(endpoint, opened),
-            SendOutcome::Unsent(_) => Err(Failure::Unreachable),
-        }
-    }
-
-    async fn send(
-        &self,
-        mut connection: Connection,
-        request: Request<Full<Bytes>>,
-    ) -> Result<SendOutcome, Failure> {
-        let head_timeout = if self.route.kind.may_retry() {
-            HEAD_TIMEOUT.min(self.time_left())
-        } else {
-            self.time_left()
-        };
-        let result = timeout(head_timeout, connection.try_send_request(request)).await;
-        match result {
-            Err(_elapsed) => Err(Failure::Unknown),
-            Ok(Ok(response)) => {
-                let head = self
-                    .shared
-                    .dialect
-                    .read_response(response.status(), response.headers());
-                Ok(SendOutcome::Responded(OpenedResponse {
-                    framing: Framing::of(response.headers()),
-                    response,
-                    head,
-                    connection,
-                }))
-            }
-            Ok(Err(mut unsent)) => unsent
-                .take_message()
-                .map(SendOutcome::Unsent)
-                .ok_or(Failure::Unknown),
-        }
-    }
-
-    /// Returns a usable response unchanged. Any other response is a failure: the call did not run, or its
-    /// outcome is unknown.
-    fn classify(&self, endpoint: &Endpoint, opened: OpenedResponse) -> Result<OpenedResponse, Failure> {
-        let head = &opened.head;
-        if head.call_id.as_deref() != Some(&*self.head.call_id) && !head.wrong_endpoint && !head.not_run {
-            return Err(Failure::Unknown);
-        }
-        if head.wrong_endpoint {
-            return Err(Failure::WrongEndpoint);
-        }
-        if head.phase == EndpointPhase::Leaving {
-            self.record_leaving(endpoint);
-        }
-        if head.not_run {
-            return Err(Failure::Full);
-        }
-        let status = opened.response.status();
-        // These statuses would promise the caller that the call has not run. Without the endpoint's statement
-        // that it did not run the call, the call may have run.
-        let claims_not_run = matches!(
-            status,
-            StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
-        );
-        if claims_not_run || (status.is_success() && !head.attested) {
-            return Err(Failure::Unknown);
-        }
-        Ok(opened)
-    }
-
-    /// Lets the endpoint get no new calls, because it states that it leaves.
-    fn record_leaving(&self, endpoint: &Endpoint) {
-        let mut tables = self.shared.tables();
-        tables.endpoints.record_leaving(&endpoint.id, Instant::now());
-        drop(tables);
-        self.shared.pool.close_idle(&endpoint.id);
-        metrics::counter!("burdockroad_endpoints_leaving_total").increment(1);
-    }
-
-    fn forward_request(&self, endpoint: &Endpoint, last_event: Option<u64>) -> Request<Full<Bytes>> {
-        let mut headers = self.request.headers.clone();
-        let forward = ForwardHead {
-            endpoint: &endpoint.id,
-            account: self.account.as_ref().map(|account| account.name.as_str()),
-            time_left: self.time_left(),
-            last_event,
-            priority: self.priority(),
-        };
-        self.shared.dialect.write_forward(&mut headers, &forward);
-        let mut request = Request::new(Full::new(self.request.body.clone()));
-        *request.method_mut() = self.request.method.clone();
-        *request.uri_mut() = self.request.target.clone();
-        *request.headers_mut() = headers;
-        request
-    }
-
     /// Returns the number of calls per slot of the call's service.
     pub(crate) fn load_per_slot(&self) -> f64 {
         let tables = self.shared.tables();
@@ -527,14 +368,6 @@
     }
 }
 
-/// Result of sending a request on a connection.
-enum SendOutcome {
-    /// The head of a response arrived.
-    Responded(OpenedResponse),
-    /// No byte of the request was written.
-    Unsent(Request<Full<Bytes>>),
-}
-
 /// Returns the time that a call may take in total: the caller's timeout minus [`RESPONSE_MARGIN`], but at
 /// most the route's timeout.
 pub(crate) fn call_timeout(head: &CallHead, route: &Route) -> Duration {
--- /dev/null
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -0,0 +1,160 @@
+//! One exchange of a request and a response head with an endpoint.
+
+use std::{
+    io,
+    time::{Duration, Instant},
+};
+
+use burdockroad::gateway::{Endpoint, Failure};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use serde::Serialize;
+use tokio::time::timeout;
+
+use super::{Call, OpenedResponse};
+use crate::{
+    EndpointPhase, ForwardHead,
+    framing::Framing,
+    pool::{Connection, connect},
+};
+
+/// Timeout for the response head of a call that may be repeated. After it, the call is sent again.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Result of sending a request on a connection.
+enum SendOutcome {
+    /// The head of a response arrived.
+    Responded(OpenedResponse),
+    /// No byte of the request was written.
+    Unsent(Request<Full<Bytes>>),
+}
+
+impl Call {
+    /// Sends the request and waits for the response head. A pooled connection that was closed before any
+    /// byte was written is replaced by a new one.
+    pub(super) async fn exchange(
+        &self,
+        endpoint: &Endpoint,
+        last_event: Option<u64>,
+    ) -> Result<OpenedResponse, Failure> {
+        let mut request = self.forward_request(endpoint, last_event);
+        let pooled = self.shared.pool.take(&endpoint.id, Instant::now());
+        if let Some(connection) = pooled {
+            match self.send(connection, request).await? {
+                SendOutcome::Responded(opened) => return self.classify(endpoint, opened),
+                SendOutcome::Unsent(unsent) => request = unsent,
+            }
+        }
+        metrics::counter!("burdockroad_endpoint_connections_total").increment(1);
+        let connecting = connect(endpoint.address, self.time_left()).await;
+        let connection = connecting.map_err(|error| match error.kind() {
+            io::ErrorKind::ConnectionRefused => Failure::NotListening,
+            _ => Failure::Unreachable,
+        })?;
+        match self.send(connection, request).await? {
+            SendOutcome::Responded(opened) => self.classify(endpoint, opened),
+            SendOutcome::Unsent(_) => Err(Failure::Unreachable),
+        }
+    }
+
+    async fn send(
+        &self,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<SendOutcome, Failure> {
+        let head_timeout = if self.route.kind.may_retry() {
+            HEAD_TIMEOUT.min(self.time_left())
+        } else {
+            self.time_left()
+        };
+        let result = timeout(head_timeout, connection.try_send_request(request)).await;
+        match result {
+            Err(_elapsed) => Err(Failure::Unknown),
+            Ok(Ok(response)) => {
+                let head = self
+                    .shared
+                    .dialect
+                    .read_response(response.status(), response.headers());
+                Ok(SendOutcome::Responded(OpenedResponse {
+                    framing: Framing::of(response.headers()),
+                    response,
+                    head,
+                    connection,
+                }))
+            }
+            Ok(Err(mut unsent)) => unsent
+                .take_message()
+                .map(SendOutcome::Unsent)
+                .ok_or(Failure::Unknown),
+        }
+    }
+
+    /// Returns a usable response unchanged. Any other response is a failure: the call did not run, or its
+    /// outcome is unknown.
+    fn classify(&self, endpoint: &Endpoint, opened: OpenedResponse) -> Result<OpenedResponse, Failure> {
+        let head = &opened.head;
+        if head.call_id.as_deref() != Some(&*self.head.call_id) && !head.wrong_endpoint && !head.not_run {
+            return Err(Failure::Unknown);
+        }
+        if head.wrong_endpoint {
+            return Err(Failure::WrongEndpoint);
+        }
+        if head.phase == EndpointPhase::Leaving {
+            self.record_leaving(endpoint);
+        }
+        if head.not_run {
+            return Err(Failure::Full);
+        }
+        let status = opened.response.status();
+        // These statuses would promise the caller that the call has not run. Without the endpoint's statement
+        // that it did not run the call, the call may have run.
+        let claims_not_run = matches!(
+            status,
+            StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+        );
+        if claims_not_run || (status.is_success() && !head.attested) {
+            return Err(Failure::Unknown);
+        }
+        Ok(opened)
+    }
+
+    /// Lets the endpoint get no new calls, because it states that it leaves.
+    fn record_leaving(&self, endpoint: &Endpoint) {
+        let mut tables = self.shared.tables();
+        let is_new = tables.endpoints.record_leaving(&endpoint.id, Instant::now());
+        drop(tables);
+        if is_new {
+            self.shared.pool.close_idle(&endpoint.id);
+            let line = EndpointLeavingLine {
+                endpoint: &endpoint.id,
+                id: &self.head.call_id,
+            };
+            self.shared.log.line("endpoint_leaving", &line);
+        }
+    }
+
+    fn forward_request(&self, endpoint: &Endpoint, last_event: Option<u64>) -> Request<Full<Bytes>> {
+        let mut headers = self.request.headers.clone();
+        let forward = ForwardHead {
+            endpoint: &endpoint.id,
+            account: self.account.as_ref().map(|account| account.name.as_str()),
+            time_left: self.time_left(),
+            last_event,
+            priority: self.priority(),
+        };
+        self.shared.dialect.write_forward(&mut headers, &forward);
+        let mut request = Request::new(Full::new(self.request.body.clone()));
+        *request.method_mut() = self.request.method.clone();
+        *request.uri_mut() = self.request.target.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// Log line of an endpoint that stated in its response to a call that it leaves.
+#[derive(Serialize)]
+struct EndpointLeavingLine<'a> {
+    endpoint: &'a str,
+    id: &'a str,
+}
--- /dev/null
+++ b/crates/burdockroad-gateway/src/attempt/stream_version.rs
@@ -0,0 +1,53 @@
+//! Binding of a stream to the software version that began it.
+
+use burdockroad::gateway::Endpoint;
+
+use super::Call;
+use crate::{
+    refusal::Refusal,
+    stream_origins::{announce, version_of},
+};
+
+impl Call {
+    /// Determines the software version at which a stream that the caller takes up goes on.
+    pub(crate) async fn find_stream_version(&mut self) -> Result<(), Refusal> {
+        if self.head.last_event.is_none() || !self.route.kind.is_stream() || !self.route.kind.may_retry() {
+            return Ok(());
+        }
+        let origin = self.head.stream_origin.as_ref();
+        let version = version_of(&self.shared, &self.service, origin).await;
+        self.stream_version = Some(version.ok_or(Refusal::UnknownStream)?);
+        Ok(())
+    }
+
+    /// Records that the caller is about to receive the first event of its stream, which binds the stream to the
+    /// software version of its endpoint.
+    pub(crate) fn begin_stream(&mut self) {
+        if self.stream_version.is_some() || !self.route.kind.may_retry() {
+            return;
+        }
+        let Some(endpoint) = &self.current_endpoint else {
+            return;
+        };
+        let version = endpoint.software_version.clone();
+        announce(
+            &self.shared,
+            &self.service,
+            &self.head.call_id,
+            &version,
+            self.time_left(),
+        );
+        self.stream_version = Some(version);
+    }
+
+    /// Returns whether an endpoint still runs the software version that began the stream. An endpoint may start
+    /// again under its id with another version.
+    pub(super) fn may_go_on_at(&self, endpoint: &Endpoint) -> bool {
+        let Some(version) = &self.stream_version else {
+            return true;
+        };
+        let tables = self.shared.tables();
+        let current = tables.endpoints.get(&endpoint.id).unwrap_or(endpoint);
+        current.software_version == *version
+    }
+}
--- a/crates/burdockroad/tests/gateway_placement.rs
+++ b/crates/burdockroad/tests/gateway_placement.rs
@@ -105,7 +105,8 @@
 fn choose_skips_endpoint_that_said_that_it_leaves_until_its_next_run() {
     let now = Instant::now();
     let mut table = table(1);
-    table.record_leaving("endpoint-0", now);
+    assert!(table.record_leaving("endpoint-0", now));
+    assert!(!table.record_leaving("endpoint-0", now));
     assert!(table.choose(query(&[], &[]), 0, now).is_none());
     assert_eq!(table.usable(SERVICE, None), 0);
     // Its entry is written again, or expires and comes back.
