Hold the version of a stream until its caller's deadline, not the route's timeout

Cause: found while looking for what could make software_versions.rs depend on its speed: a caller may wait for longer than the route's timeout, and then takes a stream up after its version was forgotten. Change: the version is held until the caller's deadline and a second longer, a minute at most.

--- a/crates/burdockroad-gateway/src/attempt/stream_version.rs
+++ b/crates/burdockroad-gateway/src/attempt/stream_version.rs
@@ -1,5 +1,7 @@
 //! Binding of a stream to the software version that began it.
 
+use std::time::Duration;
+
 use burdockroad::gateway::Endpoint;
 
 use super::Call;
@@ -35,11 +37,18 @@
             &self.service,
             &self.head.call_id,
             &version,
-            self.time_left(),
+            self.caller_time_left(),
         );
         self.stream_version = Some(version);
     }
 
+    /// Returns the time for which the caller waits for its response, also beyond the route's timeout. It may take
+    /// the stream up until then.
+    fn caller_time_left(&self) -> Duration {
+        let caller_timeout = self.head.caller_timeout.unwrap_or(self.route.timeout);
+        caller_timeout.saturating_sub(self.started_at.elapsed())
+    }
+
     /// Returns whether an endpoint still runs the software version that began the stream. An endpoint may start
     /// again under its id with another version.
     pub(super) fn may_go_on_at(&self, endpoint: &Endpoint) -> bool {
--- a/crates/burdockroad-gateway/src/stream_origins.rs
+++ b/crates/burdockroad-gateway/src/stream_origins.rs
@@ -21,9 +21,12 @@
 /// Timeout of a request for a stream's version. It is well below the latency objective of a stream.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Time after the deadline of a call for which the version of its stream is held.
+/// Time after the caller's deadline for which the version of its stream is held.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
 
+/// Longest time for which the version of a stream is held, whatever deadline its caller states.
+const LIFETIME_MAX: Duration = Duration::from_mins(1);
+
 /// First byte of a datagram with a stream's version.
 pub(crate) const STREAM_ORIGIN: u8 = 5;
 
@@ -37,7 +40,7 @@
 }
 
 /// Records the version that begins a stream at this host, and sends it to the holders of the stream while the
-/// service has several versions. `time_left` is the time until the call's deadline.
+/// service has several versions. `time_left` is the time until the caller's deadline.
 pub(crate) fn announce(
     shared: &Shared,
     service: &str,
@@ -46,7 +49,7 @@
     time_left: Duration,
 ) {
     let now = Instant::now();
-    let lifetime = time_left + EXPIRY_MARGIN;
+    let lifetime = (time_left + EXPIRY_MARGIN).min(LIFETIME_MAX);
     let mut tables = shared.tables();
     let has_one_version = tables.only_version(service, now).is_some();
     tables
--- a/crates/burdockroad/src/gateway/stream_origin.rs
+++ b/crates/burdockroad/src/gateway/stream_origin.rs
@@ -14,8 +14,8 @@
     ownership::rendezvous_order,
 };
 
-/// Number of hosts that hold the version of a stream. With three of six hosts killed at once, all of them are
-/// lost for one stream in ten.
+/// Number of hosts that hold the version of a stream; the host that relays it may be one of them. When three of
+/// six hosts are killed at once, one stream in twenty of theirs loses all holders.
 const HOLDER_COUNT: usize = 3;
 
 /// Maximum number of streams whose version a host holds.
