Log the rates of calls that endpoints state

Responses state 'Server-Limit', the calls per second that an endpoint takes from all hosts together, and no log told whether a host had read it. It is now translated (RateStatement), recorded with the endpoint, and logged when it changes. No decision depends on it yet.

--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use burdockroad::gateway::{Endpoint, Failure};
+use burdockroad::gateway::{Endpoint, Failure, RateStatement};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -103,6 +103,9 @@
         if head.phase == EndpointPhase::Leaving {
             self.record_leaving(endpoint);
         }
+        if head.attested || head.rate != RateStatement::Unlimited {
+            self.record_rate(endpoint, head.rate);
+        }
         if head.not_run {
             return Err(Failure::Full);
         }
@@ -134,6 +137,21 @@
         }
     }
 
+    /// Records the rate of calls that the endpoint states.
+    fn record_rate(&self, endpoint: &Endpoint, rate: RateStatement) {
+        let mut tables = self.shared.tables();
+        let is_new = tables.endpoints.record_rate(&endpoint.id, rate, Instant::now());
+        drop(tables);
+        if is_new {
+            let line = EndpointRateLine {
+                endpoint: &endpoint.id,
+                id: &self.head.call_id,
+                calls_per_s: rate.calls_per_s(),
+            };
+            self.shared.log.line("endpoint_rate_changed", &line);
+        }
+    }
+
     fn forward_request(&self, endpoint: &Endpoint, last_event: Option<u64>) -> Request<Full<Bytes>> {
         let mut headers = self.request.headers.clone();
         let forward = ForwardHead {
@@ -158,3 +176,12 @@
     endpoint: &'a str,
     id: &'a str,
 }
+
+/// Log line of an endpoint whose response to a call states another rate than before.
+#[derive(Serialize)]
+struct EndpointRateLine<'a> {
+    endpoint: &'a str,
+    id: &'a str,
+    /// Calls per second that it takes from all hosts together; `None` if it no longer states a limit.
+    calls_per_s: Option<f64>,
+}
--- a/crates/burdockroad-gateway/src/dialect.rs
+++ b/crates/burdockroad-gateway/src/dialect.rs
@@ -4,7 +4,7 @@
 
 use burdockroad::{
     ProgramId,
-    gateway::{Document, Endpoint, LoadReading, PromptPart, TurnId},
+    gateway::{Document, Endpoint, LoadReading, PromptPart, RateStatement, TurnId},
 };
 use http::{HeaderMap, StatusCode};
 
@@ -120,7 +120,7 @@
 }
 
 /// Information from the head of an endpoint's response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
     /// Id of the call that the endpoint responds to.
     pub call_id: Option<String>,
@@ -132,6 +132,8 @@
     pub wrong_endpoint: bool,
     /// Phase of the endpoint's run.
     pub phase: EndpointPhase,
+    /// Rate of calls that the endpoint takes.
+    pub rate: RateStatement,
     /// Load of the endpoint.
     pub load: Option<LoadReading>,
     /// Time for which the endpoint keeps an idle connection open.
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -43,6 +43,7 @@
     events::{EventBuffer, Truncation},
     placement::{
         Endpoint, EndpointCalls, EndpointTable, LoadReading, Outcome, Placement, PlacementQuery, PromptPart,
+        RateStatement,
     },
     program_start::{ProgramStartGate, StartDecision},
     rate_limit::{AccountUsage, Admission, RateLimiter, UsageReport},
--- a/crates/burdockroad/src/gateway/placement.rs
+++ b/crates/burdockroad/src/gateway/placement.rs
@@ -5,6 +5,7 @@
 //! expected time to the first byte is computed for each endpoint, and the endpoint with the shortest one is
 //! chosen.
 
+mod endpoint_rate;
 mod row;
 
 use std::{
@@ -13,6 +14,7 @@
     time::{Duration, Instant},
 };
 
+pub use self::endpoint_rate::RateStatement;
 use self::row::EndpointRow;
 use crate::ids::{EndpointId, HostId, SoftwareVersion};
 
@@ -181,6 +183,19 @@
         true
     }
 
+    /// Records the rate of calls that an endpoint states in a response. Returns whether it differs from the one
+    /// before.
+    pub fn record_rate(&mut self, id: &str, statement: RateStatement, _now: Instant) -> bool {
+        let Some(row) = self.rows.get_mut(id) else {
+            return false;
+        };
+        let is_new = statement != RateStatement::Unreadable && row.rate != statement;
+        if is_new {
+            row.rate = statement;
+        }
+        is_new
+    }
+
     fn is_leaving(&self, endpoint: &Endpoint) -> bool {
         let run = self.leaving.get(&endpoint.id);
         run.is_some_and(|run| run.started_unix_ms == endpoint.started_unix_ms)
--- a/crates/burdockroad/src/gateway/placement/row.rs
+++ b/crates/burdockroad/src/gateway/placement/row.rs
@@ -5,7 +5,9 @@
     time::{Duration, Instant},
 };
 
-use super::{Endpoint, INITIAL_TIME_MS, Outcome, PEER_LOAD_AGE_MAX, PlacementQuery, PromptPart};
+use super::{
+    Endpoint, INITIAL_TIME_MS, Outcome, PEER_LOAD_AGE_MAX, PlacementQuery, PromptPart, RateStatement,
+};
 use crate::ids::SoftwareVersion;
 
 /// Weight of the latest sample in an endpoint's mean time to the first byte.
@@ -41,6 +43,7 @@
     pub(super) endpoint: Endpoint,
     /// Whether this run of the endpoint said that it leaves.
     pub(super) leaving: bool,
+    pub(super) rate: RateStatement,
     pub(super) in_flight: u32,
     /// Estimated calls of other hosts, from the latest report of the endpoint or of another host.
     pub(super) peer_calls: u32,
@@ -64,6 +67,7 @@
         Self {
             endpoint,
             leaving: false,
+            rate: RateStatement::Unlimited,
             in_flight: 0,
             peer_calls: 0,
             reported_calls: 0,
