Keep the rates that endpoints state to take from all hosts together

Cause: placement knew no upper bound that an endpoint itself sets, and such a bound holds for all hosts together.

Hosts now report what an endpoint stated to them, what they sent and would send. Each tracks the level of the whole bucket and accrues a share of the rate by its demand; a call needs a token of both, goes elsewhere without one, and is refused at once with the time until the next token when no endpoint has room.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -42,6 +42,10 @@
 /// `Retry-After` when the service has no endpoint.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// `Retry-After` when the endpoints limit their rates and take calls from other hosts only, which a retry may
+/// reach.
+const OTHER_SENDERS_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Connections to one endpoint that each host may open, even if its share of the service's limit is lower.
 const CONNECTIONS_MIN: usize = 2;
 
@@ -72,6 +76,8 @@
     pub(crate) reservation: Option<Reservation>,
     /// Endpoint that the next attempt must use; `None` when the attempt chooses one.
     next_endpoint: Option<Endpoint>,
+    /// Whether an endpoint was chosen for the call before.
+    was_placed: bool,
 }
 
 /// A call that was admitted and whose body was read completely.
@@ -126,6 +132,7 @@
             stream_version: None,
             reservation: None,
             next_endpoint: None,
+            was_placed: false,
         }
     }
 
@@ -139,6 +146,7 @@
             if self.time_left().is_zero() {
                 return Err(self.timeout_refusal());
             }
+            self.wait_for_rate_of_next_endpoint().await?;
             let Some(placement) = self.choose_endpoint() else {
                 self.wait_for_capacity().await?;
                 continue;
@@ -214,33 +222,58 @@
             parts: &self.head.prompt_parts,
             tried: &self.attempted,
             in_flight_max: u32::try_from(self.connections_max()).unwrap_or(u32::MAX),
+            is_first: !self.was_placed,
         };
-        let tables = self.shared.tables();
-        tables.endpoints.choose(query, rand::random(), Instant::now())
+        let mut tables = self.shared.tables();
+        let placement = tables.endpoints.choose(query, rand::random(), Instant::now());
+        drop(tables);
+        self.was_placed = true;
+        placement
+    }
+
+    /// Waits until the rate of the endpoint that the next attempt must use lets this host send another call.
+    async fn wait_for_rate_of_next_endpoint(&mut self) -> Result<(), Refusal> {
+        while let Some(endpoint) = &self.next_endpoint {
+            let wait = self
+                .shared
+                .tables()
+                .endpoints
+                .endpoint_rate_wait(&endpoint.id, Instant::now());
+            match wait {
+                Some(Duration::ZERO) => break,
+                Some(wait) if wait < self.time_left() => sleep(wait).await,
+                Some(_) | None => return Err(self.give_up_refusal()),
+            }
+        }
+        Ok(())
     }
 
-    /// Waits for [`FULL_BACKOFF`] when all endpoints were full. Fails when the call may have run, when the
-    /// service has no endpoint, or when the call would then have taken longer than a quarter of the route's
-    /// latency objective or half of the time left.
+    /// Waits when all endpoints were full, for [`FULL_BACKOFF`] or until their rates allow another call. Fails when
+    /// the call may have run, when the service has no endpoint, or when the call would then have taken longer than
+    /// a quarter of the route's latency objective or half of the time left.
     async fn wait_for_capacity(&mut self) -> Result<(), Refusal> {
         if self.retries.unknown > 0 {
             return Err(self.give_up_refusal());
         }
-        let usable = {
-            let tables = self.shared.tables();
-            tables
-                .endpoints
-                .usable(&self.service, self.stream_version.as_ref())
+        let (usable, rate_wait) = {
+            let version = self.stream_version.as_ref();
+            let mut tables = self.shared.tables();
+            let rate_wait = tables.endpoints.rate_wait(&self.service, version, Instant::now());
+            (tables.endpoints.usable(&self.service, version), rate_wait)
         };
         if usable == 0 {
             return Err(Refusal::NoEndpoint(NO_ENDPOINT_RETRY_AFTER));
         }
+        let Some(rate_wait) = rate_wait else {
+            return Err(Refusal::NoEndpoint(OTHER_SENDERS_RETRY_AFTER));
+        };
+        let wait = rate_wait.max(FULL_BACKOFF);
         let max_wait = (self.route.objective / 4).min(self.time_left() / 2);
-        if self.started_at.elapsed() + FULL_BACKOFF > max_wait {
-            return Err(Refusal::NoEndpoint(FULL_RETRY_AFTER));
+        if self.started_at.elapsed() + wait > max_wait {
+            return Err(Refusal::NoEndpoint(rate_wait.max(FULL_RETRY_AFTER)));
         }
         self.attempted.clear();
-        sleep(FULL_BACKOFF).await;
+        sleep(wait).await;
         Ok(())
     }
 
--- a/crates/burdockroad-gateway/src/hosts.rs
+++ b/crates/burdockroad-gateway/src/hosts.rs
@@ -108,6 +108,9 @@
         let hosts = peers.len() + 1;
         let changed = tables.host_count != hosts;
         tables.host_count = hosts;
+        tables
+            .endpoints
+            .set_hosts(self.shared.host.clone(), peers.iter().cloned().collect());
         tables.rate_limiter.set_peers(peers);
         if changed {
             tables.ledger.release_idle(Instant::now());
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -7,6 +7,7 @@
 //! outdated. In a large fleet, reports go to a collector of the failure domain, which sends them together.
 
 mod collector;
+mod rates;
 
 use std::{
     io,
@@ -18,8 +19,8 @@
 use burdockroad::{
     EndpointId, HostId,
     gateway::{
-        AccountUsage, EndpointCalls, HostLocation, UsageReport, collects_reports, report_interval,
-        report_targets, split_reports,
+        AccountUsage, EndpointCalls, EndpointUsage, HostLocation, UsageReport, collects_reports,
+        report_interval, report_targets, split_reports,
     },
 };
 use burdockroad_daemon::platform::Revision;
@@ -27,6 +28,7 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 pub(crate) use self::collector::{CollectedReports, send_collected};
+use self::rates::{WireRate, log_changed_rates};
 use crate::{
     follow::{AnnouncedRange, watched_ranges},
     shared::{Shared, Tables},
@@ -43,6 +45,9 @@
 /// packet size.
 const ACCOUNTS_MAX: usize = 24;
 
+/// Maximum number of endpoints with limited rates in one datagram.
+const RATES_MAX: usize = 24;
+
 /// Size of the receive buffer. A longer datagram is truncated, and then counted as unreadable.
 const DATAGRAM_MAX_BYTES: usize = 8192;
 
@@ -77,6 +82,9 @@
     /// Ranges that the host watches; only in the first datagram of a report.
     ranges: Vec<WireRange>,
     accounts: Vec<WireUsage>,
+    /// Calls to endpoints that limit their rate. Hosts of earlier versions do not report them.
+    #[serde(default)]
+    rates: Vec<WireRate>,
 }
 
 /// A watched range and the revision of its last change.
@@ -270,9 +278,13 @@
     if let Some(in_flight) = report.calls() {
         tables.endpoints.record_peer(&report.host, &in_flight, now);
     }
+    let rates: Vec<EndpointUsage> = report.rates.iter().map(WireRate::decode).collect();
+    let changed_rates = tables.endpoints.record_peer_rates(&report.host, &rates, now);
     let is_newer = tables.record_ranges(&report.ranges, address, now);
+    let host = report.host.clone();
     tables.rate_limiter.record_report(&report.decode(), now);
     drop(tables);
+    log_changed_rates(shared, &host, &changed_rates);
     if is_newer {
         shared.range_announced.notify_waiters();
     }
@@ -343,46 +355,45 @@
     let now = Instant::now();
     let report = tables.rate_limiter.report(&shared.host, shared.incarnation, now);
     let in_flight = tables.endpoints.all_in_flight();
+    let rates = tables.endpoints.rate_usages(now);
     drop(tables);
     let usage = report.accounts.iter().filter(|usage| usage.demand_per_s > 0.01);
     let usage: Vec<WireUsage> = usage.map(wire_usage).collect();
-    let mut chunks = split_accounts(usage);
+    let mut account_chunks = split(usage, ACCOUNTS_MAX);
+    let mut rate_chunks = split(rates.iter().map(WireRate::from).collect(), RATES_MAX);
+    let empty = || wire_report(&shared.host, &report, is_served_directly);
     let first = WireReport {
         in_flight: Some(in_flight.into_iter().map(WireCalls::from).collect()),
         ranges: ranges.collect(),
-        ..wire_report(
-            &shared.host,
-            &report,
-            is_served_directly,
-            chunks.pop().unwrap_or_default(),
-        )
+        accounts: account_chunks.pop().unwrap_or_default(),
+        rates: rate_chunks.pop().unwrap_or_default(),
+        ..empty()
     };
-    let rest = chunks
+    let more_accounts = account_chunks
+        .into_iter()
+        .map(|accounts| WireReport { accounts, ..empty() });
+    let more_rates = rate_chunks
         .into_iter()
-        .map(|chunk| wire_report(&shared.host, &report, is_served_directly, chunk));
+        .map(|rates| WireReport { rates, ..empty() });
     std::iter::once(first)
-        .chain(rest)
+        .chain(more_accounts)
+        .chain(more_rates)
         .filter_map(|report| encode(&report))
         .collect()
 }
 
-/// Splits the accounts into chunks of at most [`ACCOUNTS_MAX`].
-fn split_accounts(mut usage: Vec<WireUsage>) -> Vec<Vec<WireUsage>> {
+/// Splits entries of a report into chunks of at most `chunk_max`.
+fn split<T>(mut entries: Vec<T>, chunk_max: usize) -> Vec<Vec<T>> {
     let mut chunks = Vec::new();
-    while usage.len() > ACCOUNTS_MAX {
-        chunks.push(usage.split_off(usage.len() - ACCOUNTS_MAX));
+    while entries.len() > chunk_max {
+        chunks.push(entries.split_off(entries.len() - chunk_max));
     }
-    chunks.push(usage);
+    chunks.push(entries);
     chunks
 }
 
-/// Builds one datagram of a report.
-fn wire_report(
-    host: &HostId,
-    report: &UsageReport,
-    is_served_directly: bool,
-    accounts: Vec<WireUsage>,
-) -> WireReport {
+/// Builds one datagram of a report, without entries.
+fn wire_report(host: &HostId, report: &UsageReport, is_served_directly: bool) -> WireReport {
     WireReport {
         host: host.clone(),
         incarnation: report.incarnation,
@@ -390,7 +401,8 @@
         is_served_directly,
         in_flight: None,
         ranges: Vec::new(),
-        accounts,
+        accounts: Vec::new(),
+        rates: Vec::new(),
     }
 }
 
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -42,8 +42,8 @@
     document::{Account, CallerLimits, Document, EngineInfo, Route, RouteKind, Service, Target},
     events::{EventBuffer, Truncation},
     placement::{
-        Endpoint, EndpointCalls, EndpointTable, LoadReading, Outcome, Placement, PlacementQuery, PromptPart,
-        RateStatement,
+        Endpoint, EndpointCalls, EndpointTable, EndpointUsage, LoadReading, Outcome, Placement,
+        PlacementQuery, PromptPart, RateStatement, StatedRate,
     },
     program_start::{ProgramStartGate, StartDecision},
     rate_limit::{AccountUsage, Admission, RateLimiter, UsageReport},
--- a/crates/burdockroad/src/gateway/placement.rs
+++ b/crates/burdockroad/src/gateway/placement.rs
@@ -6,6 +6,9 @@
 //! chosen.
 
 mod endpoint_rate;
+mod fleet;
+mod rate_bucket;
+mod rates;
 mod row;
 
 use std::{
@@ -14,8 +17,8 @@
     time::{Duration, Instant},
 };
 
-pub use self::endpoint_rate::RateStatement;
-use self::row::EndpointRow;
+pub use self::endpoint_rate::{EndpointUsage, RateStatement, StatedRate};
+use self::{fleet::Fleet, row::EndpointRow};
 use crate::ids::{EndpointId, HostId, SoftwareVersion};
 
 /// Expected time to the first byte before the first sample, in milliseconds.
@@ -97,6 +100,8 @@
     pub tried: &'a [EndpointId],
     /// Maximum number of this host's calls at one endpoint.
     pub in_flight_max: u32,
+    /// Whether the call is placed for the first time. Only then it counts as demand.
+    pub is_first: bool,
 }
 
 /// Endpoint chosen for a call.
@@ -127,6 +132,7 @@
     /// their rows, because an entry that expired may come back.
     leaving: HashMap<EndpointId, LeavingRun>,
     peers: HashMap<HostId, PeerCalls>,
+    fleet: Fleet,
 }
 
 /// A run of an endpoint that said that it leaves.
@@ -183,19 +189,6 @@
         true
     }
 
-    /// Records the rate of calls that an endpoint states in a response. Returns whether it differs from the one
-    /// before.
-    pub fn record_rate(&mut self, id: &str, statement: RateStatement, _now: Instant) -> bool {
-        let Some(row) = self.rows.get_mut(id) else {
-            return false;
-        };
-        let is_new = statement != RateStatement::Unreadable && row.rate != statement;
-        if is_new {
-            row.rate = statement;
-        }
-        is_new
-    }
-
     fn is_leaving(&self, endpoint: &Endpoint) -> bool {
         let run = self.leaving.get(&endpoint.id);
         run.is_some_and(|run| run.started_unix_ms == endpoint.started_unix_ms)
@@ -233,14 +226,18 @@
     }
 
     /// Returns the calls per slot of a service's endpoints; 0 if it has none.
+    ///
+    /// Endpoints that get as many calls as they state to take are left out: their free slots take no more
+    /// calls. The result is 1 if there are only such endpoints.
     pub fn load_per_slot(&self, service: &str, now: Instant) -> f64 {
         let rows = self.rows.values();
         let usable = rows.filter(|row| row.endpoint.service == service && row.takes_calls());
-        let (load, slots) = usable.fold((0, 0), |(load, slots), row| {
+        let (exhausted, open): (Vec<_>, Vec<_>) = usable.partition(|row| row.rate.is_exhausted());
+        let (load, slots) = open.iter().fold((0, 0), |(load, slots), row| {
             (load + row.load(now), slots + row.endpoint.slots)
         });
         if slots == 0 {
-            return 0.0;
+            return if exhausted.is_empty() { 0.0 } else { 1.0 };
         }
         f64::from(load) / f64::from(slots)
     }
@@ -260,11 +257,13 @@
         .collect()
     }
 
-    /// Chooses the endpoint with the shortest expected time; `None` if no endpoint is left to try.
+    /// Chooses the endpoint with the shortest expected time among those that take another call; `None` if no
+    /// endpoint is left to try.
     ///
     /// `jitter_seed` varies the choice among endpoints with similar expected times. Ejected endpoints are
     /// chosen only if no other endpoint is left.
-    pub fn choose(&self, query: PlacementQuery<'_>, jitter_seed: u64, now: Instant) -> Option<Placement> {
+    pub fn choose(&mut self, query: PlacementQuery<'_>, jitter_seed: u64, now: Instant) -> Option<Placement> {
+        self.refill(query.service, now);
         let service_mean_ms = self.service_mean_ms(query.service);
         let candidates = self
             .rows
@@ -273,22 +272,31 @@
             .filter(|row| row.has_version(query.software_version))
             .filter(|row| row.takes_calls() && !query.tried.contains(&row.endpoint.id))
             .filter(|row| row.in_flight < query.in_flight_max);
-        let estimates = candidates.map(|row| {
-            let estimate_ms = row.estimate_ms(&query, service_mean_ms, now) + row.jitter_ms(jitter_seed);
-            (row.is_ejected(now), estimate_ms, row)
-        });
-        let best = estimates.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        best.map(|(_, expected_ms, row)| Placement {
+        let mut ranked: Vec<_> = candidates
+            .map(|row| {
+                let estimate_ms = row.estimate_ms(&query, service_mean_ms, now) + row.jitter_ms(jitter_seed);
+                (row.is_ejected(now), estimate_ms, row)
+            })
+            .collect();
+        ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let preferred = ranked.first().map(|(_, _, row)| row.endpoint.id.clone())?;
+        let best = ranked.into_iter().find(|(_, _, row)| row.has_room());
+        let placement = best.map(|(_, expected_ms, row)| Placement {
             endpoint: row.endpoint.clone(),
             expected_ms,
             load: row.load(now),
-        })
+        });
+        if query.is_first {
+            self.record_demand(&preferred);
+        }
+        placement
     }
 
     /// Counts a call as started at an endpoint, and marks the call's prompt as cached there.
     pub fn start_call(&mut self, id: &str, parts: &[PromptPart]) {
         if let Some(row) = self.rows.get_mut(id) {
             row.in_flight += 1;
+            row.rate.record_sent();
             for part in parts {
                 row.cache_part(part.id);
             }
@@ -321,6 +329,7 @@
     /// Records another host's calls at each endpoint. Endpoints missing from the report have no calls of that
     /// host.
     pub fn record_peer(&mut self, host: &HostId, in_flight: &[EndpointCalls], now: Instant) {
+        self.fleet.record_report(host, now);
         let stale = self
             .peers
             .extract_if(|other, peer| other == host || now >= peer.reported_at + PEER_LOAD_AGE_MAX);
--- a/crates/burdockroad/src/gateway/placement/endpoint_rate.rs
+++ b/crates/burdockroad/src/gateway/placement/endpoint_rate.rs
@@ -1,4 +1,15 @@
-//! Rate of calls that an endpoint takes from all hosts together.
+//! Rate of calls that an endpoint takes from all hosts together, as one host knows it.
+
+use std::time::{Duration, Instant};
+
+use super::{fleet::Fleet, rate_bucket::RateBucket};
+use crate::ids::{EndpointId, HostId};
+
+/// Time constant of the demand average, in seconds.
+const DEMAND_WINDOW_S: f64 = 1.0;
+
+/// Time for which a host that may not send to an endpoint reports the endpoint's last statement.
+const STATEMENT_REPORT_PERIOD: Duration = Duration::from_secs(2);
 
 /// What an endpoint states in a response about the rate of calls that it takes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -23,3 +34,148 @@
         }
     }
 }
+
+/// Statement of an endpoint in a response to one host.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StatedRate {
+    /// Calls per second that it takes from all hosts together; `None` if it states no limit.
+    pub calls_per_s: Option<f64>,
+    /// Time since the response.
+    pub age: Duration,
+}
+
+/// One host's calls to an endpoint that limits its rate, and the endpoint's last statement to that host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndpointUsage {
+    /// Id of the endpoint.
+    pub endpoint: EndpointId,
+    /// Last statement to the host; `None` if the endpoint has not responded to it.
+    pub statement: Option<StatedRate>,
+    /// Calls sent by the host to this run of the endpoint.
+    pub sent: u64,
+    /// Calls per second that the host would send without a limit.
+    pub demand_per_s: f64,
+}
+
+/// Statements of one run of an endpoint about its rate, and the calls to it.
+#[derive(Debug, Default)]
+pub(super) struct EndpointRate {
+    /// Time of the last statement to any host.
+    stated_at: Option<Instant>,
+    /// Last statement to this host and its time. Only this one is reported to other hosts: a statement that they
+    /// passed on to each other would seem newer with each report.
+    own_statement: Option<(Option<f64>, Instant)>,
+    sent: u64,
+    demand_per_s: f64,
+    demand_at: Option<Instant>,
+    /// Limit that the last statement sets.
+    bucket: Option<RateBucket>,
+}
+
+impl EndpointRate {
+    /// Records a statement to this host. Returns whether the limit changes.
+    pub(super) fn record_statement(&mut self, statement: RateStatement, now: Instant) -> bool {
+        if statement == RateStatement::Unreadable {
+            return false;
+        }
+        let limit_per_s = statement.calls_per_s();
+        self.own_statement = Some((limit_per_s, now));
+        self.adopt(limit_per_s, now)
+    }
+
+    /// Records another host's calls, and the statement to it if that is the latest one. Returns whether the limit
+    /// changes.
+    pub(super) fn record_peer(
+        &mut self,
+        host: &HostId,
+        usage: &EndpointUsage,
+        fleet: &Fleet,
+        now: Instant,
+    ) -> bool {
+        let is_changed = usage.statement.is_some_and(|statement| {
+            let stated_at = now.checked_sub(statement.age);
+            stated_at.is_some_and(|stated_at| self.adopt(statement.calls_per_s, stated_at))
+        });
+        if let Some(bucket) = &mut self.bucket {
+            bucket.record_peer(host, usage, fleet, now);
+        }
+        is_changed
+    }
+
+    /// Adopts a statement unless a later one is known. Returns whether the limit changes.
+    fn adopt(&mut self, limit_per_s: Option<f64>, stated_at: Instant) -> bool {
+        if self.stated_at.is_some_and(|known| stated_at < known) || !self.changes_limit(limit_per_s) {
+            self.stated_at = self.stated_at.max(Some(stated_at));
+            return false;
+        }
+        self.stated_at = Some(stated_at);
+        match (limit_per_s, &mut self.bucket) {
+            (Some(limit_per_s), Some(bucket)) => bucket.set_limit(limit_per_s),
+            (Some(limit_per_s), None) => self.bucket = Some(RateBucket::new(limit_per_s)),
+            (None, _) => self.bucket = None,
+        }
+        true
+    }
+
+    fn changes_limit(&self, limit_per_s: Option<f64>) -> bool {
+        self.bucket.as_ref().map(RateBucket::limit_per_s) != limit_per_s
+    }
+
+    /// Returns this host's calls for its report; `None` if other hosts need not know them.
+    pub(super) fn usage(&self, endpoint: &str, now: Instant) -> Option<EndpointUsage> {
+        let statement = self.own_statement.map(|(calls_per_s, at)| StatedRate {
+            calls_per_s,
+            age: now.saturating_duration_since(at),
+        });
+        let is_sender = self.bucket.as_ref().is_some_and(RateBucket::is_sender);
+        let is_recent = statement.is_some_and(|statement| statement.age < STATEMENT_REPORT_PERIOD);
+        let was_limited = self.bucket.is_some() || self.demand_at.is_some();
+        (is_sender || is_recent && was_limited).then(|| EndpointUsage {
+            endpoint: endpoint.to_owned(),
+            statement,
+            sent: self.sent,
+            demand_per_s: self.demand_per_s,
+        })
+    }
+
+    /// Adds the tokens accrued since the last refill.
+    pub(super) fn refill(&mut self, endpoint: &str, fleet: &Fleet, now: Instant) {
+        let Some(bucket) = &mut self.bucket else {
+            return;
+        };
+        let since = self.demand_at.replace(now).unwrap_or(now);
+        let elapsed_s = now.saturating_duration_since(since).as_secs_f64();
+        self.demand_per_s *= (-elapsed_s / DEMAND_WINDOW_S).exp();
+        bucket.refill(endpoint, self.demand_per_s, fleet, now);
+    }
+
+    /// Counts a call that would be sent to the endpoint if it did not limit its rate.
+    pub(super) fn record_demand(&mut self) {
+        if self.bucket.is_some() {
+            self.demand_per_s += 1.0 / DEMAND_WINDOW_S;
+        }
+    }
+
+    /// Counts a call that is sent to the endpoint.
+    pub(super) fn record_sent(&mut self) {
+        self.sent += 1;
+        if let Some(bucket) = &mut self.bucket {
+            bucket.take();
+        }
+    }
+
+    /// Returns the time after which this host may send a call, as of the last refill; `None` if it may not while
+    /// the limit lasts.
+    pub(super) fn wait(&self) -> Option<Duration> {
+        self.bucket
+            .as_ref()
+            .map_or(Some(Duration::ZERO), RateBucket::wait)
+    }
+
+    /// Returns whether all hosts together would send at least as many calls as the endpoint takes.
+    pub(super) fn is_exhausted(&self) -> bool {
+        self.bucket
+            .as_ref()
+            .is_some_and(|bucket| bucket.is_exhausted(self.demand_per_s))
+    }
+}
--- /dev/null
+++ b/crates/burdockroad/src/gateway/placement/rates.rs
@@ -0,0 +1,95 @@
+//! Rates of calls that endpoints state to take.
+
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
+
+use super::{EndpointTable, EndpointUsage, RateStatement};
+use crate::ids::{EndpointId, HostId, SoftwareVersion};
+
+impl EndpointTable {
+    /// Sets this host and the other hosts that send calls. They share the rates that endpoints state.
+    pub fn set_hosts(&mut self, host: HostId, others: HashSet<HostId>) {
+        self.fleet.set_hosts(host, others);
+    }
+
+    /// Records the rate of calls that an endpoint states in a response to this host. Returns whether it differs
+    /// from the last statement to any host.
+    pub fn record_rate(&mut self, id: &str, statement: RateStatement, now: Instant) -> bool {
+        let row = self.rows.get_mut(id);
+        row.is_some_and(|row| row.rate.record_statement(statement, now))
+    }
+
+    /// Records another host's calls to endpoints that limit their rate. Returns the endpoints whose limits change
+    /// by their statements to that host, with the new limits in calls per second.
+    pub fn record_peer_rates(
+        &mut self,
+        host: &HostId,
+        usages: &[EndpointUsage],
+        now: Instant,
+    ) -> Vec<(EndpointId, Option<f64>)> {
+        let mut changed = Vec::new();
+        for usage in usages {
+            let Some(row) = self.rows.get_mut(&usage.endpoint) else {
+                continue;
+            };
+            if row.rate.record_peer(host, usage, &self.fleet, now) {
+                let calls_per_s = usage.statement.and_then(|statement| statement.calls_per_s);
+                changed.push((usage.endpoint.clone(), calls_per_s));
+            }
+        }
+        changed
+    }
+
+    /// Returns this host's calls to endpoints that limit their rate, for its report to the other hosts.
+    pub fn rate_usages(&mut self, now: Instant) -> Vec<EndpointUsage> {
+        let rows = self.rows.iter_mut();
+        rows.filter_map(|(id, row)| {
+            row.rate.refill(id, &self.fleet, now);
+            row.rate.usage(id, now)
+        })
+        .collect()
+    }
+
+    /// Returns the time after which the rates of a service's endpoints let this host send another call; `None`
+    /// if they do not while they stay as they are. Streams of a version can go on at its endpoints only.
+    pub fn rate_wait(
+        &mut self,
+        service: &str,
+        version: Option<&SoftwareVersion>,
+        now: Instant,
+    ) -> Option<Duration> {
+        self.refill(service, now);
+        let rows = self.rows.values();
+        let usable = rows.filter(|row| row.endpoint.service == service && row.takes_calls());
+        usable
+            .filter(|row| row.has_version(version))
+            .filter_map(|row| row.rate.wait())
+            .min()
+    }
+
+    /// Returns the time after which an endpoint's rate lets this host send it another call; `None` if it does not
+    /// while it stays as it is.
+    pub fn endpoint_rate_wait(&mut self, id: &str, now: Instant) -> Option<Duration> {
+        let Some(row) = self.rows.get_mut(id) else {
+            return Some(Duration::ZERO);
+        };
+        row.rate.refill(id, &self.fleet, now);
+        row.rate.wait()
+    }
+
+    pub(super) fn refill(&mut self, service: &str, now: Instant) {
+        for (id, row) in &mut self.rows {
+            if row.endpoint.service == service {
+                row.rate.refill(id, &self.fleet, now);
+            }
+        }
+    }
+
+    pub(super) fn record_demand(&mut self, id: &str) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.rate.record_demand();
+        }
+    }
+}
--- a/crates/burdockroad/src/gateway/placement/row.rs
+++ b/crates/burdockroad/src/gateway/placement/row.rs
@@ -6,7 +6,8 @@
 };
 
 use super::{
-    Endpoint, INITIAL_TIME_MS, Outcome, PEER_LOAD_AGE_MAX, PlacementQuery, PromptPart, RateStatement,
+    Endpoint, INITIAL_TIME_MS, Outcome, PEER_LOAD_AGE_MAX, PlacementQuery, PromptPart,
+    endpoint_rate::EndpointRate,
 };
 use crate::ids::SoftwareVersion;
 
@@ -43,7 +44,7 @@
     pub(super) endpoint: Endpoint,
     /// Whether this run of the endpoint said that it leaves.
     pub(super) leaving: bool,
-    pub(super) rate: RateStatement,
+    pub(super) rate: EndpointRate,
     pub(super) in_flight: u32,
     /// Estimated calls of other hosts, from the latest report of the endpoint or of another host.
     pub(super) peer_calls: u32,
@@ -67,7 +68,7 @@
         Self {
             endpoint,
             leaving: false,
-            rate: RateStatement::Unlimited,
+            rate: EndpointRate::default(),
             in_flight: 0,
             peer_calls: 0,
             reported_calls: 0,
@@ -85,6 +86,11 @@
         !self.endpoint.draining && !self.leaving
     }
 
+    /// Returns whether the rate that the endpoint states lets this host send it another call.
+    pub(super) fn has_room(&self) -> bool {
+        self.rate.wait() == Some(Duration::ZERO)
+    }
+
     /// Returns whether the endpoint has a version; any version if it is `None`.
     pub(super) fn has_version(&self, version: Option<&SoftwareVersion>) -> bool {
         version.is_none_or(|version| self.endpoint.software_version == *version)
--- a/crates/burdockroad/src/gateway/rate_limit.rs
+++ b/crates/burdockroad/src/gateway/rate_limit.rs
@@ -235,14 +235,17 @@
         unresponsive.count()
     }
 
-    /// Returns the age of the last report from which a host counts as unresponsive.
     fn unresponsive_after(&self) -> Duration {
-        let hosts = self.peers.len() + 1;
-        let reports = report_interval(hosts) * UNRESPONSIVE_AFTER_REPORTS;
-        (reports + report_delay(hosts)).max(UNRESPONSIVE_AFTER_MIN)
+        unresponsive_after(self.peers.len() + 1)
     }
 }
 
+/// Returns the age of the last report from which a host counts as unresponsive in a fleet of `hosts`.
+pub(super) fn unresponsive_after(hosts: usize) -> Duration {
+    let reports = report_interval(hosts) * UNRESPONSIVE_AFTER_REPORTS;
+    (reports + report_delay(hosts)).max(UNRESPONSIVE_AFTER_MIN)
+}
+
 /// Returns the time that a report takes to arrive in a fleet of `hosts`.
 fn report_delay(hosts: usize) -> Duration {
     if collects_reports(hosts) {
--- a/crates/burdockroad/tests/gateway_placement.rs
+++ b/crates/burdockroad/tests/gateway_placement.rs
@@ -42,10 +42,11 @@
         parts,
         tried,
         in_flight_max: 100,
+        is_first: true,
     }
 }
 
-fn chosen(table: &EndpointTable, parts: &[PromptPart], jitter_seed: u64, now: Instant) -> String {
+fn chosen(table: &mut EndpointTable, parts: &[PromptPart], jitter_seed: u64, now: Instant) -> String {
     let placement = table.choose(query(parts, &[]), jitter_seed, now);
     placement.expect("an endpoint is left").endpoint.id
 }
@@ -57,7 +58,10 @@
     table.start_call("endpoint-2", &parts);
     table.end_call("endpoint-2");
     for jitter_seed in 0..20 {
-        assert_eq!(chosen(&table, &parts, jitter_seed, Instant::now()), "endpoint-2");
+        assert_eq!(
+            chosen(&mut table, &parts, jitter_seed, Instant::now()),
+            "endpoint-2"
+        );
     }
 }
 
@@ -75,7 +79,7 @@
         table.record_outcome(id, Outcome::Responded { first_byte }, now);
     }
     for jitter_seed in 0..20 {
-        assert_eq!(chosen(&table, &[], jitter_seed, now), "endpoint-3");
+        assert_eq!(chosen(&mut table, &[], jitter_seed, now), "endpoint-3");
     }
 }
 
@@ -88,7 +92,7 @@
         ..endpoint(1)
     });
     let version = "v2".to_owned();
-    let of_version = |tried: &[String]| {
+    let mut of_version = |tried: &[String]| {
         let query = PlacementQuery {
             software_version: Some(&version),
             ..query(&[], tried)
@@ -119,7 +123,7 @@
         started_unix_ms: 2,
         ..endpoint(0)
     });
-    assert_eq!(chosen(&table, &[], 0, now), "endpoint-0");
+    assert_eq!(chosen(&mut table, &[], 0, now), "endpoint-0");
 }
 
 #[test]
@@ -127,7 +131,7 @@
     let now = Instant::now();
     let mut table = table(1);
     table.record_outcome("endpoint-0", Outcome::Failed, now);
-    assert_eq!(chosen(&table, &[], 0, now), "endpoint-0");
+    assert_eq!(chosen(&mut table, &[], 0, now), "endpoint-0");
 }
 
 #[test]
@@ -145,7 +149,7 @@
     });
     table.start_call("endpoint-1", &parts);
     table.end_call("endpoint-1");
-    assert_eq!(chosen(&table, &parts, 0, Instant::now()), "endpoint-1");
+    assert_eq!(chosen(&mut table, &parts, 0, Instant::now()), "endpoint-1");
 }
 
 /// Returns the maximum number of calls at one endpoint when six hosts place calls after another host has put ten
@@ -163,7 +167,7 @@
             exchange_reports(&mut hosts, now);
         }
         let host = usize::try_from(1 + call % 6).expect("a small index");
-        let id = chosen(&hosts[host], &[], call, now);
+        let id = chosen(&mut hosts[host], &[], call, now);
         hosts[host].start_call(&id, &[]);
     }
     let totals = (0..9).map(|index| {
