Log how long a failed attempt took

A connect that timed out, one that was refused and a response that never came could not be told apart by their times. No logic is changed.

--- a/crates/burdockroad-gateway/src/call/record.rs
+++ b/crates/burdockroad-gateway/src/call/record.rs
@@ -44,6 +44,7 @@
     /// Framing of the endpoint's last stream; `None` for calls that got no stream.
     pub(crate) framing: Option<Framing>,
     attempts: u32,
+    attempt_started_at: Option<Instant>,
     /// Endpoint of the last attempt.
     endpoint: String,
     /// Version of the software of that endpoint.
@@ -88,6 +89,7 @@
 
     pub(crate) fn record_attempt(&mut self, placement: &Placement) {
         self.attempts += 1;
+        self.attempt_started_at = Some(Instant::now());
         self.endpoint.clone_from(&placement.endpoint.id);
         self.software_version
             .clone_from(&placement.endpoint.software_version);
@@ -122,6 +124,7 @@
                 software_version: &endpoint.software_version,
                 failure: name,
                 attempt: self.attempts,
+                attempt_ms: self.attempt_started_at.map(|at| as_ms(at.elapsed())),
             },
         );
     }
@@ -246,6 +249,8 @@
     software_version: &'a str,
     failure: &'static str,
     attempt: u32,
+    /// Time from the choice of the endpoint to the failure.
+    attempt_ms: Option<u64>,
 }
 
 #[derive(Serialize)]
