Reach endpoints through another host when the own link does not

Cause: an endpoint was reached on the host's own link or not at all, and a failing link counted as a failing endpoint.

A connection that is late or fails on the own link is now opened by another host, which copies bytes; the first one open is used. All decisions on the call stay where the caller is. Three endpoints missed in a row mark a host as cut off: it asks others at once, is not asked itself, and probes its link.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -186,7 +186,8 @@
     /// Ends the current attempt after a complete response, and returns the connection to the pool.
     pub(crate) fn finish(&mut self, connection: Connection, keep_alive: Option<Duration>) {
         // The outcome was recorded when the response head arrived; `Abandoned` records nothing further.
-        if let Some(endpoint) = self.end_attempt(Outcome::Abandoned) {
+        let may_reuse = connection.through_host.is_none() || self.shared.tables().reach.is_cut_off();
+        if let Some(endpoint) = self.end_attempt(Outcome::Abandoned).filter(|_| may_reuse) {
             let max_idle = self.connections_max();
             self.shared
                 .pool
@@ -302,6 +303,9 @@
             Err(_) => Outcome::Failed,
         };
         if let Ok(opened) = &result {
+            self.record
+                .through_host
+                .clone_from(&opened.connection.through_host);
             let mut tables = self.shared.tables();
             tables.endpoints.record_outcome(&endpoint.id, outcome, now);
             if let Some(load) = opened.head.load {
--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -1,9 +1,6 @@
 //! One exchange of a request and a response head with an endpoint.
 
-use std::{
-    io,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use burdockroad::gateway::{Endpoint, Failure, RateStatement};
 use bytes::Bytes;
@@ -14,9 +11,7 @@
 
 use super::{Call, OpenedResponse};
 use crate::{
-    EndpointPhase, ForwardHead,
-    framing::Framing,
-    pool::{Connection, connect},
+    EndpointPhase, ForwardHead, endpoint_path::connect_to_endpoint, framing::Framing, pool::Connection,
 };
 
 /// Timeout for the response head of a call that may be repeated. After it, the call is sent again.
@@ -47,11 +42,7 @@
             }
         }
         metrics::counter!("burdockroad_endpoint_connections_total").increment(1);
-        let connecting = connect(endpoint.address, self.time_left()).await;
-        let connection = connecting.map_err(|error| match error.kind() {
-            io::ErrorKind::ConnectionRefused => Failure::NotListening,
-            _ => Failure::Unreachable,
-        })?;
+        let connection = connect_to_endpoint(&self.shared, endpoint, self.time_left()).await?;
         match self.send(connection, request).await? {
             SendOutcome::Responded(opened) => self.classify(endpoint, opened),
             SendOutcome::Unsent(_) => Err(Failure::Unreachable),
@@ -68,7 +59,7 @@
         } else {
             self.time_left()
         };
-        let result = timeout(head_timeout, connection.try_send_request(request)).await;
+        let result = timeout(head_timeout, connection.sender.try_send_request(request)).await;
         match result {
             Err(_elapsed) => Err(Failure::Unknown),
             Ok(Ok(response)) => {
--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -18,10 +18,9 @@
 use serde::Serialize;
 use tokio::time::timeout;
 
-use self::record::as_ms;
 pub(crate) use self::{
     kept_turn::KeptTurn,
-    record::{CallRecord, HistoryRead},
+    record::{CallRecord, HistoryRead, as_ms},
 };
 use crate::{
     CallHead,
--- a/crates/burdockroad-gateway/src/call/record.rs
+++ b/crates/burdockroad-gateway/src/call/record.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use burdockroad::{
-    SoftwareVersion,
+    HostId, SoftwareVersion,
     gateway::{Account, Endpoint, Failure, Placement, Route},
 };
 use serde::Serialize;
@@ -43,6 +43,8 @@
     pub(crate) resumed: u32,
     /// Framing of the endpoint's last stream; `None` for calls that got no stream.
     pub(crate) framing: Option<Framing>,
+    /// Host that opened the connection of the last response in place of this one; `None` on this host's own link.
+    pub(crate) through_host: Option<HostId>,
     attempts: u32,
     attempt_started_at: Option<Instant>,
     /// Endpoint of the last attempt.
@@ -183,6 +185,7 @@
                 config_age_ms: as_ms(self.directory_age),
                 endpoint: &self.endpoint,
                 software_version: &self.software_version,
+                through_host: self.through_host.as_deref(),
                 last_event: head.last_event,
                 stream_origin: head.stream_origin.as_deref(),
                 endpoint_load: self.endpoint_load,
@@ -218,6 +221,9 @@
     config_age_ms: u64,
     endpoint: &'a str,
     software_version: &'a str,
+    /// Host that opened the connection to the endpoint in place of this one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    through_host: Option<&'a str>,
     #[serde(skip_serializing_if = "Option::is_none")]
     last_event: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -268,6 +274,6 @@
 }
 
 /// Converts a duration to whole milliseconds for log lines.
-pub(super) fn as_ms(duration: Duration) -> u64 {
+pub(crate) fn as_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod decision_log;
 mod dialect;
 mod disk_host;
+mod endpoint_path;
 mod feed;
 mod follow;
 mod framing;
@@ -38,6 +39,7 @@
 mod store;
 mod stream;
 mod stream_origins;
+mod tunnel;
 mod turn_store;
 
 pub use self::{
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -26,6 +26,7 @@
     shared::Shared,
     stream::ResponseBody,
     stream_origins::known_version,
+    tunnel,
 };
 
 /// Largest body of a call between hosts. A turn contains a request body, which the operator usually limits to
@@ -125,7 +126,7 @@
         let key = address.to_string();
         let mut request = message_request(call);
         if let Some(mut connection) = self.pool.take(&key, Instant::now()) {
-            let result = timeout(response_timeout, connection.try_send_request(request)).await;
+            let result = timeout(response_timeout, connection.sender.try_send_request(request)).await;
             match result {
                 Ok(Ok(response)) => return self.read(&key, connection, response, response_timeout).await,
                 Ok(Err(mut unsent)) => {
@@ -139,7 +140,7 @@
         }
         let connecting = connect(address, response_timeout).await;
         let mut connection = connecting.map_err(|_unreachable| PeerError::Unreachable)?;
-        let result = timeout(response_timeout, connection.send_request(request)).await;
+        let result = timeout(response_timeout, connection.sender.send_request(request)).await;
         match result {
             Ok(Ok(response)) => self.read(&key, connection, response, response_timeout).await,
             Ok(Err(_)) | Err(_) => Err(PeerError::NoResponse),
@@ -165,7 +166,16 @@
 
 /// Serves the calls of other hosts to a gateway host.
 pub(crate) async fn serve_peers(shared: Arc<Shared>, listener: TcpListener) {
-    serve_messages(listener, move |call| respond(Arc::clone(&shared), call)).await;
+    serve_requests(listener, move |request| {
+        let shared = Arc::clone(&shared);
+        async move {
+            if tunnel::is_tunnel_request(&request) {
+                return tunnel::serve(shared, request).await;
+            }
+            respond_to_message(|call| respond(Arc::clone(&shared), call), request).await
+        }
+    })
+    .await;
 }
 
 async fn respond(shared: Arc<Shared>, call: PeerCall) -> PeerResponse {
@@ -191,15 +201,31 @@
     Q: DeserializeOwned + Send + 'static,
     R: Serialize + Send + 'static,
     F: Future<Output = R> + Send + 'static,
+{
+    serve_requests(listener, move |request| {
+        respond_to_message(handler.clone(), request)
+    })
+    .await;
+}
+
+async fn serve_requests<F>(
+    listener: TcpListener,
+    respond: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+) where
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     loop {
         let stream = accept(&listener).await;
-        let handler = handler.clone();
-        let service = service_fn(move |request| respond_to_message(handler.clone(), request));
+        let respond = respond.clone();
+        let service = service_fn(move |request| {
+            let response = respond(request);
+            async move { Ok::<_, Infallible>(response.await) }
+        });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_MAX)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(stream), service)
+            .with_upgrades();
         tokio::spawn(async move {
             // The calling host detects a broken connection itself.
             let _ended = connection.await;
@@ -210,7 +236,7 @@
 async fn respond_to_message<Q, R, F>(
     handler: impl Fn(Q) -> F,
     request: Request<Incoming>,
-) -> Result<Response<ResponseBody>, Infallible>
+) -> Response<ResponseBody>
 where
     Q: DeserializeOwned,
     R: Serialize,
@@ -225,7 +251,7 @@
         metrics::counter!("burdockroad_peer_calls_malformed_total").increment(1);
         let mut response = Response::new(ResponseBody::full(Bytes::new()));
         *response.status_mut() = StatusCode::BAD_REQUEST;
-        return Ok(response);
+        return response;
     };
     let reply = handler(call).await;
     let mut bytes = Vec::new();
@@ -234,7 +260,7 @@
     if encoded.is_err() {
         *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
     }
-    Ok(response)
+    response
 }
 
 /// Encodes a call to another host.
--- a/crates/burdockroad-gateway/src/pool.rs
+++ b/crates/burdockroad-gateway/src/pool.rs
@@ -8,16 +8,19 @@
     time::{Duration, Instant},
 };
 
-use burdockroad::EndpointId;
+use burdockroad::{EndpointId, HostId};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    client::conn::http1::{self, SendRequest},
+    rt::{Read, Write},
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::timeout};
 
 /// Timeout for opening a connection. It is below the second after which TCP retransmits a lost packet of the
 /// handshake.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Longest time for which an idle connection is reused, whether or not the endpoint announces a keep-alive
 /// time.
@@ -27,7 +30,22 @@
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
 
 /// HTTP/1.1 connection. It carries one call at a time.
-pub(crate) type Connection = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Host that opened the connection in place of this one; `None` on this host's own link.
+    pub(crate) through_host: Option<HostId>,
+}
+
+impl Connection {
+    /// Returns a connection that another host opened.
+    pub(crate) fn through(host: HostId, sender: SendRequest<Full<Bytes>>) -> Self {
+        Self {
+            sender,
+            through_host: Some(host),
+        }
+    }
+}
 
 /// Idle connections, by endpoint id or host address.
 #[derive(Debug, Default)]
@@ -47,7 +65,7 @@
         let mut idle = self.lock_idle();
         let connections = idle.get_mut(key)?;
         while let Some(last) = connections.pop() {
-            if last.expires_at > now && last.connection.is_ready() {
+            if last.expires_at > now && last.connection.sender.is_ready() {
                 return Some(last.connection);
             }
         }
@@ -64,7 +82,7 @@
         max_idle: usize,
         now: Instant,
     ) {
-        if connection.is_closed() {
+        if connection.sender.is_closed() {
             return;
         }
         let idle_time = keep_alive.map_or(IDLE_MAX, |keep_alive_time| {
@@ -72,7 +90,7 @@
         });
         let mut idle = self.lock_idle();
         let connections = idle.entry(key.to_owned()).or_default();
-        connections.retain(|idle| idle.expires_at > now && !idle.connection.is_closed());
+        connections.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
         if connections.len() < max_idle {
             connections.push(IdleConnection {
                 connection,
@@ -86,11 +104,18 @@
         self.lock_idle().remove(key);
     }
 
+    /// Closes the idle connections on this host's own links.
+    pub(crate) fn close_own_links(&self) {
+        for connections in self.lock_idle().values_mut() {
+            connections.retain(|idle| idle.connection.through_host.is_some());
+        }
+    }
+
     /// Closes the idle connections that have expired.
     pub(crate) fn remove_expired(&self, now: Instant) {
         let mut idle = self.lock_idle();
         for connections in idle.values_mut() {
-            connections.retain(|idle| idle.expires_at > now && !idle.connection.is_closed());
+            connections.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
@@ -100,16 +125,30 @@
     }
 }
 
-/// Opens a connection to an endpoint or another host.
+/// Opens a connection to an endpoint or another host, on this host's own link.
 pub(crate) async fn connect(address: SocketAddr, time_limit: Duration) -> io::Result<Connection> {
+    let stream = connect_stream(address, time_limit).await?;
+    Ok(Connection {
+        sender: handshake(TokioIo::new(stream)).await?,
+        through_host: None,
+    })
+}
+
+/// Opens a TCP connection.
+pub(crate) async fn connect_stream(address: SocketAddr, time_limit: Duration) -> io::Result<TcpStream> {
     let connecting = TcpStream::connect(address);
     let stream = timeout(CONNECT_TIMEOUT.min(time_limit), connecting)
         .await
         .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
-    let handshake = http1::Builder::new()
-        .max_buf_size(32 << 10)
-        .handshake(TokioIo::new(stream));
+    Ok(stream)
+}
+
+/// Starts HTTP/1.1 on an open connection.
+pub(crate) async fn handshake(
+    io: impl Read + Write + Unpin + Send + 'static,
+) -> io::Result<SendRequest<Full<Bytes>>> {
+    let handshake = http1::Builder::new().max_buf_size(32 << 10).handshake(io);
     let (sender, connection) = handshake.await.map_err(io::Error::other)?;
     tokio::spawn(async move {
         // The call that uses the connection receives its errors.
--- a/crates/burdockroad-gateway/src/process.rs
+++ b/crates/burdockroad-gateway/src/process.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     DecisionLog, Dialect, SharedStore,
+    endpoint_path::probe_own_link,
     feed::{DocumentSubscriber, EndpointSubscriber, sweep},
     follow::follow,
     hosts::{HostSubscriber, keep_registered},
@@ -183,6 +184,7 @@
     tokio::spawn(keep_registered(clone_shared(), options.peer_address));
     tokio::spawn(serve_peers(clone_shared(), calls));
     tokio::spawn(Arc::clone(&shared.store).probe());
+    tokio::spawn(probe_own_link(clone_shared()));
     tokio::spawn(Arc::clone(&shared.turns).probe_failing_hosts());
     tokio::spawn(reports::send_reports(clone_shared()));
     tokio::spawn(reports::send_collected(clone_shared()));
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -77,6 +77,9 @@
     /// Whether the store serves the host without a relaying host.
     #[serde(rename = "store_serves")]
     is_served_directly: bool,
+    /// Whether the host reaches endpoints only through other hosts. Hosts of earlier versions do not report it.
+    #[serde(default)]
+    is_cut_off: bool,
     /// Calls in flight at endpoints; only in the first datagram of a report.
     in_flight: Option<Vec<WireCalls>>,
     /// Ranges that the host watches; only in the first datagram of a report.
@@ -275,6 +278,7 @@
     };
     shared.store.record_peer(address, report.is_served_directly, now);
     let mut tables = shared.tables();
+    tables.reach.record_peer(&report.host, report.is_cut_off);
     if let Some(in_flight) = report.calls() {
         tables.endpoints.record_peer(&report.host, &in_flight, now);
     }
@@ -356,12 +360,17 @@
     let report = tables.rate_limiter.report(&shared.host, shared.incarnation, now);
     let in_flight = tables.endpoints.all_in_flight();
     let rates = tables.endpoints.rate_usages(now);
+    let is_cut_off = tables.reach.is_cut_off();
     drop(tables);
     let usage = report.accounts.iter().filter(|usage| usage.demand_per_s > 0.01);
     let usage: Vec<WireUsage> = usage.map(wire_usage).collect();
     let mut account_chunks = split(usage, ACCOUNTS_MAX);
     let mut rate_chunks = split(rates.iter().map(WireRate::from).collect(), RATES_MAX);
-    let empty = || wire_report(&shared.host, &report, is_served_directly);
+    let empty = || WireReport {
+        is_served_directly,
+        is_cut_off,
+        ..wire_report(&shared.host, &report)
+    };
     let first = WireReport {
         in_flight: Some(in_flight.into_iter().map(WireCalls::from).collect()),
         ranges: ranges.collect(),
@@ -392,13 +401,14 @@
     chunks
 }
 
-/// Builds one datagram of a report, without entries.
-fn wire_report(host: &HostId, report: &UsageReport, is_served_directly: bool) -> WireReport {
+/// Builds one datagram of a report, without entries and states.
+fn wire_report(host: &HostId, report: &UsageReport) -> WireReport {
     WireReport {
         host: host.clone(),
         incarnation: report.incarnation,
         running_ms: u64::try_from(report.uptime.as_millis()).unwrap_or(u64::MAX),
-        is_served_directly,
+        is_served_directly: false,
+        is_cut_off: false,
         in_flight: None,
         ranges: Vec::new(),
         accounts: Vec::new(),
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -13,8 +13,8 @@
 use burdockroad::{
     EndpointId, HostId, Incarnation,
     gateway::{
-        Directory, EndpointTable, Ledger, LedgerOptions, ProgramStartGate, RateLimiter, RunningPrograms,
-        StreamOrigins, VersionHistory,
+        Directory, EndpointReach, EndpointTable, Ledger, LedgerOptions, ProgramStartGate, RateLimiter,
+        RunningPrograms, StreamOrigins, VersionHistory,
     },
 };
 use tokio::{
@@ -71,6 +71,8 @@
     pub(crate) directory: Option<Arc<Directory>>,
     pub(crate) directory_applied_at: Option<Instant>,
     pub(crate) endpoints: EndpointTable,
+    /// Which hosts reach endpoints on their own.
+    pub(crate) reach: EndpointReach,
     /// Versions of endpoints that have left.
     pub(crate) version_history: VersionHistory,
     /// Versions of streams that callers may take up.
@@ -140,6 +142,7 @@
                 directory: None,
                 directory_applied_at: None,
                 endpoints: EndpointTable::new(),
+                reach: EndpointReach::default(),
                 version_history: VersionHistory::default(),
                 stream_origins: StreamOrigins::default(),
                 rate_limiter: RateLimiter::new(now),
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -8,6 +8,7 @@
 //! * [`RateLimiter`] shares an account's rate among the hosts that admit its calls.
 //! * [`ProgramStartGate`] refuses new programs while a service is congested.
 //! * [`EndpointTable`] chooses the endpoint of a call.
+//! * [`EndpointReach`] tells when endpoints are reached only through another host, and through which one.
 //! * [`should_watch`] selects the hosts that watch the store, and [`report_targets`] the recipients of a
 //!   report; in large fleets a [`collector`] sends the reports of many hosts together.
 //! * [`next_step`] selects the action after a failed attempt.
@@ -23,6 +24,7 @@
 mod placement;
 mod program_start;
 mod rate_limit;
+mod reach;
 mod report_batch;
 mod retry;
 mod running;
@@ -47,6 +49,7 @@
     },
     program_start::{ProgramStartGate, StartDecision},
     rate_limit::{AccountUsage, Admission, RateLimiter, UsageReport},
+    reach::{EndpointReach, RelayCandidate},
     report_batch::{join_reports, split_reports},
     retry::{Failure, NextStep, RetryState, next_step},
     running::RunningPrograms,
