Bound the memory of responses that have no end

Endpoints in trouble may send bytes without end, in a head or a body.

A stream breaks off when an event exceeds 256 KiB.

--- a/crates/burdockroad-gateway/src/framing.rs
+++ b/crates/burdockroad-gateway/src/framing.rs
@@ -48,6 +48,8 @@
     ConnectionFailed,
     /// No data arrived in time.
     NoData,
+    /// An event is too long to be one.
+    EventTooLong,
     /// The response ended, but its events are incomplete.
     Truncated(Truncation),
 }
@@ -58,6 +60,7 @@
         match self {
             Self::ConnectionFailed => "connection_failed",
             Self::NoData => "no_data",
+            Self::EventTooLong => "event_too_long",
             Self::Truncated(Truncation::InsideEvent) => "inside_event",
             Self::Truncated(Truncation::BeforeFirstEvent) => "before_first_event",
         }
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod relay;
 mod reports;
 mod reservations;
+mod response_space;
 mod server;
 mod shared;
 mod store;
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -25,7 +25,7 @@
 use crate::{
     DecisionLog, Dialect, HostOptions, RangeLog, budgets::RemoteReservation, feed::MissingEndpoints,
     follow::AnnouncedRange, hosts::Peers, peer::PeerClient, pool::ConnectionPool, relay::RelayedStore,
-    reports::CollectedReports, turn_store::client::TurnClient,
+    reports::CollectedReports, response_space::ResponseSpace, turn_store::client::TurnClient,
 };
 
 /// State of one host.
@@ -40,6 +40,7 @@
     pub(crate) store: Arc<RelayedStore>,
     pub(crate) log: DecisionLog,
     pub(crate) pool: ConnectionPool,
+    pub(crate) response_space: ResponseSpace,
     /// Socket for datagrams to and from other hosts.
     pub(crate) datagrams: Arc<UdpSocket>,
     /// Reports of hosts in this failure domain that this host sends to the others.
@@ -123,6 +124,7 @@
             store,
             log,
             pool: ConnectionPool::default(),
+            response_space: ResponseSpace::default(),
             datagrams,
             collected_reports: CollectedReports::default(),
             turns: Arc::new(TurnClient::new(
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -8,10 +8,10 @@
 };
 
 use burdockroad::gateway::EventBuffer;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, stream};
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::{task::yield_now, time::timeout};
 
@@ -21,8 +21,12 @@
     framing::{Framing, StreamBreak},
     pool::Connection,
     refusal::Refusal,
+    response_space::ResponseSpace,
 };
 
+/// Longest event, in bytes. A longer one is not what an endpoint sends, and may have no end.
+const EVENT_MAX_BYTES: usize = 256 << 10;
+
 /// Time without data after which a stream that may be repeated counts as broken.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1400);
 
@@ -84,14 +88,28 @@
     }
 }
 
-/// Reads a complete response body before the call's deadline. Returns `None` when the response breaks off or
-/// is longer than [`RESPONSE_MAX_BYTES`].
+/// Reads a complete response body before the call's deadline. Returns `None` when the response breaks off, is
+/// longer than [`RESPONSE_MAX_BYTES`], or when this host has no room for it.
 pub(crate) async fn read_whole(call: &Call, body: Incoming) -> Option<Bytes> {
-    let result = timeout(call.time_left(), Limited::new(body, RESPONSE_MAX_BYTES).collect()).await;
-    match result {
-        Ok(Ok(collected)) => Some(collected.to_bytes()),
-        Ok(Err(_)) | Err(_) => None,
+    let reading = read_bounded(&call.shared.response_space, body);
+    timeout(call.time_left(), reading).await.ok().flatten()
+}
+
+async fn read_bounded(space: &ResponseSpace, mut body: Incoming) -> Option<Bytes> {
+    let mut share = space.share();
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        let length = whole.len() + data.len();
+        if length > RESPONSE_MAX_BYTES || !share.grow_to(length) {
+            metrics::counter!("burdockroad_responses_too_long_total").increment(1);
+            return None;
+        }
+        whole.extend_from_slice(&data);
     }
+    Some(whole.freeze())
 }
 
 /// An event stream that is being relayed.
@@ -154,8 +172,8 @@
                 Progress::AllRelayed => return self.store_turn().await,
                 Progress::Ended => return None,
             }
-            let ready = match self.read_frame().await {
-                ReadResult::Data(data) => self.events.push(&data),
+            let ready = match self.read_events().await {
+                ReadResult::Data(ready) => ready,
                 ReadResult::End => {
                     self.end();
                     continue;
@@ -205,6 +223,20 @@
         io::Error::from(io::ErrorKind::ConnectionAborted)
     }
 
+    /// Reads from the endpoint and returns the events that are complete then.
+    async fn read_events(&mut self) -> ReadResult {
+        match self.read_frame().await {
+            ReadResult::Data(data) => {
+                let ready = self.events.push(&data);
+                if self.events.partial_bytes() > EVENT_MAX_BYTES {
+                    return ReadResult::Broken(StreamBreak::EventTooLong);
+                }
+                ReadResult::Data(ready)
+            }
+            result => result,
+        }
+    }
+
     async fn read_frame(&mut self) -> ReadResult {
         let time_left = self.call.time_left();
         let frame_timeout = if self.call.route.kind.may_retry() {
