Compare the address of an idle connection before it is reused

A connection now knows the address at its other end, also through another host, and is closed when the endpoint has another one.

--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -34,7 +34,10 @@
         last_event: Option<u64>,
     ) -> Result<OpenedResponse, Failure> {
         let mut request = self.forward_request(endpoint, last_event);
-        let pooled = self.shared.pool.take(&endpoint.id, Instant::now());
+        let pooled = self
+            .shared
+            .pool
+            .take(&endpoint.id, endpoint.address, Instant::now());
         if let Some(connection) = pooled {
             match self.send(connection, request).await? {
                 SendOutcome::Responded(opened) => return self.classify(endpoint, opened),
--- a/crates/burdockroad-gateway/src/endpoint_path.rs
+++ b/crates/burdockroad-gateway/src/endpoint_path.rs
@@ -86,6 +86,7 @@
         .map_err(|_failed| Failure::Unreachable)?;
     Ok(Connection {
         sender,
+        address: endpoint.address,
         through_host: None,
     })
 }
@@ -117,9 +118,13 @@
     time_limit: Duration,
 ) -> Result<Connection, TunnelError> {
     let relay = choose_relay(shared).ok_or(TunnelError::NoRelay)?;
-    let connection = tunnel::open(&relay.host, relay.address, &endpoint.id, time_limit).await?;
+    let sender = tunnel::open(relay.address, &endpoint.id, time_limit).await?;
     metrics::counter!("burdockroad_tunnels_opened_total").increment(1);
-    Ok(connection)
+    Ok(Connection {
+        sender,
+        address: endpoint.address,
+        through_host: Some(relay.host),
+    })
 }
 
 fn choose_relay(shared: &Shared) -> Option<Relay> {
--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -127,9 +127,7 @@
         };
         let mut tables = self.shared.tables();
         tables.missing_endpoints.remove(id);
-        let known = tables.endpoints.get(id);
-        let is_unchanged = known == Some(&endpoint);
-        let is_moved = known.is_some_and(|known| known.address != endpoint.address);
+        let is_unchanged = tables.endpoints.get(id) == Some(&endpoint);
         if !is_unchanged {
             record_departure(&mut tables, id);
         }
@@ -143,9 +141,6 @@
         };
         tables.endpoints.insert(endpoint.clone());
         drop(tables);
-        if is_moved {
-            self.shared.pool.close_idle(id);
-        }
         if !is_unchanged {
             self.shared.log.line("endpoint_changed", &line);
         }
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -125,7 +125,7 @@
     ) -> Result<R, PeerError> {
         let key = address.to_string();
         let mut request = message_request(call);
-        if let Some(mut connection) = self.pool.take(&key, Instant::now()) {
+        if let Some(mut connection) = self.pool.take(&key, address, Instant::now()) {
             let result = timeout(response_timeout, connection.sender.try_send_request(request)).await;
             match result {
                 Ok(Ok(response)) => return self.read(&key, connection, response, response_timeout).await,
--- a/crates/burdockroad-gateway/src/pool.rs
+++ b/crates/burdockroad-gateway/src/pool.rs
@@ -33,20 +33,12 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Address of the endpoint or host at its other end.
+    pub(crate) address: SocketAddr,
     /// Host that opened the connection in place of this one; `None` on this host's own link.
     pub(crate) through_host: Option<HostId>,
 }
 
-impl Connection {
-    /// Returns a connection that another host opened.
-    pub(crate) fn through(host: HostId, sender: SendRequest<Full<Bytes>>) -> Self {
-        Self {
-            sender,
-            through_host: Some(host),
-        }
-    }
-}
-
 /// Idle connections, by endpoint id or host address.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
@@ -60,12 +52,14 @@
 }
 
 impl ConnectionPool {
-    /// Takes the most recently used connection to an endpoint or host that can still be reused.
-    pub(crate) fn take(&self, key: &str, now: Instant) -> Option<Connection> {
+    /// Takes the most recently used connection to an endpoint or host that can still be reused. Connections to a
+    /// former address are closed.
+    pub(crate) fn take(&self, key: &str, address: SocketAddr, now: Instant) -> Option<Connection> {
         let mut idle = self.lock_idle();
         let connections = idle.get_mut(key)?;
         while let Some(last) = connections.pop() {
-            if last.expires_at > now && last.connection.sender.is_ready() {
+            let is_reusable = last.expires_at > now && last.connection.address == address;
+            if is_reusable && last.connection.sender.is_ready() {
                 return Some(last.connection);
             }
         }
@@ -130,6 +124,7 @@
     let stream = connect_stream(address, time_limit).await?;
     Ok(Connection {
         sender: handshake(TokioIo::new(stream)).await?,
+        address,
         through_host: None,
     })
 }
--- a/crates/burdockroad-gateway/src/tunnel.rs
+++ b/crates/burdockroad-gateway/src/tunnel.rs
@@ -7,13 +7,13 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use burdockroad::{HostId, gateway::Failure};
+use burdockroad::gateway::Failure;
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
-    client::conn::http1,
+    client::conn::http1::{self, SendRequest},
     upgrade::{self, Upgraded},
 };
 use hyper_util::rt::TokioIo;
@@ -25,7 +25,7 @@
 
 use crate::{
     endpoint_path::open_own_link,
-    pool::{Connection, connect_stream, handshake},
+    pool::{connect_stream, handshake},
     shared::Shared,
     stream::ResponseBody,
 };
@@ -52,17 +52,13 @@
 
 /// Opens a connection to an endpoint through the host at `address`.
 pub(crate) async fn open(
-    host: &HostId,
     address: SocketAddr,
     endpoint: &str,
     time_limit: Duration,
-) -> Result<Connection, TunnelError> {
+) -> Result<SendRequest<Full<Bytes>>, TunnelError> {
     let opening = async {
         let upgraded = request_tunnel(address, endpoint, time_limit).await?;
-        let sender = handshake(upgraded)
-            .await
-            .map_err(|_failed| TunnelError::NoRelay)?;
-        Ok(Connection::through(host.clone(), sender))
+        handshake(upgraded).await.map_err(|_failed| TunnelError::NoRelay)
     };
     timeout(time_limit, opening)
         .await
