--- a/crates/burdockroad-gateway/src/endpoint_path.rs
+++ b/crates/burdockroad-gateway/src/endpoint_path.rs
@@ -53,18 +53,16 @@
     }
     let mut own_link = std::pin::pin!(connect_on_own_link(shared, endpoint, time_limit));
     let head_start = timeout(OWN_LINK_HEAD_START, own_link.as_mut()).await;
-    let through_host = connect_through_host(shared, endpoint, time_limit);
+    let mut through_host = std::pin::pin!(connect_through_host(shared, endpoint, time_limit));
     match head_start {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(failure)) => through_host.await.map_err(|error| error.or(failure)),
         Err(_elapsed) => tokio::select! {
             result = own_link.as_mut() => match result {
                 Ok(connection) => Ok(connection),
-                Err(failure) => connect_through_host(shared, endpoint, time_limit)
-                    .await
-                    .map_err(|error| error.or(failure)),
+                Err(failure) => through_host.await.map_err(|error| error.or(failure)),
             },
-            result = through_host => match result {
+            result = through_host.as_mut() => match result {
                 Ok(connection) => {
                     record_unreached(shared, endpoint);
                     Ok(connection)
