Log crashes of endpoints and the requests that they ran

Without this, a request that crashes endpoints could not be told from endpoints that crash under load: each attempt of a caller has another id. A call whose response is missing or breaks off now has the endpoint checked by one connection; a refusal means that it crashed. `endpoint_crashed` names each request by account and digest, how long it ran and whether the endpoint had sent any of its output. The connection of a check that succeeds is kept for the next call.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 mod exchange;
 mod stream_version;
+mod suspicion;
 
 use std::{
     sync::Arc,
@@ -20,6 +21,7 @@
 use hyper::body::Incoming;
 use tokio::time::sleep;
 
+use self::suspicion::Run;
 use crate::{
     CallHead, ResponseHead,
     budgets::{Reservation, release},
@@ -70,6 +72,8 @@
     possibly_ran_on: Vec<EndpointId>,
     /// Endpoint of the attempt in progress; `None` between two attempts.
     current_endpoint: Option<Endpoint>,
+    /// The last run of the call at an endpoint.
+    run: Run,
     /// Software version that began the call's stream, which must go on there; `None` before its first event.
     stream_version: Option<SoftwareVersion>,
     /// Tokens of the program's budget reserved for the call.
@@ -99,7 +103,10 @@
     pub(crate) method: Method,
     pub(crate) target: Uri,
     pub(crate) headers: HeaderMap,
+    /// Body that endpoints get.
     pub(crate) body: Bytes,
+    /// Body as the caller sent it. Another one than endpoints get if the call continues a turn.
+    pub(crate) input: Bytes,
 }
 
 /// A response whose head has arrived.
@@ -129,6 +136,7 @@
             attempted: Vec::new(),
             possibly_ran_on: Vec::new(),
             current_endpoint: None,
+            run: Run::begin(admitted.started_at),
             stream_version: None,
             reservation: None,
             next_endpoint: None,
@@ -292,6 +300,7 @@
             .start_call(&endpoint.id, &self.head.prompt_parts);
         self.current_endpoint = Some(endpoint.clone());
         let sent_at = Instant::now();
+        self.run = Run::begin(sent_at);
         let result = self.exchange(endpoint, last_event).await;
         let now = Instant::now();
         let outcome = match &result {
@@ -342,11 +351,15 @@
     }
 
     /// Counts a failed attempt in the retry state and logs the attempt. Closes the idle connections to the
-    /// endpoint unless it was full.
+    /// endpoint unless it was full, and has it checked whether it crashed.
     fn count(&mut self, failure: Failure, endpoint: &Endpoint) {
+        if failure != Failure::Full {
+            self.shared.pool.close_idle(&endpoint.id);
+        }
         let may_have_run_here = self.possibly_ran_on.contains(&endpoint.id);
         match failure {
             Failure::Unknown => {
+                self.check_for_crash(endpoint);
                 self.retries.unknown += 1;
                 self.retries.last_endpoint_removed = false;
                 self.retries.unreachable_attempts = 0;
@@ -366,9 +379,6 @@
                 }
             }
         }
-        if failure != Failure::Full {
-            self.shared.pool.close_idle(&endpoint.id);
-        }
         if !self.attempted.contains(&endpoint.id) {
             self.attempted.push(endpoint.id.clone());
         }
--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -54,12 +54,14 @@
         Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
     };
     let history_time = history_requested_at.elapsed();
+    let input = body.clone();
     let body = kept_turn.as_ref().map_or(body, KeptTurn::prompt);
     let request = CallerRequest {
         method: parts.method,
         target: parts.uri,
         headers: parts.headers,
         body,
+        input,
     };
     let mut record = CallRecord::new(
         started_at,
@@ -274,6 +276,7 @@
         if call.route.kind.is_stream() && opened.response.status().is_success() {
             return Ok(ServedResponse::Events(opened));
         }
+        call.record_output();
         let (mut parts, body) = opened.response.into_parts();
         let Some(body) = read_whole(call, body).await else {
             if call.record_broken_response() && !call.time_left().is_zero() {
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -23,9 +23,10 @@
 };
 
 use crate::{
-    DecisionLog, Dialect, HostOptions, RangeLog, budgets::RemoteReservation, feed::MissingEndpoints,
-    follow::AnnouncedRange, hosts::Peers, peer::PeerClient, pool::ConnectionPool, relay::RelayedStore,
-    reports::CollectedReports, response_space::ResponseSpace, turn_store::client::TurnClient,
+    DecisionLog, Dialect, HostOptions, RangeLog, budgets::RemoteReservation, crash_detection::CrashChecks,
+    feed::MissingEndpoints, follow::AnnouncedRange, hosts::Peers, peer::PeerClient, pool::ConnectionPool,
+    relay::RelayedStore, reports::CollectedReports, response_space::ResponseSpace,
+    turn_store::client::TurnClient,
 };
 
 /// State of one host.
@@ -60,6 +61,8 @@
     pub(crate) report_now: Notify,
     /// Notified when a watcher announces a newer change of a range.
     pub(crate) range_announced: Notify,
+    /// Notified when a check whether an endpoint crashed has ended.
+    pub(crate) endpoint_checked: Notify,
     /// Whether the host is shutting down.
     pub(crate) stopping: AtomicBool,
     tables: Mutex<Tables>,
@@ -101,6 +104,8 @@
     pub(crate) start_gate: ProgramStartGate,
     /// Programs with a call that this host admitted recently enough for them to count as running.
     pub(crate) running_programs: RunningPrograms,
+    /// Checks whether endpoints crashed.
+    pub(crate) crash_checks: CrashChecks,
     /// Endpoints whose entries may have expired because the store was unavailable.
     pub(crate) missing_endpoints: MissingEndpoints,
 }
@@ -139,6 +144,7 @@
             reservations_changed: Notify::new(),
             report_now: Notify::new(),
             range_announced: Notify::new(),
+            endpoint_checked: Notify::new(),
             stopping: AtomicBool::new(false),
             tables: Mutex::new(Tables {
                 directory: None,
@@ -159,6 +165,7 @@
                 announced_ranges: HashMap::new(),
                 start_gate: ProgramStartGate::default(),
                 running_programs: RunningPrograms::default(),
+                crash_checks: CrashChecks::default(),
                 missing_endpoints: MissingEndpoints::new(),
             }),
         }
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -227,6 +227,9 @@
     async fn read_events(&mut self) -> ReadResult {
         match self.read_frame().await {
             ReadResult::Data(data) => {
+                if !data.is_empty() {
+                    self.call.record_output();
+                }
                 let ready = self.events.push(&data);
                 if self.events.partial_bytes() > EVENT_MAX_BYTES {
                     return ReadResult::Broken(StreamBreak::EventTooLong);
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -23,6 +23,7 @@
 mod events;
 mod placement;
 mod program_start;
+mod quarantine;
 mod rate_limit;
 mod reach;
 mod report_batch;
@@ -48,6 +49,7 @@
         PlacementQuery, PromptPart, RateStatement, StatedRate,
     },
     program_start::{ProgramStartGate, StartDecision},
+    quarantine::{CrashReport, RequestKey, Suspect},
     rate_limit::{AccountUsage, Admission, RateLimiter, UsageReport},
     reach::{EndpointReach, RelayCandidate},
     report_batch::{join_reports, split_reports},
