Quarantine requests that crash the endpoints that run them

Cause: a retry decision was made by call and by host; nothing recognized a request that came again, and a crash was put down to the endpoint alone. A trial with targets and bodies logged showed that the request keeps account and path, but that its body has another length in each program; only its beginning is the same.

Hosts now tell each other of crashes and of what ran there (`Quarantine`, reports). The culprit is the request that had no output in each of three successive crashes and that no other request matches in that; a request that is served is cleared. Similar ones (same first 64 bytes) are quarantined together after five crashes of several of them while none is served. A second crash holds a request for 0.3 s, so that all hosts report before it runs again; suspects run apart from each other. When endpoints crash for other reasons, more crashes are needed. It is refused with 503, which is true, and the time to come back.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use tokio::time::sleep;
 
 use self::suspicion::Run;
+pub(crate) use self::suspicion::identify;
 use crate::{
     CallHead, ResponseHead,
     budgets::{Reservation, release},
@@ -74,6 +75,8 @@
     current_endpoint: Option<Endpoint>,
     /// The last run of the call at an endpoint.
     run: Run,
+    /// Endpoint that is checked because a response of it is missing or broke off; `None` if there is none.
+    checked_endpoint: Option<EndpointId>,
     /// Software version that began the call's stream, which must go on there; `None` before its first event.
     stream_version: Option<SoftwareVersion>,
     /// Tokens of the program's budget reserved for the call.
@@ -136,7 +139,8 @@
             attempted: Vec::new(),
             possibly_ran_on: Vec::new(),
             current_endpoint: None,
-            run: Run::begin(admitted.started_at),
+            run: Run::none(admitted.started_at),
+            checked_endpoint: None,
             stream_version: None,
             reservation: None,
             next_endpoint: None,
@@ -154,6 +158,7 @@
             if self.time_left().is_zero() {
                 return Err(self.timeout_refusal());
             }
+            self.wait_for_verdict().await?;
             self.wait_for_rate_of_next_endpoint().await?;
             let Some(placement) = self.choose_endpoint() else {
                 self.wait_for_capacity().await?;
@@ -193,6 +198,7 @@
 
     /// Ends the current attempt after a complete response, and returns the connection to the pool.
     pub(crate) fn finish(&mut self, connection: Connection, keep_alive: Option<Duration>) {
+        self.record_served();
         // The outcome was recorded when the response head arrived; `Abandoned` records nothing further.
         let may_reuse = connection.through_host.is_none() || self.shared.tables().reach.is_cut_off();
         if let Some(endpoint) = self.end_attempt(Outcome::Abandoned).filter(|_| may_reuse) {
@@ -206,6 +212,7 @@
     /// Ends the current attempt and records its outcome for the endpoint. Returns the endpoint.
     fn end_attempt(&mut self, outcome: Outcome) -> Option<Endpoint> {
         let endpoint = self.current_endpoint.take()?;
+        self.end_run(&endpoint.id);
         let mut tables = self.shared.tables();
         tables.endpoints.end_call(&endpoint.id);
         tables
@@ -224,12 +231,14 @@
                 load: 0,
             });
         }
+        let avoided = self.endpoints_to_avoid(&self.shared.tables().quarantine);
         let query = PlacementQuery {
             service: &self.service,
             software_version: self.stream_version.as_ref(),
             failure_domain: &self.shared.failure_domain,
             parts: &self.head.prompt_parts,
             tried: &self.attempted,
+            avoided: &avoided,
             in_flight_max: u32::try_from(self.connections_max()).unwrap_or(u32::MAX),
             is_first: !self.was_placed,
         };
@@ -300,7 +309,7 @@
             .start_call(&endpoint.id, &self.head.prompt_parts);
         self.current_endpoint = Some(endpoint.clone());
         let sent_at = Instant::now();
-        self.run = Run::begin(sent_at);
+        self.begin_run(&endpoint.id, sent_at);
         let result = self.exchange(endpoint, last_event).await;
         let now = Instant::now();
         let outcome = match &result {
--- a/crates/burdockroad-gateway/src/attempt/suspicion.rs
+++ b/crates/burdockroad-gateway/src/attempt/suspicion.rs
@@ -2,54 +2,136 @@
 
 use std::time::Instant;
 
-use burdockroad::gateway::{Endpoint, RequestKey, Suspect};
+use burdockroad::{
+    EndpointId,
+    gateway::{Account, Endpoint, Quarantine, RequestIdentity, Suspect, Verdict},
+};
+use http::{Method, Uri};
+use tokio::time::sleep;
 
 use super::{Call, CallerRequest};
-use crate::crash_detection::check_endpoint;
+use crate::{
+    crash_detection::{check_endpoint, verdict, wait_for_check},
+    refusal::Refusal,
+};
 
 /// The run of a call at an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Run {
     pub(super) sent_at: Instant,
     pub(super) has_output: bool,
+    /// Whether the run is counted as one of a suspect.
+    is_suspect: bool,
 }
 
 impl Run {
-    /// Returns a run whose request is sent now.
-    pub(super) fn begin(now: Instant) -> Self {
+    /// Returns a run that has not begun.
+    pub(super) fn none(now: Instant) -> Self {
         Self {
             sent_at: now,
             has_output: false,
+            is_suspect: false,
         }
     }
 }
 
 impl CallerRequest {
-    /// Returns what all equal requests of an account have in common.
-    pub(crate) fn key(&self, account: &str) -> RequestKey {
-        let target = self.target.path_and_query().map_or("", |target| target.as_str());
-        RequestKey::new(account, self.method.as_str(), target, &self.input)
+    /// Returns the identity by which the request is recognized when it comes again.
+    pub(crate) fn identity(&self, account: Option<&Account>) -> RequestIdentity {
+        identify(account, &self.method, &self.target, &self.input)
     }
 }
 
+/// Returns the identity of a request by what its caller sent.
+pub(crate) fn identify(
+    account: Option<&Account>,
+    method: &Method,
+    target: &Uri,
+    body: &[u8],
+) -> RequestIdentity {
+    let account = account.map_or("", |account| account.name.as_str());
+    let target = target.path_and_query().map_or("", |target| target.as_str());
+    RequestIdentity::new(account, method.as_str(), target, body)
+}
+
 impl Call {
+    /// Waits while it is decided whether the call's request crashes endpoints. Fails when it is quarantined.
+    pub(super) async fn wait_for_verdict(&mut self) -> Result<(), Refusal> {
+        if let Some(endpoint) = self.checked_endpoint.take() {
+            wait_for_check(&self.shared, &endpoint).await;
+        }
+        if self.shared.tables().quarantine.is_empty() {
+            return Ok(());
+        }
+        let request = self.request.identity(self.account.as_deref());
+        loop {
+            match verdict(&self.shared, &request) {
+                Verdict::Admit => return Ok(()),
+                Verdict::Hold { wait } if wait < self.time_left() => sleep(wait).await,
+                Verdict::Hold { .. } | Verdict::Refuse { .. } if self.retries.unknown > 0 => {
+                    return Err(self.give_up_refusal());
+                }
+                Verdict::Hold { wait } => return Err(Refusal::NoEndpoint(wait)),
+                Verdict::Refuse { retry_after } => return Err(Refusal::Quarantined(retry_after)),
+            }
+        }
+    }
+
+    /// Begins a run at an endpoint. One of a suspect is counted there until [`end_run`](Self::end_run).
+    pub(super) fn begin_run(&mut self, endpoint: &EndpointId, now: Instant) {
+        let mut tables = self.shared.tables();
+        let quarantine = &mut tables.quarantine;
+        let is_suspect =
+            !quarantine.is_empty() && quarantine.is_suspect(&self.request.identity(self.account.as_deref()));
+        if is_suspect {
+            quarantine.start_run(endpoint);
+        }
+        drop(tables);
+        self.run = Run {
+            sent_at: now,
+            has_output: false,
+            is_suspect,
+        };
+    }
+
+    /// Ends the run at an endpoint.
+    pub(super) fn end_run(&mut self, endpoint: &EndpointId) {
+        if std::mem::take(&mut self.run.is_suspect) {
+            self.shared.tables().quarantine.end_run(endpoint);
+        }
+    }
+
+    /// Returns the endpoints that the call should not be sent to, as it is a suspect and so are calls there.
+    pub(super) fn endpoints_to_avoid(&self, quarantine: &Quarantine) -> Vec<EndpointId> {
+        if quarantine.is_empty() || !quarantine.is_suspect(&self.request.identity(self.account.as_deref())) {
+            return Vec::new();
+        }
+        quarantine.endpoints_with_suspects()
+    }
+
     /// Records that the endpoint has sent output of the call.
     pub(crate) fn record_output(&mut self) {
         self.run.has_output = true;
     }
 
+    /// Records that the call was served, so that it is not to blame for earlier crashes.
+    pub(super) fn record_served(&self) {
+        if self.shared.tables().quarantine.is_empty() {
+            return;
+        }
+        let request = self.request.identity(self.account.as_deref());
+        let now = Instant::now();
+        self.shared.tables().quarantine.record_served(&request, now);
+    }
+
     /// Has it checked whether the endpoint crashed, because the call's response is missing or broke off.
-    pub(super) fn check_for_crash(&self, endpoint: &Endpoint) {
+    pub(super) fn check_for_crash(&mut self, endpoint: &Endpoint) {
         let suspect = Suspect {
-            key: self.request_key(),
+            request: self.request.identity(self.account.as_deref()),
             ran: self.run.sent_at.elapsed(),
             has_output: self.run.has_output,
         };
         check_endpoint(&self.shared, endpoint, suspect);
-    }
-
-    fn request_key(&self) -> RequestKey {
-        let account = self.account.as_ref().map_or("", |account| &account.name);
-        self.request.key(account)
+        self.checked_endpoint = Some(endpoint.id.clone());
     }
 }
--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -9,7 +9,9 @@
     time::{Duration, Instant},
 };
 
-use burdockroad::gateway::{Account, AccountLookup, Admission, CallerLimits, Directory, Route, Target};
+use burdockroad::gateway::{
+    Account, AccountLookup, Admission, CallerLimits, Directory, Route, Target, Verdict,
+};
 use bytes::Bytes;
 use http::{Request, Response, header, request::Parts};
 use http_body::Body;
@@ -24,8 +26,9 @@
 };
 use crate::{
     CallHead,
-    attempt::{AdmittedCall, Call, CallerRequest, OpenedResponse, call_timeout},
+    attempt::{AdmittedCall, Call, CallerRequest, OpenedResponse, call_timeout, identify},
     budgets::{ReservationError, ReservationRequest, reserve},
+    crash_detection::{log_refused, verdict},
     refusal::Refusal,
     shared::{Shared, Tables},
     stream::{ResponseBody, read_whole, relay_events},
@@ -48,6 +51,9 @@
         Ok(body) => body,
         Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
     };
+    if let Err(refusal) = refuse_quarantined(&shared, &head, &context, &parts, &body) {
+        return refuse_unsent(&shared, Some(&head), refusal, started_at);
+    }
     let history_requested_at = Instant::now();
     let kept_turn = match begin_turn(&shared, &head, &context, &body).await {
         Ok(kept_turn) => kept_turn,
@@ -245,6 +251,28 @@
     Ok(Some(kept_turn))
 }
 
+/// Refuses requests that crash endpoints, before anything is read or reserved for them.
+fn refuse_quarantined(
+    shared: &Shared,
+    head: &CallHead,
+    context: &CallContext,
+    parts: &Parts,
+    body: &[u8],
+) -> Result<(), Refusal> {
+    if shared.tables().quarantine.is_empty() {
+        return Ok(());
+    }
+    let request = identify(context.account.as_deref(), &parts.method, &parts.uri, body);
+    match verdict(shared, &request) {
+        Verdict::Refuse { retry_after } => {
+            log_refused(shared, &head.call_id, &request);
+            Err(Refusal::Quarantined(retry_after))
+        }
+        // A suspect waits before it is sent, not here, where it may still be refused for another reason.
+        Verdict::Admit | Verdict::Hold { .. } => Ok(()),
+    }
+}
+
 async fn read_body(body: Incoming, limits: &CallerLimits, body_timeout: Duration) -> Result<Bytes, Refusal> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
--- a/crates/burdockroad-gateway/src/crash_detection.rs
+++ b/crates/burdockroad-gateway/src/crash_detection.rs
@@ -1,4 +1,4 @@
-//! Detects crashes of endpoints.
+//! Detects crashes of endpoints, and keeps requests that cause them from endpoints.
 //!
 //! A response that is missing or breaks off may have many causes. The endpoint has crashed if nothing listens at its
 //! address any more, so the first call whose response breaks off makes a connection; calls that break off meanwhile
@@ -12,7 +12,7 @@
 
 use burdockroad::{
     EndpointId,
-    gateway::{CrashReport, Endpoint, Failure, RequestKey, Suspect},
+    gateway::{CrashReport, Endpoint, Failure, RequestIdentity, RequestKey, Suspect, Verdict},
 };
 use serde::Serialize;
 
@@ -41,6 +41,11 @@
         suspects.len() == 1
     }
 
+    /// Returns whether a check of an endpoint is in progress.
+    fn is_checking(&self, endpoint: &str) -> bool {
+        self.checks.contains_key(endpoint)
+    }
+
     fn end(&mut self, endpoint: &str) -> Vec<Suspect> {
         self.checks.remove(endpoint).unwrap_or_default()
     }
@@ -54,6 +59,18 @@
     }
 }
 
+/// Waits for the end of a check of an endpoint, if there is one.
+pub(crate) async fn wait_for_check(shared: &Shared, endpoint: &str) {
+    loop {
+        let mut checked = std::pin::pin!(shared.endpoint_checked.notified());
+        checked.as_mut().enable();
+        if !shared.tables().crash_checks.is_checking(endpoint) {
+            return;
+        }
+        checked.await;
+    }
+}
+
 async fn check(shared: Arc<Shared>, endpoint: Endpoint, broke_off_at: Instant) {
     let result = connect_to_endpoint(&shared, &endpoint, CHECK_TIMEOUT).await;
     let suspects = shared.tables().crash_checks.end(&endpoint.id);
@@ -70,7 +87,7 @@
                 at: broke_off_at,
                 suspects,
             };
-            record_crash(&shared, &report);
+            record_crash(&shared, report);
         }
         // Without a connection or a refusal, nothing is known of the endpoint.
         Err(_) => {}
@@ -78,7 +95,8 @@
     shared.endpoint_checked.notify_waiters();
 }
 
-fn record_crash(shared: &Shared, report: &CrashReport) {
+/// Records a crash of an endpoint, and tells the other hosts.
+fn record_crash(shared: &Shared, report: CrashReport) {
     metrics::counter!("burdockroad_endpoint_crashes_total").increment(1);
     let suspects = report.suspects.iter().take(LOGGED_SUSPECTS_MAX);
     let line = EndpointCrashedLine {
@@ -87,13 +105,71 @@
         suspects: suspects.map(SuspectLine::from).collect(),
     };
     shared.log.line("endpoint_crashed", &line);
+    shared.tables().quarantine.record_crash(report);
+    shared.report_now.notify_one();
+}
+
+/// Decides whether a request may be sent to an endpoint.
+pub(crate) fn verdict(shared: &Shared, request: &RequestIdentity) -> Verdict {
+    let now = Instant::now();
+    let mut tables = shared.tables();
+    let quarantined = tables.quarantine.judge(now);
+    let verdict = tables.quarantine.verdict(request, now);
+    drop(tables);
+    log_quarantined(shared, &quarantined, None);
+    verdict
+}
+
+/// Logs requests that are quarantined from now on. `reported_by` is the host that told of them; `None` if this host
+/// judged by itself.
+pub(crate) fn log_quarantined(shared: &Shared, quarantined: &[RequestKey], reported_by: Option<&str>) {
+    for key in quarantined {
+        metrics::counter!("burdockroad_requests_quarantined_total").increment(1);
+        let line = RequestQuarantinedLine {
+            account: &key.account,
+            request: request_name(key),
+            host: reported_by,
+        };
+        shared.log.line("request_quarantined", &line);
+    }
+}
+
+/// Logs that a call is refused because its request is quarantined.
+pub(crate) fn log_refused(shared: &Shared, call_id: &str, request: &RequestIdentity) {
+    let line = RequestRefusedLine {
+        id: call_id,
+        account: &request.equal.account,
+        request: request_name(&request.equal),
+        similar: request_name(&request.similar),
+    };
+    shared.log.line("request_refused", &line);
 }
 
-/// Returns the name of a request in the log.
+/// Returns the name of equal or similar requests in the log.
 pub(crate) fn request_name(key: &RequestKey) -> String {
     format!("{:032x}", key.digest)
 }
 
+/// Log line of a request that is kept from endpoints from now on.
+#[derive(Serialize)]
+struct RequestQuarantinedLine<'a> {
+    account: &'a str,
+    /// Name of the request, or of all that begin like it.
+    request: String,
+    /// Host that told of it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    host: Option<&'a str>,
+}
+
+/// Log line of a call whose request is quarantined. It leads from the id of the call to the crashes of endpoints.
+#[derive(Serialize)]
+struct RequestRefusedLine<'a> {
+    id: &'a str,
+    account: &'a str,
+    request: String,
+    similar: String,
+}
+
 /// Log line of an endpoint that crashed.
 #[derive(Serialize)]
 struct EndpointCrashedLine<'a> {
@@ -106,8 +182,10 @@
 #[derive(Serialize)]
 struct SuspectLine<'a> {
     account: &'a str,
-    /// Equal requests have the same name.
+    /// Name of all equal requests.
     request: String,
+    /// Name of all requests that begin like it.
+    similar: String,
     ran_ms: u64,
     output: bool,
 }
@@ -115,8 +193,9 @@
 impl<'a> From<&'a Suspect> for SuspectLine<'a> {
     fn from(suspect: &'a Suspect) -> Self {
         Self {
-            account: &suspect.key.account,
-            request: request_name(&suspect.key),
+            account: &suspect.request.equal.account,
+            request: request_name(&suspect.request.equal),
+            similar: request_name(&suspect.request.similar),
             ran_ms: as_ms(suspect.ran),
             output: suspect.has_output,
         }
--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -14,6 +14,7 @@
 use crate::{
     Change,
     budgets::expire_remote_reservations,
+    crash_detection::log_quarantined,
     follow::RangeSubscriber,
     shared::{Shared, Tables},
 };
@@ -218,7 +219,10 @@
         tables.running_programs.evict_expired(now);
         tables.start_gate.evict_expired(now);
         tables.stream_origins.evict_expired(now);
+        tables.quarantine.evict_expired(now);
+        let quarantined = tables.quarantine.judge(now);
         drop(tables);
+        log_quarantined(&shared, &quarantined, None);
         shared.pool.remove_expired(now);
     }
 }
--- a/crates/burdockroad-gateway/src/metrics_page.rs
+++ b/crates/burdockroad-gateway/src/metrics_page.rs
@@ -1,6 +1,9 @@
 //! Recording of the metrics that the metrics page shows.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::time::sleep;
@@ -31,6 +34,10 @@
             .map_or(0, |directory| directory.version());
         metrics::gauge!("burdockroad_config_version").set(as_gauge(version));
         metrics::gauge!("burdockroad_programs").set(as_gauge(tables.ledger.len() as u64));
+        let quarantined = tables.quarantine.quarantined_count(Instant::now());
+        metrics::gauge!("burdockroad_requests_quarantined").set(as_gauge(quarantined as u64));
+        let crashes = tables.quarantine.remembered_crashes();
+        metrics::gauge!("burdockroad_endpoint_crashes_remembered").set(as_gauge(crashes as u64));
         metrics::gauge!("burdockroad_hosts").set(as_gauge(tables.host_count as u64));
     }
 }
--- a/crates/burdockroad-gateway/src/refusal.rs
+++ b/crates/burdockroad-gateway/src/refusal.rs
@@ -48,6 +48,8 @@
     NoReservation(Duration),
     /// No endpoint can take the call, or the service is too loaded for another program to start.
     NoEndpoint(Duration),
+    /// Equal or similar requests have crashed the endpoints that ran them.
+    Quarantined(Duration),
     /// The deadline passed, and the call has not run at any endpoint.
     DeadlineExceededUnsent,
     /// The deadline passed, and the call may have run.
@@ -74,6 +76,7 @@
             Self::BudgetExhausted => "budget_spent",
             Self::NoReservation(_) => "no_reservation",
             Self::NoEndpoint(_) => "no_endpoint",
+            Self::Quarantined(_) => "quarantined",
             Self::DeadlineExceededUnsent => "time_over_unsent",
             Self::DeadlineExceeded => "time_over",
             Self::UnknownOutcome => "unknown_outcome",
@@ -88,6 +91,7 @@
             | Self::UnknownStream
             | Self::NoReservation(_)
             | Self::NoEndpoint(_)
+            | Self::Quarantined(_)
             | Self::DeadlineExceededUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::InvalidHead(_) => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -107,7 +111,10 @@
             Self::NotReady => Some(NOT_READY_RETRY_AFTER),
             Self::TurnUnavailable => Some(TURN_RETRY_AFTER),
             Self::UnknownStream => Some(STREAM_RETRY_AFTER),
-            Self::OverRate(wait) | Self::NoReservation(wait) | Self::NoEndpoint(wait) => Some(wait),
+            Self::OverRate(wait)
+            | Self::NoReservation(wait)
+            | Self::NoEndpoint(wait)
+            | Self::Quarantined(wait) => Some(wait),
             _ => None,
         }
     }
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -7,6 +7,7 @@
 //! outdated. In a large fleet, reports go to a collector of the failure domain, which sends them together.
 
 mod collector;
+mod quarantine;
 mod rates;
 
 use std::{
@@ -28,8 +29,12 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 pub(crate) use self::collector::{CollectedReports, send_collected};
-use self::rates::{WireRate, log_changed_rates};
+use self::{
+    quarantine::WireQuarantine,
+    rates::{WireRate, log_changed_rates},
+};
 use crate::{
+    crash_detection::log_quarantined,
     follow::{AnnouncedRange, watched_ranges},
     shared::{Shared, Tables},
     stream_origins::{self, STREAM_ORIGIN},
@@ -88,6 +93,9 @@
     /// Calls to endpoints that limit their rate. Hosts of earlier versions do not report them.
     #[serde(default)]
     rates: Vec<WireRate>,
+    /// Requests that crash endpoints. Hosts of earlier versions do not report them.
+    #[serde(default, skip_serializing_if = "WireQuarantine::is_empty")]
+    quarantine: WireQuarantine,
 }
 
 /// A watched range and the revision of its last change.
@@ -270,7 +278,7 @@
 }
 
 /// Applies a report. Reports of hosts that are not registered are ignored.
-fn apply_report(shared: &Shared, report: WireReport) {
+fn apply_report(shared: &Shared, mut report: WireReport) {
     let now = Instant::now();
     let address = shared.peers.borrow().get(&report.host).map(|peer| peer.address);
     let Some(address) = address else {
@@ -284,11 +292,14 @@
     }
     let rates: Vec<EndpointUsage> = report.rates.iter().map(WireRate::decode).collect();
     let changed_rates = tables.endpoints.record_peer_rates(&report.host, &rates, now);
+    let quarantine = std::mem::take(&mut report.quarantine);
+    let quarantined = tables.quarantine.record_report(quarantine.decode(now), now);
     let is_newer = tables.record_ranges(&report.ranges, address, now);
     let host = report.host.clone();
     tables.rate_limiter.record_report(&report.decode(), now);
     drop(tables);
     log_changed_rates(shared, &host, &changed_rates);
+    log_quarantined(shared, &quarantined, Some(&host));
     if is_newer {
         shared.range_announced.notify_waiters();
     }
@@ -361,6 +372,7 @@
     let in_flight = tables.endpoints.all_in_flight();
     let rates = tables.endpoints.rate_usages(now);
     let is_cut_off = tables.reach.is_cut_off();
+    let quarantine = WireQuarantine::encode(tables.quarantine.next_report(), now);
     drop(tables);
     let usage = report.accounts.iter().filter(|usage| usage.demand_per_s > 0.01);
     let usage: Vec<WireUsage> = usage.map(wire_usage).collect();
@@ -384,9 +396,14 @@
     let more_rates = rate_chunks
         .into_iter()
         .map(|rates| WireReport { rates, ..empty() });
+    let quarantines = quarantine.into_iter().map(|quarantine| WireReport {
+        quarantine,
+        ..empty()
+    });
     std::iter::once(first)
         .chain(more_accounts)
         .chain(more_rates)
+        .chain(quarantines)
         .filter_map(|report| encode(&report))
         .collect()
 }
@@ -413,6 +430,7 @@
         ranges: Vec::new(),
         accounts: Vec::new(),
         rates: Vec::new(),
+        quarantine: WireQuarantine::default(),
     }
 }
 
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -13,8 +13,8 @@
 use burdockroad::{
     EndpointId, HostId, Incarnation,
     gateway::{
-        Directory, EndpointReach, EndpointTable, Ledger, LedgerOptions, ProgramStartGate, RateLimiter,
-        RunningPrograms, StreamOrigins, VersionHistory,
+        Directory, EndpointReach, EndpointTable, Ledger, LedgerOptions, ProgramStartGate, Quarantine,
+        RateLimiter, RunningPrograms, StreamOrigins, VersionHistory,
     },
 };
 use tokio::{
@@ -104,6 +104,8 @@
     pub(crate) start_gate: ProgramStartGate,
     /// Programs with a call that this host admitted recently enough for them to count as running.
     pub(crate) running_programs: RunningPrograms,
+    /// Requests that crash endpoints.
+    pub(crate) quarantine: Quarantine,
     /// Checks whether endpoints crashed.
     pub(crate) crash_checks: CrashChecks,
     /// Endpoints whose entries may have expired because the store was unavailable.
@@ -165,6 +167,7 @@
                 announced_ranges: HashMap::new(),
                 start_gate: ProgramStartGate::default(),
                 running_programs: RunningPrograms::default(),
+                quarantine: Quarantine::default(),
                 crash_checks: CrashChecks::default(),
                 missing_endpoints: MissingEndpoints::new(),
             }),
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -12,6 +12,7 @@
 //! * [`should_watch`] selects the hosts that watch the store, and [`report_targets`] the recipients of a
 //!   report; in large fleets a [`collector`] sends the reports of many hosts together.
 //! * [`next_step`] selects the action after a failed attempt.
+//! * [`Quarantine`] finds requests that crash the endpoints that run them, and keeps them from endpoints.
 //! * [`EventBuffer`] splits an event stream into complete events.
 //! * [`StreamOrigins`] holds the software versions that streams began at, so that they go on at the same one.
 //! * [`Turn`] and the types around it keep the history of conversations on routes that ask for it.
@@ -49,7 +50,10 @@
         PlacementQuery, PromptPart, RateStatement, StatedRate,
     },
     program_start::{ProgramStartGate, StartDecision},
-    quarantine::{CrashReport, RequestKey, Suspect},
+    quarantine::{
+        CrashReport, Quarantine, QuarantineReport, QuarantinedRequest, RequestIdentity, RequestKey,
+        ServedSuspect, Suspect, Verdict,
+    },
     rate_limit::{AccountUsage, Admission, RateLimiter, UsageReport},
     reach::{EndpointReach, RelayCandidate},
     report_batch::{join_reports, split_reports},
--- a/crates/burdockroad/src/gateway/placement.rs
+++ b/crates/burdockroad/src/gateway/placement.rs
@@ -98,6 +98,8 @@
     pub parts: &'a [PromptPart],
     /// Endpoints already tried for this call.
     pub tried: &'a [EndpointId],
+    /// Endpoints that are chosen only if no other one is left.
+    pub avoided: &'a [EndpointId],
     /// Maximum number of this host's calls at one endpoint.
     pub in_flight_max: u32,
     /// Whether the call is placed for the first time. Only then it counts as demand.
@@ -261,7 +263,7 @@
     /// endpoint is left to try.
     ///
     /// `jitter_seed` varies the choice among endpoints with similar expected times. Ejected endpoints are
-    /// chosen only if no other endpoint is left.
+    /// chosen only if no other endpoint is left, and avoided ones before them.
     pub fn choose(&mut self, query: PlacementQuery<'_>, jitter_seed: u64, now: Instant) -> Option<Placement> {
         self.refill(query.service, now);
         let service_mean_ms = self.service_mean_ms(query.service);
@@ -275,7 +277,8 @@
         let mut ranked: Vec<_> = candidates
             .map(|row| {
                 let estimate_ms = row.estimate_ms(&query, service_mean_ms, now) + row.jitter_ms(jitter_seed);
-                (row.is_ejected(now), estimate_ms, row)
+                let is_avoided = query.avoided.contains(&row.endpoint.id);
+                ((row.is_ejected(now), is_avoided), estimate_ms, row)
             })
             .collect();
         ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
--- a/crates/burdockroad/tests/gateway_endpoint_rates.rs
+++ b/crates/burdockroad/tests/gateway_endpoint_rates.rs
@@ -123,6 +123,7 @@
             failure_domain: "domain",
             parts: &[],
             tried: &[],
+            avoided: &[],
             in_flight_max: 100,
             is_first: true,
         };
--- a/crates/burdockroad/tests/gateway_placement.rs
+++ b/crates/burdockroad/tests/gateway_placement.rs
@@ -41,6 +41,7 @@
         failure_domain: "domain",
         parts,
         tried,
+        avoided: &[],
         in_flight_max: 100,
         is_first: true,
     }
--- /dev/null
+++ b/crates/burdockroad/tests/gateway_quarantine.rs
@@ -0,0 +1,550 @@
+//! Tests of the quarantine of requests that crash endpoints.
+
+use std::{
+    slice,
+    time::{Duration, Instant},
+};
+
+use burdockroad::gateway::{
+    CrashReport, Quarantine, QuarantineReport, RequestIdentity, RequestKey, Suspect, Verdict,
+};
+use rand::{Rng, RngExt, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+
+/// Time from a crash until it is judged, with some margin.
+const SETTLED: Duration = Duration::from_millis(400);
+
+const RUN: Duration = Duration::from_millis(80);
+
+fn request(account: &str, body: &str) -> RequestIdentity {
+    RequestIdentity::new(account, "POST", "/path", body.as_bytes())
+}
+
+/// Returns a request whose body begins like that of all others with the same start.
+fn similar_request(start: u8, number: u32) -> RequestIdentity {
+    let mut body = vec![start; 100];
+    body.extend(number.to_le_bytes());
+    RequestIdentity::new("account", "POST", "/path", &body)
+}
+
+fn suspect(request: &RequestIdentity) -> Suspect {
+    Suspect {
+        request: request.clone(),
+        ran: RUN,
+        has_output: false,
+    }
+}
+
+fn crash(endpoint: &str, at: Instant, requests: &[&RequestIdentity]) -> CrashReport {
+    CrashReport {
+        endpoint: endpoint.to_owned(),
+        at,
+        suspects: requests.iter().map(|request| suspect(request)).collect(),
+    }
+}
+
+fn seconds(start: Instant, seconds: f64) -> Instant {
+    start + Duration::from_secs_f64(seconds)
+}
+
+/// Records one crash a second, at a new endpoint each, with the same requests.
+fn record_crashes(quarantine: &mut Quarantine, start: Instant, count: u32, requests: &[&RequestIdentity]) {
+    for number in 0..count {
+        let at = seconds(start, f64::from(number));
+        quarantine.record_crash(crash(&format!("{at:?}"), at, requests));
+    }
+}
+
+fn is_refused(quarantine: &Quarantine, request: &RequestIdentity, now: Instant) -> bool {
+    matches!(quarantine.verdict(request, now), Verdict::Refuse { .. })
+}
+
+#[test]
+fn judge_request_in_three_crashes_quarantines_it() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let deadly = request("account", "deadly");
+    record_crashes(&mut quarantine, start, 2, &[&deadly]);
+    assert!(quarantine.judge(seconds(start, 1.5)).is_empty());
+    assert_eq!(quarantine.verdict(&deadly, seconds(start, 1.5)), Verdict::Admit);
+    let at = seconds(start, 2.0);
+    quarantine.record_crash(crash("third", at, &[&deadly]));
+    assert_eq!(quarantine.judge(at + SETTLED), slice::from_ref(&deadly.equal));
+    assert!(is_refused(&quarantine, &deadly, at + SETTLED));
+    assert!(quarantine.judge(at + SETTLED).is_empty(), "it is reported once");
+}
+
+#[test]
+fn verdict_second_crash_holds_until_it_has_settled() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let deadly = request("account", "deadly");
+    record_crashes(&mut quarantine, start, 2, &[&deadly]);
+    let now = seconds(start, 1.1);
+    let Verdict::Hold { wait } = quarantine.verdict(&deadly, now) else {
+        panic!("it is not held");
+    };
+    assert!(wait <= SETTLED, "{wait:?}");
+    assert_eq!(quarantine.verdict(&deadly, now + wait), Verdict::Admit);
+}
+
+#[test]
+fn verdict_same_body_of_another_account_admits() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    record_crashes(&mut quarantine, start, 3, &[&request("account", "deadly")]);
+    let now = seconds(start, 3.0);
+    assert_eq!(quarantine.judge(now).len(), 1);
+    assert_eq!(
+        quarantine.verdict(&request("other", "deadly"), now),
+        Verdict::Admit
+    );
+}
+
+#[test]
+fn judge_requests_that_always_ran_together_quarantines_none_until_they_part() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let (deadly, sound) = (request("account", "deadly"), request("account", "sound"));
+    record_crashes(&mut quarantine, start, 4, &[&deadly, &sound]);
+    assert!(quarantine.judge(seconds(start, 4.0)).is_empty());
+    let at = seconds(start, 5.0);
+    quarantine.record_crash(crash("apart", at, &[&deadly]));
+    assert_eq!(quarantine.judge(at + SETTLED), slice::from_ref(&deadly.equal));
+    // The crashes are put down to the culprit, so they no longer count against the other one.
+    record_crashes(&mut quarantine, seconds(start, 10.0), 2, &[&sound]);
+    assert!(quarantine.judge(seconds(start, 12.0)).is_empty());
+}
+
+#[test]
+fn judge_reports_of_other_hosts_within_the_settling_time_are_regarded() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let (deadly, sound) = (request("account", "deadly"), request("account", "sound"));
+    record_crashes(&mut quarantine, start, 2, &[&sound]);
+    for number in 0..3 {
+        let at = seconds(start, f64::from(number));
+        quarantine.record_crash(crash(&format!("{at:?}"), at, &[&deadly]));
+    }
+    let last = seconds(start, 2.0);
+    quarantine.record_crash(crash(&format!("{last:?}"), last, &[&sound]));
+    assert!(
+        quarantine.judge(last + SETTLED).is_empty(),
+        "both ran at all of them"
+    );
+}
+
+#[test]
+fn judge_crashes_at_the_same_time_count_once() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let frequent = request("account", "frequent");
+    for round in 0..2 {
+        for endpoint in 0..5 {
+            let at = seconds(start, f64::from(round) + f64::from(endpoint) * 0.01);
+            quarantine.record_crash(crash(&format!("{round}-{endpoint}"), at, &[&frequent]));
+        }
+    }
+    assert!(quarantine.judge(seconds(start, 3.0)).is_empty());
+}
+
+#[test]
+fn record_served_clears_earlier_crashes() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let sound = request("account", "sound");
+    record_crashes(&mut quarantine, start, 2, &[&sound]);
+    assert!(quarantine.record_served(&sound, seconds(start, 1.5)));
+    record_crashes(&mut quarantine, seconds(start, 2.0), 2, &[&sound]);
+    assert!(quarantine.judge(seconds(start, 5.0)).is_empty());
+    // A late report of a crash from before does not count either.
+    quarantine.record_crash(crash("late", seconds(start, 0.5), &[&sound]));
+    assert!(quarantine.judge(seconds(start, 6.0)).is_empty());
+}
+
+#[test]
+fn judge_requests_with_output_are_no_culprits_unless_alone() {
+    let start = Instant::now();
+    let with_output = |request: &RequestIdentity| Suspect {
+        has_output: true,
+        ..suspect(request)
+    };
+    let (first, second) = (request("account", "first"), request("account", "second"));
+    let mut together = Quarantine::default();
+    let mut alone = Quarantine::default();
+    for number in 0..3 {
+        let at = seconds(start, f64::from(number));
+        let mut report = crash(&format!("{number}"), at, &[]);
+        report.suspects = vec![with_output(&first)];
+        alone.record_crash(report.clone());
+        report.suspects.push(with_output(&second));
+        together.record_crash(report);
+    }
+    let now = seconds(start, 3.0);
+    assert_eq!(alone.judge(now), slice::from_ref(&first.equal));
+    assert!(together.judge(now).is_empty());
+}
+
+/// The same prompt crashes endpoints with other text behind it each time.
+#[test]
+fn judge_similar_requests_quarantines_all_of_them() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    for number in 0..5 {
+        let at = seconds(start, f64::from(number));
+        let deadly = similar_request(1, number);
+        quarantine.record_crash(crash(&format!("{number}"), at, &[&deadly]));
+    }
+    let now = seconds(start, 5.0);
+    assert_eq!(quarantine.judge(now), [similar_request(1, 0).similar]);
+    assert!(is_refused(&quarantine, &similar_request(1, 99), now));
+    assert!(!is_refused(&quarantine, &similar_request(2, 0), now));
+}
+
+/// A request is deadly, and a sound one that begins in the same way runs beside another crash.
+#[test]
+fn judge_sound_request_similar_to_a_deadly_one_is_not_quarantined() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let (deadly, sound) = (similar_request(1, 1), similar_request(1, 2));
+    record_crashes(&mut quarantine, start, 3, &[&deadly]);
+    assert_eq!(
+        quarantine.judge(seconds(start, 3.0)),
+        slice::from_ref(&deadly.equal)
+    );
+    record_crashes(&mut quarantine, seconds(start, 5.0), 1, &[&sound]);
+    assert!(quarantine.judge(seconds(start, 6.0)).is_empty());
+    quarantine.record_served(&sound, seconds(start, 7.0));
+    assert!(is_refused(&quarantine, &deadly, seconds(start, 7.0)));
+    record_crashes(&mut quarantine, seconds(start, 8.0), 2, &[&sound]);
+    assert!(quarantine.judge(seconds(start, 11.0)).is_empty());
+}
+
+#[test]
+fn verdict_after_the_quarantine_admits_until_the_next_crash() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let deadly = request("account", "deadly");
+    record_crashes(&mut quarantine, start, 3, &[&deadly]);
+    quarantine.judge(seconds(start, 3.0));
+    let Verdict::Refuse { retry_after } = quarantine.verdict(&deadly, seconds(start, 3.0)) else {
+        panic!("it is not refused");
+    };
+    let later = seconds(start, 3.0) + retry_after;
+    quarantine.evict_expired(later);
+    assert_eq!(quarantine.verdict(&deadly, later), Verdict::Admit);
+    record_crashes(&mut quarantine, later, 1, &[&deadly]);
+    quarantine.judge(later + SETTLED);
+    let renewed = quarantine.verdict(&deadly, later + SETTLED);
+    let Verdict::Refuse { retry_after: renewed } = renewed else {
+        panic!("a single crash renews the quarantine: {renewed:?}");
+    };
+    assert!(renewed > retry_after);
+    let forgotten = later + Duration::from_hours(24);
+    quarantine.evict_expired(forgotten);
+    assert!(quarantine.is_empty());
+}
+
+#[test]
+fn judge_flood_of_deadly_requests_stays_bounded() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let other = request("other", "deadly");
+    record_crashes(&mut quarantine, start, 3, &[&other]);
+    quarantine.judge(seconds(start, 3.0));
+    let mut now = seconds(start, 4.0);
+    for number in 0..400 {
+        let body = format!("{number} {}", "x".repeat(100));
+        let deadly = RequestIdentity::new("account", "POST", &format!("/{number}"), body.as_bytes());
+        let beside: Vec<RequestIdentity> = (0..100)
+            .map(|beside| request("account", &format!("{number}-{beside}")))
+            .collect();
+        let mut requests: Vec<&RequestIdentity> = beside.iter().collect();
+        requests.push(&deadly);
+        for round in 0..3 {
+            now += Duration::from_millis(150);
+            let endpoint = format!("{number}-{round}");
+            quarantine.record_crash(crash(&endpoint, now, &[&deadly]));
+            quarantine.record_crash(crash(&endpoint, now, &requests));
+        }
+    }
+    now += SETTLED;
+    quarantine.judge(now);
+    assert!(quarantine.remembered_crashes() <= 256);
+    assert!(
+        quarantine.quarantined_count(now) <= 65,
+        "64 of an account and one of the other"
+    );
+    assert!(is_refused(&quarantine, &other, now), "it is displaced");
+    let report = quarantine.next_report();
+    let suspects = report.crashes.iter().map(|crash| crash.suspects.len());
+    assert!(suspects.max().unwrap_or(0) <= 32);
+    assert!(report.crashes.len() <= 32 && report.quarantined.len() <= 32 && report.served.len() <= 32);
+}
+
+/// Reports of 3 s reach a host that was restarted.
+#[test]
+fn record_report_of_any_host_tells_all_quarantined_requests() {
+    let start = Instant::now();
+    let mut knowing = Quarantine::default();
+    let deadly: Vec<RequestIdentity> = (0..200)
+        .map(|number| request(&format!("account-{}", number % 4), &format!("{number}")))
+        .collect();
+    let mut now = start;
+    for request in &deadly {
+        record_crashes(&mut knowing, now, 3, &[request]);
+        now += Duration::from_secs(4);
+        knowing.judge(now);
+    }
+    let known: Vec<_> = deadly
+        .iter()
+        .filter(|request| is_refused(&knowing, request, now))
+        .collect();
+    assert!(known.len() >= 100, "{}", known.len());
+    let mut restarted = Quarantine::default();
+    for _ in 0..20 {
+        restarted.record_report(knowing.next_report(), now);
+    }
+    for request in known {
+        assert!(is_refused(&restarted, request, now));
+    }
+}
+
+/// Hosts, endpoints and requests in steps of 10 ms, with reports that are lost or late.
+struct Model {
+    rng: ChaCha8Rng,
+    now: Instant,
+    hosts: Vec<Quarantine>,
+    runs: Vec<Run>,
+    /// Time from which each endpoint is up.
+    up_from: Vec<Instant>,
+    reports: Vec<(Instant, usize, QuarantineReport)>,
+    crashes: u32,
+    quarantined: Vec<(Instant, RequestKey)>,
+    deadly_runs: Vec<Instant>,
+}
+
+struct Run {
+    host: usize,
+    endpoint: usize,
+    request: RequestIdentity,
+    started_at: Instant,
+    is_deadly: bool,
+    /// Times that the request has been sent.
+    attempts: u32,
+}
+
+const HOSTS: usize = 6;
+const ENDPOINTS: usize = 9;
+const STEP: Duration = Duration::from_millis(10);
+const DOWN: Duration = Duration::from_secs(3);
+
+impl Model {
+    fn new(seed: u64) -> Self {
+        let now = Instant::now();
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now,
+            hosts: (0..HOSTS).map(|_| Quarantine::default()).collect(),
+            runs: Vec::new(),
+            up_from: vec![now; ENDPOINTS],
+            reports: Vec::new(),
+            crashes: 0,
+            quarantined: Vec::new(),
+            deadly_runs: Vec::new(),
+        }
+    }
+
+    /// Sends a request, to an endpoint without other suspects if the request is one.
+    fn send(&mut self, host: usize, request: RequestIdentity, is_deadly: bool, attempts: u32) {
+        let convicted = self.hosts[host].judge(self.now);
+        self.note(convicted);
+        if self.hosts[host].verdict(&request, self.now) != Verdict::Admit {
+            return;
+        }
+        let up = (0..ENDPOINTS).filter(|endpoint| self.up_from[*endpoint] <= self.now);
+        let up: Vec<usize> = up.collect();
+        let avoided = self.hosts[host].endpoints_with_suspects();
+        let is_suspect = self.hosts[host].is_suspect(&request);
+        let apart: Vec<usize> = up
+            .iter()
+            .copied()
+            .filter(|endpoint| !is_suspect || !avoided.contains(&endpoint.to_string()))
+            .collect();
+        let Some(endpoint) = apart
+            .choose(&mut self.rng)
+            .or_else(|| up.choose(&mut self.rng))
+            .copied()
+        else {
+            return;
+        };
+        if is_suspect {
+            self.hosts[host].start_run(&endpoint.to_string());
+        }
+        if is_deadly {
+            self.deadly_runs.push(self.now);
+        }
+        self.runs.push(Run {
+            host,
+            endpoint,
+            request,
+            started_at: self.now,
+            is_deadly,
+            attempts,
+        });
+    }
+
+    fn note(&mut self, convicted: Vec<RequestKey>) {
+        let now = self.now;
+        self.quarantined
+            .extend(convicted.into_iter().map(|key| (now, key)));
+    }
+
+    /// Crashes an endpoint; its requests are sent again by their hosts.
+    fn crash(&mut self, endpoint: usize) {
+        if self.up_from[endpoint] > self.now {
+            return;
+        }
+        self.crashes += 1;
+        self.up_from[endpoint] = self.now + DOWN;
+        let (ended, running): (Vec<Run>, Vec<Run>) =
+            self.runs.drain(..).partition(|run| run.endpoint == endpoint);
+        self.runs = running;
+        for host in 0..HOSTS {
+            let suspects = ended.iter().filter(|run| run.host == host);
+            let suspects: Vec<Suspect> = suspects
+                .map(|run| Suspect {
+                    request: run.request.clone(),
+                    ran: self.now - run.started_at,
+                    has_output: self.now - run.started_at > RUN && !run.is_deadly,
+                })
+                .collect();
+            if !suspects.is_empty() {
+                let report = CrashReport {
+                    endpoint: format!("{endpoint}-{}", self.crashes),
+                    at: self.now,
+                    suspects,
+                };
+                self.hosts[host].record_crash(report);
+            }
+        }
+        for run in ended {
+            self.hosts[run.host].end_run(&run.endpoint.to_string());
+            if run.attempts < 6 {
+                self.send(run.host, run.request, run.is_deadly, run.attempts + 1);
+            }
+        }
+    }
+
+    /// Lets deadly requests crash their endpoints and sound ones end, and exchanges reports.
+    fn step(&mut self) {
+        self.now += STEP;
+        let due = self
+            .runs
+            .iter()
+            .filter(|run| run.is_deadly && self.now - run.started_at >= RUN);
+        let crashing: Vec<usize> = due.map(|run| run.endpoint).collect();
+        for endpoint in crashing {
+            self.crash(endpoint);
+        }
+        let now = self.now;
+        let (served, running): (Vec<Run>, Vec<Run>) = self
+            .runs
+            .drain(..)
+            .partition(|run| !run.is_deadly && now - run.started_at >= RUN * 3);
+        self.runs = running;
+        for run in served {
+            self.hosts[run.host].record_served(&run.request, now);
+            self.hosts[run.host].end_run(&run.endpoint.to_string());
+        }
+        for host in 0..HOSTS {
+            if self.rng.random_bool(STEP.as_secs_f64() / 0.1) {
+                let report = self.hosts[host].next_report();
+                for receiver in (0..HOSTS).filter(|receiver| *receiver != host) {
+                    let delay = Duration::from_millis(self.rng.random_range(1..60));
+                    if self.rng.random_bool(0.9) {
+                        self.reports.push((now + delay, receiver, report.clone()));
+                    }
+                }
+            }
+        }
+        let (arrived, later): (Vec<_>, Vec<_>) = self.reports.drain(..).partition(|(at, ..)| *at <= now);
+        self.reports = later;
+        for (_, receiver, report) in arrived {
+            let convicted = self.hosts[receiver].record_report(report, now);
+            self.note(convicted);
+        }
+    }
+}
+
+/// A deadly request comes again at any host beside sound ones, of which some come again, too.
+#[test]
+fn judge_any_fleet_quarantines_deadly_requests_only() {
+    for seed in 0..40 {
+        let mut model = Model::new(seed);
+        let deadly = request("account", "deadly");
+        let mut known_at = None;
+        for step in 0..1500 {
+            for host in 0..HOSTS {
+                if model.rng.random_bool(0.15) {
+                    let body = if model.rng.random_bool(0.1) {
+                        "frequent".to_owned()
+                    } else {
+                        format!("sound-{}", model.rng.next_u64())
+                    };
+                    model.send(host, request("account", &body), false, 0);
+                }
+            }
+            if step % 30 == 0 {
+                let host = model.rng.random_range(0..HOSTS);
+                model.send(host, deadly.clone(), true, 0);
+            }
+            // One host is restarted.
+            if step == 900 {
+                model.hosts[0] = Quarantine::default();
+            }
+            model.step();
+            if known_at.is_none() && !model.quarantined.is_empty() {
+                known_at = Some(model.now);
+            }
+        }
+        let wrong = model
+            .quarantined
+            .iter()
+            .filter(|(_, key)| *key != deadly.equal && *key != deadly.similar);
+        assert_eq!(wrong.count(), 0, "seed {seed}");
+        let known_at = known_at.expect("it is quarantined") + Duration::from_secs(3);
+        let late = model.deadly_runs.iter().filter(|at| **at > known_at).count();
+        assert!(late <= 3, "seed {seed}: {late} runs");
+    }
+}
+
+/// Endpoints crash for other reasons, one after the other and several at once.
+#[test]
+fn judge_any_fleet_with_plain_crashes_quarantines_none() {
+    for seed in 0..40 {
+        let mut model = Model::new(seed);
+        for _ in 0..1500 {
+            for host in 0..HOSTS {
+                if model.rng.random_bool(0.15) {
+                    let number = model.rng.random_range(0..40);
+                    model.send(host, request("account", &format!("{number}")), false, 0);
+                }
+            }
+            if model.rng.random_bool(0.02) {
+                let first = model.rng.random_range(0..ENDPOINTS);
+                let count = model.rng.random_range(1..4);
+                for endpoint in first..(first + count).min(ENDPOINTS) {
+                    model.crash(endpoint);
+                }
+            }
+            model.step();
+        }
+        assert!(model.crashes >= 15, "{} crashes", model.crashes);
+        assert!(
+            model.quarantined.is_empty(),
+            "seed {seed}: {:?}",
+            model.quarantined
+        );
+    }
+}
