Take output for proof that a request is sound, and recognize similar ones that run at once

Cause: runs at the same time counted once, which is right for a single frequent request; a deadly prompt with other text behind it comes from many programs at once, so its crashes hardly counted. And crashes that were the fault of similar requests counted as other crashes, which asks for more evidence.

Similar requests now count by crash. What made that unsafe, sound requests that begin alike and run everywhere, is met by earlier proof: a request is cleared by its first output, not by its end, and clears what it shares with similar ones. Requests with output are therefore no suspects at all any more; a request that crashes endpoints after output is not recognized.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -198,7 +198,6 @@
 
     /// Ends the current attempt after a complete response, and returns the connection to the pool.
     pub(crate) fn finish(&mut self, connection: Connection, keep_alive: Option<Duration>) {
-        self.record_served();
         // The outcome was recorded when the response head arrived; `Abandoned` records nothing further.
         let may_reuse = connection.through_host.is_none() || self.shared.tables().reach.is_cut_off();
         if let Some(endpoint) = self.end_attempt(Outcome::Abandoned).filter(|_| may_reuse) {
--- a/crates/burdockroad-gateway/src/attempt/suspicion.rs
+++ b/crates/burdockroad-gateway/src/attempt/suspicion.rs
@@ -109,14 +109,9 @@
         quarantine.endpoints_with_suspects()
     }
 
-    /// Records that the endpoint has sent output of the call.
+    /// Records that the endpoint has sent output of the call, so that the call is not to blame for crashes.
     pub(crate) fn record_output(&mut self) {
-        self.run.has_output = true;
-    }
-
-    /// Records that the call was served, so that it is not to blame for earlier crashes.
-    pub(super) fn record_served(&self) {
-        if self.shared.tables().quarantine.is_empty() {
+        if std::mem::replace(&mut self.run.has_output, true) || self.shared.tables().quarantine.is_empty() {
             return;
         }
         let request = self.request.identity(self.account.as_deref());
@@ -126,11 +121,10 @@
 
     /// Has it checked whether the endpoint crashed, because the call's response is missing or broke off.
     pub(super) fn check_for_crash(&mut self, endpoint: &Endpoint) {
-        let suspect = Suspect {
+        let suspect = (!self.run.has_output).then(|| Suspect {
             request: self.request.identity(self.account.as_deref()),
             ran: self.run.sent_at.elapsed(),
-            has_output: self.run.has_output,
-        };
+        });
         check_endpoint(&self.shared, endpoint, suspect);
         self.checked_endpoint = Some(endpoint.id.clone());
     }
--- a/crates/burdockroad-gateway/src/crash_detection.rs
+++ b/crates/burdockroad-gateway/src/crash_detection.rs
@@ -27,18 +27,27 @@
 /// Maximum number of suspects in one log line.
 const LOGGED_SUSPECTS_MAX: usize = 16;
 
-/// Checks in progress, with the requests whose responses have broken off.
+/// Checks in progress, by endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct CrashChecks {
-    checks: HashMap<EndpointId, Vec<Suspect>>,
+    checks: HashMap<EndpointId, BrokenOff>,
+}
+
+/// Calls of this host whose responses an endpoint has broken off.
+#[derive(Debug, Default)]
+struct BrokenOff {
+    calls: usize,
+    /// Those of which the endpoint had not sent any output.
+    suspects: Vec<Suspect>,
 }
 
 impl CrashChecks {
-    /// Adds a request whose response broke off. Returns whether a check has to be started.
-    fn add(&mut self, endpoint: &EndpointId, suspect: Suspect) -> bool {
-        let suspects = self.checks.entry(endpoint.clone()).or_default();
-        suspects.push(suspect);
-        suspects.len() == 1
+    /// Adds a call whose response broke off. Returns whether a check has to be started.
+    fn add(&mut self, endpoint: &EndpointId, suspect: Option<Suspect>) -> bool {
+        let broken_off = self.checks.entry(endpoint.clone()).or_default();
+        broken_off.calls += 1;
+        broken_off.suspects.extend(suspect);
+        broken_off.calls == 1
     }
 
     /// Returns whether a check of an endpoint is in progress.
@@ -46,13 +55,14 @@
         self.checks.contains_key(endpoint)
     }
 
-    fn end(&mut self, endpoint: &str) -> Vec<Suspect> {
+    fn end(&mut self, endpoint: &str) -> BrokenOff {
         self.checks.remove(endpoint).unwrap_or_default()
     }
 }
 
-/// Checks whether an endpoint crashed, because a response of it is missing or broke off.
-pub(crate) fn check_endpoint(shared: &Arc<Shared>, endpoint: &Endpoint, suspect: Suspect) {
+/// Checks whether an endpoint crashed, because a response of it is missing or broke off. `suspect` is the request if
+/// the endpoint had not sent any of its output.
+pub(crate) fn check_endpoint(shared: &Arc<Shared>, endpoint: &Endpoint, suspect: Option<Suspect>) {
     let is_first = shared.tables().crash_checks.add(&endpoint.id, suspect);
     if is_first {
         tokio::spawn(check(Arc::clone(shared), endpoint.clone(), Instant::now()));
@@ -73,7 +83,7 @@
 
 async fn check(shared: Arc<Shared>, endpoint: Endpoint, broke_off_at: Instant) {
     let result = connect_to_endpoint(&shared, &endpoint, CHECK_TIMEOUT).await;
-    let suspects = shared.tables().crash_checks.end(&endpoint.id);
+    let broken_off = shared.tables().crash_checks.end(&endpoint.id);
     match result {
         Ok(connection) => {
             let now = Instant::now();
@@ -85,9 +95,9 @@
             let report = CrashReport {
                 endpoint: endpoint.id,
                 at: broke_off_at,
-                suspects,
+                suspects: broken_off.suspects,
             };
-            record_crash(&shared, report);
+            record_crash(&shared, report, broken_off.calls);
         }
         // Without a connection or a refusal, nothing is known of the endpoint.
         Err(_) => {}
@@ -96,12 +106,12 @@
 }
 
 /// Records a crash of an endpoint, and tells the other hosts.
-fn record_crash(shared: &Shared, report: CrashReport) {
+fn record_crash(shared: &Shared, report: CrashReport, calls: usize) {
     metrics::counter!("burdockroad_endpoint_crashes_total").increment(1);
     let suspects = report.suspects.iter().take(LOGGED_SUSPECTS_MAX);
     let line = EndpointCrashedLine {
         endpoint: &report.endpoint,
-        requests: report.suspects.len(),
+        calls,
         suspects: suspects.map(SuspectLine::from).collect(),
     };
     shared.log.line("endpoint_crashed", &line);
@@ -175,7 +185,8 @@
 struct EndpointCrashedLine<'a> {
     endpoint: &'a str,
     /// Number of calls of this host whose responses it broke off.
-    requests: usize,
+    calls: usize,
+    /// Those without output.
     suspects: Vec<SuspectLine<'a>>,
 }
 
@@ -187,7 +198,6 @@
     /// Name of all requests that begin like it.
     similar: String,
     ran_ms: u64,
-    output: bool,
 }
 
 impl<'a> From<&'a Suspect> for SuspectLine<'a> {
@@ -197,7 +207,6 @@
             request: request_name(&suspect.request.equal),
             similar: request_name(&suspect.request.similar),
             ran_ms: as_ms(suspect.ran),
-            output: suspect.has_output,
         }
     }
 }
--- a/crates/burdockroad-gateway/src/reports/quarantine.rs
+++ b/crates/burdockroad-gateway/src/reports/quarantine.rs
@@ -16,7 +16,7 @@
 /// Maximum number of crashes in one datagram.
 const CRASHES_MAX: usize = 4;
 
-/// Maximum number of suspects of a crash in one datagram. Those without output come first.
+/// Maximum number of suspects of a crash in one datagram.
 const SUSPECTS_MAX: usize = 16;
 
 /// [`QuarantineReport`] on the wire, with ages in place of times.
@@ -55,8 +55,6 @@
     similar: u128,
     #[serde(rename = "r")]
     ran_ms: u64,
-    #[serde(rename = "o")]
-    has_output: bool,
 }
 
 /// [`QuarantinedRequest`] on the wire.
@@ -173,7 +171,6 @@
                 similar: key(self.similar),
             },
             ran: Duration::from_millis(self.ran_ms),
-            has_output: self.has_output,
         }
     }
 }
@@ -185,7 +182,6 @@
             equal: suspect.request.equal.digest,
             similar: suspect.request.similar.digest,
             ran_ms: as_ms(suspect.ran),
-            has_output: suspect.has_output,
         }
     }
 }
--- a/crates/burdockroad/src/gateway/quarantine.rs
+++ b/crates/burdockroad/src/gateway/quarantine.rs
@@ -4,7 +4,7 @@
 //! crash also ends the calls that ran beside it, which move on to other endpoints together with the culprit.
 //!
 //! The culprit is told from these by what all hosts saw together. It is a suspect of each crash and never has
-//! output, while a sound request is served sooner or later, which clears it. A request is quarantined when
+//! output, while a sound request has some sooner or later, which clears it. A request is quarantined when
 //! [`CRASHES_MIN`] crashes in succession may be its fault and no other request is as suspicious. Requests that
 //! begin in the same way are quarantined together after [`SIMILAR_CRASHES_MIN`] crashes of several of them, while
 //! none of them is served.
@@ -109,7 +109,6 @@
 ///     let suspect = Suspect {
 ///         request: request.clone(),
 ///         ran: Duration::from_millis(80),
-///         has_output: false,
 ///     };
 ///     let report = CrashReport {
 ///         endpoint: format!("e-{number}"),
@@ -127,7 +126,7 @@
     /// Oldest first.
     crashes: VecDeque<Crash>,
     quarantined: BTreeMap<RequestKey, Entry>,
-    /// Suspects that were served, with the time of their last response.
+    /// Suspects that were served, with the time of their last output.
     served: HashMap<RequestKey, Served>,
     /// This host's runs of suspects, by endpoint.
     suspect_runs: HashMap<EndpointId, u32>,
@@ -189,7 +188,7 @@
             };
         }
         let settles_at = keys.iter().filter_map(|key| {
-            let runs = self.suspicious_runs(key);
+            let runs = self.crashed_runs(key);
             let last = runs.last().filter(|_| runs.len() + 1 >= CRASHES_MIN)?;
             Some(last.crashed_at + SETTLING_TIME)
         });
@@ -232,8 +231,8 @@
         convicted
     }
 
-    /// Records that a request was served: the endpoint that ran it did not crash. Earlier crashes are then not
-    /// its fault. Returns whether it was a suspect.
+    /// Records that an endpoint sent output of a request. Earlier crashes are then not its fault, and not that of
+    /// what it has in common with similar ones. Returns whether it was a suspect.
     pub fn record_served(&mut self, request: &RequestIdentity, now: Instant) -> bool {
         let was_suspect = self.is_suspect(request);
         if was_suspect {
@@ -277,7 +276,7 @@
             if self.crashes.len() >= CRASHES_MAX {
                 self.crashes.pop_front();
             }
-            self.crashes.push_back(Crash::new(report.endpoint, at));
+            self.crashes.push_back(Crash::new(report.endpoint, at, sends));
             self.crashes.len() - 1
         });
         let crash = &mut self.crashes[index];
@@ -303,7 +302,7 @@
     /// Returns the requests that a crash is put down to: those that most crashes may be the fault of, if these are
     /// enough and no other request of the crash has as many.
     fn culprits_of(&self, crash: &Crash) -> Vec<RequestKey> {
-        let suspects = crash.possible_culprits().map(|suspect| &suspect.request);
+        let suspects = crash.suspects();
         let leader = suspects.clone().max_by_key(|request| self.crash_count(request));
         let Some(leader) = leader.filter(|_| crash.culprit.is_none()) else {
             return Vec::new();
@@ -325,10 +324,10 @@
         self.crash_count(request) < self.crash_count(other)
     }
 
-    /// Returns the number of crashes in succession that may be the fault of a request or of similar ones.
+    /// Returns the number of crashes that may be the fault of a request or of similar ones.
     fn crash_count(&self, request: &RequestIdentity) -> usize {
         let equal = self.suspicious_runs(&request.equal).len();
-        equal.max(self.suspicious_runs(&request.similar).len())
+        equal.max(self.crashed_runs(&request.similar).len())
     }
 
     /// Returns the sets of requests that enough crashes may be the fault of.
@@ -336,35 +335,38 @@
     /// Similar requests are a wider set, in which sound ones may be that were not served yet. So they are
     /// quarantined only if several of them are suspects.
     fn keys_to_quarantine<'a>(&self, request: &'a RequestIdentity) -> Vec<&'a RequestKey> {
+        let added = (self.other_crashes(request) / OTHER_CRASHES_STEP).min(ADDED_CRASHES_MAX);
         let mut keys = Vec::new();
-        let equal = self.suspicious_runs(&request.equal);
-        if self.are_enough(&request.equal, &equal, CRASHES_MIN) {
+        let equal = self.suspicious_runs(&request.equal).len() + self.former_crashes(&request.equal);
+        if equal >= CRASHES_MIN + added {
             keys.push(&request.equal);
         }
-        let similar = self.suspicious_runs(&request.similar);
+        let similar = self.crashed_runs(&request.similar);
         let has_several = similar.iter().any(|run| run.request.equal != request.equal);
-        if has_several && self.are_enough(&request.similar, &similar, SIMILAR_CRASHES_MIN) {
+        let count = similar.len() + self.former_crashes(&request.similar);
+        if has_several && count >= SIMILAR_CRASHES_MIN + added {
             keys.push(&request.similar);
         }
         keys
     }
 
-    /// Returns whether the runs of a key's requests that ended with a crash are enough to quarantine these.
-    fn are_enough(&self, key: &RequestKey, runs: &[CrashedRun<'_>], crashes_min: usize) -> bool {
-        let Some(last) = runs.last() else {
-            return false;
+    /// Returns the number of crashes before the last one of a request that are not put down to others, and not the
+    /// fault of the request or of similar ones. Crashes with a common cause count once.
+    fn other_crashes(&self, request: &RequestIdentity) -> usize {
+        let is_other = |crash: &Crash| {
+            let is_fault = |key| crash.run_of(key).is_some();
+            crash.culprit.is_none() && !is_fault(&request.equal) && !is_fault(&request.similar)
+        };
+        let own = self
+            .crashes
+            .iter()
+            .filter_map(|crash| crash.run_of(&request.equal));
+        let Some(until) = own.map(|run| run.crashed_at).max() else {
+            return 0;
         };
-        let others = self.other_crashes(key, last.crashed_at);
-        let added = (others / OTHER_CRASHES_STEP).min(ADDED_CRASHES_MAX);
-        runs.len() + self.former_crashes(key) >= crashes_min + added
-    }
-
-    /// Returns the number of crashes before a time that are not the fault of a key's requests and not put down to
-    /// others. Crashes with a common cause count once.
-    fn other_crashes(&self, key: &RequestKey, until: Instant) -> usize {
         let others = self.crashes.iter().filter(|crash| {
             let is_recent = crash.at <= until && until < crash.at + OTHER_CRASHES_WINDOW;
-            is_recent && crash.culprit.is_none() && crash.run_of(key).is_none()
+            is_recent && is_other(crash)
         });
         let mut times: Vec<Instant> = others.map(|crash| crash.at).collect();
         times.sort_unstable();
@@ -384,17 +386,13 @@
     /// Returns the runs of a request that ended with a crash and began after the crash of the one before, oldest
     /// first.
     ///
-    /// Runs at the same time, and crashes at the same time, count once: endpoints that crash together have a common
-    /// cause outside of the request, which may be frequent enough to run at all of them, or move between them.
+    /// Runs at the same time count once, because a frequent request may run at several endpoints that crash one after
+    /// the other.
     fn suspicious_runs(&self, key: &RequestKey) -> Vec<CrashedRun<'_>> {
-        let crashes = self.crashes.iter();
-        let mut runs: Vec<CrashedRun<'_>> = crashes.filter_map(|crash| crash.run_of(key)).collect();
-        runs.sort_by_key(|run| run.crashed_at);
+        let mut runs = self.crashed_runs(key);
         let mut last_crash: Option<Instant> = None;
         runs.retain(|run| {
-            let follows = last_crash.is_none_or(|last| {
-                run.started_at + OVERLAP_MAX >= last && run.crashed_at >= last + COMMON_CAUSE_WINDOW
-            });
+            let follows = last_crash.is_none_or(|last| run.started_at + OVERLAP_MAX >= last);
             if follows {
                 last_crash = Some(run.crashed_at);
             }
@@ -403,6 +401,16 @@
         runs
     }
 
+    /// Returns a run of each crash that may be the fault of a key's requests, oldest first. Crashes with a common
+    /// cause count once.
+    fn crashed_runs(&self, key: &RequestKey) -> Vec<CrashedRun<'_>> {
+        let crashes = self.crashes.iter();
+        let mut runs: Vec<CrashedRun<'_>> = crashes.filter_map(|crash| crash.run_of(key)).collect();
+        runs.sort_by_key(|run| run.crashed_at);
+        runs.dedup_by(|later, earlier| later.crashed_at < earlier.crashed_at + COMMON_CAUSE_WINDOW);
+        runs
+    }
+
     /// Quarantines a request, and puts all crashes down to it that may be its fault. Returns whether it was not
     /// quarantined before.
     fn quarantine(&mut self, key: &RequestKey, now: Instant) -> bool {
--- a/crates/burdockroad/src/gateway/quarantine/crash.rs
+++ b/crates/burdockroad/src/gateway/quarantine/crash.rs
@@ -12,15 +12,15 @@
 /// Maximum number of suspects of one crash that are stored.
 pub(super) const SUSPECTS_MAX: usize = 32;
 
-/// A request that an endpoint ran when it crashed.
+/// A request that an endpoint ran when it crashed, and of which it had not sent any output.
+///
+/// A request that crashes endpoints does so before its first output, so others are not suspects.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Suspect {
     /// The request.
     pub request: RequestIdentity,
     /// Time from sending it to the endpoint until the crash.
     pub ran: Duration,
-    /// Whether the endpoint had sent any of its output.
-    pub has_output: bool,
 }
 
 /// Crash of an endpoint, as one host saw it.
@@ -30,7 +30,7 @@
     pub endpoint: EndpointId,
     /// Time of the crash.
     pub at: Instant,
-    /// Requests that the host had sent to the endpoint and that were still running there.
+    /// Requests of the host that the endpoint ran without output.
     pub suspects: Vec<Suspect>,
 }
 
@@ -42,8 +42,6 @@
     suspects: Vec<Suspect>,
     /// Requests of which some were served after the crash.
     served: Vec<RequestKey>,
-    /// Number of requests that the endpoint ran, those that were cleared since included.
-    requests: usize,
     /// Requests that the crash is put down to; `None` while none are known.
     pub(super) culprit: Option<RequestKey>,
     /// Whether the crash was judged, after the hosts had time to report it.
@@ -54,16 +52,15 @@
 
 impl Crash {
     /// Creates a crash without suspects.
-    pub(super) fn new(endpoint: EndpointId, at: Instant) -> Self {
+    pub(super) fn new(endpoint: EndpointId, at: Instant, sends_left: u32) -> Self {
         Self {
             endpoint,
             at,
             suspects: Vec::new(),
             served: Vec::new(),
-            requests: 0,
             culprit: None,
             judged: false,
-            sends_left: 0,
+            sends_left,
         }
     }
 
@@ -78,15 +75,12 @@
     }
 
     /// Adds suspects that the crash does not have yet. Returns whether there were any.
-    pub(super) fn add(&mut self, mut suspects: Vec<Suspect>) -> bool {
-        // Those without output are kept when there is no room for all.
-        suspects.sort_by_key(|suspect| suspect.has_output);
+    pub(super) fn add(&mut self, suspects: Vec<Suspect>) -> bool {
         let mut is_new = false;
         for suspect in suspects {
             let is_known = self.suspects.iter().any(|known| known.request == suspect.request);
             if self.suspects.len() < SUSPECTS_MAX && !is_known {
                 self.suspects.push(suspect);
-                self.requests += 1;
                 is_new = true;
             }
         }
@@ -113,13 +107,8 @@
     }
 
     /// Returns the requests that may have caused the crash.
-    ///
-    /// A request that crashes endpoints does so before its first output. One with output counts only if the
-    /// endpoint ran nothing else, since it may then be the exception.
-    pub(super) fn possible_culprits(&self) -> impl Iterator<Item = &Suspect> + Clone {
-        let is_alone = self.requests == 1;
-        let suspects = self.suspects.iter();
-        suspects.filter(move |suspect| !suspect.has_output || is_alone)
+    pub(super) fn suspects(&self) -> impl Iterator<Item = &RequestIdentity> + Clone {
+        self.suspects.iter().map(|suspect| &suspect.request)
     }
 
     /// Returns the run that the crash ended, if a request of the key's set may have caused the crash.
@@ -132,7 +121,8 @@
             request.matches(key) && culprit.is_none_or(|culprit| culprit == key || request.matches(culprit))
         };
         let suspect = self
-            .possible_culprits()
+            .suspects
+            .iter()
             .find(|suspect| is_possible(&suspect.request))?;
         Some(CrashedRun {
             request: &suspect.request,
