Name the steps of the quarantine in the field's terms, and part reports by job

No behaviour is meant to change but one: what a report tells of crashes goes into datagrams of at most two crashes, since a collector of a large fleet leaves out what is longer than 4,000 bytes; four crashes with sixteen suspects each could be. Found by reading, not seen.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -1,8 +1,8 @@
 //! Attempts of one call at endpoints, until one of them responds.
 
+mod crash_suspect;
 mod exchange;
 mod stream_version;
-mod suspicion;
 
 use std::{
     sync::Arc,
@@ -21,8 +21,8 @@
 use hyper::body::Incoming;
 use tokio::time::sleep;
 
-use self::suspicion::Run;
-pub(crate) use self::suspicion::identify;
+use self::crash_suspect::Run;
+pub(crate) use self::crash_suspect::identify;
 use crate::{
     CallHead, ResponseHead,
     budgets::{Reservation, release},
@@ -158,7 +158,7 @@
             if self.time_left().is_zero() {
                 return Err(self.timeout_refusal());
             }
-            self.wait_for_verdict().await?;
+            self.wait_for_run_decision().await?;
             self.wait_for_rate_of_next_endpoint().await?;
             let Some(placement) = self.choose_endpoint() else {
                 self.wait_for_capacity().await?;
--- a/crates/burdockroad-gateway/src/attempt/suspicion.rs
+++ b/crates/burdockroad-gateway/src/attempt/crash_suspect.rs
@@ -1,17 +1,17 @@
-//! A call as a suspect of an endpoint's crash.
+//! Calls whose requests may crash endpoints.
 
 use std::time::Instant;
 
 use burdockroad::{
     EndpointId,
-    gateway::{Account, Endpoint, Quarantine, RequestIdentity, Suspect, Verdict},
+    gateway::{Account, Endpoint, Quarantine, RequestIdentity, RunDecision, Suspect},
 };
 use http::{Method, Uri};
 use tokio::time::sleep;
 
 use super::{Call, CallerRequest};
 use crate::{
-    crash_detection::{check_endpoint, verdict, wait_for_check},
+    crash_detection::{check_endpoint, decide_run, wait_for_check},
     refusal::Refusal,
 };
 
@@ -56,7 +56,7 @@
 
 impl Call {
     /// Waits while it is decided whether the call's request crashes endpoints. Fails when it is quarantined.
-    pub(super) async fn wait_for_verdict(&mut self) -> Result<(), Refusal> {
+    pub(super) async fn wait_for_run_decision(&mut self) -> Result<(), Refusal> {
         if let Some(endpoint) = self.checked_endpoint.take() {
             wait_for_check(&self.shared, &endpoint).await;
         }
@@ -65,14 +65,14 @@
         }
         let request = self.request.identity(self.account.as_deref());
         loop {
-            match verdict(&self.shared, &request) {
-                Verdict::Admit => return Ok(()),
-                Verdict::Hold { wait } if wait < self.time_left() => sleep(wait).await,
-                Verdict::Hold { .. } | Verdict::Refuse { .. } if self.retries.unknown > 0 => {
+            match decide_run(&self.shared, &request) {
+                RunDecision::Admit => return Ok(()),
+                RunDecision::Hold { wait } if wait < self.time_left() => sleep(wait).await,
+                RunDecision::Hold { .. } | RunDecision::Refuse { .. } if self.retries.unknown > 0 => {
                     return Err(self.give_up_refusal());
                 }
-                Verdict::Hold { wait } => return Err(Refusal::NoEndpoint(wait)),
-                Verdict::Refuse { retry_after } => return Err(Refusal::Quarantined(retry_after)),
+                RunDecision::Hold { wait } => return Err(Refusal::NoEndpoint(wait)),
+                RunDecision::Refuse { retry_after } => return Err(Refusal::Quarantined(retry_after)),
             }
         }
     }
@@ -109,14 +109,14 @@
         quarantine.endpoints_with_suspects()
     }
 
-    /// Records that the endpoint has sent output of the call, so that the call is not to blame for crashes.
+    /// Records that the endpoint has sent output of the call, which therefore did not cause earlier crashes.
     pub(crate) fn record_output(&mut self) {
         if std::mem::replace(&mut self.run.has_output, true) || self.shared.tables().quarantine.is_empty() {
             return;
         }
         let request = self.request.identity(self.account.as_deref());
         let now = Instant::now();
-        self.shared.tables().quarantine.record_served(&request, now);
+        self.shared.tables().quarantine.record_output(&request, now);
     }
 
     /// Has it checked whether the endpoint crashed, because the call's response is missing or broke off.
--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -10,7 +10,7 @@
 };
 
 use burdockroad::gateway::{
-    Account, AccountLookup, Admission, CallerLimits, Directory, Route, Target, Verdict,
+    Account, AccountLookup, Admission, CallerLimits, Directory, Route, RunDecision, Target,
 };
 use bytes::Bytes;
 use http::{Request, Response, header, request::Parts};
@@ -28,7 +28,7 @@
     CallHead,
     attempt::{AdmittedCall, Call, CallerRequest, OpenedResponse, call_timeout, identify},
     budgets::{ReservationError, ReservationRequest, reserve},
-    crash_detection::{log_refused, verdict},
+    crash_detection::{decide_run, log_refused},
     refusal::Refusal,
     shared::{Shared, Tables},
     stream::{ResponseBody, read_whole, relay_events},
@@ -263,13 +263,13 @@
         return Ok(());
     }
     let request = identify(context.account.as_deref(), &parts.method, &parts.uri, body);
-    match verdict(shared, &request) {
-        Verdict::Refuse { retry_after } => {
+    match decide_run(shared, &request) {
+        RunDecision::Refuse { retry_after } => {
             log_refused(shared, &head.call_id, &request);
             Err(Refusal::Quarantined(retry_after))
         }
         // A suspect waits before it is sent, not here, where it may still be refused for another reason.
-        Verdict::Admit | Verdict::Hold { .. } => Ok(()),
+        RunDecision::Admit | RunDecision::Hold { .. } => Ok(()),
     }
 }
 
--- a/crates/burdockroad-gateway/src/crash_detection.rs
+++ b/crates/burdockroad-gateway/src/crash_detection.rs
@@ -12,7 +12,7 @@
 
 use burdockroad::{
     EndpointId,
-    gateway::{CrashReport, Endpoint, Failure, RequestIdentity, RequestKey, Suspect, Verdict},
+    gateway::{CrashReport, Endpoint, Failure, RequestIdentity, RequestKey, RunDecision, Suspect},
 };
 use serde::Serialize;
 
@@ -120,18 +120,18 @@
 }
 
 /// Decides whether a request may be sent to an endpoint.
-pub(crate) fn verdict(shared: &Shared, request: &RequestIdentity) -> Verdict {
+pub(crate) fn decide_run(shared: &Shared, request: &RequestIdentity) -> RunDecision {
     let now = Instant::now();
     let mut tables = shared.tables();
-    let quarantined = tables.quarantine.judge(now);
-    let verdict = tables.quarantine.verdict(request, now);
+    let quarantined = tables.quarantine.evaluate(now);
+    let decision = tables.quarantine.decide(request, now);
     drop(tables);
     log_quarantined(shared, &quarantined, None);
-    verdict
+    decision
 }
 
 /// Logs requests that are quarantined from now on. `reported_by` is the host that told of them; `None` if this host
-/// judged by itself.
+/// evaluated by itself.
 pub(crate) fn log_quarantined(shared: &Shared, quarantined: &[RequestKey], reported_by: Option<&str>) {
     for key in quarantined {
         metrics::counter!("burdockroad_requests_quarantined_total").increment(1);
--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -220,7 +220,7 @@
         tables.start_gate.evict_expired(now);
         tables.stream_origins.evict_expired(now);
         tables.quarantine.evict_expired(now);
-        let quarantined = tables.quarantine.judge(now);
+        let quarantined = tables.quarantine.evaluate(now);
         drop(tables);
         log_quarantined(&shared, &quarantined, None);
         shared.pool.remove_expired(now);
--- a/crates/burdockroad-gateway/src/reports/quarantine.rs
+++ b/crates/burdockroad-gateway/src/reports/quarantine.rs
@@ -5,7 +5,7 @@
 use burdockroad::{
     AccountId, EndpointId,
     gateway::{
-        CrashReport, QuarantineReport, QuarantinedRequest, RequestIdentity, RequestKey, ServedSuspect,
+        ClearedSuspect, CrashReport, QuarantineReport, QuarantinedRequest, RequestIdentity, RequestKey,
         Suspect,
     },
 };
@@ -13,8 +13,8 @@
 
 use crate::call::as_ms;
 
-/// Maximum number of crashes in one datagram.
-const CRASHES_MAX: usize = 4;
+/// Maximum number of crashes in one datagram, which a collector must be able to send on with others.
+const CRASHES_MAX: usize = 2;
 
 /// Maximum number of suspects of a crash in one datagram.
 const SUSPECTS_MAX: usize = 16;
@@ -28,7 +28,7 @@
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     quarantined: Vec<WireQuarantinedRequest>,
     #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
-    served: Vec<WireServed>,
+    cleared: Vec<WireCleared>,
 }
 
 /// [`CrashReport`] on the wire.
@@ -73,10 +73,10 @@
     rounds: u32,
 }
 
-/// [`ServedSuspect`] on the wire.
+/// [`ClearedSuspect`] on the wire.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
-struct WireServed {
+struct WireCleared {
     #[serde(rename = "n")]
     account: AccountId,
     #[serde(rename = "d")]
@@ -87,37 +87,33 @@
 
 impl WireQuarantine {
     pub(super) fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.quarantined.is_empty() && self.served.is_empty()
+        self.crashes.is_empty() && self.quarantined.is_empty() && self.cleared.is_empty()
     }
 
     /// Encodes a report in as many parts as its crashes need.
     pub(super) fn encode(report: QuarantineReport, now: Instant) -> Vec<Self> {
-        let mut crashes = report.crashes.into_iter().map(|crash| wire_crash(crash, now));
-        let first = Self {
-            crashes: crashes.by_ref().take(CRASHES_MAX).collect(),
+        let requests = Self {
+            crashes: Vec::new(),
             quarantined: report
                 .quarantined
                 .into_iter()
                 .map(|request| wire_quarantined(request, now))
                 .collect(),
-            served: report
-                .served
+            cleared: report
+                .cleared
                 .into_iter()
-                .map(|served| wire_served(served, now))
+                .map(|cleared| wire_cleared(cleared, now))
                 .collect(),
         };
-        let mut parts = vec![first];
-        loop {
-            let more: Vec<WireCrash> = crashes.by_ref().take(CRASHES_MAX).collect();
-            if more.is_empty() {
-                parts.retain(|part| !part.is_empty());
-                return parts;
-            }
+        let mut parts = vec![requests];
+        for crashes in report.crashes.chunks(CRASHES_MAX) {
             parts.push(Self {
-                crashes: more,
+                crashes: crashes.iter().map(|crash| wire_crash(crash, now)).collect(),
                 ..Self::default()
             });
         }
+        parts.retain(|part| !part.is_empty());
+        parts
     }
 
     pub(super) fn decode(self, now: Instant) -> QuarantineReport {
@@ -144,15 +140,15 @@
                     rounds: request.rounds,
                 })
                 .collect(),
-            served: self
-                .served
+            cleared: self
+                .cleared
                 .into_iter()
-                .map(|served| ServedSuspect {
+                .map(|cleared| ClearedSuspect {
                     key: RequestKey {
-                        account: served.account,
-                        digest: served.digest,
+                        account: cleared.account,
+                        digest: cleared.digest,
                     },
-                    at: past(now, served.age_ms),
+                    at: past(now, cleared.age_ms),
                 })
                 .collect(),
         }
@@ -175,10 +171,10 @@
     }
 }
 
-impl From<Suspect> for WireSuspect {
-    fn from(suspect: Suspect) -> Self {
+impl From<&Suspect> for WireSuspect {
+    fn from(suspect: &Suspect) -> Self {
         Self {
-            account: suspect.request.equal.account,
+            account: suspect.request.equal.account.clone(),
             equal: suspect.request.equal.digest,
             similar: suspect.request.similar.digest,
             ran_ms: as_ms(suspect.ran),
@@ -186,10 +182,10 @@
     }
 }
 
-fn wire_crash(crash: CrashReport, now: Instant) -> WireCrash {
-    let suspects = crash.suspects.into_iter().take(SUSPECTS_MAX);
+fn wire_crash(crash: &CrashReport, now: Instant) -> WireCrash {
+    let suspects = crash.suspects.iter().take(SUSPECTS_MAX);
     WireCrash {
-        endpoint: crash.endpoint,
+        endpoint: crash.endpoint.clone(),
         age_ms: age_ms(now, crash.at),
         suspects: suspects.map(WireSuspect::from).collect(),
     }
@@ -205,11 +201,11 @@
     }
 }
 
-fn wire_served(served: ServedSuspect, now: Instant) -> WireServed {
-    WireServed {
-        account: served.key.account,
-        digest: served.key.digest,
-        age_ms: age_ms(now, served.at),
+fn wire_cleared(cleared: ClearedSuspect, now: Instant) -> WireCleared {
+    WireCleared {
+        account: cleared.key.account,
+        digest: cleared.key.digest,
+        age_ms: age_ms(now, cleared.at),
     }
 }
 
--- /dev/null
+++ b/crates/burdockroad-gateway/src/reports/wire.rs
@@ -0,0 +1,220 @@
+//! Encoding of reports.
+
+use std::time::{Duration, Instant};
+
+use burdockroad::{
+    EndpointId, HostId,
+    gateway::{AccountUsage, EndpointCalls, UsageReport},
+};
+use burdockroad_daemon::platform::Revision;
+use serde::{Deserialize, Serialize};
+
+use super::{quarantine::WireQuarantine, rates::WireRate};
+use crate::shared::Shared;
+
+/// Maximum number of accounts in one datagram. A datagram with this many accounts stays below the usual
+/// packet size.
+const ACCOUNTS_MAX: usize = 24;
+
+/// Maximum number of endpoints with limited rates in one datagram.
+const RATES_MAX: usize = 24;
+
+/// A report on the wire.
+#[derive(Serialize, Deserialize)]
+pub(super) struct WireReport {
+    pub(super) host: String,
+    incarnation: u64,
+    /// Time since the start of the host's process, in milliseconds.
+    running_ms: u64,
+    /// Whether the store serves the host without a relaying host.
+    #[serde(rename = "store_serves")]
+    pub(super) is_served_directly: bool,
+    /// Whether the host reaches endpoints only through other hosts. Hosts of earlier versions do not report it.
+    #[serde(default)]
+    pub(super) is_cut_off: bool,
+    /// Calls in flight at endpoints; only in the first datagram of a report.
+    in_flight: Option<Vec<WireCalls>>,
+    /// Ranges that the host watches; only in the first datagram of a report.
+    pub(super) ranges: Vec<WireRange>,
+    accounts: Vec<WireUsage>,
+    /// Calls to endpoints that limit their rate. Hosts of earlier versions do not report them.
+    #[serde(default)]
+    pub(super) rates: Vec<WireRate>,
+    /// Requests that crash endpoints. Hosts of earlier versions do not report them.
+    #[serde(default, skip_serializing_if = "WireQuarantine::is_empty")]
+    pub(super) quarantine: WireQuarantine,
+}
+
+/// A watched range and the revision of its last change.
+#[derive(Serialize, Deserialize)]
+pub(super) struct WireRange {
+    #[serde(rename = "p")]
+    pub(super) prefix: String,
+    #[serde(rename = "c")]
+    pub(super) last_change: Revision,
+}
+
+/// [`AccountUsage`] on the wire. The names are short because a report is sent to every host about seven times
+/// a second.
+#[derive(Serialize, Deserialize)]
+struct WireUsage {
+    #[serde(rename = "n")]
+    account: String,
+    #[serde(rename = "a")]
+    admitted: u64,
+    #[serde(rename = "d")]
+    demand_per_s: f32,
+    #[serde(rename = "r")]
+    running_per_s: f32,
+    #[serde(rename = "b")]
+    started_per_s: f32,
+    #[serde(rename = "l")]
+    level: f32,
+}
+
+/// Calls in flight at one endpoint.
+#[derive(Serialize, Deserialize)]
+struct WireCalls {
+    #[serde(rename = "e")]
+    endpoint: EndpointId,
+    #[serde(rename = "c")]
+    calls: u32,
+}
+
+impl WireReport {
+    /// Returns the calls in flight; `None` if this datagram does not contain them.
+    pub(super) fn calls(&self) -> Option<Vec<EndpointCalls>> {
+        let calls = self
+            .in_flight
+            .as_ref()?
+            .iter()
+            .map(|endpoint_calls| EndpointCalls {
+                endpoint: endpoint_calls.endpoint.clone(),
+                calls: endpoint_calls.calls,
+            });
+        Some(calls.collect())
+    }
+
+    /// Decodes the usage of accounts.
+    pub(super) fn decode(self) -> UsageReport {
+        let accounts = self.accounts.into_iter();
+        let accounts = accounts.map(|usage| AccountUsage {
+            account: usage.account,
+            admitted: usage.admitted,
+            demand_per_s: f64::from(usage.demand_per_s),
+            running_per_s: f64::from(usage.running_per_s),
+            started_per_s: f64::from(usage.started_per_s),
+            level: f64::from(usage.level),
+        });
+        UsageReport {
+            host: self.host,
+            incarnation: self.incarnation,
+            uptime: Duration::from_millis(self.running_ms),
+            accounts: accounts.collect(),
+        }
+    }
+}
+
+/// Encodes this host's report in as many datagrams as its accounts need.
+pub(super) fn wire_reports(shared: &Shared, ranges: Vec<(String, Revision)>) -> Vec<Vec<u8>> {
+    let ranges = ranges
+        .into_iter()
+        .map(|(prefix, last_change)| WireRange { prefix, last_change });
+    let is_served_directly = shared.store.is_served_directly();
+    let mut tables = shared.tables();
+    let now = Instant::now();
+    let report = tables.rate_limiter.report(&shared.host, shared.incarnation, now);
+    let in_flight = tables.endpoints.all_in_flight();
+    let rates = tables.endpoints.rate_usages(now);
+    let is_cut_off = tables.reach.is_cut_off();
+    let quarantine = WireQuarantine::encode(tables.quarantine.next_report(), now);
+    drop(tables);
+    let usage = report.accounts.iter().filter(|usage| usage.demand_per_s > 0.01);
+    let usage: Vec<WireUsage> = usage.map(wire_usage).collect();
+    let mut account_chunks = split(usage, ACCOUNTS_MAX);
+    let mut rate_chunks = split(rates.iter().map(WireRate::from).collect(), RATES_MAX);
+    let empty = || WireReport {
+        is_served_directly,
+        is_cut_off,
+        ..wire_report(&shared.host, &report)
+    };
+    let first = WireReport {
+        in_flight: Some(in_flight.into_iter().map(WireCalls::from).collect()),
+        ranges: ranges.collect(),
+        accounts: account_chunks.pop().unwrap_or_default(),
+        rates: rate_chunks.pop().unwrap_or_default(),
+        ..empty()
+    };
+    let more_accounts = account_chunks
+        .into_iter()
+        .map(|accounts| WireReport { accounts, ..empty() });
+    let more_rates = rate_chunks
+        .into_iter()
+        .map(|rates| WireReport { rates, ..empty() });
+    let quarantines = quarantine.into_iter().map(|quarantine| WireReport {
+        quarantine,
+        ..empty()
+    });
+    std::iter::once(first)
+        .chain(more_accounts)
+        .chain(more_rates)
+        .chain(quarantines)
+        .filter_map(|report| encode(&report))
+        .collect()
+}
+
+/// Splits entries of a report into chunks of at most `chunk_max`.
+fn split<T>(mut entries: Vec<T>, chunk_max: usize) -> Vec<Vec<T>> {
+    let mut chunks = Vec::new();
+    while entries.len() > chunk_max {
+        chunks.push(entries.split_off(entries.len() - chunk_max));
+    }
+    chunks.push(entries);
+    chunks
+}
+
+/// Builds one datagram of a report, without entries and states.
+fn wire_report(host: &HostId, report: &UsageReport) -> WireReport {
+    WireReport {
+        host: host.clone(),
+        incarnation: report.incarnation,
+        running_ms: u64::try_from(report.uptime.as_millis()).unwrap_or(u64::MAX),
+        is_served_directly: false,
+        is_cut_off: false,
+        in_flight: None,
+        ranges: Vec::new(),
+        accounts: Vec::new(),
+        rates: Vec::new(),
+        quarantine: WireQuarantine::default(),
+    }
+}
+
+fn encode(report: &WireReport) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    if ciborium::into_writer(report, &mut bytes).is_err() {
+        metrics::counter!("burdockroad_reports_unsent_total").increment(1);
+        return None;
+    }
+    Some(bytes)
+}
+
+impl From<EndpointCalls> for WireCalls {
+    fn from(endpoint_calls: EndpointCalls) -> Self {
+        Self {
+            endpoint: endpoint_calls.endpoint,
+            calls: endpoint_calls.calls,
+        }
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "demand and level are estimates")]
+fn wire_usage(usage: &AccountUsage) -> WireUsage {
+    WireUsage {
+        account: usage.account.clone(),
+        admitted: usage.admitted,
+        demand_per_s: usage.demand_per_s as f32,
+        running_per_s: usage.running_per_s as f32,
+        started_per_s: usage.started_per_s as f32,
+        level: usage.level as f32,
+    }
+}
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -51,8 +51,8 @@
     },
     program_start::{ProgramStartGate, StartDecision},
     quarantine::{
-        CrashReport, Quarantine, QuarantineReport, QuarantinedRequest, RequestIdentity, RequestKey,
-        ServedSuspect, Suspect, Verdict,
+        ClearedSuspect, CrashReport, Quarantine, QuarantineReport, QuarantinedRequest, RequestIdentity,
+        RequestKey, RunDecision, Suspect,
     },
     rate_limit::{AccountUsage, Admission, RateLimiter, UsageReport},
     reach::{EndpointReach, RelayCandidate},
--- a/crates/burdockroad/src/gateway/quarantine/crash.rs
+++ b/crates/burdockroad/src/gateway/quarantine/crash.rs
@@ -40,12 +40,12 @@
     pub(super) endpoint: EndpointId,
     pub(super) at: Instant,
     suspects: Vec<Suspect>,
-    /// Requests of which some were served after the crash.
-    served: Vec<RequestKey>,
-    /// Requests that the crash is put down to; `None` while none are known.
+    /// Requests of which some had output after the crash.
+    cleared: Vec<RequestKey>,
+    /// Requests that the crash is attributed to; `None` while none are known.
     pub(super) culprit: Option<RequestKey>,
-    /// Whether the crash was judged, after the hosts had time to report it.
-    pub(super) judged: bool,
+    /// Whether the crash was evaluated, after the hosts had time to report it.
+    pub(super) evaluated: bool,
     /// Number of reports in which this host still tells the others of the crash.
     pub(super) sends_left: u32,
 }
@@ -57,9 +57,9 @@
             endpoint,
             at,
             suspects: Vec::new(),
-            served: Vec::new(),
+            cleared: Vec::new(),
             culprit: None,
-            judged: false,
+            evaluated: false,
             sends_left,
         }
     }
@@ -87,12 +87,12 @@
         is_new
     }
 
-    /// Removes a request that was served since the crash, which it can then not have caused. Similar requests stay
+    /// Removes a request that had output after the crash, which it can then not have caused. Similar requests stay
     /// suspects, but not for what they have in common.
     pub(super) fn clear(&mut self, key: &RequestKey) {
         let is_suspect = self.suspects.iter().any(|suspect| suspect.request.matches(key));
-        if is_suspect && !self.served.contains(key) {
-            self.served.push(key.clone());
+        if is_suspect && !self.cleared.contains(key) {
+            self.cleared.push(key.clone());
         }
         self.suspects.retain(|suspect| suspect.request.equal != *key);
     }
@@ -113,7 +113,7 @@
 
     /// Returns the run that the crash ended, if a request of the key's set may have caused the crash.
     pub(super) fn run_of(&self, key: &RequestKey) -> Option<CrashedRun<'_>> {
-        if self.served.contains(key) {
+        if self.cleared.contains(key) {
             return None;
         }
         let is_possible = |request: &RequestIdentity| {
--- a/crates/burdockroad/src/gateway/quarantine/sharing.rs
+++ b/crates/burdockroad/src/gateway/quarantine/sharing.rs
@@ -10,7 +10,7 @@
 /// Number of reports that contain a news item. Single reports may be lost.
 pub(super) const SENDS: u32 = 4;
 
-/// Maximum number of new crashes, and of suspects that were served, in one report.
+/// Maximum number of new crashes, and of cleared suspects, in one report.
 const NEWS_MAX: usize = 16;
 
 /// Number of crashes that one report repeats.
@@ -26,8 +26,8 @@
     pub crashes: Vec<CrashReport>,
     /// Requests that are or were quarantined.
     pub quarantined: Vec<QuarantinedRequest>,
-    /// Suspects that were served.
-    pub served: Vec<ServedSuspect>,
+    /// Suspects that were cleared.
+    pub cleared: Vec<ClearedSuspect>,
 }
 
 /// Request that is or was quarantined.
@@ -43,19 +43,19 @@
     pub rounds: u32,
 }
 
-/// Suspect that was served, and thus cleared of all earlier crashes.
+/// Suspect that had output, and is thus cleared of all earlier crashes.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServedSuspect {
+pub struct ClearedSuspect {
     /// The request.
     pub key: RequestKey,
-    /// Time of the response.
+    /// Time of the output.
     pub at: Instant,
 }
 
 impl QuarantineReport {
     /// Returns whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.quarantined.is_empty() && self.served.is_empty()
+        self.crashes.is_empty() && self.quarantined.is_empty() && self.cleared.is_empty()
     }
 }
 
@@ -67,37 +67,37 @@
         QuarantineReport {
             crashes,
             quarantined: self.repeated_requests(),
-            served: self.new_served(),
+            cleared: self.new_cleared(),
         }
     }
 
     /// Records the report of another host. Returns the requests that are quarantined from now on.
     pub fn record_report(&mut self, report: QuarantineReport, now: Instant) -> Vec<RequestKey> {
-        for served in report.served {
-            let known = self.served.get(&served.key);
-            if known.is_none_or(|known| known.at < served.at) {
-                self.clear(&served.key, served.at, 0);
+        for cleared in report.cleared {
+            let known = self.cleared.get(&cleared.key);
+            if known.is_none_or(|known| known.at < cleared.at) {
+                self.clear(&cleared.key, cleared.at, 0);
             }
         }
         for crash in report.crashes {
             self.merge_crash(crash, 0);
         }
-        let mut convicted = Vec::new();
+        let mut quarantined = Vec::new();
         for request in report.quarantined {
             if self.record_quarantined(&request) && now < request.until {
-                convicted.push(request.key);
+                quarantined.push(request.key);
             }
         }
-        convicted
+        quarantined
     }
 
     /// Records that another host has quarantined a request. Returns whether this host did not know it.
     fn record_quarantined(&mut self, request: &QuarantinedRequest) -> bool {
-        let served = self.served.get(&request.key);
-        if served.is_some_and(|served| served.at >= request.since) {
+        let cleared = self.cleared.get(&request.key);
+        if cleared.is_some_and(|cleared| cleared.at >= request.since) {
             return false;
         }
-        // Hosts judge by themselves, too, at slightly different times: of one round, the first to be known holds.
+        // Hosts evaluate by themselves, too, at slightly different times: of one round, the first to be known holds.
         let known = self.quarantined.get(&request.key);
         if known.is_some_and(|known| known.rounds >= request.rounds) {
             return false;
@@ -149,14 +149,17 @@
         requests
     }
 
-    fn new_served(&mut self) -> Vec<ServedSuspect> {
-        let news = self.served.iter_mut().filter(|(_, served)| served.sends_left > 0);
+    fn new_cleared(&mut self) -> Vec<ClearedSuspect> {
+        let news = self
+            .cleared
+            .iter_mut()
+            .filter(|(_, cleared)| cleared.sends_left > 0);
         news.take(NEWS_MAX)
-            .map(|(key, served)| {
-                served.sends_left -= 1;
-                ServedSuspect {
+            .map(|(key, cleared)| {
+                cleared.sends_left -= 1;
+                ClearedSuspect {
                     key: key.clone(),
-                    at: served.at,
+                    at: cleared.at,
                 }
             })
             .collect()
--- a/crates/burdockroad/tests/gateway_quarantine.rs
+++ b/crates/burdockroad/tests/gateway_quarantine.rs
@@ -6,12 +6,12 @@
 };
 
 use burdockroad::gateway::{
-    CrashReport, Quarantine, QuarantineReport, RequestIdentity, RequestKey, Suspect, Verdict,
+    CrashReport, Quarantine, QuarantineReport, RequestIdentity, RequestKey, RunDecision, Suspect,
 };
 use rand::{Rng, RngExt, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 
-/// Time from a crash until it is judged, with some margin.
+/// Time from a crash until it is evaluated, with some margin.
 const SETTLED: Duration = Duration::from_millis(400);
 
 const RUN: Duration = Duration::from_millis(80);
@@ -55,68 +55,74 @@
 }
 
 fn is_refused(quarantine: &Quarantine, request: &RequestIdentity, now: Instant) -> bool {
-    matches!(quarantine.verdict(request, now), Verdict::Refuse { .. })
+    matches!(quarantine.decide(request, now), RunDecision::Refuse { .. })
 }
 
 #[test]
-fn judge_request_in_three_crashes_quarantines_it() {
+fn evaluate_request_in_three_crashes_quarantines_it() {
     let start = Instant::now();
     let mut quarantine = Quarantine::default();
     let deadly = request("account", "deadly");
     record_crashes(&mut quarantine, start, 2, &[&deadly]);
-    assert!(quarantine.judge(seconds(start, 1.5)).is_empty());
-    assert_eq!(quarantine.verdict(&deadly, seconds(start, 1.5)), Verdict::Admit);
+    assert!(quarantine.evaluate(seconds(start, 1.5)).is_empty());
+    assert_eq!(
+        quarantine.decide(&deadly, seconds(start, 1.5)),
+        RunDecision::Admit
+    );
     let at = seconds(start, 2.0);
     quarantine.record_crash(crash("third", at, &[&deadly]));
-    assert_eq!(quarantine.judge(at + SETTLED), slice::from_ref(&deadly.equal));
+    assert_eq!(quarantine.evaluate(at + SETTLED), slice::from_ref(&deadly.equal));
     assert!(is_refused(&quarantine, &deadly, at + SETTLED));
-    assert!(quarantine.judge(at + SETTLED).is_empty(), "it is reported once");
+    assert!(
+        quarantine.evaluate(at + SETTLED).is_empty(),
+        "it is reported once"
+    );
 }
 
 #[test]
-fn verdict_second_crash_holds_until_it_has_settled() {
+fn decide_second_crash_holds_until_it_has_settled() {
     let start = Instant::now();
     let mut quarantine = Quarantine::default();
     let deadly = request("account", "deadly");
     record_crashes(&mut quarantine, start, 2, &[&deadly]);
     let now = seconds(start, 1.1);
-    let Verdict::Hold { wait } = quarantine.verdict(&deadly, now) else {
+    let RunDecision::Hold { wait } = quarantine.decide(&deadly, now) else {
         panic!("it is not held");
     };
     assert!(wait <= SETTLED, "{wait:?}");
-    assert_eq!(quarantine.verdict(&deadly, now + wait), Verdict::Admit);
+    assert_eq!(quarantine.decide(&deadly, now + wait), RunDecision::Admit);
 }
 
 #[test]
-fn verdict_same_body_of_another_account_admits() {
+fn decide_same_body_of_another_account_admits() {
     let start = Instant::now();
     let mut quarantine = Quarantine::default();
     record_crashes(&mut quarantine, start, 3, &[&request("account", "deadly")]);
     let now = seconds(start, 3.0);
-    assert_eq!(quarantine.judge(now).len(), 1);
+    assert_eq!(quarantine.evaluate(now).len(), 1);
     assert_eq!(
-        quarantine.verdict(&request("other", "deadly"), now),
-        Verdict::Admit
+        quarantine.decide(&request("other", "deadly"), now),
+        RunDecision::Admit
     );
 }
 
 #[test]
-fn judge_requests_that_always_ran_together_quarantines_none_until_they_part() {
+fn evaluate_requests_that_always_ran_together_quarantines_none_until_they_part() {
     let start = Instant::now();
     let mut quarantine = Quarantine::default();
     let (deadly, sound) = (request("account", "deadly"), request("account", "sound"));
     record_crashes(&mut quarantine, start, 4, &[&deadly, &sound]);
-    assert!(quarantine.judge(seconds(start, 4.0)).is_empty());
+    assert!(quarantine.evaluate(seconds(start, 4.0)).is_empty());
     let at = seconds(start, 5.0);
     quarantine.record_crash(crash("apart", at, &[&deadly]));
-    assert_eq!(quarantine.judge(at + SETTLED), slice::from_ref(&deadly.equal));
-    // The crashes are put down to the culprit, so they no longer count against the other one.
+    assert_eq!(quarantine.evaluate(at + SETTLED), slice::from_ref(&deadly.equal));
+    // The crashes are attributed to the culprit, so they no longer count against the other one.
     record_crashes(&mut quarantine, seconds(start, 10.0), 2, &[&sound]);
-    assert!(quarantine.judge(seconds(start, 12.0)).is_empty());
+    assert!(quarantine.evaluate(seconds(start, 12.0)).is_empty());
 }
 
 #[test]
-fn judge_reports_of_other_hosts_within_the_settling_time_are_regarded() {
+fn evaluate_reports_of_other_hosts_within_the_settling_time_are_regarded() {
     let start = Instant::now();
     let mut quarantine = Quarantine::default();
     let (deadly, sound) = (request("account", "deadly"), request("account", "sound"));
@@ -128,13 +134,13 @@
     let last = seconds(start, 2.0);
     quarantine.record_crash(crash(&format!("{last:?}"), last, &[&sound]));
     assert!(
-        quarantine.judge(last + SETTLED).is_empty(),
+        quarantine.evaluate(last + SETTLED).is_empty(),
         "both ran at all of them"
     );
 }
 
 #[test]
-fn judge_crashes_at_the_same_time_count_once() {
+fn evaluate_crashes_at_the_same_time_count_once() {
     let start = Instant::now();
     let mut quarantine = Quarantine::default();
     let frequent = request("account", "frequent");
@@ -144,26 +150,26 @@
             quarantine.record_crash(crash(&format!("{round}-{endpoint}"), at, &[&frequent]));
         }
     }
-    assert!(quarantine.judge(seconds(start, 3.0)).is_empty());
+    assert!(quarantine.evaluate(seconds(start, 3.0)).is_empty());
 }
 
 #[test]
-fn record_served_clears_earlier_crashes() {
+fn record_output_clears_earlier_crashes() {
     let start = Instant::now();
     let mut quarantine = Quarantine::default();
     let sound = request("account", "sound");
     record_crashes(&mut quarantine, start, 2, &[&sound]);
-    assert!(quarantine.record_served(&sound, seconds(start, 1.5)));
+    assert!(quarantine.record_output(&sound, seconds(start, 1.5)));
     record_crashes(&mut quarantine, seconds(start, 2.0), 2, &[&sound]);
-    assert!(quarantine.judge(seconds(start, 5.0)).is_empty());
+    assert!(quarantine.evaluate(seconds(start, 5.0)).is_empty());
     // A late report of a crash from before does not count either.
     quarantine.record_crash(crash("late", seconds(start, 0.5), &[&sound]));
-    assert!(quarantine.judge(seconds(start, 6.0)).is_empty());
+    assert!(quarantine.evaluate(seconds(start, 6.0)).is_empty());
 }
 
 /// The same prompt crashes endpoints with other text behind it each time.
 #[test]
-fn judge_similar_requests_quarantines_all_of_them() {
+fn evaluate_similar_requests_quarantines_all_of_them() {
     let start = Instant::now();
     let mut quarantine = Quarantine::default();
     for number in 0..5 {
@@ -172,14 +178,14 @@
         quarantine.record_crash(crash(&format!("{number}"), at, &[&deadly]));
     }
     let now = seconds(start, 5.0);
-    assert_eq!(quarantine.judge(now), [similar_request(1, 0).similar]);
+    assert_eq!(quarantine.evaluate(now), [similar_request(1, 0).similar]);
     assert!(is_refused(&quarantine, &similar_request(1, 99), now));
     assert!(!is_refused(&quarantine, &similar_request(2, 0), now));
 }
 
 /// Many callers send the same deadly prompt at the same time.
 #[test]
-fn judge_similar_requests_that_run_at_the_same_time_quarantines_all_of_them() {
+fn evaluate_similar_requests_that_run_at_the_same_time_quarantines_all_of_them() {
     let start = Instant::now();
     let mut quarantine = Quarantine::default();
     for number in 0..5 {
@@ -187,46 +193,46 @@
         let deadly = similar_request(1, number);
         quarantine.record_crash(crash(&format!("{number}"), at, &[&deadly]));
     }
-    let convicted = quarantine.judge(seconds(start, 1.0));
-    assert_eq!(convicted, [similar_request(1, 0).similar]);
+    let quarantined = quarantine.evaluate(seconds(start, 1.0));
+    assert_eq!(quarantined, [similar_request(1, 0).similar]);
 }
 
 /// A request is deadly, and a sound one that begins in the same way runs beside another crash.
 #[test]
-fn judge_sound_request_similar_to_a_deadly_one_is_not_quarantined() {
+fn evaluate_sound_request_similar_to_a_deadly_one_is_not_quarantined() {
     let start = Instant::now();
     let mut quarantine = Quarantine::default();
     let (deadly, sound) = (similar_request(1, 1), similar_request(1, 2));
     record_crashes(&mut quarantine, start, 3, &[&deadly]);
     assert_eq!(
-        quarantine.judge(seconds(start, 3.0)),
+        quarantine.evaluate(seconds(start, 3.0)),
         slice::from_ref(&deadly.equal)
     );
     record_crashes(&mut quarantine, seconds(start, 5.0), 1, &[&sound]);
-    assert!(quarantine.judge(seconds(start, 6.0)).is_empty());
-    quarantine.record_served(&sound, seconds(start, 7.0));
+    assert!(quarantine.evaluate(seconds(start, 6.0)).is_empty());
+    quarantine.record_output(&sound, seconds(start, 7.0));
     assert!(is_refused(&quarantine, &deadly, seconds(start, 7.0)));
     record_crashes(&mut quarantine, seconds(start, 8.0), 2, &[&sound]);
-    assert!(quarantine.judge(seconds(start, 11.0)).is_empty());
+    assert!(quarantine.evaluate(seconds(start, 11.0)).is_empty());
 }
 
 #[test]
-fn verdict_after_the_quarantine_admits_until_the_next_crash() {
+fn decide_after_the_quarantine_admits_until_the_next_crash() {
     let start = Instant::now();
     let mut quarantine = Quarantine::default();
     let deadly = request("account", "deadly");
     record_crashes(&mut quarantine, start, 3, &[&deadly]);
-    quarantine.judge(seconds(start, 3.0));
-    let Verdict::Refuse { retry_after } = quarantine.verdict(&deadly, seconds(start, 3.0)) else {
+    quarantine.evaluate(seconds(start, 3.0));
+    let RunDecision::Refuse { retry_after } = quarantine.decide(&deadly, seconds(start, 3.0)) else {
         panic!("it is not refused");
     };
     let later = seconds(start, 3.0) + retry_after;
     quarantine.evict_expired(later);
-    assert_eq!(quarantine.verdict(&deadly, later), Verdict::Admit);
+    assert_eq!(quarantine.decide(&deadly, later), RunDecision::Admit);
     record_crashes(&mut quarantine, later, 1, &[&deadly]);
-    quarantine.judge(later + SETTLED);
-    let renewed = quarantine.verdict(&deadly, later + SETTLED);
-    let Verdict::Refuse { retry_after: renewed } = renewed else {
+    quarantine.evaluate(later + SETTLED);
+    let renewed = quarantine.decide(&deadly, later + SETTLED);
+    let RunDecision::Refuse { retry_after: renewed } = renewed else {
         panic!("a single crash renews the quarantine: {renewed:?}");
     };
     assert!(renewed > retry_after);
@@ -236,12 +242,12 @@
 }
 
 #[test]
-fn judge_flood_of_deadly_requests_stays_bounded() {
+fn evaluate_flood_of_deadly_requests_stays_bounded() {
     let start = Instant::now();
     let mut quarantine = Quarantine::default();
     let other = request("other", "deadly");
     record_crashes(&mut quarantine, start, 3, &[&other]);
-    quarantine.judge(seconds(start, 3.0));
+    quarantine.evaluate(seconds(start, 3.0));
     let mut now = seconds(start, 4.0);
     for number in 0..400 {
         let body = format!("{number} {}", "x".repeat(100));
@@ -259,7 +265,7 @@
         }
     }
     now += SETTLED;
-    quarantine.judge(now);
+    quarantine.evaluate(now);
     assert!(quarantine.remembered_crashes() <= 256);
     assert!(
         quarantine.quarantined_count(now) <= 65,
@@ -269,7 +275,7 @@
     let report = quarantine.next_report();
     let suspects = report.crashes.iter().map(|crash| crash.suspects.len());
     assert!(suspects.max().unwrap_or(0) <= 32);
-    assert!(report.crashes.len() <= 32 && report.quarantined.len() <= 32 && report.served.len() <= 32);
+    assert!(report.crashes.len() <= 32 && report.quarantined.len() <= 32 && report.cleared.len() <= 32);
 }
 
 /// Reports of 3 s reach a host that was restarted.
@@ -284,7 +290,7 @@
     for request in &deadly {
         record_crashes(&mut knowing, now, 3, &[request]);
         now += Duration::from_secs(4);
-        knowing.judge(now);
+        knowing.evaluate(now);
     }
     let known: Vec<_> = deadly
         .iter()
@@ -348,9 +354,9 @@
 
     /// Sends a request, to an endpoint without other suspects if the request is one.
     fn send(&mut self, host: usize, request: RequestIdentity, is_deadly: bool, attempts: u32) {
-        let convicted = self.hosts[host].judge(self.now);
-        self.note(convicted);
-        if self.hosts[host].verdict(&request, self.now) != Verdict::Admit {
+        let quarantined = self.hosts[host].evaluate(self.now);
+        self.note(quarantined);
+        if self.hosts[host].decide(&request, self.now) != RunDecision::Admit {
             return;
         }
         let up = (0..ENDPOINTS).filter(|endpoint| self.up_from[*endpoint] <= self.now);
@@ -386,10 +392,10 @@
         });
     }
 
-    fn note(&mut self, convicted: Vec<RequestKey>) {
+    fn note(&mut self, quarantined: Vec<RequestKey>) {
         let now = self.now;
         self.quarantined
-            .extend(convicted.into_iter().map(|key| (now, key)));
+            .extend(quarantined.into_iter().map(|key| (now, key)));
     }
 
     /// Crashes an endpoint; its requests are sent again by their hosts.
@@ -443,7 +449,7 @@
         for run in &mut self.runs {
             if !run.is_deadly && !run.has_output && now - run.started_at >= RUN {
                 run.has_output = true;
-                self.hosts[run.host].record_served(&run.request, now);
+                self.hosts[run.host].record_output(&run.request, now);
             }
         }
         let (served, running): (Vec<Run>, Vec<Run>) = self
@@ -468,15 +474,15 @@
         let (arrived, later): (Vec<_>, Vec<_>) = self.reports.drain(..).partition(|(at, ..)| *at <= now);
         self.reports = later;
         for (_, receiver, report) in arrived {
-            let convicted = self.hosts[receiver].record_report(report, now);
-            self.note(convicted);
+            let quarantined = self.hosts[receiver].record_report(report, now);
+            self.note(quarantined);
         }
     }
 }
 
 /// A deadly request comes again at any host beside sound ones, of which some come again, too.
 #[test]
-fn judge_any_fleet_quarantines_deadly_requests_only() {
+fn evaluate_any_fleet_quarantines_deadly_requests_only() {
     for seed in 0..40 {
         let mut model = Model::new(seed);
         let deadly = request("account", "deadly");
@@ -518,7 +524,7 @@
 
 /// A deadly prompt comes again with other text behind it, beside sound requests of which some begin alike.
 #[test]
-fn judge_any_fleet_quarantines_similar_deadly_requests_only() {
+fn evaluate_any_fleet_quarantines_similar_deadly_requests_only() {
     for seed in 0..40 {
         let mut model = Model::new(seed);
         for step in 0..1500 {
@@ -538,11 +544,11 @@
         }
         let family = similar_request(0, 0).similar;
         let deadly: Vec<RequestKey> = (0..8).map(|number| similar_request(0, number).equal).collect();
-        let convicted = model.quarantined.iter();
-        let wrong = convicted.filter(|(_, key)| *key != family && !deadly.contains(key));
+        let quarantined = model.quarantined.iter();
+        let wrong = quarantined.filter(|(_, key)| *key != family && !deadly.contains(key));
         assert_eq!(wrong.count(), 0, "seed {seed}");
-        let mut convicted = model.quarantined.iter();
-        let known = convicted.find(|(_, key)| *key == family);
+        let mut quarantined = model.quarantined.iter();
+        let known = quarantined.find(|(_, key)| *key == family);
         let known_at = known.expect("they are quarantined").0 + Duration::from_secs(3);
         let late = model.deadly_runs.iter().filter(|at| **at > known_at).count();
         assert_eq!(late, 0, "seed {seed}");
@@ -552,7 +558,7 @@
 
 /// Endpoints crash for other reasons, one after the other and several at once.
 #[test]
-fn judge_any_fleet_with_plain_crashes_quarantines_none() {
+fn evaluate_any_fleet_with_plain_crashes_quarantines_none() {
     let mut crashes = 0;
     for seed in 0..40 {
         let mut model = Model::new(seed);
