Run requests apart only after two crashes

Cause, as far as seen: each request without output at a crash was sent to an endpoint without other suspects, so after a crash of several endpoints sound ones missed those that had room and their prompts. The first output clears most of them, and two crashes tell apart well enough who has to run alone.

Tests of the quarantine (16) and of crashing servers (7) pass.

--- a/crates/burdockroad-gateway/src/attempt/crash_suspect.rs
+++ b/crates/burdockroad-gateway/src/attempt/crash_suspect.rs
@@ -20,8 +20,8 @@
 pub(crate) struct Run {
     pub(super) sent_at: Instant,
     pub(super) has_output: bool,
-    /// Whether the run is counted as one of a suspect.
-    is_suspect: bool,
+    /// Whether the run is counted as one of a request that should run apart from others.
+    runs_apart: bool,
 }
 
 impl Run {
@@ -30,7 +30,7 @@
         Self {
             sent_at: now,
             has_output: false,
-            is_suspect: false,
+            runs_apart: false,
         }
     }
 }
@@ -77,33 +77,36 @@
         }
     }
 
-    /// Begins a run at an endpoint. One of a suspect is counted there until [`end_run`](Self::end_run).
+    /// Begins a run at an endpoint. One that should be apart from others is counted until
+    /// [`end_run`](Self::end_run).
     pub(super) fn begin_run(&mut self, endpoint: &EndpointId, now: Instant) {
         let mut tables = self.shared.tables();
         let quarantine = &mut tables.quarantine;
-        let is_suspect =
-            !quarantine.is_empty() && quarantine.is_suspect(&self.request.identity(self.account.as_deref()));
-        if is_suspect {
+        let runs_apart = !quarantine.is_empty()
+            && quarantine.should_run_apart(&self.request.identity(self.account.as_deref()));
+        if runs_apart {
             quarantine.start_run(endpoint);
         }
         drop(tables);
         self.run = Run {
             sent_at: now,
             has_output: false,
-            is_suspect,
+            runs_apart,
         };
     }
 
     /// Ends the run at an endpoint.
     pub(super) fn end_run(&mut self, endpoint: &EndpointId) {
-        if std::mem::take(&mut self.run.is_suspect) {
+        if std::mem::take(&mut self.run.runs_apart) {
             self.shared.tables().quarantine.end_run(endpoint);
         }
     }
 
-    /// Returns the endpoints that the call should not be sent to, as it is a suspect and so are calls there.
+    /// Returns the endpoints that the call should not be sent to, as it should run apart from calls there.
     pub(super) fn endpoints_to_avoid(&self, quarantine: &Quarantine) -> Vec<EndpointId> {
-        if quarantine.is_empty() || !quarantine.is_suspect(&self.request.identity(self.account.as_deref())) {
+        if quarantine.is_empty()
+            || !quarantine.should_run_apart(&self.request.identity(self.account.as_deref()))
+        {
             return Vec::new();
         }
         quarantine.endpoints_with_suspects()
--- a/crates/burdockroad/src/gateway/quarantine.rs
+++ b/crates/burdockroad/src/gateway/quarantine.rs
@@ -108,7 +108,7 @@
     quarantined: BTreeMap<RequestKey, Entry>,
     /// Requests that were suspects until an endpoint sent output of them.
     cleared: HashMap<RequestKey, Cleared>,
-    /// This host's runs of suspects, by endpoint.
+    /// This host's runs of requests that should run apart, by endpoint.
     suspect_runs: HashMap<EndpointId, u32>,
     /// Position up to which this host has shared the crashes and the quarantined requests.
     shared_up_to: SharedUpTo,
@@ -167,11 +167,8 @@
                 retry_after: until.saturating_duration_since(now),
             };
         }
-        let settles_at = keys.iter().filter_map(|key| {
-            let runs = self.crashed_runs(key);
-            let last = runs.last().filter(|_| runs.len() + 1 >= CRASHES_MIN)?;
-            Some(last.crashed_at + SETTLING_TIME)
-        });
+        let last_crash = keys.iter().filter_map(|key| self.last_of_repeated_crashes(key));
+        let settles_at = last_crash.map(|at| at + SETTLING_TIME);
         match settles_at.max() {
             Some(settles_at) if now < settles_at => RunDecision::Hold {
                 wait: settles_at.saturating_duration_since(now),
@@ -186,6 +183,22 @@
         (now < entry.until).then_some(entry.until)
     }
 
+    /// Returns whether the request should run apart from other suspects, so that the next crash tells them apart.
+    ///
+    /// After a single crash it should not: sound requests would miss the endpoints that suit them best.
+    pub fn should_run_apart(&self, request: &RequestIdentity) -> bool {
+        let mut keys = [&request.equal, &request.similar].into_iter();
+        keys.any(|key| self.last_of_repeated_crashes(key).is_some())
+    }
+
+    /// Returns the time of the last crash that may be the fault of a key's requests, if one more is enough to
+    /// quarantine a request.
+    fn last_of_repeated_crashes(&self, key: &RequestKey) -> Option<Instant> {
+        let runs = self.crashed_runs(key);
+        let last = runs.last().filter(|_| runs.len() + 1 >= CRASHES_MIN)?;
+        Some(last.crashed_at)
+    }
+
     /// Returns whether a crash may be the fault of the request or of similar ones.
     pub fn is_suspect(&self, request: &RequestIdentity) -> bool {
         let mut keys = [&request.equal, &request.similar].into_iter();
@@ -222,12 +235,12 @@
         was_suspect
     }
 
-    /// Counts a run of a suspect as started at an endpoint.
+    /// Counts a run of a request that [should run apart](Self::should_run_apart) as started at an endpoint.
     pub fn start_run(&mut self, endpoint: &EndpointId) {
         *self.suspect_runs.entry(endpoint.clone()).or_default() += 1;
     }
 
-    /// Counts a run of a suspect as ended at an endpoint.
+    /// Counts such a run as ended at an endpoint.
     pub fn end_run(&mut self, endpoint: &EndpointId) {
         if let Some(runs) = self.suspect_runs.get_mut(endpoint) {
             *runs = runs.saturating_sub(1);
@@ -235,8 +248,7 @@
         self.suspect_runs.retain(|_, runs| *runs > 0);
     }
 
-    /// Returns the endpoints at which this host runs suspects. Another suspect is sent elsewhere, so that the next
-    /// crash tells them apart.
+    /// Returns the endpoints of such runs of this host. Another one is sent elsewhere.
     pub fn endpoints_with_suspects(&self) -> Vec<EndpointId> {
         self.suspect_runs.keys().cloned().collect()
     }
--- a/crates/burdockroad/tests/gateway_quarantine.rs
+++ b/crates/burdockroad/tests/gateway_quarantine.rs
@@ -362,7 +362,7 @@
         let up = (0..ENDPOINTS).filter(|endpoint| self.up_from[*endpoint] <= self.now);
         let up: Vec<usize> = up.collect();
         let avoided = self.hosts[host].endpoints_with_suspects();
-        let is_suspect = self.hosts[host].is_suspect(&request);
+        let is_suspect = self.hosts[host].should_run_apart(&request);
         let apart: Vec<usize> = up
             .iter()
             .copied()
