Let senders of a cold endpoint keep one and a half calls of their share

Cause: a sender of a cold endpoint kept at most one token, so a sender whose calls arrive at random lost about a third of its share between two calls. Change: its own level may reach 1.5 calls; the common level and the senders are as before.

--- a/crates/burdockroad/src/gateway/placement/rate_bucket.rs
+++ b/crates/burdockroad/src/gateway/placement/rate_bucket.rs
@@ -29,6 +29,10 @@
 /// Hosts that send to an endpoint that takes less than one call per second.
 const SENDERS_MIN: usize = 2;
 
+/// Calls that accrue at a sender of a cold endpoint while it has none to send. With one call, a sender whose calls
+/// arrive at random loses a third of its share.
+const COLD_OWN_BURST_CALLS: f64 = 1.5;
+
 /// Fraction of an equal share that each sender may use, whatever its demand. It serves callers that have just
 /// connected to the host.
 const SHARE_MIN_FRACTION: f64 = 0.1;
@@ -144,7 +148,16 @@
         self.rates = self.refill_rates(own_demand_per_s, fleet, now);
         let RefillRates { all_per_s, own_per_s } = self.rates;
         self.level = (self.level + elapsed_s * all_per_s).min(burst(all_per_s));
-        self.own_level = (self.own_level + elapsed_s * own_per_s).min(burst(own_per_s));
+        self.own_level = (self.own_level + elapsed_s * own_per_s).min(self.own_burst(own_per_s));
+    }
+
+    /// Returns the tokens that accrue at this host while they are not used.
+    fn own_burst(&self, own_per_s: f64) -> f64 {
+        if self.limit.is_cold {
+            burst(own_per_s).max(COLD_OWN_BURST_CALLS)
+        } else {
+            burst(own_per_s)
+        }
     }
 
     fn refill_rates(&self, own_demand_per_s: f64, fleet: &Fleet, now: Instant) -> RefillRates {
