--- a/crates/burdockroad/src/gateway/placement.rs
+++ b/crates/burdockroad/src/gateway/placement.rs
@@ -29,7 +29,9 @@
     time::{Duration, Instant},
 };
 
-use self::{cold_start::ColdStarts, fleet::Fleet, pace_change::PaceChange, row::EndpointRow};
+use self::{
+    base_time::ServiceTimes, cold_start::ColdStarts, fleet::Fleet, pace_change::PaceChange, row::EndpointRow,
+};
 pub use self::{
     cold_start::{ColdCause, ColdChange, ColdStatus},
     endpoint_rate::{EndpointUsage, RateStatement, StatedRate},
@@ -392,6 +394,13 @@
         }
     }
 
+    fn service_times(&self, service: &str, now: Instant) -> ServiceTimes {
+        ServiceTimes {
+            mean_ms: self.service_mean_ms(service),
+            lacks_reports: self.lacks_reports(now),
+        }
+    }
+
     fn service_mean_ms(&self, service: &str) -> f64 {
         if self.pace_changes.contains_key(service) {
             return self.usual_mean_ms(service);
--- a/crates/burdockroad/src/gateway/placement/base_time.rs
+++ b/crates/burdockroad/src/gateway/placement/base_time.rs
@@ -17,6 +17,15 @@
 /// Part of the service's mean that an endpoint is expected to take at least when it is tried again.
 const RETRIAL_MIN: f64 = 0.5;
 
+/// What is known of the times of a service's endpoints.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ServiceTimes {
+    /// Mean time to the first byte.
+    pub(super) mean_ms: f64,
+    /// Whether this host has no report of any other host of its fleet.
+    pub(super) lacks_reports: bool,
+}
+
 /// Returns the time at the usual pace that is expected of an endpoint whose last sample has an age.
 pub(super) fn retained_base_ms(base_ms: f64, service_mean_ms: f64, age: Duration) -> f64 {
     if base_ms > service_mean_ms && age >= RETRIAL_AFTER {
--- a/crates/burdockroad/src/gateway/placement/choice.rs
+++ b/crates/burdockroad/src/gateway/placement/choice.rs
@@ -67,11 +67,11 @@
         jitter_seed: u64,
         now: Instant,
     ) -> Vec<RankedEndpoint<'a>> {
-        let service_mean_ms = self.service_mean_ms(query.service);
+        let service = self.service_times(query.service, now);
         let paces = self.expected_paces(query.service, candidates, now);
         let spread = paces
             .as_deref()
-            .and_then(|paces| self.spread(service_mean_ms, candidates, paces, jitter_seed, now));
+            .and_then(|paces| self.spread(service, candidates, paces, jitter_seed, now));
         let pace_of = |index: usize| {
             let pace = paces.as_ref().and_then(|paces| paces.get(index));
             pace.copied().unwrap_or(1.0)
@@ -80,7 +80,7 @@
             let pace = pace_of(index);
             let saving_ms = affinity
                 .filter(|affinity| affinity.prefers(row))
-                .map(|_preferring| Affinity::saving_ms(row.decayed_mean_ms(service_mean_ms, now) * pace));
+                .map(|_preferring| Affinity::saving_ms(row.decayed_mean_ms(service, now) * pace));
             let addition_ms = match (&spread, saving_ms) {
                 (Some(spread), _) => spread.addition_ms(index) - saving_ms.unwrap_or(0.0),
                 (None, Some(saving_ms)) => -saving_ms,
@@ -90,8 +90,8 @@
                 row,
                 is_ejected: row.is_ejected(now),
                 is_avoided: query.avoids(row),
-                expected_ms: row.estimate_ms(query, service_mean_ms, pace, now) + addition_ms
-                    - row.warm_up_preference_ms(service_mean_ms, now),
+                expected_ms: row.estimate_ms(query, service, pace, now) + addition_ms
+                    - row.warm_up_preference_ms(service.mean_ms, now),
             }
         });
         let mut ranked: Vec<_> = ranked.collect();
--- a/crates/burdockroad/src/gateway/placement/fleet.rs
+++ b/crates/burdockroad/src/gateway/placement/fleet.rs
@@ -39,6 +39,10 @@
         self.others.len() + 1
     }
 
+    pub(super) fn has_others(&self) -> bool {
+        !self.others.is_empty()
+    }
+
     /// Returns a number that differs after each change of the hosts.
     pub(super) fn generation(&self) -> u64 {
         self.generation
--- a/crates/burdockroad/src/gateway/placement/paces.rs
+++ b/crates/burdockroad/src/gateway/placement/paces.rs
@@ -4,6 +4,7 @@
 
 use super::{
     EndpointTable, INITIAL_TIME_MS, PEER_LOAD_AGE_MAX, PaceChange,
+    base_time::ServiceTimes,
     pace::{PaceReading, USUAL_PACE_PERCENT},
     row::{EndpointRow, TIME_MIN_MS},
     spread::{Spread, SpreadEndpoint},
@@ -95,36 +96,39 @@
         }
     }
 
-    /// Spreads the calls of other hosts among endpoints of a service whose paces are stated; `None` if no other host
-    /// reports. Hosts without reports do not choose with the same figures.
+    /// Spreads the calls of other hosts among endpoints of a service whose paces are stated; `None` if there is no
+    /// other host. Hosts without reports do not choose with the same figures, so their calls are not spread further
+    /// than the responses of the endpoints tell.
     pub(super) fn spread(
         &self,
-        service_mean_ms: f64,
+        service: ServiceTimes,
         endpoints: &[&EndpointRow],
         paces: &[f64],
         jitter_seed: u64,
         now: Instant,
     ) -> Option<Spread> {
-        if !self.has_recent_reports(now) {
+        if !self.fleet.has_others() {
             return None;
         }
         let pairs = endpoints.iter().zip(paces);
         let endpoints: Vec<SpreadEndpoint> = pairs
-            .map(|(row, pace)| row.spread_endpoint(service_mean_ms, *pace, now))
+            .map(|(row, pace)| row.spread_endpoint(service, *pace, now))
             .collect();
         if !endpoints.iter().any(|endpoint| endpoint.is_open) {
             return None;
         }
-        Some(Spread::new(
-            &endpoints,
-            report_interval(self.fleet.len()),
-            jitter_seed,
-        ))
+        let report_age = if service.lacks_reports {
+            Duration::ZERO
+        } else {
+            report_interval(self.fleet.len())
+        };
+        Some(Spread::new(&endpoints, report_age, jitter_seed))
     }
 
-    fn has_recent_reports(&self, now: Instant) -> bool {
+    /// Returns whether there are other hosts, and none of them has reported recently.
+    pub(super) fn lacks_reports(&self, now: Instant) -> bool {
         let mut reports = self.peers.values();
-        reports.any(|peer| now < peer.reported_at + PEER_LOAD_AGE_MAX)
+        self.fleet.has_others() && !reports.any(|peer| now < peer.reported_at + PEER_LOAD_AGE_MAX)
     }
 
     fn compare_pace(&mut self, id: &str, reading: PaceReading) {
--- a/crates/burdockroad/src/gateway/placement/row.rs
+++ b/crates/burdockroad/src/gateway/placement/row.rs
@@ -7,7 +7,10 @@
 
 use super::{
     Endpoint, INITIAL_TIME_MS, Outcome, PEER_LOAD_AGE_MAX, PlacementQuery, PromptPart,
-    base_time::retained_base_ms, endpoint_rate::EndpointRate, pace::EndpointPace, spread::SpreadEndpoint,
+    base_time::{ServiceTimes, retained_base_ms},
+    endpoint_rate::EndpointRate,
+    pace::EndpointPace,
+    spread::SpreadEndpoint,
 };
 use crate::ids::SoftwareVersion;
 
@@ -121,11 +124,11 @@
     pub(super) fn estimate_ms(
         &self,
         query: &PlacementQuery<'_>,
-        service_mean_ms: f64,
+        service: ServiceTimes,
         pace: f64,
         now: Instant,
     ) -> f64 {
-        let mean_ms = self.decayed_mean_ms(service_mean_ms, now) * pace;
+        let mean_ms = self.decayed_mean_ms(service, now) * pace;
         let slots = f64::from(self.endpoint.slots.max(1));
         let load = f64::from(self.load(now));
         let congestion_ms = mean_ms * CONGESTION_FACTOR * (load / slots).min(1.0);
@@ -138,15 +141,15 @@
         };
         mean_ms
             + congestion_ms
-            + queued_batches * (service_mean_ms * pace).max(mean_ms) * QUEUE_FACTOR
+            + queued_batches * (service.mean_ms * pace).max(mean_ms) * QUEUE_FACTOR
             + uncached_tokens * PROMPT_TOKEN_MS * pace
             + distance_ms
     }
 
     /// Returns the figures by which calls are spread among endpoints.
-    pub(super) fn spread_endpoint(&self, service_mean_ms: f64, pace: f64, now: Instant) -> SpreadEndpoint {
+    pub(super) fn spread_endpoint(&self, service: ServiceTimes, pace: f64, now: Instant) -> SpreadEndpoint {
         SpreadEndpoint {
-            time_ms: (self.decayed_mean_ms(service_mean_ms, now) * pace).max(TIME_MIN_MS),
+            time_ms: (self.decayed_mean_ms(service, now) * pace).max(TIME_MIN_MS),
             slots: f64::from(self.endpoint.slots.max(1)),
             own_calls: f64::from(self.in_flight),
             peer_calls: f64::from(self.load(now) - self.in_flight),
@@ -154,17 +157,18 @@
         }
     }
 
-    /// Returns the endpoint's mean time to the first byte, which approaches the service's mean without samples.
-    pub(super) fn decayed_mean_ms(&self, service_mean_ms: f64, now: Instant) -> f64 {
+    /// Returns the endpoint's mean time to the first byte, which approaches the service's mean without samples. It does
+    /// so sooner without reports: a sample then contains unknown waiting behind the calls of other hosts.
+    pub(super) fn decayed_mean_ms(&self, service: ServiceTimes, now: Instant) -> f64 {
         let Some(at) = self.sampled_at else {
-            return service_mean_ms;
+            return service.mean_ms;
         };
         let age = now.saturating_duration_since(at);
-        if self.pace.is_stated() {
-            return retained_base_ms(self.mean_first_byte_ms, service_mean_ms, age);
+        if self.pace.is_stated() && !service.lacks_reports {
+            return retained_base_ms(self.mean_first_byte_ms, service.mean_ms, age);
         }
         let half_lives = age.as_secs_f64() / MEAN_HALF_LIFE.as_secs_f64();
-        service_mean_ms + (self.mean_first_byte_ms - service_mean_ms) * 0.5_f64.powf(half_lives)
+        service.mean_ms + (self.mean_first_byte_ms - service.mean_ms) * 0.5_f64.powf(half_lives)
     }
 
     /// Returns the pace expected now, relative to the usual one. An endpoint that this host has not called yet
