Know the versions of streams after all gateway hosts were killed

Cause: a host that had just started took the version that it saw for the only one that the service has had, and the holders of streams' versions died with the hosts. A stream of a version that had left was answered 200 with the rest from the newer version. Change: the versions of a service are recorded in the store, in the range of the registered hosts, which each host reads before it serves; a recorded version counts as one that has just left. Hosts with disks hold the versions of streams, too. Streams that began while only one version was known are sent to the holders when a second one appears. Take-ups are logged and counted by where the version is known from.

--- a/crates/burdockroad-gateway/src/attempt/stream_version.rs
+++ b/crates/burdockroad-gateway/src/attempt/stream_version.rs
@@ -1,13 +1,14 @@
 //! Binding of a stream to the software version that began it.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use burdockroad::gateway::Endpoint;
+use serde::Serialize;
 
 use super::Call;
 use crate::{
     refusal::Refusal,
-    stream_origins::{announce, version_of},
+    stream_origins::{StreamVersion, announce, version_of},
 };
 
 impl Call {
@@ -16,12 +17,31 @@
         if self.head.last_event.is_none() || !self.route.kind.is_stream() || !self.route.kind.may_retry() {
             return Ok(());
         }
+        let asked_at = Instant::now();
         let origin = self.head.stream_origin.as_ref();
         let version = version_of(&self.shared, &self.service, origin).await;
-        self.stream_version = Some(version.ok_or(Refusal::UnknownStream)?);
+        self.log_take_up(version.as_ref(), asked_at.elapsed());
+        let version = version.ok_or(Refusal::UnknownStream)?.version;
+        self.stream_version = Some(version);
         Ok(())
     }
 
+    /// Logs and counts a stream that the caller takes up.
+    fn log_take_up(&self, version: Option<&StreamVersion>, waited: Duration) {
+        let known_from = version.map_or("unknown", |version| version.known_from.name());
+        metrics::counter!("burdockroad_streams_taken_up_total", "known_from" => known_from).increment(1);
+        let line = TakeUpLine {
+            id: &self.head.call_id,
+            origin: self.head.stream_origin.as_deref(),
+            last_event: self.head.last_event,
+            software_version: version.map(|version| version.version.as_str()),
+            known_from,
+            waited_ms: waited.as_millis(),
+            host_age_ms: self.shared.started_at.elapsed().as_millis(),
+        };
+        self.shared.log.line("stream_taken_up", &line);
+    }
+
     /// Records that the caller is about to receive the first event of its stream, which binds the stream to the
     /// software version of its endpoint.
     pub(crate) fn begin_stream(&mut self) {
@@ -60,3 +80,14 @@
         current.software_version == *version
     }
 }
+
+#[derive(Serialize)]
+struct TakeUpLine<'a> {
+    id: &'a str,
+    origin: Option<&'a str>,
+    last_event: Option<u64>,
+    software_version: Option<&'a str>,
+    known_from: &'static str,
+    waited_ms: u128,
+    host_age_ms: u128,
+}
--- a/crates/burdockroad-gateway/src/disk_host.rs
+++ b/crates/burdockroad-gateway/src/disk_host.rs
@@ -102,8 +102,9 @@
     for segment in &recovered {
         log.line("segment_recovered", segment);
     }
-    let listener = listen(options.peer_address).await;
-    let listener = listener.map_err(|cause| HostError::new(options.peer_address, cause))?;
+    let address = options.peer_address;
+    let not_listening = |cause| HostError::new(address, cause);
+    let listener = listen(address).await.map_err(not_listening)?;
     let options = TurnHostOptions {
         host: options.host,
         incarnation: options.incarnation,
@@ -113,7 +114,7 @@
         regions: RegionMap::new(options.regions),
     };
     let state = Arc::new(TurnHostState::new(options, turn_log, log.clone()));
-    state.start(listener, store);
+    state.start(listener, store).await.map_err(not_listening)?;
     Ok(Some(state))
 }
 
--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -19,6 +19,7 @@
     follow::RangeSubscriber,
     missing_endpoints::REREGISTRATION_TIME,
     shared::{Shared, Tables},
+    stream_origins::send_unsent_origins,
 };
 
 /// Interval between two checks for missing endpoints and other expired state.
@@ -89,6 +90,8 @@
         }
         if !is_unchanged {
             self.shared.log.line("endpoint_changed", &line);
+            self.shared.versions_changed.notify_one();
+            send_unsent_origins(&self.shared, &endpoint.service);
         }
     }
 
@@ -166,6 +169,7 @@
         tables.running_programs.evict_expired(now);
         tables.start_gate.evict_expired(now);
         tables.stream_origins.evict_expired(now);
+        tables.unsent_origins.evict_expired(now);
         tables.quarantine.evict_expired(now);
         let quarantined = tables.quarantine.evaluate(now);
         let cold_changes = tables.endpoints.take_cold_changes(now);
--- a/crates/burdockroad-gateway/src/hosts.rs
+++ b/crates/burdockroad-gateway/src/hosts.rs
@@ -19,6 +19,7 @@
     registration::{Registration, RegistrationErrorLine, renew},
     shared::Shared,
     turn_store::members::{TurnMembers, put_member, remove_member},
+    version_records::put_record,
 };
 
 /// Key prefix under which hosts register themselves.
@@ -68,6 +69,11 @@
             Ok(false) => {}
             Err(error) => return self.log_unreadable(host, &error),
         }
+        match put_record(&self.shared, entry) {
+            Ok(true) => return,
+            Ok(false) => {}
+            Err(error) => return self.log_unreadable(host, &error),
+        }
         let host_entry: HostEntry = match serde_json::from_slice(&entry.value) {
             Ok(host_entry) => host_entry,
             Err(error) => return self.log_unreadable(host, &error),
@@ -105,6 +111,7 @@
         }
         drop(tables);
         if changed {
+            self.shared.versions_changed.notify_one();
             self.shared.log.line("hosts_changed", &HostsChangedLine { hosts });
         }
     }
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -59,11 +59,13 @@
 mod store;
 mod store_messages;
 mod stream;
+mod stream_origin_message;
 mod stream_origins;
 mod time_error;
 mod tunnel;
 mod tunnel_server;
 mod turn_store;
+mod version_records;
 
 pub use self::{
     decision_log::DecisionLog,
--- a/crates/burdockroad-gateway/src/process.rs
+++ b/crates/burdockroad-gateway/src/process.rs
@@ -31,6 +31,7 @@
     reservations::write_reservations,
     server::{OpenConnections, serve_callers, serve_metrics, serve_readiness},
     shared::Shared,
+    version_records::keep_records,
 };
 
 /// Time after the stop signal for which the host still serves callers while the balancer and the
@@ -160,6 +161,7 @@
         Box::new(HostSubscriber::new(clone_shared())),
     ));
     tokio::spawn(sweep(clone_shared()));
+    tokio::spawn(keep_records(clone_shared()));
     tokio::spawn(write_reservations(clone_shared()));
     tokio::spawn(keep_registered(clone_shared(), options.peer_address));
     tokio::spawn(serve_peers(clone_shared(), calls));
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -36,7 +36,8 @@
     crash_detection::log_quarantined,
     follow::watched_ranges,
     shared::{Shared, Tables},
-    stream_origins::{self, STREAM_ORIGIN},
+    stream_origin_message::STREAM_ORIGIN,
+    stream_origins,
 };
 
 /// Interval between two reports of a watcher, whose announcements the other hosts wait for.
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -14,9 +14,10 @@
     EndpointId, HostId, Incarnation,
     gateway::{
         Directory, EndpointReach, EndpointTable, Ledger, LedgerOptions, ProgramStartGate, Quarantine,
-        RateLimiter, RegionMap, RunningPrograms, StreamOrigins, VersionHistory,
+        RateLimiter, RegionMap, RunningPrograms, StreamOrigins, UnsentOrigins, VersionHistory,
     },
 };
+use burdockroad_daemon::platform::Revision;
 use tokio::{
     net::UdpSocket,
     sync::{Notify, watch},
@@ -63,6 +64,8 @@
     pub(crate) report_now: Notify,
     /// Notified when a watcher announces a newer change of a range.
     pub(crate) range_announced: Notify,
+    /// Notified when the versions of a service may have changed.
+    pub(crate) versions_changed: Notify,
     /// Notified when a check whether an endpoint crashed has ended.
     pub(crate) endpoint_checked: Notify,
     /// Whether the host is shutting down.
@@ -81,8 +84,12 @@
     pub(crate) reach: EndpointReach,
     /// Versions of endpoints that have left.
     pub(crate) version_history: VersionHistory,
+    /// Revisions of the durable records of services' versions.
+    pub(crate) record_revisions: HashMap<String, Revision>,
     /// Versions of streams that callers may take up.
     pub(crate) stream_origins: StreamOrigins,
+    /// Streams whose versions were not sent to their holders.
+    pub(crate) unsent_origins: UnsentOrigins,
     pub(crate) rate_limiter: RateLimiter,
     /// Budgets of the programs that this host serves.
     pub(crate) ledger: Ledger,
@@ -153,6 +160,7 @@
             reservations_changed: Notify::new(),
             report_now: Notify::new(),
             range_announced: Notify::new(),
+            versions_changed: Notify::new(),
             endpoint_checked: Notify::new(),
             stopping: AtomicBool::new(false),
             tables: Mutex::new(Tables {
@@ -161,7 +169,9 @@
                 endpoints,
                 reach: EndpointReach::default(),
                 version_history: VersionHistory::default(),
+                record_revisions: HashMap::new(),
                 stream_origins: StreamOrigins::default(),
+                unsent_origins: UnsentOrigins::default(),
                 rate_limiter: RateLimiter::new(now),
                 ledger: Ledger::new(LedgerOptions::default(), options.incarnation),
                 host_count: 0,
--- a/crates/burdockroad-gateway/src/stream_origins.rs
+++ b/crates/burdockroad-gateway/src/stream_origins.rs
@@ -1,21 +1,26 @@
 //! Sends the software versions of streams to their holders, and asks the holders for them.
 //!
 //! A version is sent as a datagram before the caller receives the stream's first event. It is sent only while
-//! the service has endpoints of several versions; at other times every host knows the version.
+//! the service has endpoints of several versions; at other times every host knows the version. When a second version
+//! appears, the versions of the streams that were not sent follow. Hosts with disks hold versions, too.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use burdockroad::{
     SoftwareVersion,
-    gateway::{StreamId, stream_holders},
+    gateway::{StreamId, UnsentOrigin, stream_holders},
 };
-use futures_util::{StreamExt, stream::FuturesUnordered};
-use serde::{Deserialize, Serialize};
+use futures_util::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
 
 use crate::{
     peer_messages::{PeerCall, PeerResponse},
     peers::Peer,
     shared::{Shared, Tables},
+    stream_origin_message::{StreamOriginMessage, record_stream_origin},
+    turn_store::messages::{TurnCall, TurnResponse},
 };
 
 /// Timeout of a request for a stream's version. It is well below the latency objective of a stream.
@@ -27,16 +32,36 @@
 /// Longest time for which the version of a stream is held, whatever deadline its caller states.
 const LIFETIME_MAX: Duration = Duration::from_mins(1);
 
-/// First byte of a datagram with a stream's version.
-pub(crate) const STREAM_ORIGIN: u8 = 5;
+/// What a host knows of the version that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct StreamVersion {
+    pub(crate) version: SoftwareVersion,
+    pub(crate) known_from: KnownFrom,
+}
 
-/// Version of a stream, as sent to its holders.
-#[derive(Debug)]
-#[derive(Serialize, Deserialize)]
-struct WireOrigin {
-    stream: StreamId,
-    version: SoftwareVersion,
-    lifetime_ms: u64,
+/// Where a stream's version is known from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum KnownFrom {
+    /// This host began the stream or holds its version.
+    OwnTable,
+    /// Another gateway host holds it.
+    Host,
+    /// A host with a disk holds it.
+    DiskHost,
+    /// The service has had one version only.
+    OnlyVersion,
+}
+
+impl KnownFrom {
+    /// Returns the name in logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::OwnTable => "own_table",
+            Self::Host => "host",
+            Self::DiskHost => "disk_host",
+            Self::OnlyVersion => "only_version",
+        }
+    }
 }
 
 /// Records the version that begins a stream at this host, and sends it to the holders of the stream while the
@@ -55,23 +80,51 @@
     tables
         .stream_origins
         .record(stream.clone(), version.clone(), lifetime, now);
-    drop(tables);
     if has_one_version {
+        let origin = UnsentOrigin {
+            stream: stream.clone(),
+            version: version.clone(),
+            expires_at: now + lifetime,
+        };
+        tables.unsent_origins.record(service, origin);
         return;
     }
-    let origin = WireOrigin {
-        stream: stream.clone(),
-        version: version.clone(),
-        lifetime_ms: u64::try_from(lifetime.as_millis()).unwrap_or(u64::MAX),
-    };
-    let mut datagram = vec![STREAM_ORIGIN];
-    if ciborium::into_writer(&origin, &mut datagram).is_err() {
-        metrics::counter!("burdockroad_stream_origins_unsent_total").increment(1);
+    drop(tables);
+    send(
+        shared,
+        &StreamOriginMessage::new(stream.clone(), version.clone(), lifetime),
+    );
+}
+
+/// Sends the versions of the streams of a service that were not sent, if the service has several versions now.
+pub(crate) fn send_unsent_origins(shared: &Shared, service: &str) {
+    let now = Instant::now();
+    let mut tables = shared.tables();
+    if tables.only_version(service, now).is_some() {
         return;
     }
-    for holder in holders(shared, stream) {
-        // A lost datagram leaves two other holders.
-        if shared.datagrams.try_send_to(&datagram, holder.address).is_err() {
+    let unsent = tables.unsent_origins.take(service, now);
+    drop(tables);
+    for origin in unsent {
+        let lifetime = origin.expires_at.saturating_duration_since(now);
+        send(
+            shared,
+            &StreamOriginMessage::new(origin.stream, origin.version, lifetime),
+        );
+    }
+}
+
+/// Sends the version of a stream to its holders. A lost datagram leaves the other holders.
+fn send(shared: &Shared, message: &StreamOriginMessage) {
+    let Some(datagram) = message.to_datagram() else {
+        metrics::counter!("burdockroad_stream_origins_unsent_total").increment(1);
+        return;
+    };
+    let hosts = holders(shared, &message.stream)
+        .into_iter()
+        .map(|peer| peer.address);
+    for address in hosts.chain(shared.turns.stream_holders(&message.stream)) {
+        if shared.datagrams.try_send_to(&datagram, address).is_err() {
             metrics::counter!("burdockroad_stream_origins_unsent_total").increment(1);
         }
     }
@@ -79,15 +132,7 @@
 
 /// Records a version that another host has sent.
 pub(crate) fn receive(shared: &Shared, message: &[u8]) {
-    let Ok(origin) = ciborium::from_reader::<WireOrigin, _>(message) else {
-        metrics::counter!("burdockroad_stream_origins_unreadable_total").increment(1);
-        return;
-    };
-    let lifetime = Duration::from_millis(origin.lifetime_ms);
-    shared
-        .tables()
-        .stream_origins
-        .record(origin.stream, origin.version, lifetime, Instant::now());
+    record_stream_origin(&mut shared.tables().stream_origins, message, Instant::now());
 }
 
 /// Returns the version that began a stream, by what this host knows.
@@ -104,10 +149,13 @@
     shared: &Shared,
     service: &str,
     stream: Option<&StreamId>,
-) -> Option<SoftwareVersion> {
+) -> Option<StreamVersion> {
     if let Some(stream) = stream {
         if let Some(version) = known_version(shared, stream) {
-            return Some(version);
+            return Some(StreamVersion {
+                version,
+                known_from: KnownFrom::OwnTable,
+            });
         }
         if let Some(version) = ask_holders(shared, stream).await {
             return Some(version);
@@ -116,32 +164,54 @@
     if shared.is_isolated() {
         return None;
     }
-    shared.tables().only_version(service, Instant::now())
+    let version = shared.tables().only_version(service, Instant::now())?;
+    Some(StreamVersion {
+        version,
+        known_from: KnownFrom::OnlyVersion,
+    })
 }
 
-/// Asks the live holders of a stream at once, and returns the first version that one of them holds.
-async fn ask_holders(shared: &Shared, stream: &StreamId) -> Option<SoftwareVersion> {
-    let requests: FuturesUnordered<_> = holders(shared, stream)
-        .into_iter()
-        .map(|holder| ask(shared, holder, stream.clone()))
-        .collect();
+/// Asks the holders of a stream at once, and returns the first version that one of them holds.
+async fn ask_holders(shared: &Shared, stream: &StreamId) -> Option<StreamVersion> {
+    let requests: FuturesUnordered<BoxFuture<'_, Option<StreamVersion>>> = FuturesUnordered::new();
+    for holder in holders(shared, stream) {
+        requests.push(ask_host(shared, holder, stream.clone()).boxed());
+    }
+    for address in shared.turns.stream_holders(stream) {
+        requests.push(ask_disk_host(shared, address, stream.clone()).boxed());
+    }
     let mut versions = std::pin::pin!(requests.filter_map(std::future::ready));
     versions.next().await
 }
 
-async fn ask(shared: &Shared, holder: Peer, stream: StreamId) -> Option<SoftwareVersion> {
+async fn ask_host(shared: &Shared, holder: Peer, stream: StreamId) -> Option<StreamVersion> {
     let call = PeerCall::StreamVersion { stream };
     let response = shared
         .peer_client
         .call(holder.address, &call, REQUEST_TIMEOUT)
         .await;
     match response {
-        Ok(PeerResponse::StreamVersion(version)) => version,
+        Ok(PeerResponse::StreamVersion(version)) => Some(StreamVersion {
+            version: version?,
+            known_from: KnownFrom::Host,
+        }),
         // Another holder may respond; without any, the stream is refused.
         Ok(_) | Err(_) => None,
     }
 }
 
+async fn ask_disk_host(shared: &Shared, address: SocketAddr, stream: StreamId) -> Option<StreamVersion> {
+    let call = TurnCall::StreamVersion { stream };
+    let response = shared.peer_client.call(address, &call, REQUEST_TIMEOUT).await;
+    match response {
+        Ok(TurnResponse::StreamVersion(version)) => Some(StreamVersion {
+            version: version?,
+            known_from: KnownFrom::DiskHost,
+        }),
+        Ok(_) | Err(_) => None,
+    }
+}
+
 /// Returns the holders of a stream other than this host.
 fn holders(shared: &Shared, stream: &str) -> Vec<Peer> {
     let peers = shared.peers.borrow();
@@ -154,8 +224,12 @@
 }
 
 impl Tables {
-    /// Returns the software version of a service if it has had only one recently.
+    /// Returns the software version of a service if it has had only one recently; `None` before the durable records
+    /// of versions were read.
     pub(crate) fn only_version(&self, service: &str, now: Instant) -> Option<SoftwareVersion> {
+        if self.host_count == 0 {
+            return None;
+        }
         let present = self.endpoints.software_versions(service);
         self.version_history.only_version(service, present, now)
     }
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -10,7 +10,7 @@
     HostId, RegionId,
     gateway::{
         Lookup, LookupOutcome, LookupReply, RegionMap, Replication, ReplicationProgress, Turn, TurnCache,
-        TurnHostHealth, TurnKey, renewals,
+        TurnHostHealth, TurnKey, renewals, stream_holders,
     },
 };
 use bytes::Bytes;
@@ -109,6 +109,15 @@
         change(&mut self.lock().members)
     }
 
+    /// Returns the addresses of the hosts that hold the version of a stream, out of those that store turns.
+    pub(crate) fn stream_holders(&self, stream: &str) -> Vec<SocketAddr> {
+        let state = self.lock();
+        let hosts = writable(&state.members).into_iter().map(|location| location.host);
+        let holders = stream_holders(stream, hosts);
+        let members = holders.iter().filter_map(|host| state.members.get(host));
+        members.map(|member| member.address).collect()
+    }
+
     /// Returns whether enough hosts in allowed regions are left for a turn to be durable. A turn that is bound to
     /// regions needs as many hosts there as any other turn.
     pub(crate) fn can_store(&self, allowed_regions: Option<&[RegionId]>) -> bool {
--- a/crates/burdockroad-gateway/src/turn_store/host.rs
+++ b/crates/burdockroad-gateway/src/turn_store/host.rs
@@ -35,6 +35,7 @@
         },
         messages::{TurnCall, TurnResponse},
         removal::copy_all_turns,
+        stream_holder::StreamHolder,
         sync::{PAGE_MAX_TURNS, synchronize},
     },
 };
@@ -67,6 +68,8 @@
     pub(super) complete: AtomicBool,
     /// Whether the registered hosts are known.
     pub(super) registered: AtomicBool,
+    /// Versions of streams that this host holds.
+    streams: Arc<StreamHolder>,
     membership: watch::Sender<Membership>,
     /// Notified when the store no longer has the entry of this host.
     entry_removed: Notify,
@@ -110,6 +113,7 @@
             decisions,
             complete: AtomicBool::new(false),
             registered: AtomicBool::new(false),
+            streams: Arc::default(),
             membership: watch::Sender::new(Membership::Active),
             entry_removed: Notify::new(),
             members: Mutex::new(TurnMembers::new()),
@@ -117,7 +121,16 @@
     }
 
     /// Starts the tasks of the host.
-    pub(crate) fn start(self: &Arc<Self>, listener: TcpListener, store: &Arc<dyn SharedStore>) {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket for datagrams cannot be opened.
+    pub(crate) async fn start(
+        self: &Arc<Self>,
+        listener: TcpListener,
+        store: &Arc<dyn SharedStore>,
+    ) -> io::Result<()> {
+        self.streams.start(self.address).await?;
         let state = Arc::clone(self);
         tokio::spawn(serve_messages(listener, move |call| {
             let state = Arc::clone(&state);
@@ -127,6 +140,7 @@
         tokio::spawn(Arc::clone(self).follow_others(Arc::clone(store)));
         tokio::spawn(Arc::clone(self).remove_expired());
         tokio::spawn(synchronize(Arc::clone(self)));
+        Ok(())
     }
 
     /// Refuses further turns, and returns when the other hosts have the turns of this host.
@@ -196,6 +210,7 @@
                 let missing = keys.into_iter().filter(|key| !self.log.contains(key));
                 TurnResponse::Missing(missing.collect())
             }
+            TurnCall::StreamVersion { stream } => TurnResponse::StreamVersion(self.streams.version(&stream)),
         }
     }
 
--- a/crates/burdockroad-gateway/src/turn_store/messages.rs
+++ b/crates/burdockroad-gateway/src/turn_store/messages.rs
@@ -1,8 +1,8 @@
 //! Calls to hosts that store turns.
 
 use burdockroad::{
-    Incarnation,
-    gateway::{IndexPage, Turn, TurnKey},
+    Incarnation, SoftwareVersion,
+    gateway::{IndexPage, StreamId, Turn, TurnKey},
 };
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +25,11 @@
     },
     /// Asks which of these turns the host does not have.
     Missing(Vec<TurnKey>),
+    /// Requests the software version that began a stream.
+    StreamVersion {
+        /// Id of the stream.
+        stream: StreamId,
+    },
 }
 
 /// Response to a [`TurnCall`].
@@ -53,4 +58,6 @@
     },
     /// The turns that the host does not have.
     Missing(Vec<TurnKey>),
+    /// Version that began the stream; `None` if the host does not hold it.
+    StreamVersion(Option<SoftwareVersion>),
 }
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -65,7 +65,7 @@
     report_batch::{join_reports, split_reports},
     retry::{Failure, NextStep, RetryState, next_step},
     running::RunningPrograms,
-    stream_origin::{StreamId, StreamOrigins, stream_holders},
+    stream_origin::{StreamId, StreamOrigins, UnsentOrigin, UnsentOrigins, stream_holders},
     turns::{
         IndexPage, IndexedTurn, Lookup, LookupOutcome, LookupReply, OutputCollector, Replication,
         ReplicationProgress, Turn, TurnCache, TurnHostHealth, TurnId, TurnIndex, TurnKey, is_allowed_replica,
--- a/crates/burdockroad/src/gateway/placement.rs
+++ b/crates/burdockroad/src/gateway/placement.rs
@@ -23,7 +23,7 @@
 mod spread;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -275,6 +275,12 @@
             .map(|row| &row.endpoint.software_version)
     }
 
+    /// Returns the services that have endpoints.
+    pub fn services(&self) -> BTreeSet<&str> {
+        let rows = self.rows.values();
+        rows.map(|row| row.endpoint.service.as_str()).collect()
+    }
+
     /// Returns the calls per slot of a service's endpoints; 0 if it has none.
     ///
     /// Endpoints that get as many calls as they state to take are left out, as are cold ones that this host may not
--- a/crates/burdockroad/src/gateway/stream_origin.rs
+++ b/crates/burdockroad/src/gateway/stream_origin.rs
@@ -75,6 +75,49 @@
     }
 }
 
+/// Streams whose versions were not sent to their holders, because their services had one version only.
+///
+/// They are sent when a second version appears, since the hosts that know them may be killed after that.
+#[derive(Clone, Debug, Default)]
+pub struct UnsentOrigins {
+    streams: HashMap<String, Vec<UnsentOrigin>>,
+}
+
+/// Version of a stream that was not sent to its holders.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnsentOrigin {
+    /// Id of the stream.
+    pub stream: StreamId,
+    /// Version that began it.
+    pub version: SoftwareVersion,
+    /// End of the time in which the caller may take it up.
+    pub expires_at: Instant,
+}
+
+impl UnsentOrigins {
+    /// Records a stream of a service.
+    pub fn record(&mut self, service: &str, origin: UnsentOrigin) {
+        let streams = self.streams.entry(service.to_owned()).or_default();
+        if streams.len() < STREAMS_MAX {
+            streams.push(origin);
+        }
+    }
+
+    /// Removes and returns the streams of a service that callers may still take up.
+    pub fn take(&mut self, service: &str, now: Instant) -> Vec<UnsentOrigin> {
+        let mut streams = self.streams.remove(service).unwrap_or_default();
+        streams.retain(|origin| now < origin.expires_at);
+        streams
+    }
+
+    /// Evicts streams whose lifetime has ended.
+    pub fn evict_expired(&mut self, now: Instant) {
+        for streams in self.streams.values_mut() {
+            streams.retain(|origin| now < origin.expires_at);
+        }
+    }
+}
+
 /// Returns the hosts that hold the version of a stream, out of all hosts.
 pub fn stream_holders(stream: &str, hosts: impl Iterator<Item = HostId>) -> Vec<HostId> {
     let mut holders = rendezvous_order(stream, hosts);
--- a/crates/burdockroad/src/gateway/version_history.rs
+++ b/crates/burdockroad/src/gateway/version_history.rs
@@ -1,7 +1,11 @@
 //! Software versions that the endpoints of a service have had.
+//!
+//! Load pattern: all hosts are killed while the endpoints of a service change their version, and callers take their
+//! streams up at hosts that have seen the new version only. Therefore the versions are also recorded durably, and a host
+//! that starts counts the recorded ones as versions that have just left.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
@@ -31,6 +35,8 @@
 pub struct VersionHistory {
     /// Time at which an endpoint of the version left, by service and version.
     left_at: HashMap<(String, SoftwareVersion), Instant>,
+    /// Versions in the durable record of each service.
+    recorded: HashMap<String, BTreeSet<SoftwareVersion>>,
 }
 
 impl VersionHistory {
@@ -40,6 +46,28 @@
         self.left_at.insert((service.to_owned(), version), now);
     }
 
+    /// Sets the durable record of a service, as it was read. Its versions may have served until now.
+    pub fn set_recorded(&mut self, service: &str, versions: BTreeSet<SoftwareVersion>, now: Instant) {
+        for version in &versions {
+            let key = (service.to_owned(), version.clone());
+            self.left_at.entry(key).or_insert(now);
+        }
+        self.recorded.insert(service.to_owned(), versions);
+    }
+
+    /// Returns the versions that the durable record of a service should have if it has others: those of its endpoints
+    /// and those that have left recently. `present` are the versions of its endpoints.
+    pub fn record_update<'a>(
+        &'a self,
+        service: &'a str,
+        present: impl Iterator<Item = &'a SoftwareVersion>,
+        now: Instant,
+    ) -> Option<BTreeSet<SoftwareVersion>> {
+        let versions: BTreeSet<_> = present.chain(self.recent(service, now)).cloned().collect();
+        let is_recorded = self.recorded.get(service) == Some(&versions);
+        (!versions.is_empty() && !is_recorded).then_some(versions)
+    }
+
     /// Returns the version of a service if it has had only one recently; `present` are the versions of its
     /// endpoints.
     pub fn only_version<'a>(
@@ -48,13 +76,15 @@
         present: impl Iterator<Item = &'a SoftwareVersion>,
         now: Instant,
     ) -> Option<SoftwareVersion> {
-        let left = self
-            .left_at
-            .iter()
-            .filter(|((of, _), left_at)| of == service && now < **left_at + MEMORY)
-            .map(|((_, version), _)| version);
-        let mut versions = present.chain(left);
+        let mut versions = present.chain(self.recent(service, now));
         let first = versions.next()?;
         versions.all(|version| version == first).then(|| first.clone())
     }
+
+    /// Returns the versions of a service that have left recently.
+    fn recent<'a>(&'a self, service: &'a str, now: Instant) -> impl Iterator<Item = &'a SoftwareVersion> {
+        let left = self.left_at.iter();
+        left.filter(move |((of, _), left_at)| of == service && now < **left_at + MEMORY)
+            .map(|((_, version), _)| version)
+    }
 }
