Let a refused program start return within a quarter of a second

Cause: in a flood the wait that a refused start was told grew with the excess demand, so those that were admitted on return began too late to end in time. Change: at most 250 ms.

--- a/crates/burdockroad/src/gateway/rate_limit/bucket.rs
+++ b/crates/burdockroad/src/gateway/rate_limit/bucket.rs
@@ -48,6 +48,10 @@
 /// Maximum retry delay of a refused caller.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(5);
 
+/// Maximum retry delay of a refused program start. Programs end while the caller waits, so there may be room at any
+/// time, and a program that starts later than this ends too late to be useful.
+const START_RETRY_AFTER_MAX: Duration = Duration::from_millis(250);
+
 /// Calls of one account at a peer, from its last report.
 #[derive(Debug)]
 struct PeerUsage {
@@ -225,9 +229,9 @@
             return Admission::Admitted;
         }
         let wait_s = (required_level - self.level).max(0.0) / self.rate_per_s;
-        let wait = Duration::try_from_secs_f64(wait_s).unwrap_or(RETRY_AFTER_MAX);
+        let wait = Duration::try_from_secs_f64(wait_s).unwrap_or(START_RETRY_AFTER_MAX);
         Admission::Refused {
-            retry_after: wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
+            retry_after: wait.clamp(RETRY_AFTER_MIN, START_RETRY_AFTER_MAX),
         }
     }
 
