Reserve four calls ahead, and ask other hosts for tokens that they do not use

Cause: after a kill of all hosts several live hosts held parts of the same budgets, each as owner for a moment, and gave them back to nobody; half of a budget was reserved ahead, so short programs needed a second write and a killed owner cost a long program half of its tokens. Change: the owner reserves four calls ahead if one more is left for others; a host that waits for tokens asks the live hosts that hold them; 402 only when they were not returned for 0.7 s after the overdraft.

--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -17,6 +17,7 @@
     gateway::{Readiness, StartDecision},
     ownership::rendezvous_order,
 };
+use futures_util::future::join_all;
 use tokio::time::timeout;
 
 use crate::{
@@ -41,6 +42,9 @@
 /// Time added to [`REMOTE_WAIT_MAX`] to obtain the timeout of a request to the budget owner.
 const REMOTE_RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
+/// Timeout of a request for tokens that another host has reserved.
+const RETURN_TIMEOUT: Duration = Duration::from_millis(60);
+
 /// Interval at which a waiting call rechecks a budget whose tokens are all reserved.
 const BUDGET_RECHECK_INTERVAL: Duration = Duration::from_millis(80);
 
@@ -48,6 +52,10 @@
 /// are alive return unused tokens within this time.
 const OVERDRAFT_AFTER: Duration = Duration::from_millis(150);
 
+/// Time after the first such call for which the tokens of other hosts may still be returned. After it, they count as
+/// spent.
+const RECLAIM_TIME: Duration = Duration::from_millis(700);
+
 /// `Retry-After` of a call of whose budget enough is left, but reserved for other calls.
 pub(crate) const FULLY_RESERVED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -219,6 +227,38 @@
     }
 }
 
+/// Returns the tokens of a program that this host has reserved and does not use, because another host needs them.
+pub(crate) fn handle_return_tokens(shared: &Shared, program: &ProgramId) {
+    shared.tables().ledger.return_idle(program);
+    shared.reservation_requested.notify_one();
+}
+
+/// Asks the hosts that have reserved tokens of a program for those that they do not use.
+async fn request_tokens(shared: &Shared, program: &ProgramId) {
+    let incarnations = shared.tables().ledger.reserving_incarnations(program);
+    let addresses: Vec<SocketAddr> = {
+        let peers = shared.peers.borrow();
+        let reserving = peers
+            .values()
+            .filter(|peer| incarnations.contains(&peer.incarnation));
+        reserving.map(|peer| peer.address).collect()
+    };
+    let call = PeerCall::ReturnTokens {
+        program: program.clone(),
+    };
+    let requests = addresses.iter().map(|address| {
+        shared
+            .peer_client
+            .call::<PeerResponse>(*address, &call, RETURN_TIMEOUT)
+    });
+    for result in join_all(requests).await {
+        // Such a host may be gone. Its tokens count as reserved.
+        if result.is_err() {
+            metrics::counter!("burdockroad_tokens_not_returned_total").increment(1);
+        }
+    }
+}
+
 /// Counts remote reservations that were not released before their expiry as used.
 pub(crate) fn expire_remote_reservations(shared: &Shared, now: Instant) {
     let mut tables = shared.tables();
@@ -342,6 +382,18 @@
     }
 }
 
+/// Returns the response to a request that found all tokens reserved until its end. Tokens that other hosts have not
+/// returned for a longer time count as spent.
+fn fully_reserved(shared: &Shared, program: &ProgramId) -> ReservationResponse {
+    let now = Instant::now();
+    let is_overdrawn = shared.tables().ledger.is_overdrawn(program, RECLAIM_TIME, now);
+    if is_overdrawn {
+        ReservationResponse::BudgetExhausted
+    } else {
+        ReservationResponse::FullyReserved
+    }
+}
+
 /// Reserves tokens in the ledger of this host. `owns_budget` says whether this host is the budget owner.
 async fn reserve_locally(
     shared: &Shared,
@@ -375,23 +427,23 @@
         match readiness {
             Readiness::Ready => return ReservationResponse::Reserved { starts_program },
             Readiness::Exhausted => return ReservationResponse::BudgetExhausted,
-            Readiness::AwaitTokens if time_left.is_zero() => return ReservationResponse::FullyReserved,
+            Readiness::AwaitTokens if time_left.is_zero() => return fully_reserved(shared, program),
             Readiness::AwaitWrite if store_writes_are_failing(shared) => {
                 return ReservationResponse::StoreUnavailable;
             }
             Readiness::AwaitWrite if time_left.is_zero() => return ReservationResponse::StoreTimeout,
             Readiness::AwaitTokens => {
                 if waiting_since.elapsed() >= OVERDRAFT_AFTER {
-                    shared
-                        .tables()
-                        .ledger
-                        .allow_overdraft(program, request.max_tokens);
+                    let now = Instant::now();
+                    let mut tables = shared.tables();
+                    tables.ledger.allow_overdraft(program, request.max_tokens, now);
                 }
                 // Calls that release tokens at this host send the notification. Tokens released by other
                 // hosts are visible only in the store.
                 let _ended = timeout(time_left.min(BUDGET_RECHECK_INTERVAL), changed).await;
                 let is_recheck_due = shared.tables().ledger.should_poll(program, Instant::now());
                 if is_recheck_due {
+                    request_tokens(shared, program).await;
                     refresh_budget(shared, program).await;
                 }
             }
--- a/crates/burdockroad-gateway/src/hosts.rs
+++ b/crates/burdockroad-gateway/src/hosts.rs
@@ -82,6 +82,7 @@
             let peer = Peer {
                 address: host_entry.address,
                 failure_domain: host_entry.failure_domain,
+                incarnation: host_entry.incarnation,
             };
             peers.insert(host.to_owned(), peer);
         });
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -5,7 +5,7 @@
 use tokio::net::TcpListener;
 
 use crate::{
-    budgets::{handle_release, handle_reserve},
+    budgets::{handle_release, handle_reserve, handle_return_tokens},
     follow::range_update,
     message_server::{respond_to_message, serve_requests},
     peer_messages::{PeerCall, PeerResponse},
@@ -37,6 +37,10 @@
         }
         PeerCall::Reserve(request) => PeerResponse::Reservation(handle_reserve(&shared, request).await),
         PeerCall::StreamVersion { stream } => PeerResponse::StreamVersion(known_version(&shared, &stream)),
+        PeerCall::ReturnTokens { program } => {
+            handle_return_tokens(&shared, &program);
+            PeerResponse::Released
+        }
         PeerCall::Release { call_id, used_tokens } => {
             handle_release(&shared, &call_id, used_tokens);
             PeerResponse::Released
--- a/crates/burdockroad-gateway/src/peer_messages.rs
+++ b/crates/burdockroad-gateway/src/peer_messages.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use burdockroad::{SoftwareVersion, gateway::StreamId};
+use burdockroad::{ProgramId, SoftwareVersion, gateway::StreamId};
 use burdockroad_daemon::platform::Revision;
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +34,11 @@
         /// Id of the stream.
         stream: StreamId,
     },
+    /// Asks for the tokens of a program that the host has reserved and does not use.
+    ReturnTokens {
+        /// The program.
+        program: ProgramId,
+    },
     /// Settles a reservation.
     Release {
         /// Id of the call that the tokens were reserved for.
@@ -57,7 +62,7 @@
     Reservation(ReservationResponse),
     /// Version that began the stream; `None` if the responding host does not hold it.
     StreamVersion(Option<SoftwareVersion>),
-    /// The reservation is settled.
+    /// The reservation is settled, or unused tokens are being returned.
     Released,
 }
 
--- a/crates/burdockroad-gateway/src/peers.rs
+++ b/crates/burdockroad-gateway/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use burdockroad::HostId;
+use burdockroad::{HostId, Incarnation};
 
 /// Another registered host.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,6 +11,8 @@
     pub(crate) address: SocketAddr,
     /// Failure domain of the host.
     pub(crate) failure_domain: String,
+    /// Run of the host's process.
+    pub(crate) incarnation: Incarnation,
 }
 
 /// The other registered hosts, by id.
--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -167,14 +167,22 @@
     ///
     /// A host that was killed leaves a reservation of which it has used an unknown part, often none. Without an
     /// overdraft, its program could not go on although most of its budget is left.
-    pub fn allow_overdraft(&mut self, program: &ProgramId, max_tokens: u64) {
+    pub fn allow_overdraft(&mut self, program: &ProgramId, max_tokens: u64, now: Instant) {
         if let Some(row) = self.rows.get_mut(program)
             && row.other_hosts_tokens() > 0
         {
             row.overdraft_tokens = max_tokens;
+            row.overdraft_since.get_or_insert(now);
         }
     }
 
+    /// Returns whether a program has been allowed to exceed its budget for `reclaim_time`. Tokens that other hosts have
+    /// not returned until then count as spent.
+    pub fn is_overdrawn(&self, program: &str, reclaim_time: Duration, now: Instant) -> bool {
+        let since = self.rows.get(program).and_then(|row| row.overdraft_since);
+        since.is_some_and(|since| now >= since + reclaim_time)
+    }
+
     /// Takes tokens for a waiting call if the host has enough reserved. Otherwise, queues a write that
     /// reserves more, if the budget has enough tokens that no host has reserved.
     pub fn take(&mut self, program: &ProgramId, max_tokens: u64) -> Readiness {
@@ -228,6 +236,27 @@
         }
     }
 
+    /// Queues a write that returns the tokens of a program that no running or waiting call of this host needs.
+    pub fn return_idle(&mut self, program: &ProgramId) {
+        let Some(row) = self.rows.get_mut(program) else {
+            return;
+        };
+        row.owns_budget = false;
+        if row.idle_tokens() > 0 && row.pending.is_none() {
+            self.queue_write(program);
+        }
+    }
+
+    /// Returns the other host processes that have reserved tokens of a program, as of the last response of the store.
+    pub fn reserving_incarnations(&self, program: &str) -> Vec<Incarnation> {
+        let stored = self.rows.get(program).and_then(|row| row.stored.as_ref());
+        let reservations = stored.map_or(&[][..], |stored| &stored.budget.reservations);
+        let others = reservations.iter().map(|reservation| reservation.incarnation);
+        others
+            .filter(|incarnation| *incarnation != self.incarnation)
+            .collect()
+    }
+
     /// Records that this host owns no budget until [`add_waiter`](Self::add_waiter) sets the owner again. The
     /// next [`settle_due`](Self::settle_due) returns the reserved tokens that no running call uses and that
     /// other hosts may need.
--- a/crates/burdockroad/src/gateway/budget/program_budget.rs
+++ b/crates/burdockroad/src/gateway/budget/program_budget.rs
@@ -11,6 +11,10 @@
 /// by a separate write.
 const SETTLE_THRESHOLD_CALLS: u64 = 5;
 
+/// Number of calls for which the owner reserves tokens, if one more call is left for other hosts. Most programs need no
+/// second write then, and a killed owner costs a long program a small part of its budget.
+const PREFETCH_CALLS: u64 = 4;
+
 /// Row of a ledger for one program.
 #[derive(Debug)]
 pub(super) struct ProgramBudget {
@@ -27,6 +31,8 @@
     pub(super) waiting_tokens: u64,
     /// Tokens by which the reservations of all hosts together may exceed the budget.
     pub(super) overdraft_tokens: u64,
+    /// Time of the first call that was allowed to exceed the budget.
+    pub(super) overdraft_since: Option<Instant>,
     /// Whether tokens may be idle that no settled call will return.
     pub(super) may_be_idle: bool,
     /// Maximum of the latest call.
@@ -63,6 +69,7 @@
             used_tokens: 0,
             waiting_tokens: 0,
             overdraft_tokens: 0,
+            overdraft_since: None,
             may_be_idle: false,
             last_call_tokens: 0,
             owns_budget: false,
@@ -105,19 +112,30 @@
         (self.budget_tokens + self.overdraft_tokens).saturating_sub(self.committed_tokens())
     }
 
+    /// Returns the tokens that the owner reserves ahead of need.
+    fn prefetchable_tokens(&self) -> u64 {
+        let left = self.budget_tokens.saturating_sub(self.committed_tokens());
+        let all_but_one_call = left.saturating_sub(self.last_call_tokens);
+        all_but_one_call.min(self.last_call_tokens * PREFETCH_CALLS)
+    }
+
     /// Returns the tokens that are spent or that running calls and other hosts may still use.
     fn committed_tokens(&self) -> u64 {
         self.spent_tokens() + self.other_hosts_tokens() + self.running_tokens
     }
 
+    /// Returns the reserved tokens that no running call may use.
+    pub(super) fn idle_tokens(&self) -> u64 {
+        self.reserved_tokens.saturating_sub(self.running_tokens)
+    }
+
     /// Returns whether other hosts may run short because of unused tokens reserved here.
     pub(super) fn needs_settling(&self) -> bool {
-        let idle = self.reserved_tokens.saturating_sub(self.running_tokens);
         let remaining = self
             .budget_tokens
             .saturating_sub(self.spent_tokens() + self.other_hosts_tokens());
         let unreserved = remaining.saturating_sub(self.reserved_tokens);
-        idle > 0
+        self.idle_tokens() > 0
             && !self.owns_budget
             && self.pending.is_none()
             && unreserved < self.last_call_tokens * SETTLE_THRESHOLD_CALLS
@@ -133,7 +151,7 @@
         let available = self.reservable_tokens();
         let waiting = self.waiting_tokens.min(available);
         let prefetched = if self.owns_budget {
-            self.budget_tokens.saturating_sub(self.committed_tokens()) / 2
+            self.prefetchable_tokens()
         } else {
             0
         };
