Part the state of a host that stores turns from its tasks

Cause: host, removal and sync in turn_store imported each other. Change: the state that the tasks share has a module of its own, below all three; nothing else changes.

--- a/crates/burdockroad-gateway/src/disk_host.rs
+++ b/crates/burdockroad-gateway/src/disk_host.rs
@@ -15,8 +15,8 @@
     Change, Changes, ConditionalWrite, DecisionLog, Dialect, HostError, SharedStore, Signals, WriteOutcome,
     listener::listen,
     turn_store::{
-        host::{TurnHostOptions, TurnHostState},
         log::TurnLog,
+        state::{TurnHostOptions, TurnHostState},
     },
 };
 
--- a/crates/burdockroad-gateway/src/turn_store.rs
+++ b/crates/burdockroad-gateway/src/turn_store.rs
@@ -10,5 +10,6 @@
 pub(crate) mod members;
 pub(crate) mod messages;
 pub(crate) mod removal;
+pub(crate) mod state;
 pub(crate) mod stream_holder;
 pub(crate) mod sync;
--- a/crates/burdockroad-gateway/src/turn_store/host.rs
+++ b/crates/burdockroad-gateway/src/turn_store/host.rs
@@ -1,41 +1,26 @@
-//! Host that stores turns on its disk.
+//! Tasks of a host that stores turns on its disk.
 
 use std::{
     io,
-    net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
-use burdockroad::{
-    HostId, Incarnation,
-    gateway::{HostLocation, RegionMap},
-};
 use burdockroad_daemon::platform::StoreError;
-use serde::Serialize;
-use tokio::{
-    net::TcpListener,
-    sync::{Notify, watch},
-    time::sleep,
-};
+use tokio::{net::TcpListener, time::sleep};
 
 use crate::{
-    DecisionLog, LeaseId, SharedStore,
+    LeaseId, SharedStore,
     clock::unix_ms,
     message_server::serve_messages,
-    peer_client::PeerClient,
     registration::{Registration, RegistrationErrorLine, renew},
     turn_store::{
-        log::TurnLog,
         members::{
             TURN_HOST_ENTRY_LIFETIME, TurnMember, TurnMembers, encode_member, follow_members, member_key,
         },
         messages::{TurnCall, TurnResponse},
         removal::copy_all_turns,
-        stream_holder::StreamHolder,
+        state::{Membership, TurnHostState},
         sync::{PAGE_MAX_TURNS, synchronize},
     },
 };
@@ -52,74 +37,7 @@
 /// Interval at which expired turns are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
-/// State of a host that stores turns.
-#[derive(Debug)]
-pub(crate) struct TurnHostState {
-    pub(super) host: HostId,
-    pub(super) incarnation: Incarnation,
-    failure_domain: String,
-    address: SocketAddr,
-    pub(super) tolerated_losses: usize,
-    pub(super) regions: RegionMap,
-    pub(super) log: TurnLog,
-    pub(super) client: PeerClient,
-    pub(super) decisions: DecisionLog,
-    /// Whether the other hosts' turns were copied since the start.
-    pub(super) complete: AtomicBool,
-    /// Whether the registered hosts are known.
-    pub(super) registered: AtomicBool,
-    /// Versions of streams that this host holds.
-    streams: Arc<StreamHolder>,
-    membership: watch::Sender<Membership>,
-    /// Notified when the store no longer has the entry of this host.
-    entry_removed: Notify,
-    members: Mutex<TurnMembers>,
-}
-
-/// Whether a host takes part in storing turns.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Membership {
-    /// The host stores turns.
-    Active,
-    /// The host stores no further turns. Those that it has are being copied to other hosts.
-    Leaving,
-    /// The other hosts have all turns of the host.
-    Left,
-}
-
-/// Options of a host that stores turns.
-#[derive(Clone, Debug)]
-pub(crate) struct TurnHostOptions {
-    pub(crate) host: HostId,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) failure_domain: String,
-    pub(crate) address: SocketAddr,
-    pub(crate) tolerated_losses: usize,
-    /// Regions of the failure domains.
-    pub(crate) regions: RegionMap,
-}
-
 impl TurnHostState {
-    pub(crate) fn new(options: TurnHostOptions, log: TurnLog, decisions: DecisionLog) -> Self {
-        Self {
-            host: options.host,
-            incarnation: options.incarnation,
-            failure_domain: options.failure_domain,
-            address: options.address,
-            tolerated_losses: options.tolerated_losses,
-            regions: options.regions,
-            log,
-            client: PeerClient::default(),
-            decisions,
-            complete: AtomicBool::new(false),
-            registered: AtomicBool::new(false),
-            streams: Arc::default(),
-            membership: watch::Sender::new(Membership::Active),
-            entry_removed: Notify::new(),
-            members: Mutex::new(TurnMembers::new()),
-        }
-    }
-
     /// Starts the tasks of the host.
     ///
     /// # Errors
@@ -150,28 +68,6 @@
         self.membership.send_replace(Membership::Left);
     }
 
-    pub(super) fn is_leaving(&self) -> bool {
-        *self.membership.borrow() != Membership::Active
-    }
-
-    pub(super) fn location(&self) -> HostLocation {
-        HostLocation {
-            host: self.host.clone(),
-            failure_domain: self.failure_domain.clone(),
-        }
-    }
-
-    /// Returns the registered hosts.
-    pub(super) fn members(&self) -> TurnMembers {
-        self.lock_members().clone()
-    }
-
-    pub(super) fn log_disk_error(&self, error: &io::Error) {
-        metrics::counter!("burdockroad_turn_disk_errors_total").increment(1);
-        let reason = error.to_string();
-        self.decisions.line("disk_failed", &DiskErrorLine { reason });
-    }
-
     async fn respond(&self, call: TurnCall) -> TurnResponse {
         match call {
             TurnCall::Store(_) if self.is_leaving() => TurnResponse::NotStored,
@@ -299,13 +195,4 @@
             }
         }
     }
-
-    fn lock_members(&self) -> MutexGuard<'_, TurnMembers> {
-        self.members.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-#[derive(Serialize)]
-struct DiskErrorLine {
-    reason: String,
 }
--- a/crates/burdockroad-gateway/src/turn_store/removal.rs
+++ b/crates/burdockroad-gateway/src/turn_store/removal.rs
@@ -9,9 +9,9 @@
 use tokio::time::sleep;
 
 use super::{
-    host::TurnHostState,
     members::{TurnMember, writable},
     messages::{TurnCall, TurnResponse},
+    state::TurnHostState,
 };
 
 /// Timeout of a call to another host.
--- /dev/null
+++ b/crates/burdockroad-gateway/src/turn_store/state.rs
@@ -0,0 +1,120 @@
+//! State of a host that stores turns, which its tasks share.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
+};
+
+use burdockroad::{
+    HostId, Incarnation,
+    gateway::{HostLocation, RegionMap},
+};
+use serde::Serialize;
+use tokio::sync::{Notify, watch};
+
+use crate::{
+    DecisionLog,
+    peer_client::PeerClient,
+    turn_store::{log::TurnLog, members::TurnMembers, stream_holder::StreamHolder},
+};
+
+/// State of a host that stores turns.
+#[derive(Debug)]
+pub(crate) struct TurnHostState {
+    pub(super) host: HostId,
+    pub(super) incarnation: Incarnation,
+    pub(super) failure_domain: String,
+    pub(super) address: SocketAddr,
+    pub(super) tolerated_losses: usize,
+    pub(super) regions: RegionMap,
+    pub(super) log: TurnLog,
+    pub(super) client: PeerClient,
+    pub(super) decisions: DecisionLog,
+    /// Whether the other hosts' turns were copied since the start.
+    pub(super) complete: AtomicBool,
+    /// Whether the registered hosts are known.
+    pub(super) registered: AtomicBool,
+    /// Versions of streams that this host holds.
+    pub(super) streams: Arc<StreamHolder>,
+    pub(super) membership: watch::Sender<Membership>,
+    /// Notified when the store no longer has the entry of this host.
+    pub(super) entry_removed: Notify,
+    pub(super) members: Mutex<TurnMembers>,
+}
+
+/// Whether a host takes part in storing turns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Membership {
+    /// The host stores turns.
+    Active,
+    /// The host stores no further turns. Those that it has are being copied to other hosts.
+    Leaving,
+    /// The other hosts have all turns of the host.
+    Left,
+}
+
+/// Options of a host that stores turns.
+#[derive(Clone, Debug)]
+pub(crate) struct TurnHostOptions {
+    pub(crate) host: HostId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) failure_domain: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) tolerated_losses: usize,
+    /// Regions of the failure domains.
+    pub(crate) regions: RegionMap,
+}
+
+impl TurnHostState {
+    pub(crate) fn new(options: TurnHostOptions, log: TurnLog, decisions: DecisionLog) -> Self {
+        Self {
+            host: options.host,
+            incarnation: options.incarnation,
+            failure_domain: options.failure_domain,
+            address: options.address,
+            tolerated_losses: options.tolerated_losses,
+            regions: options.regions,
+            log,
+            client: PeerClient::default(),
+            decisions,
+            complete: AtomicBool::new(false),
+            registered: AtomicBool::new(false),
+            streams: Arc::default(),
+            membership: watch::Sender::new(Membership::Active),
+            entry_removed: Notify::new(),
+            members: Mutex::new(TurnMembers::new()),
+        }
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        *self.membership.borrow() != Membership::Active
+    }
+
+    pub(super) fn location(&self) -> HostLocation {
+        HostLocation {
+            host: self.host.clone(),
+            failure_domain: self.failure_domain.clone(),
+        }
+    }
+
+    /// Returns the registered hosts.
+    pub(super) fn members(&self) -> TurnMembers {
+        self.lock_members().clone()
+    }
+
+    pub(super) fn log_disk_error(&self, error: &io::Error) {
+        metrics::counter!("burdockroad_turn_disk_errors_total").increment(1);
+        let reason = error.to_string();
+        self.decisions.line("disk_failed", &DiskErrorLine { reason });
+    }
+
+    pub(super) fn lock_members(&self) -> MutexGuard<'_, TurnMembers> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[derive(Serialize)]
+struct DiskErrorLine {
+    reason: String,
+}
--- a/crates/burdockroad-gateway/src/turn_store/sync.rs
+++ b/crates/burdockroad-gateway/src/turn_store/sync.rs
@@ -18,9 +18,9 @@
 use tokio::time::sleep;
 
 use super::{
-    host::TurnHostState,
     members::TurnMember,
     messages::{TurnCall, TurnResponse},
+    state::TurnHostState,
 };
 
 /// Interval between two listings while turns are stored.
