Bound the wait of refused starts in floods only, and reserve half of long budgets again

Change: the bound of 250 ms holds while the demand is twice the rate; the owner reserves half of the remaining budget again, or three calls if that is more and one is left.

--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: many short programs whose budgets are hardly larger than their need. Their calls arrive
 //! through several hosts, and several at once where a program has sub-agents. One host is the owner of a
-//! program's budget. It reserves half of the remaining budget ahead of need, so a typical program costs one
-//! or two writes, and the loss of the owner costs at most half of the budget. A call reserves the maximum
+//! program's budget. It reserves half of the remaining budget or a few calls ahead of need, so a typical program costs
+//! one or two writes, and the loss of the owner costs a part of the budget. A call reserves the maximum
 //! number of tokens that it may generate and returns the unused part.
 
 mod program_budget;
--- a/crates/burdockroad/src/gateway/budget/program_budget.rs
+++ b/crates/burdockroad/src/gateway/budget/program_budget.rs
@@ -11,9 +11,9 @@
 /// by a separate write.
 const SETTLE_THRESHOLD_CALLS: u64 = 5;
 
-/// Number of calls for which the owner reserves tokens, if one more call is left for other hosts. Most programs need no
-/// second write then, and a killed owner costs a long program a small part of its budget.
-const PREFETCH_CALLS: u64 = 4;
+/// Number of calls for which the owner reserves tokens at least, if one more call is left for other hosts. Most short
+/// programs need no second write then.
+const PREFETCH_CALLS_MIN: u64 = 3;
 
 /// Row of a ledger for one program.
 #[derive(Debug)]
@@ -112,11 +112,12 @@
         (self.budget_tokens + self.overdraft_tokens).saturating_sub(self.committed_tokens())
     }
 
-    /// Returns the tokens that the owner reserves ahead of need.
+    /// Returns the tokens that the owner reserves ahead of need: half of those that are left, or enough for a few calls.
     fn prefetchable_tokens(&self) -> u64 {
         let left = self.budget_tokens.saturating_sub(self.committed_tokens());
         let all_but_one_call = left.saturating_sub(self.last_call_tokens);
-        all_but_one_call.min(self.last_call_tokens * PREFETCH_CALLS)
+        let few_calls = self.last_call_tokens * PREFETCH_CALLS_MIN;
+        (left / 2).max(few_calls.min(all_but_one_call))
     }
 
     /// Returns the tokens that are spent or that running calls and other hosts may still use.
--- a/crates/burdockroad/src/gateway/rate_limit/bucket.rs
+++ b/crates/burdockroad/src/gateway/rate_limit/bucket.rs
@@ -48,9 +48,12 @@
 /// Maximum retry delay of a refused caller.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(5);
 
-/// Maximum retry delay of a refused program start. Programs end while the caller waits, so there may be room at any
-/// time, and a program that starts later than this ends too late to be useful.
-const START_RETRY_AFTER_MAX: Duration = Duration::from_millis(250);
+/// Demand, relative to the rate, from which an account floods its bucket.
+const FLOOD_DEMAND: f64 = 2.0;
+
+/// Maximum retry delay of a program start that is refused in a flood. Most of these programs can never start, and one that
+/// starts later ends too late to be useful.
+const FLOOD_START_RETRY_AFTER_MAX: Duration = Duration::from_millis(250);
 
 /// Calls of one account at a peer, from its last report.
 #[derive(Debug)]
@@ -166,12 +169,21 @@
         }
     }
 
+    /// Returns the calls requested per second at all hosts, admitted or not.
+    fn all_demand_per_s(&self) -> f64 {
+        let others: f64 = self.peers.values().map(|usage| usage.demand_per_s).sum();
+        self.demand_per_s + others
+    }
+
+    fn is_flooded(&self) -> bool {
+        self.all_demand_per_s() >= self.rate_per_s * FLOOD_DEMAND
+    }
+
     /// Returns this host's share of the demand reported by the live hosts.
     fn own_share(&self, live_hosts: usize) -> f64 {
         let equal_share = 1.0 / hosts_as_f64(live_hosts.max(1));
-        let others: f64 = self.peers.values().map(|usage| usage.demand_per_s).sum();
         // The lower bound leaves part of the rate for callers that have just connected to this host.
-        let all = self.demand_per_s + others;
+        let all = self.all_demand_per_s();
         if all < 1.0 {
             return equal_share;
         }
@@ -229,9 +241,14 @@
             return Admission::Admitted;
         }
         let wait_s = (required_level - self.level).max(0.0) / self.rate_per_s;
-        let wait = Duration::try_from_secs_f64(wait_s).unwrap_or(START_RETRY_AFTER_MAX);
+        let wait = Duration::try_from_secs_f64(wait_s).unwrap_or(RETRY_AFTER_MAX);
+        let wait_max = if self.is_flooded() {
+            FLOOD_START_RETRY_AFTER_MAX
+        } else {
+            RETRY_AFTER_MAX
+        };
         Admission::Refused {
-            retry_after: wait.clamp(RETRY_AFTER_MIN, START_RETRY_AFTER_MAX),
+            retry_after: wait.clamp(RETRY_AFTER_MIN, wait_max),
         }
     }
 
