--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -48,12 +48,7 @@
 /// Interval at which a waiting call rechecks a budget whose tokens are all reserved.
 const BUDGET_RECHECK_INTERVAL: Duration = Duration::from_millis(80);
 
-/// Time after which a call that waits for tokens reserved by other hosts may exceed the budget by one call. Hosts that
-/// are alive return unused tokens within this time.
-const OVERDRAFT_AFTER: Duration = Duration::from_millis(150);
-
-/// Time after the first such call for which the tokens of other hosts may still be returned. After it, they count as
-/// spent.
+/// Time for which a call waits for tokens that other hosts have reserved. After it, these count as spent.
 const RECLAIM_TIME: Duration = Duration::from_millis(700);
 
 /// `Retry-After` of a call of whose budget enough is left, but reserved for other calls.
@@ -386,8 +381,8 @@
 /// returned for a longer time count as spent.
 fn fully_reserved(shared: &Shared, program: &ProgramId) -> ReservationResponse {
     let now = Instant::now();
-    let is_overdrawn = shared.tables().ledger.is_overdrawn(program, RECLAIM_TIME, now);
-    if is_overdrawn {
+    let is_short = shared.tables().ledger.is_short(program, RECLAIM_TIME, now);
+    if is_short {
         ReservationResponse::BudgetExhausted
     } else {
         ReservationResponse::FullyReserved
@@ -418,7 +413,6 @@
         starts_program
     };
     let _waiting_call = WaitingCall { shared, request };
-    let waiting_since = Instant::now();
     loop {
         let mut changed = pin!(shared.reservations_changed.notified());
         changed.as_mut().enable();
@@ -433,11 +427,7 @@
             }
             Readiness::AwaitWrite if time_left.is_zero() => return ReservationResponse::StoreTimeout,
             Readiness::AwaitTokens => {
-                if waiting_since.elapsed() >= OVERDRAFT_AFTER {
-                    let now = Instant::now();
-                    let mut tables = shared.tables();
-                    tables.ledger.allow_overdraft(program, request.max_tokens, now);
-                }
+                shared.tables().ledger.record_shortage(program, Instant::now());
                 // Calls that release tokens at this host send the notification. Tokens released by other
                 // hosts are visible only in the store.
                 let _ended = timeout(time_left.min(BUDGET_RECHECK_INTERVAL), changed).await;
--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: many short programs whose budgets are hardly larger than their need. Their calls arrive
 //! through several hosts, and several at once where a program has sub-agents. One host is the owner of a
-//! program's budget. It reserves half of the remaining budget or a few calls ahead of need, so a typical program costs
-//! one or two writes, and the loss of the owner costs a part of the budget. A call reserves the maximum
+//! program's budget. It reserves half of the remaining budget ahead of need, so a typical program costs one
+//! or two writes, and the loss of the owner costs at most half of the budget. A call reserves the maximum
 //! number of tokens that it may generate and returns the unused part.
 
 mod program_budget;
@@ -162,24 +162,19 @@
         }
     }
 
-    /// Lets a waiting call that needs `max_tokens` exceed the budget together with the reservations of other hosts, if
-    /// there are any. All calls together generate at most `max_tokens` more than the budget.
-    ///
-    /// A host that was killed leaves a reservation of which it has used an unknown part, often none. Without an
-    /// overdraft, its program could not go on although most of its budget is left.
-    pub fn allow_overdraft(&mut self, program: &ProgramId, max_tokens: u64, now: Instant) {
+    /// Records that a waiting call lacks tokens, if other hosts have reserved some.
+    pub fn record_shortage(&mut self, program: &ProgramId, now: Instant) {
         if let Some(row) = self.rows.get_mut(program)
             && row.other_hosts_tokens() > 0
         {
-            row.overdraft_tokens = max_tokens;
-            row.overdraft_since.get_or_insert(now);
+            row.short_since.get_or_insert(now);
         }
     }
 
-    /// Returns whether a program has been allowed to exceed its budget for `reclaim_time`. Tokens that other hosts have
-    /// not returned until then count as spent.
-    pub fn is_overdrawn(&self, program: &str, reclaim_time: Duration, now: Instant) -> bool {
-        let since = self.rows.get(program).and_then(|row| row.overdraft_since);
+    /// Returns whether a program has lacked tokens that other hosts have reserved for `reclaim_time`. Hosts that have not
+    /// returned them until then may be gone, and their tokens count as spent.
+    pub fn is_short(&self, program: &str, reclaim_time: Duration, now: Instant) -> bool {
+        let since = self.rows.get(program).and_then(|row| row.short_since);
         since.is_some_and(|since| now >= since + reclaim_time)
     }
 
@@ -191,6 +186,7 @@
         };
         if row.free_tokens() >= max_tokens {
             row.running_tokens += max_tokens;
+            row.short_since = None;
             return Readiness::Ready;
         }
         if row.pending.is_some() {
--- a/crates/burdockroad/src/gateway/budget/program_budget.rs
+++ b/crates/burdockroad/src/gateway/budget/program_budget.rs
@@ -11,10 +11,6 @@
 /// by a separate write.
 const SETTLE_THRESHOLD_CALLS: u64 = 5;
 
-/// Number of calls for which the owner reserves tokens at least, if one more call is left for other hosts. Most short
-/// programs need no second write then.
-const PREFETCH_CALLS_MIN: u64 = 3;
-
 /// Row of a ledger for one program.
 #[derive(Debug)]
 pub(super) struct ProgramBudget {
@@ -29,10 +25,8 @@
     pub(super) used_tokens: u64,
     /// Sum of the waiting calls' maximums.
     pub(super) waiting_tokens: u64,
-    /// Tokens by which the reservations of all hosts together may exceed the budget.
-    pub(super) overdraft_tokens: u64,
-    /// Time of the first call that was allowed to exceed the budget.
-    pub(super) overdraft_since: Option<Instant>,
+    /// Time since which calls lack tokens that other hosts have reserved; `None` if they do not.
+    pub(super) short_since: Option<Instant>,
     /// Whether tokens may be idle that no settled call will return.
     pub(super) may_be_idle: bool,
     /// Maximum of the latest call.
@@ -68,8 +62,7 @@
             running_tokens: 0,
             used_tokens: 0,
             waiting_tokens: 0,
-            overdraft_tokens: 0,
-            overdraft_since: None,
+            short_since: None,
             may_be_idle: false,
             last_call_tokens: 0,
             owns_budget: false,
@@ -109,20 +102,8 @@
 
     /// Returns the tokens that could be reserved for waiting calls.
     pub(super) fn reservable_tokens(&self) -> u64 {
-        (self.budget_tokens + self.overdraft_tokens).saturating_sub(self.committed_tokens())
-    }
-
-    /// Returns the tokens that the owner reserves ahead of need: half of those that are left, or enough for a few calls.
-    fn prefetchable_tokens(&self) -> u64 {
-        let left = self.budget_tokens.saturating_sub(self.committed_tokens());
-        let all_but_one_call = left.saturating_sub(self.last_call_tokens);
-        let few_calls = self.last_call_tokens * PREFETCH_CALLS_MIN;
-        (left / 2).max(few_calls.min(all_but_one_call))
-    }
-
-    /// Returns the tokens that are spent or that running calls and other hosts may still use.
-    fn committed_tokens(&self) -> u64 {
-        self.spent_tokens() + self.other_hosts_tokens() + self.running_tokens
+        let committed = self.spent_tokens() + self.other_hosts_tokens() + self.running_tokens;
+        self.budget_tokens.saturating_sub(committed)
     }
 
     /// Returns the reserved tokens that no running call may use.
@@ -151,11 +132,7 @@
         }
         let available = self.reservable_tokens();
         let waiting = self.waiting_tokens.min(available);
-        let prefetched = if self.owns_budget {
-            self.prefetchable_tokens()
-        } else {
-            0
-        };
+        let prefetched = if self.owns_budget { available / 2 } else { 0 };
         let reserved_tokens = self.running_tokens + waiting.max(prefetched);
         if reserved_tokens == self.reserved_tokens && self.used_tokens == 0 {
             return None;
--- a/crates/burdockroad/tests/gateway_budget.rs
+++ b/crates/burdockroad/tests/gateway_budget.rs
@@ -32,7 +32,6 @@
     Poll { host: usize },
     Release { host: usize },
     Kill { host: usize },
-    AllowOverdraft { host: usize },
 }
 
 /// A store with one key.
@@ -141,9 +140,6 @@
                 ledger.release_idle(now);
                 ledger.settle_due(now);
             }
-            Step::AllowOverdraft { host } => {
-                self.hosts[host].ledger.allow_overdraft(&program, MAX_TOKENS, now);
-            }
             Step::Kill { host } => {
                 // The callers may have received all tokens that the host's running calls could generate.
                 self.generated_tokens += self.hosts[host].running as u64 * MAX_TOKENS;
@@ -213,29 +209,6 @@
     }
 }
 
-fn steps_with_overdrafts() -> impl Strategy<Value = Step> {
-    prop_oneof![
-        24 => steps(),
-        2 => (0..HOSTS).prop_map(|host| Step::AllowOverdraft { host }),
-    ]
-}
-
-proptest! {
-    #![proptest_config(Config { cases: 2000, rng_seed: RngSeed::Fixed(8), ..Config::default() })]
-
-    /// Guards against overdrafts that several hosts make one after the other, or repeat after a restart.
-    #[test]
-    fn allow_overdraft_under_faults_exceeds_budget_by_one_call_at_most(
-        steps in proptest::collection::vec(steps_with_overdrafts(), 1..120)
-    ) {
-        let mut cluster = Cluster::new();
-        for step in steps {
-            cluster.apply(step);
-            prop_assert!(cluster.committed_tokens() <= BUDGET_TOKENS + MAX_TOKENS, "after {step:?}");
-        }
-    }
-}
-
 fn start_call(cluster: &mut Cluster, host: usize) -> bool {
     cluster.apply(Step::AddWaiter {
         host,
@@ -292,55 +265,24 @@
     assert!(cluster.generated_tokens <= BUDGET_TOKENS);
 }
 
-/// Guards against programs that end because killed hosts had reserved their tokens without using them.
-#[test]
-fn allow_overdraft_after_two_killed_owners_starts_one_more_call() {
-    let mut cluster = Cluster::new();
-    for _ in 0..2 {
-        assert!(start_call(&mut cluster, 0));
-        cluster.apply(Step::Kill { host: 0 });
-    }
-    assert!(!start_call(&mut cluster, 1));
-    cluster.apply(Step::AllowOverdraft { host: 1 });
-    assert!(start_call(&mut cluster, 1));
-    cluster.apply(Step::Kill { host: 1 });
-    assert!(!start_call(&mut cluster, 2));
-    cluster.apply(Step::AllowOverdraft { host: 2 });
-    assert!(!start_call(&mut cluster, 2));
-    assert!(cluster.generated_tokens <= BUDGET_TOKENS + MAX_TOKENS);
-}
-
-/// Guards against a second write for most of the short programs.
+/// Guards against 402 for tokens that live hosts are about to return.
 #[test]
-fn take_by_owner_of_small_budget_needs_one_write_for_three_calls() {
-    let mut cluster = Cluster::new();
-    for _ in 0..3 {
-        assert!(start_call(&mut cluster, 0));
-        cluster.apply(Step::Settle {
-            host: 0,
-            used_tokens: MAX_TOKENS,
-        });
-    }
-    assert_eq!(cluster.store.revision, 1);
-}
-
-#[test]
-fn is_overdrawn_after_the_time_to_reclaim_tokens() {
+fn is_short_after_the_time_to_reclaim_tokens() {
     let mut cluster = Cluster::new();
     let program = PROGRAM.to_owned();
     let reclaim_time = Duration::from_millis(700);
-    for _ in 0..2 {
+    for _ in 0..3 {
         assert!(start_call(&mut cluster, 0));
         cluster.apply(Step::Kill { host: 0 });
     }
     assert!(!start_call(&mut cluster, 1));
     let now = cluster.now;
     let ledger = &mut cluster.hosts[1].ledger;
-    assert!(!ledger.is_overdrawn(&program, reclaim_time, now + reclaim_time));
-    ledger.allow_overdraft(&program, MAX_TOKENS, now);
-    ledger.allow_overdraft(&program, MAX_TOKENS, now + reclaim_time / 2);
-    assert!(!ledger.is_overdrawn(&program, reclaim_time, now + reclaim_time / 2));
-    assert!(ledger.is_overdrawn(&program, reclaim_time, now + reclaim_time));
+    assert!(!ledger.is_short(&program, reclaim_time, now + reclaim_time));
+    ledger.record_shortage(&program, now);
+    ledger.record_shortage(&program, now + reclaim_time / 2);
+    assert!(!ledger.is_short(&program, reclaim_time, now + reclaim_time / 2));
+    assert!(ledger.is_short(&program, reclaim_time, now + reclaim_time));
 }
 
 /// Guards against programs that end because a host which owned their budgets before has reserved the tokens.
