Log what a host knows of an endpoint when it sends a call there

The record of the calls to departed endpoints cannot tell the hypotheses apart: no line says that a host learned of a departure, from whom, at which revision, and why it goes on. endpoint_missing says that a departed endpoint is still held, and for how long; endpoint_changed and endpoint_removed name the source; call and attempt_failed lines carry the state, revision and age of the host's knowledge at the send, and a counter has the sends to endpoints that are not ready. Nothing is decided differently.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -298,11 +298,7 @@
         last_event: Option<u64>,
     ) -> Result<OpenedResponse, Failure> {
         let endpoint = &placement.endpoint;
-        self.record.record_attempt(placement);
-        self.shared
-            .tables()
-            .endpoints
-            .start_call(&endpoint.id, &self.head.prompt_parts);
+        self.start_attempt(placement);
         self.current_endpoint = Some(endpoint.clone());
         let sent_at = Instant::now();
         self.begin_run(&endpoint.id, sent_at);
@@ -333,6 +329,17 @@
         result
     }
 
+    /// Counts the call at its endpoint, and records what this host knows of the endpoint.
+    fn start_attempt(&mut self, placement: &Placement) {
+        let endpoint = &placement.endpoint.id;
+        let prefix = self.shared.dialect.endpoints_prefix();
+        let mut tables = self.shared.tables();
+        let view = tables.endpoint_view(prefix, endpoint, Instant::now());
+        tables.endpoints.start_call(endpoint, &self.head.prompt_parts);
+        drop(tables);
+        self.record.record_attempt(placement, view);
+    }
+
     /// Returns the number of calls per slot of the endpoints that the call may be sent to.
     pub(crate) fn load_per_slot(&self) -> f64 {
         let regions = self.allowed_regions();
--- a/crates/burdockroad-gateway/src/call_record.rs
+++ b/crates/burdockroad-gateway/src/call_record.rs
@@ -11,6 +11,7 @@
 use crate::{
     CallHead,
     clock::as_ms,
+    endpoint_view::{EndpointState, EndpointView, EndpointViewLine},
     framing::{Framing, StreamBreak},
     refusal::Refusal,
     shared::Shared,
@@ -54,6 +55,8 @@
     endpoint: String,
     /// Version of the software of that endpoint.
     software_version: SoftwareVersion,
+    /// What this host knew of that endpoint when it was chosen.
+    endpoint_view: EndpointView,
     /// Estimated number of calls at that endpoint when it was chosen.
     endpoint_load: u32,
     /// Expected time to the first byte of the last attempt, in milliseconds.
@@ -96,8 +99,14 @@
         self.events * self.event_tokens
     }
 
-    pub(crate) fn record_attempt(&mut self, placement: &Placement) {
+    pub(crate) fn record_attempt(&mut self, placement: &Placement, view: EndpointView) {
         self.attempts += 1;
+        self.endpoint_view = view;
+        if view.state != EndpointState::Ready {
+            let state = view.state.name();
+            metrics::counter!("burdockroad_attempts_at_departing_endpoints_total", "state" => state)
+                .increment(1);
+        }
         self.attempt_started_at = Some(Instant::now());
         self.endpoint.clone_from(&placement.endpoint.id);
         self.software_version
@@ -139,6 +148,7 @@
                 endpoint: &endpoint.id,
                 software_version: &endpoint.software_version,
                 failure: name,
+                view: self.endpoint_view.line(),
                 attempt: self.attempts,
                 attempt_ms: self.attempt_started_at.map(|at| as_ms(at.elapsed())),
             },
@@ -199,6 +209,7 @@
                 config_age_ms: as_ms(self.directory_age),
                 endpoint: &self.endpoint,
                 software_version: &self.software_version,
+                view: self.endpoint_view.line(),
                 through_host: self.through_host.as_deref(),
                 allowed_regions: self.allowed_regions.as_deref(),
                 last_event: head.last_event,
@@ -238,6 +249,8 @@
     config_age_ms: u64,
     endpoint: &'a str,
     software_version: &'a str,
+    #[serde(flatten)]
+    view: EndpointViewLine,
     /// Host that opened the connection to the endpoint in place of this one.
     #[serde(skip_serializing_if = "Option::is_none")]
     through_host: Option<&'a str>,
@@ -277,6 +290,8 @@
     endpoint: &'a str,
     software_version: &'a str,
     failure: &'static str,
+    #[serde(flatten)]
+    view: EndpointViewLine,
     attempt: u32,
     /// Time from the choice of the endpoint to the failure.
     attempt_ms: Option<u64>,
--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -14,6 +14,7 @@
 use crate::{
     Change, RangeSnapshot,
     budgets::expire_remote_reservations,
+    clock::as_ms,
     cold_endpoints::report_cold_endpoints,
     crash_detection::log_quarantined,
     follow::RangeSubscriber,
@@ -77,6 +78,9 @@
             software_version: &endpoint.software_version,
             draining: endpoint.draining,
             revision: entry.revision,
+            source: tables
+                .range_view(self.prefix())
+                .map(|view| view.source.to_string()),
         };
         tables.endpoints.insert(endpoint.clone());
         if !is_read_again {
@@ -110,10 +114,22 @@
                 .store_recovered_at
                 .filter(|at| now < *at + REREGISTRATION_TIME)
                 .unwrap_or(now);
+            let expires_at = since + REREGISTRATION_TIME;
+            let is_new = !tables.missing_endpoints.contains_key(id);
             tables
                 .missing_endpoints
                 .entry(id.to_owned())
-                .or_insert(since + REREGISTRATION_TIME);
+                .or_insert(expires_at);
+            let line = EndpointMissingLine {
+                endpoint: id,
+                knowledge: Knowledge::of(&tables, self.prefix()),
+                store_unreachable: tables.store_unreachable_since.is_some(),
+                held_ms: as_ms(expires_at.saturating_duration_since(now)),
+            };
+            drop(tables);
+            if is_new {
+                self.shared.log.line("endpoint_missing", &line);
+            }
             return;
         }
         drop(tables);
@@ -204,11 +220,14 @@
     let mut tables = shared.tables();
     record_departure(&mut tables, id);
     tables.endpoints.remove(id);
+    let knowledge = Knowledge::of(&tables, shared.dialect.endpoints_prefix());
     drop(tables);
     shared.pool.close_idle(id);
-    shared
-        .log
-        .line("endpoint_removed", &EndpointRemovedLine { endpoint: id });
+    let line = EndpointRemovedLine {
+        endpoint: id,
+        knowledge,
+    };
+    shared.log.line("endpoint_removed", &line);
 }
 
 #[derive(Serialize)]
@@ -226,9 +245,44 @@
     #[serde(rename = "leaving")]
     draining: bool,
     revision: Revision,
+    source: Option<String>,
+}
+
+/// Log line of an endpoint whose entry is gone, and which may register again.
+#[derive(Serialize)]
+struct EndpointMissingLine<'a> {
+    endpoint: &'a str,
+    #[serde(flatten)]
+    knowledge: Knowledge,
+    store_unreachable: bool,
+    /// Time after which it counts as removed if the store is reachable.
+    held_ms: u64,
 }
 
 #[derive(Serialize)]
 struct EndpointRemovedLine<'a> {
     endpoint: &'a str,
+    #[serde(flatten)]
+    knowledge: Knowledge,
+}
+
+/// What this host knew of the endpoints at a decision.
+#[derive(Serialize)]
+struct Knowledge {
+    /// Revision up to which their range was known.
+    as_of: Option<Revision>,
+    source: Option<String>,
+    age_ms: Option<u64>,
+}
+
+impl Knowledge {
+    fn of(tables: &Tables, prefix: &str) -> Self {
+        let now = Instant::now();
+        let view = tables.range_view(prefix);
+        Self {
+            as_of: view.map(|view| view.as_of),
+            source: view.map(|view| view.source.to_string()),
+            age_ms: view.map(|view| as_ms(view.age(now))),
+        }
+    }
 }
--- a/crates/burdockroad-gateway/src/follow.rs
+++ b/crates/burdockroad-gateway/src/follow.rs
@@ -21,6 +21,7 @@
     Change, Changes, RangeSnapshot, RangeUpdate, SharedStore,
     missing_endpoints::REREGISTRATION_TIME,
     peer_messages::{PeerCall, PeerResponse, RangeUpdateResponse},
+    range_view::{UpdateSource, record_update},
     shared::{Shared, Tables},
 };
 
@@ -189,12 +190,15 @@
     shared
         .tables()
         .extend_reregistration(response.reregistration_time, Instant::now());
+    let source = UpdateSource::Watcher(address);
     match response.update {
         RangeUpdate::Changes { changes, as_of } => {
+            record_update(shared, subscriber.prefix(), source, as_of);
             apply_changes(shared, subscriber, &changes, as_of);
             Some(as_of)
         }
         RangeUpdate::Snapshot(snapshot) if snapshot.as_of > after => {
+            record_update(shared, subscriber.prefix(), source, snapshot.as_of);
             apply_snapshot(shared, subscriber, &snapshot);
             Some(snapshot.as_of)
         }
@@ -249,6 +253,7 @@
 ) -> Result<Option<Revision>, StoreError> {
     let Some(after) = position else {
         let snapshot = shared.store.read_range(subscriber.prefix()).await?;
+        record_update(shared, subscriber.prefix(), UpdateSource::Store, snapshot.as_of);
         apply_snapshot(shared, subscriber, &snapshot);
         shared.report_now.notify_one();
         return Ok(Some(snapshot.as_of));
@@ -257,6 +262,7 @@
     match shared.store.changes(subscriber.prefix(), after, wait).await? {
         Changes::Complete { changes, as_of } => {
             let as_of = as_of.max(after);
+            record_update(shared, subscriber.prefix(), UpdateSource::Store, as_of);
             apply_changes(shared, subscriber, &changes, as_of);
             if !changes.is_empty() {
                 shared.report_now.notify_one();
--- /dev/null
+++ b/crates/burdockroad-gateway/src/range_view.rs
@@ -0,0 +1,63 @@
+//! What this host knows of a range of the store, and from where.
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use burdockroad_daemon::platform::Revision;
+
+use crate::shared::{Shared, Tables};
+
+/// Where an update of a range came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UpdateSource {
+    /// The store, directly or relayed by another host.
+    Store,
+    /// The watcher at this address.
+    Watcher(SocketAddr),
+}
+
+impl fmt::Display for UpdateSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Watcher(address) => write!(f, "watcher {address}"),
+        }
+    }
+}
+
+/// The last update of a range.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RangeView {
+    /// Where it came from.
+    pub(crate) source: UpdateSource,
+    /// Revision up to which the range is known.
+    pub(crate) as_of: Revision,
+    updated_at: Instant,
+}
+
+impl RangeView {
+    /// Returns the time since the update.
+    pub(crate) fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.updated_at)
+    }
+}
+
+impl Tables {
+    /// Returns what this host knows of a range; `None` before it was read.
+    pub(crate) fn range_view(&self, prefix: &str) -> Option<RangeView> {
+        self.range_views.get(prefix).copied()
+    }
+}
+
+/// Records an update of a range, before it is applied.
+pub(crate) fn record_update(shared: &Shared, prefix: &str, source: UpdateSource, as_of: Revision) {
+    let view = RangeView {
+        source,
+        as_of,
+        updated_at: Instant::now(),
+    };
+    shared.tables().range_views.insert(prefix.to_owned(), view);
+}
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -26,7 +26,7 @@
 use crate::{
     DecisionLog, Dialect, HostOptions, RangeLog, announced_range::AnnouncedRange,
     collected_reports::CollectedReports, crash_checks::CrashChecks, missing_endpoints::MissingEndpoints,
-    peer_client::PeerClient, peers::Peers, pool::ConnectionPool, relay::RelayedStore,
+    peer_client::PeerClient, peers::Peers, pool::ConnectionPool, range_view::RangeView, relay::RelayedStore,
     remote_reservation::RemoteReservation, response_space::ResponseSpace, turn_store::client::TurnClient,
 };
 
@@ -107,6 +107,8 @@
     pub(crate) range_logs: HashMap<String, RangeLog>,
     /// Time of the last response of the store for a range, by prefix.
     pub(crate) range_responded_at: HashMap<String, Instant>,
+    /// Last updates of the followed ranges, by prefix.
+    pub(crate) range_views: HashMap<String, RangeView>,
     /// Latest announcements of watchers, by prefix.
     pub(crate) announced_ranges: HashMap<String, AnnouncedRange>,
     /// Decides which programs may start while a service is overloaded.
@@ -181,6 +183,7 @@
                 remote_reservations: HashMap::new(),
                 range_logs: HashMap::new(),
                 range_responded_at: HashMap::new(),
+                range_views: HashMap::new(),
                 announced_ranges: HashMap::new(),
                 start_gate: ProgramStartGate::default(),
                 running_programs: RunningPrograms::default(),
