Hold departed endpoints only after an outage of the store that no host got through

Cause: whether an entry that is gone may only have expired was decided by the host's own polls. A failed poll began an outage, and only a later poll of the same host could end it. A host that follows a watcher does not poll, so its outage had no end, and each endpoint that left without draining stayed in use there. A single failed poll also held the departures of all followers for 2.2 s, by the watcher's word, though no entry expires within that time. The class of fault: a state that is set on one path and cleared on another that may never be taken.

Now an outage is a gap in the store's responses to any host: reports say how long ago the store last responded to their sender, so the outage ends for all hosts with the first response, and neither a host's own trouble nor a short silence counts. Time to register again is counted while the store responds, so outages in succession do not add up. Watchers of earlier versions are believed by their announcements.

--- a/crates/burdockroad-gateway/src/endpoint_view.rs
+++ b/crates/burdockroad-gateway/src/endpoint_view.rs
@@ -69,11 +69,11 @@
     pub(crate) fn endpoint_view(&self, prefix: &str, id: &str, now: Instant) -> EndpointView {
         let state = match self.endpoints.get(id) {
             None => EndpointState::Removed,
-            Some(_) if self.missing_endpoints.contains_key(id) => EndpointState::Missing,
+            Some(_) if self.departures.is_held(id) => EndpointState::Missing,
             Some(endpoint) if endpoint.draining => EndpointState::Draining,
             Some(_) => EndpointState::Ready,
         };
-        let view = self.range_view(prefix);
+        let view = self.range_views.get(prefix);
         // A watcher that announces no newer change confirms the last update.
         let announced = self.announced_ranges.get(prefix);
         let announcement_age = announced.map(|range| now.saturating_duration_since(range.announced_at));
--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use burdockroad::{EndpointId, gateway::Endpoint};
+use burdockroad::{
+    EndpointId,
+    gateway::{Departure, Endpoint},
+};
 use burdockroad_daemon::platform::{Entry, Revision};
 use serde::Serialize;
 use tokio::time::sleep;
@@ -18,8 +21,8 @@
     cold_endpoints::report_cold_endpoints,
     crash_detection::log_quarantined,
     follow::RangeSubscriber,
-    missing_endpoints::REREGISTRATION_TIME,
     shared::{Shared, Tables},
+    store_outage::record_own_response,
     stream_origins::send_unsent_origins,
 };
 
@@ -65,7 +68,7 @@
         };
         let is_read_again = self.applied.insert(id.to_owned(), entry.revision) == Some(entry.revision);
         let mut tables = self.shared.tables();
-        tables.missing_endpoints.remove(id);
+        tables.departures.record_registered(id);
         let known = tables.endpoints.get(id);
         let is_unchanged = known.is_some_and(|known| is_same_but_for_cold_time(known, &endpoint));
         if !is_unchanged {
@@ -79,7 +82,8 @@
             draining: endpoint.draining,
             revision: entry.revision,
             source: tables
-                .range_view(self.prefix())
+                .range_views
+                .get(self.prefix())
                 .map(|view| view.source.to_string()),
         };
         tables.endpoints.insert(endpoint.clone());
@@ -99,41 +103,26 @@
         }
     }
 
-    /// Removes an endpoint. If its entry may have expired because the store was unavailable, the endpoint is
-    /// removed only if it does not register again within [`REREGISTRATION_TIME`].
+    /// Removes an endpoint, unless its entry may have expired during an outage of the store.
     fn remove(&mut self, id: &str) {
         self.applied.remove(id);
-        let now = Instant::now();
         let mut tables = self.shared.tables();
-        let may_reregister = tables.store_unreachable_since.is_some()
-            || tables
-                .store_recovered_at
-                .is_some_and(|at| now < at + REREGISTRATION_TIME);
-        if may_reregister {
-            let since = tables
-                .store_recovered_at
-                .filter(|at| now < *at + REREGISTRATION_TIME)
-                .unwrap_or(now);
-            let expires_at = since + REREGISTRATION_TIME;
-            let is_new = !tables.missing_endpoints.contains_key(id);
-            tables
-                .missing_endpoints
-                .entry(id.to_owned())
-                .or_insert(expires_at);
-            let line = EndpointMissingLine {
-                endpoint: id,
-                knowledge: Knowledge::of(&tables, self.prefix()),
-                store_unreachable: tables.store_unreachable_since.is_some(),
-                held_ms: as_ms(expires_at.saturating_duration_since(now)),
-            };
-            drop(tables);
-            if is_new {
+        let is_held = tables.departures.is_held(id);
+        let departure = tables.departures.record_missing(id, Instant::now());
+        let knowledge = Knowledge::of(&tables, self.prefix());
+        drop(tables);
+        match departure {
+            Departure::Departed => remove_endpoint(&self.shared, id),
+            Departure::Held { .. } if is_held => {}
+            Departure::Held { time_left } => {
+                let line = EndpointMissingLine {
+                    endpoint: id,
+                    knowledge,
+                    held_ms: as_ms(time_left),
+                };
                 self.shared.log.line("endpoint_missing", &line);
             }
-            return;
         }
-        drop(tables);
-        remove_endpoint(&self.shared, id);
     }
 }
 
@@ -176,8 +165,9 @@
     loop {
         sleep(SWEEP_INTERVAL).await;
         let now = Instant::now();
-        let expired = shared.tables().take_expired_endpoints(now);
-        for id in expired {
+        record_own_response(&shared);
+        let departed = shared.tables().departures.take_departed(now);
+        for id in departed {
             remove_endpoint(&shared, &id);
         }
         expire_remote_reservations(&shared, now);
@@ -254,8 +244,7 @@
     endpoint: &'a str,
     #[serde(flatten)]
     knowledge: Knowledge,
-    store_unreachable: bool,
-    /// Time after which it counts as removed if the store is reachable.
+    /// Time after which it counts as removed if the store responds.
     held_ms: u64,
 }
 
@@ -278,7 +267,7 @@
 impl Knowledge {
     fn of(tables: &Tables, prefix: &str) -> Self {
         let now = Instant::now();
-        let view = tables.range_view(prefix);
+        let view = tables.range_views.get(prefix);
         Self {
             as_of: view.map(|view| view.as_of),
             source: view.map(|view| view.source.to_string()),
--- a/crates/burdockroad-gateway/src/follow.rs
+++ b/crates/burdockroad-gateway/src/follow.rs
@@ -19,10 +19,10 @@
 
 use crate::{
     Change, Changes, RangeSnapshot, RangeUpdate, SharedStore,
-    missing_endpoints::REREGISTRATION_TIME,
     peer_messages::{PeerCall, PeerResponse, RangeUpdateResponse},
-    range_view::{UpdateSource, record_update},
-    shared::{Shared, Tables},
+    range_view::{RangeView, UpdateSource},
+    shared::Shared,
+    store_outage::{record_failed_poll, record_own_response},
 };
 
 /// Longest time of one watch request. If the store truncates the history during a watch, it may report this
@@ -33,7 +33,7 @@
 const WATCH_TIMEOUT_JITTER: f64 = 0.3;
 
 /// Age of the store's last response at which a watcher stops announcing the range.
-const RESPONSE_AGE_MAX: Duration = Duration::from_millis(1250);
+pub(crate) const RESPONSE_AGE_MAX: Duration = Duration::from_millis(1250);
 
 /// Backoff after the first failed call; it doubles with each further failure up to [`BACKOFF_MAX`].
 const BACKOFF_INITIAL: Duration = Duration::from_millis(50);
@@ -85,13 +85,12 @@
         let outcome = poll_store(&shared, subscriber.as_mut(), position).await;
         match outcome {
             Ok(next) => {
-                record_store_result(&shared, None);
                 record_range_response(&shared, subscriber.prefix());
                 position = next;
                 backoff = BACKOFF_INITIAL;
             }
             Err(error) => {
-                record_store_result(&shared, Some(&error));
+                record_failed_poll(&shared, &error);
                 sleep(backoff).await;
                 backoff = (backoff * 2).min(BACKOFF_MAX);
             }
@@ -187,9 +186,6 @@
     let Ok(PeerResponse::RangeUpdate(Some(response))) = result else {
         return None;
     };
-    shared
-        .tables()
-        .extend_reregistration(response.reregistration_time, Instant::now());
     let source = UpdateSource::Watcher(address);
     match response.update {
         RangeUpdate::Changes { changes, as_of } => {
@@ -213,7 +209,7 @@
     let update = tables.range_logs.get(prefix)?.changes_since(after)?;
     Some(RangeUpdateResponse {
         update,
-        reregistration_time: tables.reregistration_time(Instant::now()),
+        reregistration_time: tables.departures.reregistration_time(Instant::now()),
     })
 }
 
@@ -222,6 +218,12 @@
     shared.tables().range_responded_at.insert(prefix.to_owned(), now);
 }
 
+/// Records an update of a range, before it is applied.
+fn record_update(shared: &Shared, prefix: &str, source: UpdateSource, as_of: Revision) {
+    let view = RangeView::new(source, as_of);
+    shared.tables().range_views.insert(prefix.to_owned(), view);
+}
+
 fn apply_snapshot(shared: &Shared, subscriber: &mut dyn RangeSubscriber, snapshot: &RangeSnapshot) {
     subscriber.replace(snapshot);
     let mut tables = shared.tables();
@@ -253,13 +255,16 @@
 ) -> Result<Option<Revision>, StoreError> {
     let Some(after) = position else {
         let snapshot = shared.store.read_range(subscriber.prefix()).await?;
+        record_own_response(shared);
         record_update(shared, subscriber.prefix(), UpdateSource::Store, snapshot.as_of);
         apply_snapshot(shared, subscriber, &snapshot);
         shared.report_now.notify_one();
         return Ok(Some(snapshot.as_of));
     };
     let wait = WATCH_TIMEOUT.mul_f64(1.0 - WATCH_TIMEOUT_JITTER * rand::random::<f64>());
-    match shared.store.changes(subscriber.prefix(), after, wait).await? {
+    let changes = shared.store.changes(subscriber.prefix(), after, wait).await?;
+    record_own_response(shared);
+    match changes {
         Changes::Complete { changes, as_of } => {
             let as_of = as_of.max(after);
             record_update(shared, subscriber.prefix(), UpdateSource::Store, as_of);
@@ -279,74 +284,12 @@
     }
 }
 
-/// Records whether the store is reachable, and logs when that changes.
-pub(crate) fn record_store_result(shared: &Shared, error: Option<&StoreError>) {
-    let now = Instant::now();
-    let mut tables = shared.tables();
-    match (error, tables.store_unreachable_since) {
-        (Some(error), None) => {
-            tables.store_unreachable_since = Some(now);
-            drop(tables);
-            shared.log.line(
-                "store_lost",
-                &StoreErrorLine {
-                    reason: error.to_string(),
-                },
-            );
-        }
-        (None, Some(unreachable_since)) => {
-            tables.store_unreachable_since = None;
-            tables.store_recovered_at = Some(now);
-            drop(tables);
-            let outage = now.saturating_duration_since(unreachable_since);
-            shared.log.line(
-                "store_back",
-                &RecoveryLine {
-                    lost_ms: outage.as_millis(),
-                },
-            );
-        }
-        _ => {}
-    }
-}
-
-impl Tables {
-    /// Returns the time left in which missing endpoints may register again.
-    fn reregistration_time(&self, now: Instant) -> Duration {
-        if self.store_unreachable_since.is_some() {
-            return REREGISTRATION_TIME;
-        }
-        let recovered_at = self.store_recovered_at;
-        recovered_at.map_or(Duration::ZERO, |at| {
-            (at + REREGISTRATION_TIME).saturating_duration_since(now)
-        })
-    }
-
-    /// Extends the time in which missing endpoints may register again to a watcher's, if that is longer.
-    fn extend_reregistration(&mut self, reregistration_time: Duration, now: Instant) {
-        if reregistration_time > self.reregistration_time(now) {
-            self.store_recovered_at =
-                now.checked_sub(REREGISTRATION_TIME.saturating_sub(reregistration_time));
-        }
-    }
-}
-
-#[derive(Serialize)]
-struct StoreErrorLine {
-    reason: String,
-}
-
 #[derive(Serialize)]
 struct ReadFailedLine<'a> {
     prefix: &'a str,
     reason: String,
 }
 
-#[derive(Serialize)]
-struct RecoveryLine {
-    lost_ms: u128,
-}
-
 #[derive(Serialize)]
 struct HistoryTruncatedLine<'a> {
     prefix: &'a str,
--- a/crates/burdockroad-gateway/src/options.rs
+++ b/crates/burdockroad-gateway/src/options.rs
@@ -23,6 +23,8 @@
     pub peer_address: SocketAddr,
     /// Time from the stop signal to the end of the process.
     pub grace_period: Duration,
+    /// Interval at which endpoints renew their entries in the store.
+    pub heartbeat_interval: Duration,
     /// Number of hosts with a disk that may be lost at the same time without losing turns.
     pub tolerated_losses: usize,
     /// Region of each failure domain.
--- a/crates/burdockroad-gateway/src/peer_messages.rs
+++ b/crates/burdockroad-gateway/src/peer_messages.rs
@@ -74,7 +74,7 @@
     #[serde(rename = "news")]
     pub(crate) update: RangeUpdate,
     /// Time left in which endpoints whose entries expired while the store was unavailable may register
-    /// again.
+    /// again. Hosts of earlier versions decide by it.
     #[serde(rename = "lapse_time")]
     pub(crate) reregistration_time: Duration,
 }
--- a/crates/burdockroad-gateway/src/range_view.rs
+++ b/crates/burdockroad-gateway/src/range_view.rs
@@ -8,8 +8,6 @@
 
 use burdockroad_daemon::platform::Revision;
 
-use crate::shared::{Shared, Tables};
-
 /// Where an update of a range came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UpdateSource {
@@ -39,25 +37,17 @@
 }
 
 impl RangeView {
+    /// Returns the view after an update that has just arrived.
+    pub(crate) fn new(source: UpdateSource, as_of: Revision) -> Self {
+        Self {
+            source,
+            as_of,
+            updated_at: Instant::now(),
+        }
+    }
+
     /// Returns the time since the update.
     pub(crate) fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.updated_at)
     }
 }
-
-impl Tables {
-    /// Returns what this host knows of a range; `None` before it was read.
-    pub(crate) fn range_view(&self, prefix: &str) -> Option<RangeView> {
-        self.range_views.get(prefix).copied()
-    }
-}
-
-/// Records an update of a range, before it is applied.
-pub(crate) fn record_update(shared: &Shared, prefix: &str, source: UpdateSource, as_of: Revision) {
-    let view = RangeView {
-        source,
-        as_of,
-        updated_at: Instant::now(),
-    };
-    shared.tables().range_views.insert(prefix.to_owned(), view);
-}
--- a/crates/burdockroad-gateway/src/relay.rs
+++ b/crates/burdockroad-gateway/src/relay.rs
@@ -48,6 +48,8 @@
 struct State {
     /// Time of this host's last direct call that failed; `None` while the store serves this host.
     direct_call_failed_at: Option<Instant>,
+    /// Time of the last response of the store, directly or through another host; `None` before the first one.
+    last_response_at: Option<Instant>,
     /// Hosts that the store serves, with the time at which they last reported this.
     served_peers: HashMap<SocketAddr, Instant>,
 }
@@ -72,6 +74,12 @@
         self.state().direct_call_failed_at.is_none()
     }
 
+    /// Returns the time of the last response of the store, directly or through another host; `None` before the first
+    /// one.
+    pub(crate) fn last_response_at(&self) -> Option<Instant> {
+        self.state().last_response_at
+    }
+
     /// Records another host's report on whether the store serves it.
     pub(crate) fn record_peer(&self, address: SocketAddr, is_served: bool, now: Instant) {
         let mut state = self.state();
@@ -95,8 +103,15 @@
         }
     }
 
-    /// Makes a call directly if the store serves this host, otherwise through another host.
+    /// Makes a call, and records when the store responds.
     async fn call(&self, call: StoreCall) -> Result<StoreCallResponse, StoreError> {
+        let response = self.call_directly_or_through_peer(call).await?;
+        self.state().last_response_at = Some(Instant::now());
+        Ok(response)
+    }
+
+    /// Makes a call directly if the store serves this host, otherwise through another host.
+    async fn call_directly_or_through_peer(&self, call: StoreCall) -> Result<StoreCallResponse, StoreError> {
         if self.is_served_directly() {
             let response = handle_store_call(&*self.direct, call.clone()).await;
             match response {
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -36,6 +36,7 @@
     crash_detection::log_quarantined,
     follow::watched_ranges,
     shared::{Shared, Tables},
+    store_outage::record_store_response,
     stream_origin_message::STREAM_ORIGIN,
     stream_origins,
 };
@@ -228,9 +229,13 @@
     let quarantine = std::mem::take(&mut report.quarantine);
     let quarantined = tables.quarantine.record_report(quarantine.decode(now), now);
     let is_newer = tables.record_ranges(&report.ranges, address, now);
+    let store_response_age = report.store_response_age();
     let host = report.host.clone();
     tables.rate_limiter.record_report(&report.decode(), now);
     drop(tables);
+    if let Some(at) = store_response_age.and_then(|age| now.checked_sub(age)) {
+        record_store_response(shared, at);
+    }
     log_changed_rates(shared, &host, &changed_rates);
     log_quarantined(shared, &quarantined, Some(&host));
     if is_newer {
--- a/crates/burdockroad-gateway/src/reports/wire.rs
+++ b/crates/burdockroad-gateway/src/reports/wire.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{pace::WirePace, quarantine::WireQuarantine, rates::WireRate};
-use crate::shared::Shared;
+use crate::{clock::as_ms, follow::RESPONSE_AGE_MAX, shared::Shared, store_outage::response_age};
 
 /// Maximum number of accounts in one datagram. A datagram with this many accounts stays below the usual
 /// packet size.
@@ -39,6 +39,10 @@
     in_flight: Option<Vec<WireCalls>>,
     /// Ranges that the host watches; only in the first datagram of a report.
     pub(super) ranges: Vec<WireRange>,
+    /// Time since the store last responded to the host, in milliseconds; only in the first datagram of a report, and
+    /// only if it is short. Hosts of earlier versions do not report it.
+    #[serde(rename = "sa", default, skip_serializing_if = "Option::is_none")]
+    store_response_age_ms: Option<u64>,
     accounts: Vec<WireUsage>,
     /// Calls to endpoints that limit their rate. Hosts of earlier versions do not report them.
     #[serde(default)]
@@ -102,6 +106,15 @@
         Some(calls.collect())
     }
 
+    /// Returns the time since the store last responded to the host; `None` if it does not report a recent response. A
+    /// watcher of an earlier version reports it by announcing its ranges.
+    pub(super) fn store_response_age(&self) -> Option<Duration> {
+        let announced = (!self.ranges.is_empty()).then_some(RESPONSE_AGE_MAX);
+        self.store_response_age_ms
+            .map(Duration::from_millis)
+            .or(announced)
+    }
+
     /// Decodes the usage of accounts.
     pub(super) fn decode(self) -> UsageReport {
         let accounts = self.accounts.into_iter();
@@ -128,6 +141,7 @@
         .into_iter()
         .map(|(prefix, last_change)| WireRange { prefix, last_change });
     let is_served_directly = shared.store.is_served_directly();
+    let store_response_age = response_age(shared, RESPONSE_AGE_MAX);
     let mut tables = shared.tables();
     let now = Instant::now();
     let report = tables.rate_limiter.report(&shared.host, shared.incarnation, now);
@@ -150,6 +164,7 @@
     let first = WireReport {
         in_flight: Some(in_flight.into_iter().map(WireCalls::from).collect()),
         ranges: ranges.collect(),
+        store_response_age_ms: store_response_age.map(as_ms),
         accounts: account_chunks.pop().unwrap_or_default(),
         rates: rate_chunks.pop().unwrap_or_default(),
         paces: pace_chunks.pop().unwrap_or_default(),
@@ -197,6 +212,7 @@
         is_cut_off: false,
         in_flight: None,
         ranges: Vec::new(),
+        store_response_age_ms: None,
         accounts: Vec::new(),
         rates: Vec::new(),
         paces: Vec::new(),
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -11,10 +11,10 @@
 };
 
 use burdockroad::{
-    EndpointId, HostId, Incarnation,
+    HostId, Incarnation,
     gateway::{
-        Directory, EndpointReach, EndpointTable, Ledger, LedgerOptions, ProgramStartGate, Quarantine,
-        RateLimiter, RegionMap, RunningPrograms, StreamOrigins, UnsentOrigins, VersionHistory,
+        Departures, Directory, EndpointReach, EndpointTable, Ledger, LedgerOptions, ProgramStartGate,
+        Quarantine, RateLimiter, RegionMap, RunningPrograms, StreamOrigins, UnsentOrigins, VersionHistory,
     },
 };
 use burdockroad_daemon::platform::Revision;
@@ -25,7 +25,7 @@
 
 use crate::{
     DecisionLog, Dialect, HostOptions, RangeLog, announced_range::AnnouncedRange,
-    collected_reports::CollectedReports, crash_checks::CrashChecks, missing_endpoints::MissingEndpoints,
+    collected_reports::CollectedReports, crash_checks::CrashChecks, failed_polls::FailedPolls,
     peer_client::PeerClient, peers::Peers, pool::ConnectionPool, range_view::RangeView, relay::RelayedStore,
     remote_reservation::RemoteReservation, response_space::ResponseSpace, turn_store::client::TurnClient,
 };
@@ -95,12 +95,10 @@
     pub(crate) ledger: Ledger,
     /// Number of registered hosts, including this one; 0 before the hosts were read.
     pub(crate) host_count: usize,
-    /// Start of the current outage of the store; `None` while the store responds.
-    pub(crate) store_unreachable_since: Option<Instant>,
+    /// Polls of the store that failed since its last response; `None` if none did.
+    pub(crate) failed_polls: Option<FailedPolls>,
     /// Time of the first failed budget write since the last successful one; `None` if there is none.
     pub(crate) writes_failing_since: Option<Instant>,
-    /// End of the last outage of the store.
-    pub(crate) store_recovered_at: Option<Instant>,
     /// Reservations for calls of other hosts, by call id.
     pub(crate) remote_reservations: HashMap<String, RemoteReservation>,
     /// Contents of the followed ranges, by prefix.
@@ -119,8 +117,8 @@
     pub(crate) quarantine: Quarantine,
     /// Checks whether endpoints crashed.
     pub(crate) crash_checks: CrashChecks,
-    /// Endpoints whose entries may have expired because the store was unavailable.
-    pub(crate) missing_endpoints: MissingEndpoints,
+    /// Endpoints whose entries are gone.
+    pub(crate) departures: Departures,
 }
 
 impl Shared {
@@ -177,9 +175,8 @@
                 rate_limiter: RateLimiter::new(now),
                 ledger: Ledger::new(LedgerOptions::default(), options.incarnation),
                 host_count: 0,
-                store_unreachable_since: None,
+                failed_polls: None,
                 writes_failing_since: None,
-                store_recovered_at: None,
                 remote_reservations: HashMap::new(),
                 range_logs: HashMap::new(),
                 range_responded_at: HashMap::new(),
@@ -189,7 +186,7 @@
                 running_programs: RunningPrograms::default(),
                 quarantine: Quarantine::default(),
                 crash_checks: CrashChecks::default(),
-                missing_endpoints: MissingEndpoints::new(),
+                departures: Departures::new(options.heartbeat_interval),
             }),
         }
     }
@@ -232,20 +229,3 @@
         !peers.is_empty() && !peers.keys().any(|host| tables.rate_limiter.is_live(host, now))
     }
 }
-
-impl Tables {
-    /// Removes and returns the missing endpoints whose time to register again has passed. Returns none while
-    /// the store is unreachable.
-    pub(crate) fn take_expired_endpoints(&mut self, now: Instant) -> Vec<EndpointId> {
-        if self.store_unreachable_since.is_some() {
-            return Vec::new();
-        }
-        let expired = self
-            .missing_endpoints
-            .iter()
-            .filter(|(_, expires_at)| **expires_at <= now);
-        let expired: Vec<EndpointId> = expired.map(|(id, _)| id.clone()).collect();
-        self.missing_endpoints.retain(|_, expires_at| *expires_at > now);
-        expired
-    }
-}
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -20,6 +20,7 @@
 //! * [`Turn`] and the types around it keep the history of conversations on routes that ask for it.
 
 mod budget;
+mod departures;
 mod directory;
 mod dissemination;
 mod document;
@@ -34,6 +35,7 @@
 mod report_batch;
 mod retry;
 mod running;
+mod store_contact;
 mod stream_origin;
 mod turns;
 mod version_history;
@@ -43,6 +45,7 @@
         BudgetWrite, HostReservation, Ledger, LedgerOptions, Readiness, StoreResponse, StoredBudget,
         VersionedBudget,
     },
+    departures::{Departure, Departures},
     directory::{AccountLookup, Directory},
     dissemination::{
         HostLocation, collector, collects_reports, report_interval, report_targets, should_watch, watchers,
@@ -65,6 +68,7 @@
     report_batch::{join_reports, split_reports},
     retry::{Failure, NextStep, RetryState, next_step},
     running::RunningPrograms,
+    store_contact::StoreOutage,
     stream_origin::{StreamId, StreamOrigins, UnsentOrigin, UnsentOrigins, stream_holders},
     turns::{
         IndexPage, IndexedTurn, Lookup, LookupOutcome, LookupReply, OutputCollector, Replication,
