Let no call go on at an endpoint that drains or has left

A call that has to go on at the endpoint at which it may have run was sent there again without asking whether the endpoint departs: an endpoint that was draining, or whose entry was gone, counted as still there. With word of the departure late, such a repeat may arrive after the drain time.

The check of the region of such an endpoint now covers its state, and is made each time that the call has waited for the endpoint's rate. The call may have run there, so it goes nowhere else: its caller sees that the stream broke off, and may take it up.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -137,7 +137,6 @@
                 return Err(self.timeout_refusal());
             }
             self.wait_for_run_decision().await?;
-            self.check_region_of_next_endpoint()?;
             self.wait_for_rate_of_next_endpoint().await?;
             let Some(placement) = self.choose_endpoint() else {
                 self.wait_for_capacity().await?;
@@ -239,9 +238,10 @@
     }
 
     /// Waits until the rate of the endpoint that the next attempt must use lets this host send another call. Fails
-    /// when the endpoint is evacuated.
+    /// when the endpoint is evacuated or may no longer be used.
     async fn wait_for_rate_of_next_endpoint(&mut self) -> Result<(), Refusal> {
         while let Some(endpoint) = &self.next_endpoint {
+            self.check_next_endpoint()?;
             let wait = {
                 let mut tables = self.shared.tables();
                 if tables.endpoints.is_evacuated(endpoint) {
--- a/crates/burdockroad-gateway/src/attempt/constraints.rs
+++ b/crates/burdockroad-gateway/src/attempt/constraints.rs
@@ -25,27 +25,20 @@
             .allows(&endpoint.failure_domain, self.allowed_regions())
     }
 
-    /// Gives the call up if the endpoint that the next attempt must use has registered again in another region. The
-    /// call may have run there, so it may not run elsewhere either.
-    pub(super) fn check_region_of_next_endpoint(&self) -> Result<(), Refusal> {
-        let Some(endpoint) = self
-            .next_endpoint
-            .as_ref()
-            .filter(|_| self.allowed_regions().is_some())
-        else {
+    /// Gives the call up if the endpoint that the next attempt must use departs, or has registered again in another
+    /// region. The call may have run there, so it may not run elsewhere either.
+    pub(super) fn check_next_endpoint(&self) -> Result<(), Refusal> {
+        let Some(endpoint) = &self.next_endpoint else {
             return Ok(());
         };
         let tables = self.shared.tables();
-        let is_allowed = tables
-            .endpoints
-            .get(&endpoint.id)
-            .is_none_or(|current| self.is_allowed_at(current));
+        let current = tables.endpoints.get(&endpoint.id);
+        let may_be_used = current.is_some_and(|current| !current.draining && self.is_allowed_at(current));
         drop(tables);
-        if is_allowed {
-            Ok(())
-        } else {
-            Err(self.give_up_refusal())
+        if may_be_used {
+            return Ok(());
         }
+        Err(self.give_up_refusal())
     }
 
     /// Returns whether the call's body may be sent on a connection, which another host may have opened.
--- a/crates/burdockroad-gateway/src/attempt/stream_version.rs
+++ b/crates/burdockroad-gateway/src/attempt/stream_version.rs
@@ -76,8 +76,8 @@
             return true;
         };
         let tables = self.shared.tables();
-        let current = tables.endpoints.get(&endpoint.id).unwrap_or(endpoint);
-        current.software_version == *version
+        let current = tables.endpoints.get(&endpoint.id);
+        current.is_some_and(|current| current.software_version == *version)
     }
 }
 
