Log responses that are not those of the call, and count responses by their call id

A refusal under another call's id, or under none, looked in the logs like that of a full server: attempt_failed said 'full' or 'wrong_endpoint'. The line response_mismatched now gives the id that the response bears, what it states of its call, and whether the connection was new; a counter tells how many responses bear the call's own id, another one or none. No decision is changed.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempts of one call at endpoints, until one of them responds.
 
+mod attribution;
 mod constraints;
 mod crash_suspect;
 mod exchange;
--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -9,7 +9,10 @@
 use serde::Serialize;
 use tokio::time::timeout;
 
-use super::{Call, OpenedResponse};
+use super::{
+    Call, OpenedResponse,
+    attribution::{Attribution, ConnectionUse},
+};
 use crate::{
     EndpointPhase, ForwardHead, endpoint_path::connect_to_endpoint, framing::Framing, pool::Connection,
 };
@@ -41,7 +44,9 @@
             .filter(|connection| self.may_use(connection));
         if let Some(connection) = pooled {
             match self.send(connection, request).await? {
-                SendOutcome::Responded(opened) => return self.classify(endpoint, opened),
+                SendOutcome::Responded(opened) => {
+                    return self.classify(endpoint, opened, ConnectionUse::Kept);
+                }
                 SendOutcome::Unsent(unsent) => request = unsent,
             }
         }
@@ -53,7 +58,7 @@
             return Err(Failure::Evacuated);
         }
         match self.send(connection, request).await? {
-            SendOutcome::Responded(opened) => self.classify(endpoint, opened),
+            SendOutcome::Responded(opened) => self.classify(endpoint, opened, ConnectionUse::New),
             SendOutcome::Unsent(_) => Err(Failure::Unreachable),
         }
     }
@@ -92,9 +97,15 @@
 
     /// Returns a usable response unchanged. Any other response is a failure: the call did not run, or its
     /// outcome is unknown.
-    fn classify(&self, endpoint: &Endpoint, opened: OpenedResponse) -> Result<OpenedResponse, Failure> {
+    fn classify(
+        &self,
+        endpoint: &Endpoint,
+        opened: OpenedResponse,
+        connection: ConnectionUse,
+    ) -> Result<OpenedResponse, Failure> {
+        let attribution = self.attribute(endpoint, &opened, connection);
         let head = &opened.head;
-        if head.call_id.as_deref() != Some(&*self.head.call_id) && !head.wrong_endpoint && !head.not_run {
+        if attribution != Attribution::Own && !head.wrong_endpoint && !head.not_run {
             return Err(Failure::Unknown);
         }
         if head.wrong_endpoint {
