Believe a refusal only under the call's own id, not by its place on a connection

Callers: requests that a server ran, or was running, were sent to a second server or once more to the first, or were refused with 503, when a faulty server wrote an earlier refusal once more on a kept connection.

Cause: `Call::classify` compared the call id of a response only if it was no refusal. A response with 'not executed' and any 421 counted as the answer of the call on whose connection it arrived, under another id or none, and so did what it stated of its server's load, rate and leaving. The class: a response attributed by its position alone.

Refusals that arrive on an idle connection did no harm: the HTTP library closes it, and the call is sent on another one.

Why this works: servers echo the id. A response that is not the call's own leads to an unknown outcome, closes the connection and is repeated only where the route allows that; nothing that it states is recorded.

--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -96,18 +96,17 @@
     }
 
     /// Returns a usable response unchanged. Any other response is a failure: the call did not run, or its
-    /// outcome is unknown.
+    /// outcome is unknown. Only a response to this very call states that it did not run.
     fn classify(
         &self,
         endpoint: &Endpoint,
         opened: OpenedResponse,
         connection: ConnectionUse,
     ) -> Result<OpenedResponse, Failure> {
-        let attribution = self.attribute(endpoint, &opened, connection);
-        let head = &opened.head;
-        if attribution != Attribution::Own && !head.wrong_endpoint && !head.not_run {
+        if self.attribute(endpoint, &opened, connection) != Attribution::Own {
             return Err(Failure::Unknown);
         }
+        let head = &opened.head;
         if head.wrong_endpoint {
             return Err(Failure::WrongEndpoint);
         }
