Let a 421 state that a call did not run only if it says so

Callers: a request that a server had run, and answered with 421 without 'not executed', ran once more at the next server that was chosen. Found while tracing earlier refusals that were taken for answers; no report names it.

Cause: `Call::classify` took any 421 for the statement that the call did not run. The protocol says that only a response with 'not executed' states that, whatever its status. 408, 429 and 503 were handled so already.

--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -108,7 +108,11 @@
         }
         let head = &opened.head;
         if head.wrong_endpoint {
-            return Err(Failure::WrongEndpoint);
+            return Err(if head.not_run {
+                Failure::WrongEndpoint
+            } else {
+                Failure::Unknown
+            });
         }
         if head.phase == EndpointPhase::Leaving {
             self.record_leaving(endpoint);
