--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -9,7 +9,10 @@
 use serde::Serialize;
 use tokio::time::timeout;
 
-use super::{Call, OpenedResponse};
+use super::{
+    Call, OpenedResponse,
+    attribution::{Attribution, ConnectionUse},
+};
 use crate::{
     EndpointPhase, ForwardHead, endpoint_path::connect_to_endpoint, framing::Framing, pool::Connection,
 };
@@ -41,7 +44,9 @@
             .filter(|connection| self.may_use(connection));
         if let Some(connection) = pooled {
             match self.send(connection, request).await? {
-                SendOutcome::Responded(opened) => return self.classify(endpoint, opened),
+                SendOutcome::Responded(opened) => {
+                    return self.classify(endpoint, opened, ConnectionUse::Kept);
+                }
                 SendOutcome::Unsent(unsent) => request = unsent,
             }
         }
@@ -53,7 +58,7 @@
             return Err(Failure::Evacuated);
         }
         match self.send(connection, request).await? {
-            SendOutcome::Responded(opened) => self.classify(endpoint, opened),
+            SendOutcome::Responded(opened) => self.classify(endpoint, opened, ConnectionUse::New),
             SendOutcome::Unsent(_) => Err(Failure::Unreachable),
         }
     }
@@ -91,14 +96,23 @@
     }
 
     /// Returns a usable response unchanged. Any other response is a failure: the call did not run, or its
-    /// outcome is unknown.
-    fn classify(&self, endpoint: &Endpoint, opened: OpenedResponse) -> Result<OpenedResponse, Failure> {
-        let head = &opened.head;
-        if head.call_id.as_deref() != Some(&*self.head.call_id) && !head.wrong_endpoint && !head.not_run {
+    /// outcome is unknown. Only a response to this very call states that it did not run.
+    fn classify(
+        &self,
+        endpoint: &Endpoint,
+        opened: OpenedResponse,
+        connection: ConnectionUse,
+    ) -> Result<OpenedResponse, Failure> {
+        if self.attribute(endpoint, &opened, connection) != Attribution::Own {
             return Err(Failure::Unknown);
         }
+        let head = &opened.head;
         if head.wrong_endpoint {
-            return Err(Failure::WrongEndpoint);
+            return Err(if head.not_run {
+                Failure::WrongEndpoint
+            } else {
+                Failure::Unknown
+            });
         }
         if head.phase == EndpointPhase::Leaving {
             self.record_leaving(endpoint);
