Decode each item of the store's responses on its own

What callers saw: other operators' hosts stopped following the list of servers after another writer had left one odd entry there. Here one value that is not base64, or one row of another form, failed every read and watch of its range: hosts took the store for away (store_refuses, store_lost), and a host that started never became ready. Cause: read_range and changes decoded all items of a response before they handed any of them on. An item with a readable key is handed on with an empty value, which names nothing, and with the revision of the response if its own cannot be read, so that the position advances, other hosts get the change, and the key does not stay as it was. An item without a readable key is left out and counted (burdockroad_store_items_dropped_total). A page without any readable key fails, as no page can follow it.

--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -77,6 +77,9 @@
     options::HostOptions,
     process::{HostError, Signals, run},
     range_log::{RangeLog, RangeUpdate},
-    store::{Change, Changes, ConditionalWrite, KeyState, LeaseId, RangeSnapshot, SharedStore, WriteOutcome},
+    store::{
+        Change, Changes, ConditionalWrite, KeyState, LeaseId, RangeSnapshot, SharedStore, WriteOutcome,
+        count_dropped_items,
+    },
     turn_store::log::{RecoveredSegment, TurnLog},
 };
--- a/crates/burdockroad-gateway/src/store.rs
+++ b/crates/burdockroad-gateway/src/store.rs
@@ -14,6 +14,9 @@
 pub type LeaseId = u64;
 
 /// Key-value store with ranges, long polling, conditional writes of several keys, and leases.
+///
+/// Other writers may leave values that an implementation cannot decode. It hands such a key on with an empty value,
+/// which names nothing, so that one of them neither hides the other keys nor stays as it was.
 #[async_trait]
 pub trait SharedStore: fmt::Debug + Send + Sync {
     /// Reads all entries whose keys start with `prefix`.
@@ -60,6 +63,11 @@
     async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
 }
 
+/// Counts items in responses of a store that have no readable key, and are left out.
+pub fn count_dropped_items(items: usize) {
+    metrics::counter!("burdockroad_store_items_dropped_total").increment(items as u64);
+}
+
 /// Entries of a range at one revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
