Take an endpoint out of use whose entry becomes unreadable

What callers saw: nothing reported; found while tracing the report of an odd entry. Cause: put ignored an entry that it could not decode, whatever it replaced. A host that started later knew no such endpoint, so hosts differed. Evidence: endpoint_is_out_of_use_while_its_entry_is_unreadable (five hosts, so that some learn the entry from a watcher; an unknown state, a value that is not base64, a row with a number as value) fails without the change: 30 of 30 calls ran there, 0 expected. With it the endpoint gets none, and gets calls again after the next readable entry, three times in a row. Fix: such an entry removes the endpoint at once. It is not held for the time in which expired entries may come back, as it exists. A server writes its entry with each heartbeat, so it is back after one.

--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    Change, RangeSnapshot,
+    Change, DecodeError, RangeSnapshot,
     budgets::expire_remote_reservations,
     cold_endpoints::report_cold_endpoints,
     crash_detection::log_quarantined,
@@ -50,17 +50,7 @@
         };
         let endpoint = match self.shared.dialect.read_endpoint(id, &entry.value) {
             Ok(endpoint) => endpoint,
-            Err(error) => {
-                metrics::counter!("burdockroad_endpoint_entries_dropped_total").increment(1);
-                self.shared.log.line(
-                    "endpoint_unreadable",
-                    &EndpointUnreadableLine {
-                        endpoint: id,
-                        reason: error.to_string(),
-                    },
-                );
-                return;
-            }
+            Err(error) => return self.reject(id, &error),
         };
         let is_read_again = self.applied.insert(id.to_owned(), entry.revision) == Some(entry.revision);
         let mut tables = self.shared.tables();
@@ -95,6 +85,27 @@
         }
     }
 
+    /// Takes an endpoint out of use whose entry cannot be read, so that it names none. It is not held like an entry that
+    /// may have expired, because this one exists. A readable entry puts the endpoint into use again.
+    fn reject(&mut self, id: &str, error: &DecodeError) {
+        metrics::counter!("burdockroad_endpoint_entries_dropped_total").increment(1);
+        self.applied.remove(id);
+        let mut tables = self.shared.tables();
+        tables.missing_endpoints.remove(id);
+        let is_known = tables.endpoints.get(id).is_some();
+        drop(tables);
+        if is_known {
+            remove_endpoint(&self.shared, id);
+        }
+        self.shared.log.line(
+            "endpoint_unreadable",
+            &EndpointUnreadableLine {
+                endpoint: id,
+                reason: error.to_string(),
+            },
+        );
+    }
+
     /// Removes an endpoint. If its entry may have expired because the store was unavailable, the endpoint is
     /// removed only if it does not register again within [`REREGISTRATION_TIME`].
     fn remove(&mut self, id: &str) {
