Log an entry that stays unreadable once

What callers saw: nothing; operators would see a line for each rewrite of one odd entry, at each host, and again with each read of the range. Cause: put logged each entry that it could not decode, whether or not the one before was unreadable, too. Evidence: unreadable_entry_that_is_rewritten_is_logged_once fails without the change: 31 lines endpoint_unreadable after 31 rewrites of one entry, 1 expected. The same test covers host_unreadable in the range of the hosts. The counter burdockroad_endpoint_entries_dropped_total counts each one.

--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -20,6 +20,7 @@
     missing_endpoints::REREGISTRATION_TIME,
     shared::{Shared, Tables},
     stream_origins::send_unsent_origins,
+    unreadable_keys::UnreadableKeys,
 };
 
 /// Interval between two checks for missing endpoints and other expired state.
@@ -30,6 +31,7 @@
     shared: Arc<Shared>,
     /// Revisions of the entries that were applied. An entry that is read again does not restart its cold time.
     applied: HashMap<EndpointId, Revision>,
+    unreadable: UnreadableKeys,
 }
 
 impl EndpointSubscriber {
@@ -37,6 +39,7 @@
         Self {
             shared,
             applied: HashMap::new(),
+            unreadable: UnreadableKeys::default(),
         }
     }
 
@@ -50,8 +53,9 @@
         };
         let endpoint = match self.shared.dialect.read_endpoint(id, &entry.value) {
             Ok(endpoint) => endpoint,
-            Err(error) => return self.reject(id, &error),
+            Err(error) => return self.reject(id, entry, &error),
         };
+        self.unreadable.remove(&entry.key);
         let is_read_again = self.applied.insert(id.to_owned(), entry.revision) == Some(entry.revision);
         let mut tables = self.shared.tables();
         tables.missing_endpoints.remove(id);
@@ -87,7 +91,7 @@
 
     /// Takes an endpoint out of use whose entry cannot be read, so that it names none. It is not held like an entry that
     /// may have expired, because this one exists. A readable entry puts the endpoint into use again.
-    fn reject(&mut self, id: &str, error: &DecodeError) {
+    fn reject(&mut self, id: &str, entry: &Entry, error: &DecodeError) {
         metrics::counter!("burdockroad_endpoint_entries_dropped_total").increment(1);
         self.applied.remove(id);
         let mut tables = self.shared.tables();
@@ -97,13 +101,15 @@
         if is_known {
             remove_endpoint(&self.shared, id);
         }
-        self.shared.log.line(
-            "endpoint_unreadable",
-            &EndpointUnreadableLine {
-                endpoint: id,
-                reason: error.to_string(),
-            },
-        );
+        if self.unreadable.insert(&entry.key) {
+            self.shared.log.line(
+                "endpoint_unreadable",
+                &EndpointUnreadableLine {
+                    endpoint: id,
+                    reason: error.to_string(),
+                },
+            );
+        }
     }
 
     /// Removes an endpoint. If its entry may have expired because the store was unavailable, the endpoint is
@@ -145,6 +151,7 @@
                 .iter()
                 .any(|entry| self.endpoint_id(&entry.key) == Some(id))
         });
+        self.unreadable.retain_in(entries);
         for entry in entries {
             self.put(entry);
         }
@@ -157,6 +164,7 @@
         match change {
             Change::Put(entry) => self.put(entry),
             Change::Removed { key, .. } => {
+                self.unreadable.remove(key);
                 if let Some(id) = self.endpoint_id(key).map(str::to_owned) {
                     self.remove(&id);
                 }
--- a/crates/burdockroad-gateway/src/hosts.rs
+++ b/crates/burdockroad-gateway/src/hosts.rs
@@ -19,6 +19,7 @@
     registration::{Registration, RegistrationErrorLine, renew},
     shared::Shared,
     turn_store::members::{TurnMembers, put_member, remove_member},
+    unreadable_keys::UnreadableKeys,
     version_records::put_record,
 };
 
@@ -46,38 +47,47 @@
 /// Subscriber of the hosts' entries.
 pub(crate) struct HostSubscriber {
     shared: Arc<Shared>,
+    unreadable: UnreadableKeys,
 }
 
 impl HostSubscriber {
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
-        Self { shared }
+        Self {
+            shared,
+            unreadable: UnreadableKeys::default(),
+        }
     }
 
-    fn put(&self, entry: &Entry) {
+    /// Applies an entry. One that cannot be read changes nothing, and only the first of several is logged.
+    fn put(&mut self, entry: &Entry) {
         let Some(host) = entry.key.strip_prefix(HOSTS_PREFIX) else {
             return;
         };
         if host == self.shared.host {
             return;
         }
-        match self
+        match self.apply(host, entry) {
+            Ok(()) => self.unreadable.remove(&entry.key),
+            Err(error) if self.unreadable.insert(&entry.key) => {
+                let reason = error.to_string();
+                self.shared
+                    .log
+                    .line("host_unreadable", &HostUnreadableLine { host, reason });
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Applies an entry of any kind.
+    fn apply(&self, host: &str, entry: &Entry) -> Result<(), serde_json::Error> {
+        let is_member = self
             .shared
             .turns
-            .update_members(|members| put_member(members, entry))
-        {
-            Ok(true) => return,
-            Ok(false) => {}
-            Err(error) => return self.log_unreadable(host, &error),
-        }
-        match put_record(&self.shared, entry) {
-            Ok(true) => return,
-            Ok(false) => {}
-            Err(error) => return self.log_unreadable(host, &error),
+            .update_members(|members| put_member(members, entry))?;
+        if is_member || put_record(&self.shared, entry)? {
+            return Ok(());
         }
-        let host_entry: HostEntry = match serde_json::from_slice(&entry.value) {
-            Ok(host_entry) => host_entry,
-            Err(error) => return self.log_unreadable(host, &error),
-        };
+        let host_entry: HostEntry = serde_json::from_slice(&entry.value)?;
         self.shared.peers.send_modify(|peers| {
             let peer = Peer {
                 address: host_entry.address,
@@ -86,13 +96,7 @@
             };
             peers.insert(host.to_owned(), peer);
         });
-    }
-
-    fn log_unreadable(&self, host: &str, error: &serde_json::Error) {
-        let reason = error.to_string();
-        self.shared
-            .log
-            .line("host_unreadable", &HostUnreadableLine { host, reason });
+        Ok(())
     }
 
     /// Updates the tables after a change of the registered hosts. The hosts share the accounts' rate limits
@@ -126,6 +130,7 @@
     fn replace(&mut self, snapshot: &RangeSnapshot) {
         self.shared.peers.send_modify(Peers::clear);
         self.shared.turns.update_members(TurnMembers::clear);
+        self.unreadable.retain_in(&snapshot.entries);
         for entry in &snapshot.entries {
             self.put(entry);
         }
@@ -136,6 +141,7 @@
         match change {
             Change::Put(entry) => self.put(entry),
             Change::Removed { key, .. } => {
+                self.unreadable.remove(key);
                 let is_turn_host = self
                     .shared
                     .turns
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -65,6 +65,7 @@
 mod tunnel;
 mod tunnel_server;
 mod turn_store;
+mod unreadable_keys;
 mod version_records;
 
 pub use self::{
