Record versions only of services that the configuration names

What callers saw: other operators' hosts stopped following the list of servers after another writer had left one odd entry there. Here an entry that reads well but names an unheard-of service made each host write a durable record for it. With a name that does not fit into a key, the store refused the record, and each host took that for a store that does not serve it, once a second: it then follows the store through other hosts, which do the same. Cause: keep_records took the services from the entries alone. Fix: only services that the configuration names, on their own or as targets of routes, have records. Others serve no calls.

--- a/crates/burdockroad-gateway/src/version_records.rs
+++ b/crates/burdockroad-gateway/src/version_records.rs
@@ -72,14 +72,19 @@
     }
 }
 
-/// Returns the versions of the services whose records are outdated; none before the records were read.
+/// Returns the versions of the services whose records are outdated; none before the records were read. A service that the
+/// configuration does not name serves no calls, and its name comes from entries that any writer may leave.
 fn record_updates(shared: &Shared, now: Instant) -> BTreeMap<String, BTreeSet<SoftwareVersion>> {
     let tables = shared.tables();
     if tables.host_count == 0 {
         return BTreeMap::new();
     }
-    let services = tables.endpoints.services();
-    let updates = services.into_iter().filter_map(|service| {
+    let Some(directory) = &tables.directory else {
+        return BTreeMap::new();
+    };
+    let services = tables.endpoints.services().into_iter();
+    let named = services.filter(|service| directory.names_service(service));
+    let updates = named.filter_map(|service| {
         let present = tables.endpoints.software_versions(service);
         let versions = tables.version_history.record_update(service, present, now)?;
         Some((service.to_owned(), versions))
--- a/crates/burdockroad/src/gateway/directory.rs
+++ b/crates/burdockroad/src/gateway/directory.rs
@@ -100,6 +100,13 @@
         AccountLookup::Unknown
     }
 
+    /// Returns whether the document names a service, on its own or as the target of a route.
+    pub fn names_service(&self, name: &str) -> bool {
+        let mut routes = self.document.routes.iter();
+        self.services.contains_key(name)
+            || routes.any(|route| route.targets.iter().any(|target| target.service == name))
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
