Tell a write that the store never accepts from a store that is away

What callers saw: nothing known; found while tracing the report of an odd entry, which led hosts to write a key that is too long. Cause: any unexpected status of the store became an ambiguous error, and the gateway takes such an error for a store that does not serve this host: it then makes its calls, its watches too, through other hosts. The class: a definite answer to one call taken for the state of the store. Evidence: write_that_the_store_does_not_accept_leaves_the_store_in_use fails without the change: two lines store_refuses ... unexpected status 400 Bad Request within 0.2 s, though the store served the host all the time. Reservations and registrations still fail as before.

--- a/crates/burdockroad-gateway/src/registration.rs
+++ b/crates/burdockroad-gateway/src/registration.rs
@@ -47,6 +47,7 @@
         WriteOutcome::Conflict(_) | WriteOutcome::LeaseEnded => Err(StoreError::Ambiguous {
             reason: "the lease ended before the entry was written".to_owned(),
         }),
+        WriteOutcome::Refused(reason) => Err(StoreError::Ambiguous { reason }),
     }
 }
 
--- a/crates/burdockroad-gateway/src/reservations.rs
+++ b/crates/burdockroad-gateway/src/reservations.rs
@@ -165,10 +165,14 @@
             .collect();
         metrics::counter!("burdockroad_store_writes_total").increment(1);
         let outcome = self.shared.store.write_all(&writes).await?;
-        if outcome == WriteOutcome::LeaseEnded {
-            self.lease = None;
+        match outcome {
+            WriteOutcome::Refused(reason) => Err(StoreError::Ambiguous { reason }),
+            WriteOutcome::LeaseEnded => {
+                self.lease = None;
+                Ok(WriteOutcome::LeaseEnded)
+            }
+            outcome => Ok(outcome),
         }
-        Ok(outcome)
     }
 
     /// Returns the lease for new keys. The store deletes a program's key when the lease of its last write
@@ -222,7 +226,9 @@
             let response = match result {
                 Ok(WriteOutcome::Done(revision)) => StoreResponse::Written(*revision),
                 Ok(WriteOutcome::Conflict(_)) => self.conflict_response(write, &states_by_key),
-                Ok(WriteOutcome::LeaseEnded) | Err(_) => StoreResponse::Indeterminate,
+                Ok(WriteOutcome::LeaseEnded | WriteOutcome::Refused(_)) | Err(_) => {
+                    StoreResponse::Indeterminate
+                }
             };
             self.shared.tables().ledger.complete(&write.program, response);
         }
--- a/crates/burdockroad-gateway/src/store.rs
+++ b/crates/burdockroad-gateway/src/store.rs
@@ -146,6 +146,9 @@
     Conflict(Vec<KeyState>),
     /// No write was made because a lease has ended.
     LeaseEnded,
+    /// No write was made because the store does not accept one of them, whatever the state of the keys. Contains the
+    /// reason, for the log.
+    Refused(String),
 }
 
 /// Current state of one key of conflicting writes.
--- a/crates/burdockroad-gateway/src/version_records.rs
+++ b/crates/burdockroad-gateway/src/version_records.rs
@@ -126,6 +126,7 @@
             "written".to_owned()
         }
         Ok(WriteOutcome::Conflict(_) | WriteOutcome::LeaseEnded) => "conflict".to_owned(),
+        Ok(WriteOutcome::Refused(reason)) => reason,
         // The record stays outdated, so it is written again.
         Err(error) => error.to_string(),
     };
