Bound the length of log lines and of the reasons in them

What callers saw: nothing; operators lose log lines. An entry may have texts of 1 MiB, which the errors of its decoding and the line of a changed endpoint repeat. Cause: lines had no bound of their own. The log's buffer takes 512 KiB in 0.1 s, so one such line leaves no room for those after it. Evidence: entry_with_long_texts_is_logged_in_short_lines fails without the change: timed out waiting until the host applies a later configuration (its line is missing; that the full buffer is why was read, not measured). Fix: reasons are cut to 200 characters, and lines of more than 64 KiB are dropped and counted like those that find no room.

--- a/crates/burdockroad-gateway/src/decision_log.rs
+++ b/crates/burdockroad-gateway/src/decision_log.rs
@@ -16,6 +16,9 @@
 /// Size of the buffer at which further lines are dropped.
 const BUFFER_MAX_BYTES: usize = 512 << 10;
 
+/// Longest line. Longer ones contain texts from outside, and are dropped so that they take no other line's space.
+const LINE_MAX_BYTES: usize = 64 << 10;
+
 /// Time for which lines are collected before each write.
 const COLLECTION_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -64,14 +67,20 @@
             return;
         }
         let was_empty = buffer.bytes.is_empty();
+        let start = buffer.bytes.len();
         push_line(&mut buffer.bytes, event, fields);
+        if buffer.bytes.len() - start > LINE_MAX_BYTES {
+            buffer.bytes.truncate(start);
+            buffer.dropped_lines += 1;
+            metrics::counter!("burdockroad_log_lines_dropped_total").increment(1);
+        }
         drop(buffer);
         if was_empty {
             self.inner.line_added.notify_one();
         }
     }
 
-    /// Returns the number of lines dropped so far because the buffer was full.
+    /// Returns the number of lines dropped so far because they were too long or the buffer was full.
     pub fn dropped_lines(&self) -> u64 {
         self.lock().dropped_lines
     }
--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -20,7 +20,7 @@
     missing_endpoints::REREGISTRATION_TIME,
     shared::{Shared, Tables},
     stream_origins::send_unsent_origins,
-    unreadable_keys::UnreadableKeys,
+    unreadable_keys::{UnreadableKeys, brief_reason},
 };
 
 /// Interval between two checks for missing endpoints and other expired state.
@@ -106,7 +106,7 @@
                 "endpoint_unreadable",
                 &EndpointUnreadableLine {
                     endpoint: id,
-                    reason: error.to_string(),
+                    reason: brief_reason(error),
                 },
             );
         }
--- a/crates/burdockroad-gateway/src/hosts.rs
+++ b/crates/burdockroad-gateway/src/hosts.rs
@@ -19,7 +19,7 @@
     registration::{Registration, RegistrationErrorLine, renew},
     shared::Shared,
     turn_store::members::{TurnMembers, put_member, remove_member},
-    unreadable_keys::UnreadableKeys,
+    unreadable_keys::{UnreadableKeys, brief_reason},
     version_records::put_record,
 };
 
@@ -69,7 +69,7 @@
         match self.apply(host, entry) {
             Ok(()) => self.unreadable.remove(&entry.key),
             Err(error) if self.unreadable.insert(&entry.key) => {
-                let reason = error.to_string();
+                let reason = brief_reason(&error);
                 self.shared
                     .log
                     .line("host_unreadable", &HostUnreadableLine { host, reason });
--- a/crates/burdockroad-gateway/src/operator.rs
+++ b/crates/burdockroad-gateway/src/operator.rs
@@ -10,7 +10,10 @@
 use burdockroad_daemon::platform::{Entry, Revision};
 use serde::Serialize;
 
-use crate::{Change, OperatorKey, RangeSnapshot, follow::RangeSubscriber, shared::Shared};
+use crate::{
+    Change, OperatorKey, RangeSnapshot, follow::RangeSubscriber, shared::Shared,
+    unreadable_keys::brief_reason,
+};
 
 /// Subscriber of the operator's range.
 pub(crate) struct OperatorSubscriber {
@@ -116,7 +119,7 @@
         let document = match self.shared.dialect.read_document(&entry.value) {
             Ok(document) => document,
             Err(error) => {
-                let reason = error.to_string();
+                let reason = brief_reason(&error);
                 self.shared
                     .log
                     .line("config_unreadable", &ConfigUnreadableLine { reason });
--- a/crates/burdockroad-gateway/src/reservations.rs
+++ b/crates/burdockroad-gateway/src/reservations.rs
@@ -15,7 +15,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
-use crate::{ConditionalWrite, LeaseId, SharedStore, WriteOutcome, shared::Shared};
+use crate::{
+    ConditionalWrite, LeaseId, SharedStore, WriteOutcome, shared::Shared, unreadable_keys::brief_reason,
+};
 
 /// Prefix of the keys that store programs' budgets.
 const BUDGETS_PREFIX: &str = "burdockroad/budgets/";
@@ -254,7 +256,7 @@
     let budget = match serde_json::from_slice::<WireBudget>(&entry.value) {
         Ok(wire) => wire.decode(),
         Err(error) => {
-            let reason = error.to_string();
+            let reason = brief_reason(&error);
             let key = &entry.key;
             shared
                 .log
--- a/crates/burdockroad-gateway/src/unreadable_keys.rs
+++ b/crates/burdockroad-gateway/src/unreadable_keys.rs
@@ -3,10 +3,13 @@
 //! Another writer may rewrite such a value many times a second, and it is read again with each snapshot. It is logged when
 //! it becomes unreadable, and not again while it stays so.
 
-use std::collections::HashSet;
+use std::{collections::HashSet, fmt::Display};
 
 use burdockroad_daemon::platform::Entry;
 
+/// Longest reason in a log line. Errors repeat the texts that they were found in.
+const REASON_MAX_CHARS: usize = 200;
+
 /// Keys of a range whose values cannot be read.
 #[derive(Debug, Default)]
 pub(crate) struct UnreadableKeys {
@@ -36,3 +39,8 @@
         self.keys.retain(|key| present.contains(key.as_str()));
     }
 }
+
+/// Returns the beginning of the reason why a value cannot be read, for the log.
+pub(crate) fn brief_reason(error: &impl Display) -> String {
+    error.to_string().chars().take(REASON_MAX_CHARS).collect()
+}
