Add up stated slots and loads without overflow

What callers saw: nothing known; found while tracing the report of an odd entry with a number too large. An entry of a known service with 2^32-1 slots reads well. A build with overflow checks then panics in every call of the service that compares loads; one without wraps around, so that a few slots, or none, are left for all calls of the service. Cause: sums and products of numbers that entries, responses and reports state, in 32 bits. Such an endpoint still counts as one with very many slots; it cannot be told from a real one.

--- a/crates/burdockroad/src/gateway/placement.rs
+++ b/crates/burdockroad/src/gateway/placement.rs
@@ -301,12 +301,12 @@
         let (evacuated, others): (Vec<_>, Vec<_>) = rows.partition(|row| row.evacuated);
         let usable = others.into_iter().filter(|row| row.takes_calls());
         let (exhausted, open): (Vec<_>, Vec<_>) = usable.partition(|row| row.rate.is_exhausted(now));
-        let slots: u32 = open.iter().map(|row| row.endpoint.slots).sum();
+        let slots = saturating_sum(open.iter().map(|row| row.endpoint.slots));
         if slots == 0 {
             let is_idle = exhausted.is_empty() && evacuated.is_empty();
             return if is_idle { 0.0 } else { 1.0 };
         }
-        let load: u32 = open.iter().chain(&evacuated).map(|row| row.load(now)).sum();
+        let load = saturating_sum(open.iter().chain(&evacuated).map(|row| row.load(now)));
         f64::from(load) / f64::from(slots)
     }
 
@@ -355,7 +355,8 @@
     /// same `now`, so that its time is related to the pace at which the endpoint worked.
     pub fn record_load(&mut self, id: &str, load: LoadReading, now: Instant) {
         if let Some(row) = self.rows.get_mut(id) {
-            row.peer_calls = (load.running + load.waiting).saturating_sub(row.in_flight);
+            let calls = load.running.saturating_add(load.waiting);
+            row.peer_calls = calls.saturating_sub(row.in_flight);
             row.peer_calls_at = Some(now);
         }
         if let Some(pace_percent) = load.pace_percent {
@@ -381,7 +382,7 @@
         reported.retain(
             |endpoint_calls| match self.rows.get_mut(&endpoint_calls.endpoint) {
                 Some(row) => {
-                    row.reported_calls += endpoint_calls.calls;
+                    row.reported_calls = row.reported_calls.saturating_add(endpoint_calls.calls);
                     true
                 }
                 None => false,
@@ -421,3 +422,8 @@
         if count > 0.0 { sum / count } else { INITIAL_TIME_MS }
     }
 }
+
+/// Returns the sum of numbers that entries, endpoints or other hosts state, at most the largest number.
+fn saturating_sum(numbers: impl Iterator<Item = u32>) -> u32 {
+    numbers.fold(0, u32::saturating_add)
+}
--- a/crates/burdockroad/src/gateway/placement/affinity.rs
+++ b/crates/burdockroad/src/gateway/placement/affinity.rs
@@ -86,8 +86,9 @@
 }
 
 fn mean_load_per_slot(candidates: &[&EndpointRow], now: Instant) -> f64 {
-    let (load, slots) = candidates.iter().fold((0, 0), |(load, slots), row| {
-        (load + row.load(now), slots + row.endpoint.slots)
+    let (load, slots) = candidates.iter().fold((0_u32, 0_u32), |(load, slots), row| {
+        let load = load.saturating_add(row.load(now));
+        (load, slots.saturating_add(row.endpoint.slots))
     });
     f64::from(load) / f64::from(slots.max(1))
 }
--- a/crates/burdockroad/src/gateway/placement/row.rs
+++ b/crates/burdockroad/src/gateway/placement/row.rs
@@ -117,7 +117,8 @@
 
     pub(super) fn load(&self, now: Instant) -> u32 {
         let is_recent = self.peer_calls_at.is_some_and(|at| now < at + PEER_LOAD_AGE_MAX);
-        self.in_flight + if is_recent { self.peer_calls } else { 0 }
+        let peer_calls = if is_recent { self.peer_calls } else { 0 };
+        self.in_flight.saturating_add(peer_calls)
     }
 
     /// Returns the expected time to the first byte of the response, at a pace relative to the usual one.
@@ -234,7 +235,7 @@
                 self.ejected_until = Some(now + backoff.min(EJECTION_MAX));
             }
             Outcome::Full => {
-                self.peer_calls = self.peer_calls.max(self.endpoint.slots * 2);
+                self.peer_calls = self.peer_calls.max(self.endpoint.slots.saturating_mul(2));
                 self.peer_calls_at = Some(now);
             }
             Outcome::Abandoned => {}
