Bound the size of the recent changes that a host keeps

What callers saw: nothing; a value may have 1 MiB, and a writer that rewrites one all the time made each host keep 256 of them and pass on as many to a host that was behind. Cause: the recent changes of a range were bounded by number only. Evidence: extend_keeps_recent_changes_up_to_a_size fails without the change: ten large changes are not kept Fix: they are bounded to 4 MiB, too. A host that is further behind gets the whole range, as after 256 changes.

--- a/crates/burdockroad-gateway/src/range_log.rs
+++ b/crates/burdockroad-gateway/src/range_log.rs
@@ -10,12 +10,17 @@
 /// Number of recent changes that are retained. A host that is further behind fetches the whole range.
 const RECENT_CHANGES_MAX: usize = 256;
 
+/// Size of the recent changes that are retained. Any writer may rewrite a large value all the time.
+const RECENT_MAX_BYTES: usize = 4 << 20;
+
 /// Entries of a range and its most recent changes.
 #[derive(Clone, Debug, Default)]
 pub struct RangeLog {
     entries: BTreeMap<String, Entry>,
     /// Most recent changes, oldest first.
     recent: VecDeque<Change>,
+    /// Size of `recent`.
+    recent_bytes: usize,
     /// Revision after which all changes are in `recent`.
     recent_after: Revision,
     /// Revision up to which the log is complete.
@@ -46,6 +51,7 @@
         let entries = snapshot.entries.iter();
         self.entries = entries.map(|entry| (entry.key.clone(), entry.clone())).collect();
         self.recent.clear();
+        self.recent_bytes = 0;
         self.recent_after = snapshot.as_of;
         self.as_of = snapshot.as_of;
         self.last_change = snapshot.as_of;
@@ -63,12 +69,15 @@
                 }
             }
             self.last_change = self.last_change.max(change.revision());
+            self.recent_bytes += size_bytes(change);
             self.recent.push_back(change.clone());
         }
-        while self.recent.len() > RECENT_CHANGES_MAX {
-            if let Some(oldest) = self.recent.pop_front() {
-                self.recent_after = oldest.revision();
-            }
+        while self.recent.len() > RECENT_CHANGES_MAX || self.recent_bytes > RECENT_MAX_BYTES {
+            let Some(oldest) = self.recent.pop_front() else {
+                break;
+            };
+            self.recent_after = oldest.revision();
+            self.recent_bytes -= size_bytes(&oldest);
         }
         self.as_of = self.as_of.max(as_of);
     }
@@ -99,3 +108,11 @@
         })
     }
 }
+
+/// Returns the size of a change's key and value.
+fn size_bytes(change: &Change) -> usize {
+    match change {
+        Change::Put(entry) => entry.key.len() + entry.value.len(),
+        Change::Removed { key, .. } => key.len(),
+    }
+}
--- a/crates/burdockroad-gateway/tests/range_log.rs
+++ b/crates/burdockroad-gateway/tests/range_log.rs
@@ -72,3 +72,24 @@
         Some(RangeUpdate::Changes { .. })
     ));
 }
+
+/// Guards against memory that grows with large values that a writer rewrites all the time.
+#[test]
+fn extend_keeps_recent_changes_up_to_a_size() {
+    let mut log = log_as_of_ten();
+    for revision in 11..=60 {
+        let large = Entry {
+            value: Bytes::from(vec![b'x'; 1 << 20]),
+            ..entry("large", revision)
+        };
+        log.extend(&[Change::Put(large)], revision);
+    }
+    let is_kept = |after| matches!(log.changes_since(after), Some(RangeUpdate::Changes { .. }));
+    assert!(is_kept(58), "the last changes are kept");
+    assert!(!is_kept(50), "ten large changes are not kept");
+    let Some(RangeUpdate::Snapshot(snapshot)) = log.changes_since(50) else {
+        panic!("expected a snapshot for a host that is behind the log");
+    };
+    assert_eq!(snapshot.entries.len(), 3);
+    assert_eq!(snapshot.as_of, 60);
+}
