--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -15,7 +15,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    Change, RangeSnapshot,
+    Change, DecodeError, RangeSnapshot,
     budgets::expire_remote_reservations,
     clock::as_ms,
     cold_endpoints::report_cold_endpoints,
@@ -24,6 +24,7 @@
     shared::{Shared, Tables},
     store_outage::record_own_response,
     stream_origins::send_unsent_origins,
+    unreadable_keys::{UnreadableKeys, brief_reason},
 };
 
 /// Interval between two checks for missing endpoints and other expired state.
@@ -34,6 +35,7 @@
     shared: Arc<Shared>,
     /// Revisions of the entries that were applied. An entry that is read again does not restart its cold time.
     applied: HashMap<EndpointId, Revision>,
+    unreadable: UnreadableKeys,
 }
 
 impl EndpointSubscriber {
@@ -41,6 +43,7 @@
         Self {
             shared,
             applied: HashMap::new(),
+            unreadable: UnreadableKeys::default(),
         }
     }
 
@@ -54,18 +57,9 @@
         };
         let endpoint = match self.shared.dialect.read_endpoint(id, &entry.value) {
             Ok(endpoint) => endpoint,
-            Err(error) => {
-                metrics::counter!("burdockroad_endpoint_entries_dropped_total").increment(1);
-                self.shared.log.line(
-                    "endpoint_unreadable",
-                    &EndpointUnreadableLine {
-                        endpoint: id,
-                        reason: error.to_string(),
-                    },
-                );
-                return;
-            }
+            Err(error) => return self.reject(id, entry, &error),
         };
+        self.unreadable.remove(&entry.key);
         let is_read_again = self.applied.insert(id.to_owned(), entry.revision) == Some(entry.revision);
         let mut tables = self.shared.tables();
         tables.departures.record_registered(id);
@@ -103,6 +97,29 @@
         }
     }
 
+    /// Takes an endpoint out of use whose entry cannot be read, so that it names none. It is not held like an entry that
+    /// may have expired, because this one exists. A readable entry puts the endpoint into use again.
+    fn reject(&mut self, id: &str, entry: &Entry, error: &DecodeError) {
+        metrics::counter!("burdockroad_endpoint_entries_dropped_total").increment(1);
+        self.applied.remove(id);
+        let mut tables = self.shared.tables();
+        tables.departures.record_registered(id);
+        let is_known = tables.endpoints.get(id).is_some();
+        drop(tables);
+        if is_known {
+            remove_endpoint(&self.shared, id);
+        }
+        if self.unreadable.insert(&entry.key) {
+            self.shared.log.line(
+                "endpoint_unreadable",
+                &EndpointUnreadableLine {
+                    endpoint: id,
+                    reason: brief_reason(error),
+                },
+            );
+        }
+    }
+
     /// Removes an endpoint, unless its entry may have expired during an outage of the store.
     fn remove(&mut self, id: &str) {
         self.applied.remove(id);
@@ -139,6 +156,7 @@
                 .iter()
                 .any(|entry| self.endpoint_id(&entry.key) == Some(id))
         });
+        self.unreadable.retain_in(entries);
         for entry in entries {
             self.put(entry);
         }
@@ -151,6 +169,7 @@
         match change {
             Change::Put(entry) => self.put(entry),
             Change::Removed { key, .. } => {
+                self.unreadable.remove(key);
                 if let Some(id) = self.endpoint_id(key).map(str::to_owned) {
                     self.remove(&id);
                 }
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -68,6 +68,7 @@
 mod tunnel;
 mod tunnel_server;
 mod turn_store;
+mod unreadable_keys;
 mod version_records;
 
 pub use self::{
@@ -80,6 +81,9 @@
     options::HostOptions,
     process::{HostError, Signals, run},
     range_log::{RangeLog, RangeUpdate},
-    store::{Change, Changes, ConditionalWrite, KeyState, LeaseId, RangeSnapshot, SharedStore, WriteOutcome},
+    store::{
+        Change, Changes, ConditionalWrite, KeyState, LeaseId, RangeSnapshot, SharedStore, WriteOutcome,
+        count_dropped_items,
+    },
     turn_store::log::{RecoveredSegment, TurnLog},
 };
--- a/crates/burdockroad-gateway/src/reservations.rs
+++ b/crates/burdockroad-gateway/src/reservations.rs
@@ -15,7 +15,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
-use crate::{ConditionalWrite, LeaseId, SharedStore, WriteOutcome, shared::Shared};
+use crate::{
+    ConditionalWrite, LeaseId, SharedStore, WriteOutcome, shared::Shared, unreadable_keys::brief_reason,
+};
 
 /// Prefix of the keys that store programs' budgets.
 const BUDGETS_PREFIX: &str = "burdockroad/budgets/";
@@ -165,10 +167,14 @@
             .collect();
         metrics::counter!("burdockroad_store_writes_total").increment(1);
         let outcome = self.shared.store.write_all(&writes).await?;
-        if outcome == WriteOutcome::LeaseEnded {
-            self.lease = None;
+        match outcome {
+            WriteOutcome::Refused(reason) => Err(StoreError::Ambiguous { reason }),
+            WriteOutcome::LeaseEnded => {
+                self.lease = None;
+                Ok(WriteOutcome::LeaseEnded)
+            }
+            outcome => Ok(outcome),
         }
-        Ok(outcome)
     }
 
     /// Returns the lease for new keys. The store deletes a program's key when the lease of its last write
@@ -222,7 +228,9 @@
             let response = match result {
                 Ok(WriteOutcome::Done(revision)) => StoreResponse::Written(*revision),
                 Ok(WriteOutcome::Conflict(_)) => self.conflict_response(write, &states_by_key),
-                Ok(WriteOutcome::LeaseEnded) | Err(_) => StoreResponse::Indeterminate,
+                Ok(WriteOutcome::LeaseEnded | WriteOutcome::Refused(_)) | Err(_) => {
+                    StoreResponse::Indeterminate
+                }
             };
             self.shared.tables().ledger.complete(&write.program, response);
         }
@@ -248,7 +256,7 @@
     let budget = match serde_json::from_slice::<WireBudget>(&entry.value) {
         Ok(wire) => wire.decode(),
         Err(error) => {
-            let reason = error.to_string();
+            let reason = brief_reason(&error);
             let key = &entry.key;
             shared
                 .log
