Pass only the next events of a stream on, and end it only where that is certain

Callers saw: a stream breaks off, the endpoint that takes it up answers 200 with an error's text, a second head or events of another number, and the caller finds them in the middle of its stream; or the endpoint answers with a head and closes, and the stream ends as if it were complete. A kept turn was stored with such text. Cause: EventBuffer looked only for empty lines and took whatever stood between them for an event. A taken-up response without events counted as the end for any framing, although a crash closes connections, too. Change: a block is an event only if its lines are fields of an event and it has an id, which must be the next one; comments pass. At anything else the stream has broken off, and resumes at the last complete event or is broken off for the caller. A taken-up response ends the stream without an event only if its framing proves that it is whole, not if it states another media type, and not if it repeats events and ends before the caller's last one. The old test check_end_without_events_... demanded that an unframed taken-up response without events is complete; it now demands that for a framed one and the opposite for an unframed one. discard_partial is named begin_response, as it also resets what belongs to one response.

--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -381,9 +381,9 @@
 }
 
 /// Builds the caller's response around an endpoint's event stream.
-fn relay_stream(mut call: Call, mut opened: OpenedResponse) -> Response<ResponseBody> {
+fn relay_stream(mut call: Call, opened: OpenedResponse) -> Response<ResponseBody> {
     let status = opened.response.status();
-    let mut headers = std::mem::take(opened.response.headers_mut());
+    let mut headers = opened.response.headers().clone();
     call.shared.dialect.write_response(&mut headers);
     call.record.status = status.as_u16();
     let mut response = Response::new(relay_events(call, opened));
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     attempt::{Call, OpenedResponse},
-    framing::{Framing, StreamBreak},
+    framing::{Framing, MediaType, StreamBreak},
     kept_turn::KeptTurn,
     pool::Connection,
     refusal::Refusal,
@@ -60,6 +60,10 @@
     call: Call,
     body: Incoming,
     framing: Framing,
+    /// Media type of the stream, by its first response.
+    stream_type: MediaType,
+    /// Media type of the response that is being read.
+    response_type: MediaType,
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
     events: EventBuffer,
@@ -82,6 +86,7 @@
 /// Relays an event stream to the caller. If the endpoint's stream breaks off and the route allows repeats,
 /// the relay continues with a new stream, possibly from another endpoint.
 pub(crate) fn relay_events(mut call: Call, opened: OpenedResponse) -> ResponseBody {
+    let stream_type = MediaType::of(opened.response.headers());
     call.record.framing = Some(opened.framing);
     let relay = Relay {
         events: EventBuffer::after(call.head.last_event),
@@ -90,6 +95,8 @@
         keep_alive: opened.head.keep_alive,
         connection: Some(opened.connection),
         framing: opened.framing,
+        response_type: stream_type.clone(),
+        stream_type,
         body: opened.response.into_body(),
         progress: Progress::Relaying,
     };
@@ -168,6 +175,12 @@
 
     /// Reads from the endpoint and returns the events that are complete then.
     async fn read_events(&mut self) -> ReadResult {
+        if let Err(foreign) = self.events.check_bytes() {
+            return ReadResult::Broken(StreamBreak::ForeignBytes(foreign));
+        }
+        if !self.stream_type.may_go_on_as(&self.response_type) {
+            return ReadResult::Broken(StreamBreak::OtherMediaType);
+        }
         match self.read_frame().await {
             ReadResult::Data(data) => {
                 if !data.is_empty() {
@@ -231,7 +244,7 @@
         if !self.call.record_broken_response() {
             return Err(Refusal::UnknownOutcome);
         }
-        self.events.discard_partial();
+        self.events.begin_response();
         let opened = self.call.open(self.events.last_id()).await?;
         if !opened.response.status().is_success() {
             return Err(Refusal::UnknownOutcome);
@@ -239,6 +252,7 @@
         self.call.record.resumed += 1;
         self.call.record.framing = Some(opened.framing);
         self.framing = opened.framing;
+        self.response_type = MediaType::of(opened.response.headers());
         self.keep_alive = opened.head.keep_alive;
         self.connection = Some(opened.connection);
         self.body = opened.response.into_body();
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -24,6 +24,7 @@
 mod dissemination;
 mod document;
 mod evacuation;
+mod event;
 mod events;
 mod placement;
 mod program_start;
@@ -49,7 +50,7 @@
     },
     document::{Account, CallerLimits, ColdStart, Document, EngineInfo, Route, RouteKind, Service, Target},
     evacuation::{EvacuationChange, EvacuationOrder, EvacuationStep},
-    events::{EventBuffer, Truncation},
+    events::{EventBuffer, ForeignBytes, Truncation},
     placement::{
         ColdCause, ColdChange, ColdStatus, Endpoint, EndpointCalls, EndpointTable, EndpointUsage,
         LoadReading, Outcome, Placement, PlacementQuery, PromptPart, RateStatement, ReportedPace, StatedRate,
--- a/crates/burdockroad/src/gateway/events.rs
+++ b/crates/burdockroad/src/gateway/events.rs
@@ -2,6 +2,11 @@
 
 use bytes::{Bytes, BytesMut};
 
+use super::event::{Block, read_block};
+
+/// Id of a stream's first event.
+const FIRST_ID: u64 = 1;
+
 /// Part of a stream after which it broke off, although its response has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Truncation {
@@ -9,19 +14,36 @@
     InsideEvent,
     /// No event has arrived.
     BeforeFirstEvent,
+    /// The response repeats earlier events, and ends before the last one that the caller has received.
+    BeforeLastId,
+}
+
+/// Bytes in a stream that are not its next event, so nothing after them belongs to the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ForeignBytes {
+    /// They are no event, for example the text of an error or the head of another response.
+    NoEvent,
+    /// An event whose id is not greater than that of the event before it.
+    IdNotIncreasing,
+    /// An event after others that did not arrive.
+    EventsMissing,
 }
 
 /// Buffer that receives the bytes of an event stream and returns complete events.
 ///
 /// An endpoint may stop in the middle of an event. The incomplete event stays in the buffer, so a stream that
 /// resumes at another endpoint continues at an event boundary. After a resumption, events that were already
-/// returned are dropped.
+/// returned are dropped. From the first bytes that are not the stream's next event, nothing is returned until
+/// the stream resumes.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     pending: BytesMut,
     /// Number of leading bytes of `pending` already searched for the end of an event.
     scanned_bytes: usize,
     last_id: Option<u64>,
+    /// Id of the last event of the response that is being read; `None` before its first event.
+    last_id_of_response: Option<u64>,
+    foreign: Option<ForeignBytes>,
     released: u64,
 }
 
@@ -38,18 +60,26 @@
     pub fn push(&mut self, chunk: &[u8]) -> Bytes {
         self.pending.extend_from_slice(chunk);
         let mut ready = BytesMut::new();
-        while let Some(end) = self.find_end() {
+        while self.foreign.is_none()
+            && let Some(end) = self.find_end()
+        {
             let event = self.pending.split_to(end);
             self.scanned_bytes = 0;
-            self.release(&event, &mut ready);
+            match self.release(&event) {
+                Ok(true) => ready.extend_from_slice(&event),
+                Ok(false) => {}
+                Err(foreign) => self.foreign = Some(foreign),
+            }
         }
         ready.freeze()
     }
 
-    /// Discards an incomplete event, for a stream that resumes at another endpoint.
-    pub fn discard_partial(&mut self) {
+    /// Prepares for the response of another endpoint, at which the stream resumes. Discards an incomplete event.
+    pub fn begin_response(&mut self) {
         self.pending.clear();
         self.scanned_bytes = 0;
+        self.last_id_of_response = None;
+        self.foreign = None;
     }
 
     /// Returns the number of bytes after the last complete event.
@@ -57,6 +87,25 @@
         self.pending.len()
     }
 
+    /// Checks that all bytes of the current response belong to the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails from the first bytes that are not the next event. Those that arrived before them were returned.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use burdockroad::gateway::{EventBuffer, ForeignBytes};
+    ///
+    /// let mut buffer = EventBuffer::after(None);
+    /// assert_eq!(buffer.push(b"id: 1\ndata: a\n\n<p>sorry</p>\n\n"), "id: 1\ndata: a\n\n");
+    /// assert_eq!(buffer.check_bytes(), Err(ForeignBytes::NoEvent));
+    /// ```
+    pub fn check_bytes(&self) -> Result<(), ForeignBytes> {
+        self.foreign.map_or(Ok(()), Err)
+    }
+
     /// Checks that a stream that has ended is complete.
     ///
     /// `is_delimited` says whether the framing of the response proves that its whole body has arrived. A
@@ -64,8 +113,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the stream ended inside an event, whatever the framing, or before the first event of a
-    /// response that is not delimited.
+    /// Fails when the stream ended inside an event or before the last event that the caller has, whatever the
+    /// framing, or before the first event of a response that is not delimited.
     ///
     /// # Example
     ///
@@ -80,11 +129,12 @@
         if !self.pending.is_empty() {
             return Err(Truncation::InsideEvent);
         }
-        // A resumed stream may have no events left, so only a stream from the start must have one.
-        if !is_delimited && self.last_id.is_none() {
-            return Err(Truncation::BeforeFirstEvent);
+        match self.last_id_of_response {
+            // A resumed stream may have no events left, but only the framing can prove that.
+            None if !is_delimited => Err(Truncation::BeforeFirstEvent),
+            Some(last_id) if Some(last_id) < self.last_id => Err(Truncation::BeforeLastId),
+            _ => Ok(()),
         }
-        Ok(())
     }
 
     /// Returns the id of the last event released to the caller.
@@ -116,25 +166,27 @@
         None
     }
 
-    fn release(&mut self, event: &BytesMut, ready: &mut BytesMut) {
-        let id = event_id(event);
-        if let (Some(id), Some(last_id)) = (id, self.last_id)
-            && id <= last_id
-        {
-            return;
+    /// Returns whether the caller receives a block.
+    fn release(&mut self, block: &[u8]) -> Result<bool, ForeignBytes> {
+        let id = match read_block(block) {
+            Block::Event { id } => id,
+            Block::Comment => return Ok(true),
+            Block::NoEvent => return Err(ForeignBytes::NoEvent),
+        };
+        if self.last_id_of_response.is_some_and(|last_id| id <= last_id) {
+            return Err(ForeignBytes::IdNotIncreasing);
+        }
+        if self.last_id.is_some_and(|last_id| id <= last_id) {
+            self.last_id_of_response = Some(id);
+            return Ok(false);
         }
-        if id.is_some() {
-            self.last_id = id;
-            self.released += 1;
+        let next_id = self.last_id.map_or(FIRST_ID, |last_id| last_id.saturating_add(1));
+        if id != next_id {
+            return Err(ForeignBytes::EventsMissing);
         }
-        ready.extend_from_slice(event);
+        self.last_id_of_response = Some(id);
+        self.last_id = Some(id);
+        self.released += 1;
+        Ok(true)
     }
 }
-
-/// Returns the id in an event's `id` field.
-fn event_id(event: &[u8]) -> Option<u64> {
-    let line = event
-        .split(|byte| *byte == b'\n')
-        .find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(line).ok()?.trim().parse().ok()
-}
--- a/crates/burdockroad/tests/gateway_calls.rs
+++ b/crates/burdockroad/tests/gateway_calls.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use burdockroad::gateway::{
-    Account, AccountLookup, Directory, Document, EventBuffer, Route, RouteKind, Target, Truncation,
+    Account, AccountLookup, Directory, Document, EventBuffer, ForeignBytes, Route, RouteKind, Target,
+    Truncation,
 };
 
 fn route(prefix: &str, public: bool) -> Route {
@@ -98,7 +99,7 @@
     let mut buffer = EventBuffer::after(None);
     let first = buffer.push(b"id: 1\ndata: a\n\nid: 2\nda");
     assert_eq!(buffer.check_end(true), Err(Truncation::InsideEvent));
-    buffer.discard_partial();
+    buffer.begin_response();
     // The endpoint that resumes the stream repeats an event that was already returned.
     let second = buffer.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     assert_eq!([first, second].concat(), b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
@@ -127,5 +128,60 @@
     assert_eq!(new_stream.check_end(true), Ok(()));
     assert_eq!(new_stream.check_end(false), Err(Truncation::BeforeFirstEvent));
     let resumed_stream = EventBuffer::after(Some(6));
-    assert_eq!(resumed_stream.check_end(false), Ok(()));
+    assert_eq!(resumed_stream.check_end(true), Ok(()));
+    assert_eq!(resumed_stream.check_end(false), Err(Truncation::BeforeFirstEvent));
+}
+
+#[test]
+fn check_end_after_repeated_events_is_truncated_before_the_last_id() {
+    let mut buffer = EventBuffer::after(Some(3));
+    assert_eq!(buffer.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), "");
+    assert_eq!(buffer.check_end(true), Err(Truncation::BeforeLastId));
+    assert_eq!(buffer.push(b"id: 3\ndata: c\n\n"), "");
+    assert_eq!(buffer.check_end(true), Ok(()));
+}
+
+/// An error's text or another response's head reached callers in the middle of their streams.
+#[test]
+fn push_returns_nothing_from_the_first_foreign_bytes_for_any_chunk_size() {
+    let foreign: [&[u8]; 10] = [
+        b"<p>sorry</p>\n\n",
+        b"{\"error\":\"overloaded\"}\n\n",
+        b"HTTP/1.1 500 Internal Server Error\r\ncontent-length: 5\r\n\r\n",
+        b"id: 2\ndata: HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n",
+        b"id: 2\nid: 3\ndata: a\n\n",
+        b"id: x\ndata: a\n\n",
+        b"data: a\n\n",
+        b"burdockroad-weight-versions: 2\n\n",
+        b"id: 2\nburdockroad-weight-versions: 2\n\n",
+        b"\xff\xfe\n\n",
+    ];
+    for foreign in foreign {
+        let text = [b"id: 1\ndata: a\n\n", foreign, b"id: 2\ndata: b\n\n"].concat();
+        for size in 1..text.len() {
+            let mut buffer = EventBuffer::after(None);
+            let returned: Vec<u8> = text.chunks(size).flat_map(|chunk| buffer.push(chunk)).collect();
+            assert_eq!(returned, b"id: 1\ndata: a\n\n", "{}", foreign.escape_ascii());
+            assert_eq!(buffer.check_bytes(), Err(ForeignBytes::NoEvent));
+        }
+    }
+}
+
+#[test]
+fn push_after_foreign_bytes_resumes_at_event_boundary() {
+    let mut buffer = EventBuffer::after(None);
+    buffer.push(b"id: 1\ndata: a\n\n<p>sorry</p>\n\n");
+    buffer.begin_response();
+    assert_eq!(buffer.check_bytes(), Ok(()));
+    assert_eq!(buffer.push(b"id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+}
+
+#[test]
+fn push_of_events_that_do_not_go_on_at_the_next_id() {
+    let mut buffer = EventBuffer::after(Some(3));
+    assert_eq!(buffer.push(b"id: 5\n\n"), "");
+    assert_eq!(buffer.check_bytes(), Err(ForeignBytes::EventsMissing));
+    let mut buffer = EventBuffer::after(Some(3));
+    assert_eq!(buffer.push(b"id: 4\n\nid: 4\n\n"), "id: 4\n\n");
+    assert_eq!(buffer.check_bytes(), Err(ForeignBytes::IdNotIncreasing));
 }
