Wait for hosts whose disks are slow until the deadline of a turn's call

Callers saw: a turn's events, and then a broken-off response, although the hosts with disks had the turn a moment later. Cause: a call that stores a turn was given up after 250 ms and repeated, behind the write that was still under way; three such calls made a host count as lost, and when all were lost the turn failed at once, with the call's time left. Change: such a call stays open. A host that is silent for half a second still counts as lost, so that a turn can be durable without it, but its late response counts, and a turn that is not durable without it waits.

--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -26,8 +26,9 @@
     },
 };
 
-/// Timeout of a call that stores a turn. After it, the turn is sent to another host.
-const STORE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of a call that stores a turn. The caller's deadline usually ends it before: a host whose disk is slow may
+/// respond until then.
+const STORE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Timeout of a call that reads turns. After it, another host is asked.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
@@ -66,6 +67,17 @@
     cache: TurnCache,
 }
 
+/// Call that stores a turn at a host and has no response yet.
+#[derive(Debug)]
+struct PendingStore {
+    host: HostId,
+    sent_at: Instant,
+    /// Whether the turn was also sent to another host because this one is slow.
+    hedged: bool,
+    /// Whether the replication counts the host as lost. It may still respond.
+    silent: bool,
+}
+
 /// Chain of turns that a call continues.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct History {
@@ -84,6 +96,17 @@
     Uncertain,
 }
 
+impl PendingStore {
+    fn new(host: HostId) -> Self {
+        Self {
+            host,
+            sent_at: Instant::now(),
+            hedged: false,
+            silent: false,
+        }
+    }
+}
+
 impl TurnClient {
     pub(crate) fn new(
         tolerated_losses: usize,
@@ -200,10 +223,12 @@
         };
         let address_of = |host: &HostId| members.get(host).map(|member| member.address);
         let mut in_flight = FuturesUnordered::new();
-        let mut waiting: Vec<HostId> = Vec::new();
+        let mut pending: Vec<PendingStore> = Vec::new();
         loop {
-            while let Some(host) = replication.next_host() {
-                waiting.push(host.clone());
+            let extra = self.record_slow_hosts(&mut pending, &mut replication);
+            let next = std::iter::from_fn(|| replication.next_host());
+            for host in extra.into_iter().chain(next) {
+                pending.push(PendingStore::new(host.clone()));
                 in_flight.push(self.store_at(host.clone(), address_of(&host), message.clone()));
             }
             match replication.progress() {
@@ -215,23 +240,39 @@
                 ReplicationProgress::Pending => {}
             }
             let Ok(ended) = timeout(HEDGE_DELAY, in_flight.next()).await else {
-                for slow in std::mem::take(&mut waiting) {
-                    self.record_health(&slow, false);
-                    if let Some(host) = replication.next_extra_host() {
-                        in_flight.push(self.store_at(host.clone(), address_of(&host), message.clone()));
-                    }
-                }
                 continue;
             };
             let (host, stored) = ended?;
-            waiting.retain(|waiting| *waiting != host);
-            if stored {
-                replication.record_stored();
-            } else {
-                let is_lost = self.lock().health.is_lost(&host);
-                replication.record_failed(host, is_lost);
+            let position = pending.iter().position(|store| store.host == host)?;
+            let ended = pending.swap_remove(position);
+            match (ended.silent, stored) {
+                (true, stored) => replication.record_late(stored),
+                (false, true) => replication.record_stored(),
+                (false, false) => {
+                    let is_lost = self.lock().health.is_lost(&host);
+                    replication.record_failed(host, is_lost);
+                }
+            }
+        }
+    }
+
+    /// Records the hosts that do not respond in time. Returns the hosts that the turn is also sent to.
+    fn record_slow_hosts(&self, pending: &mut [PendingStore], replication: &mut Replication) -> Vec<HostId> {
+        let mut extra = Vec::new();
+        let slow = pending
+            .iter_mut()
+            .filter(|store| store.sent_at.elapsed() >= HEDGE_DELAY);
+        for store in slow {
+            self.record_health(&store.host, false);
+            if !std::mem::replace(&mut store.hedged, true) {
+                extra.extend(replication.next_extra_host());
+            }
+            if !store.silent && self.lock().health.is_lost(&store.host) {
+                store.silent = true;
+                replication.record_silent();
             }
         }
+        extra
     }
 
     /// Stores an encoded call at one host. Returns whether it is on the host's disk.
--- a/crates/burdockroad/src/gateway/event.rs
+++ b/crates/burdockroad/src/gateway/event.rs
@@ -65,13 +65,13 @@
         b"" => Line::Comment,
         b"id" => Line::Id(value),
         b"data" | b"event" | b"retry" => Line::Field,
-        _ if name.iter().all(is_extension_byte) => Line::Extension,
+        _ if name.iter().copied().all(is_extension_byte) => Line::Extension,
         _ => Line::Other,
     }
 }
 
 /// Returns whether a byte may be in the name of a field that the platform adds.
-fn is_extension_byte(byte: &u8) -> bool {
+fn is_extension_byte(byte: u8) -> bool {
     matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-')
 }
 
--- a/crates/burdockroad/src/gateway/turns/replication.rs
+++ b/crates/burdockroad/src/gateway/turns/replication.rs
@@ -98,7 +98,8 @@
 ///
 /// A turn is durable when `tolerated_losses` + 1 hosts have stored it. When all other hosts are lost, one
 /// replica less is enough for each lost host, because that many fewer hosts may still be lost. A host that
-/// fails without being lost is tried again. When fewer hosts are registered than should store a turn, because
+/// fails without being lost is tried again. A host that is silent for long counts as lost, but a turn that is not
+/// durable without it waits for its response: its disk may only be slow. When fewer hosts are registered than should store a turn, because
 /// the operator has removed others, all of them store it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Replication {
@@ -107,6 +108,8 @@
     in_flight: usize,
     stored: usize,
     lost: usize,
+    /// Hosts that count as lost and may still respond.
+    silent: usize,
 }
 
 impl Replication {
@@ -126,6 +129,7 @@
             in_flight: 0,
             stored: 0,
             lost,
+            silent: 0,
         }
     }
 
@@ -164,6 +168,23 @@
         }
     }
 
+    /// Records that a host has been silent for so long that it counts as lost. Its response is recorded with
+    /// [`record_late`](Self::record_late).
+    pub fn record_silent(&mut self) {
+        self.in_flight -= 1;
+        self.silent += 1;
+    }
+
+    /// Records how the request to a silent host ended.
+    pub fn record_late(&mut self, stored: bool) {
+        self.silent -= 1;
+        if stored {
+            self.stored += 1;
+        } else {
+            self.lost += 1;
+        }
+    }
+
     /// Returns the number of hosts that have stored the turn.
     pub fn replicas(&self) -> usize {
         self.stored
@@ -178,9 +199,13 @@
         if self.in_flight > 0 || !self.untried.is_empty() {
             return ReplicationProgress::Pending;
         }
-        if self.stored > 0 && self.lost <= tolerated && self.stored + self.lost > tolerated {
+        let lost = self.lost + self.silent;
+        if self.stored > 0 && lost <= tolerated && self.stored + lost > tolerated {
             return ReplicationProgress::Durable;
         }
+        if self.silent > 0 {
+            return ReplicationProgress::Pending;
+        }
         ReplicationProgress::Failed
     }
 }
--- a/crates/burdockroad/tests/gateway_turns.rs
+++ b/crates/burdockroad/tests/gateway_turns.rs
@@ -227,6 +227,36 @@
     assert_eq!(replicate(&[], 1).progress(), ReplicationProgress::Failed);
 }
 
+#[test]
+fn replication_to_silent_hosts_only_waits_for_their_responses() {
+    let mut replication = replicate(&hosts(&["a", "b", "c"]), 1);
+    for _ in 0..3 {
+        assert!(replication.next_extra_host().is_some());
+        replication.record_silent();
+    }
+    assert_eq!(replication.progress(), ReplicationProgress::Pending);
+    replication.record_late(true);
+    replication.record_late(false);
+    assert_eq!(replication.progress(), ReplicationProgress::Pending);
+    replication.record_late(true);
+    assert_eq!(replication.progress(), ReplicationProgress::Durable);
+    let mut none_responds = replicate(&hosts(&["a"]), 1);
+    assert!(none_responds.next_host().is_some());
+    none_responds.record_silent();
+    none_responds.record_late(false);
+    assert_eq!(none_responds.progress(), ReplicationProgress::Failed);
+}
+
+#[test]
+fn replication_needs_one_replica_less_for_each_silent_host() {
+    let mut replication = replicate(&hosts(&["a", "b"]), 1);
+    while replication.next_host().is_some() {}
+    replication.record_silent();
+    assert_eq!(replication.progress(), ReplicationProgress::Pending);
+    replication.record_stored();
+    assert_eq!(replication.progress(), ReplicationProgress::Durable);
+}
+
 #[test]
 fn replication_needs_one_replica_less_for_each_lost_host() {
     let mut replication = replicate(&hosts(&["a", "b", "c"]), 2);
