Mark the end of an endpoint's connection in the bytes passed between hosts

Callers saw: part of a plain response without a length as a complete 200, when the call went to its endpoint through another host and that host was killed. Cause: the end of the connection between the hosts counted as the end of the endpoint's, and the operating system closes the connections of a process that is killed. A reset by the endpoint was told from its close by resetting the other side; the host's own end was not. Evidence: plain_response_through_another_host_that_is_killed_is_not_complete failed before: left 200, right 502. Change: the endpoint's bytes go in frames, and an empty frame marks its close. Without the mark, reading fails. The protocol of the upgrade has another name, so that hosts of different versions open no connections for each other in place of misreading them. A long response through another host arrives byte for byte (test).

--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -63,6 +63,7 @@
 mod stream_origins;
 mod time_error;
 mod tunnel;
+mod tunnel_frames;
 mod tunnel_server;
 mod turn_store;
 mod version_records;
--- a/crates/burdockroad-gateway/src/tunnel.rs
+++ b/crates/burdockroad-gateway/src/tunnel.rs
@@ -1,7 +1,7 @@
 //! Connections to endpoints through another host.
 //!
 //! A host that is cut from an endpoint requests a connection from another host by upgrading one of its own to that
-//! host. The other host connects to the endpoint and copies bytes both ways. The requesting host still decides
+//! host. The other host connects to the endpoint and copies bytes both ways, those of the endpoint in frames. The requesting host still decides
 //! on the call and counts it. Refused: to pass the call to the other host, where it would be admitted, counted
 //! and logged a second time.
 
@@ -18,10 +18,13 @@
 use hyper_util::rt::TokioIo;
 use tokio::time::timeout;
 
-use crate::pool::{connect_stream, handshake};
+use crate::{
+    pool::{connect_stream, handshake},
+    tunnel_frames::FramedConnection,
+};
 
 /// Protocol to which a connection between hosts is upgraded.
-pub(crate) const PROTOCOL: HeaderValue = HeaderValue::from_static("burdockroad-endpoint");
+pub(crate) const PROTOCOL: HeaderValue = HeaderValue::from_static("burdockroad-endpoint-frames");
 
 /// Id of the endpoint that the connection leads to.
 pub(crate) const ENDPOINT: HeaderName = HeaderName::from_static("endpoint");
@@ -45,7 +48,9 @@
 ) -> Result<SendRequest<Full<Bytes>>, TunnelError> {
     let opening = async {
         let upgraded = request_tunnel(address, endpoint, time_limit).await?;
-        handshake(upgraded).await.map_err(|_failed| TunnelError::NoRelay)
+        let connection = FramedConnection::new(TokioIo::new(upgraded));
+        let handshake = handshake(TokioIo::new(connection)).await;
+        handshake.map_err(|_failed| TunnelError::NoRelay)
     };
     timeout(time_limit, opening)
         .await
--- a/crates/burdockroad-gateway/src/tunnel_server.rs
+++ b/crates/burdockroad-gateway/src/tunnel_server.rs
@@ -20,6 +20,7 @@
     response_body::ResponseBody,
     shared::Shared,
     tunnel::{ENDPOINT, PROTOCOL, TunnelError},
+    tunnel_frames::send_frames,
 };
 
 /// Timeout for the other host's connection to the endpoint. The requesting host waits a little longer.
@@ -79,8 +80,8 @@
     Ok(())
 }
 
-/// Copies bytes both ways until a side ends. A failure of the endpoint's side resets the host's side: a close would
-/// look like the end of a response without a length.
+/// Copies bytes both ways until a side ends. Only the end of the endpoint's side is marked: without the mark, the
+/// requesting host knows that the connection broke off.
 async fn carry(upgraded: Upgraded, mut endpoint: TcpStream) {
     let Ok(parts) = upgraded.downcast::<TokioIo<TcpStream>>() else {
         return;
@@ -89,14 +90,11 @@
     if endpoint.write_all(&parts.read_buf).await.is_err() {
         return;
     }
-    let (mut from_host, mut to_host) = host.split();
-    let (mut from_endpoint, mut to_endpoint) = endpoint.split();
-    let is_complete = tokio::select! {
-        _ended = copy(&mut from_host, &mut to_endpoint) => true,
-        ended = copy(&mut from_endpoint, &mut to_host) => ended.is_ok(),
-    };
-    if !is_complete {
-        // It fails only if the host's side is closed already.
-        let _set = host.set_zero_linger();
+    let (mut from_host, to_host) = host.split();
+    let (from_endpoint, mut to_endpoint) = endpoint.split();
+    // Either side may fail; the other is closed then.
+    tokio::select! {
+        _ended = copy(&mut from_host, &mut to_endpoint) => {}
+        _ended = send_frames(from_endpoint, to_host) => {}
     }
 }
