--- a/crates/burdockroad-gateway/src/tunnel_frames.rs
+++ b/crates/burdockroad-gateway/src/tunnel_frames.rs
@@ -99,26 +99,26 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         while self.frame_left_bytes == 0 && !self.ended {
             ready!(self.poll_length(cx))?;
         }
-        if self.ended || buffer.remaining() == 0 {
+        if self.ended || buf.remaining() == 0 {
             return Poll::Ready(Ok(()));
         }
         let mut bytes = [0; READ_MAX_BYTES];
-        let max = self.frame_left_bytes.min(buffer.remaining()).min(READ_MAX_BYTES);
+        let max = self.frame_left_bytes.min(buf.remaining()).min(READ_MAX_BYTES);
         let read = ready!(self.poll_some(cx, &mut bytes[..max]))?;
-        buffer.put_slice(&bytes[..read]);
+        buf.put_slice(&bytes[..read]);
         self.frame_left_bytes -= read;
         Poll::Ready(Ok(()))
     }
 }
 
 impl<C: AsyncWrite + Unpin> AsyncWrite for FramedConnection<C> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.connection).poll_write(cx, bytes)
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.connection).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
