Bound the replication of a turn below the time in which a lost host catches up

Waiting for slow disks until the caller's deadline broke an assumption of the model of lost hosts: a turn is replicated before a host that has stored it can lose its disk, come back and count as sound, 4 s after its return. Found by reading the model; no caller saw it. Change: 3 s at most.

--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -26,9 +26,10 @@
     },
 };
 
-/// Timeout of a call that stores a turn. The caller's deadline usually ends it before: a host whose disk is slow may
-/// respond until then.
-const STORE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeout of the replication of a turn. The caller's deadline may end it before. It is shorter than the time for which
+/// a host that is back without its disk still counts as lost, so that the response of a host which has since lost the
+/// turn never counts beside the loss of another.
+const STORE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Timeout of a call that reads turns. After it, another host is asked.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
@@ -214,6 +215,12 @@
         let mut turns = renewals(history, &turn, unix_ms(), storage_time_ms);
         turns.push(turn.clone());
         let message = encode_message(&TurnCall::Store(turns)).ok()?;
+        let replicating = self.replicate(turn, message);
+        timeout(STORE_TIMEOUT, replicating).await.ok().flatten()
+    }
+
+    /// Sends an encoded call that stores a turn to as many hosts as must store it.
+    async fn replicate(&self, turn: Turn, message: Bytes) -> Option<usize> {
         let (mut replication, members) = {
             let state = self.lock();
             let hosts = writable(&state.members);
--- a/crates/burdockroad/tests/gateway_turn_losses.rs
+++ b/crates/burdockroad/tests/gateway_turn_losses.rs
@@ -45,6 +45,8 @@
     replication: Replication,
     /// Hosts that the turn was sent to and that have not replied.
     in_flight: Vec<usize>,
+    /// Those that have not replied for so long that they count as lost.
+    silent: Vec<usize>,
 }
 
 /// Model with its parameters.
@@ -98,6 +100,7 @@
                 &TurnHostHealth::default(),
             ),
             in_flight: Vec::new(),
+            silent: Vec::new(),
         };
         self.send(&mut world);
         world
@@ -116,6 +119,7 @@
         let mut next = Vec::new();
         for number in 0..world.hosts.len() {
             self.replication_steps(world, number, &mut next);
+            Self::late_steps(world, number, &mut next);
             self.loss_steps(world, number, &mut next);
             if world.hosts[number].is_running() && self.copies {
                 let mut copied = world.clone();
@@ -149,6 +153,36 @@
         failed.replication.record_failed(id, host.is_lost());
         self.send(&mut failed);
         next.push(failed);
+        if host.is_lost() {
+            let mut silent = world.clone();
+            silent.in_flight.remove(position);
+            silent.silent.push(number);
+            silent.replication.record_silent();
+            self.send(&mut silent);
+            next.push(silent);
+        }
+    }
+
+    /// Steps of a host that counts as lost while the turn is in flight to it.
+    fn late_steps(world: &World, number: usize, next: &mut Vec<World>) {
+        let Some(position) = world.silent.iter().position(|host| *host == number) else {
+            return;
+        };
+        let host = &world.hosts[number];
+        if host.is_running() && !host.has_turn {
+            let mut synced = world.clone();
+            synced.hosts[number].has_turn = true;
+            next.push(synced);
+        }
+        for stored in [false, true] {
+            if stored && !(host.is_running() && host.has_turn) {
+                continue;
+            }
+            let mut replied = world.clone();
+            replied.silent.remove(position);
+            replied.replication.record_late(stored);
+            next.push(replied);
+        }
     }
 
     fn loss_steps(&self, world: &World, number: usize, next: &mut Vec<World>) {
@@ -170,7 +204,7 @@
             up.hosts[number].availability = Availability::CatchingUp;
             next.push(up);
         }
-        // A turn is replicated within a second, and a host needs several to catch up. So no host that was lost
+        // A turn is replicated within three seconds, and a host needs longer to restart and catch up. So no host that was lost
         // meanwhile has caught up before the replication has ended.
         if host.availability == Availability::CatchingUp
             && world.replication.progress() != ReplicationProgress::Pending
