Let hosts of two versions carry each other's connections to endpoints

The new name of the protocol between hosts kept hosts with frames from opening connections for hosts without them, and the other way round: while hosts are replaced, a host that is cut from all endpoints could have been left without a way. The name is the old one again, and both hosts state frames in a header; without it on either side, bytes are copied as before.

--- a/crates/burdockroad-gateway/src/tunnel.rs
+++ b/crates/burdockroad-gateway/src/tunnel.rs
@@ -1,8 +1,8 @@
 //! Connections to endpoints through another host.
 //!
 //! A host that is cut from an endpoint requests a connection from another host by upgrading one of its own to that
-//! host. The other host connects to the endpoint and copies bytes both ways, those of the endpoint in frames. The requesting host still decides
-//! on the call and counts it. Refused: to pass the call to the other host, where it would be admitted, counted
+//! host. The other host connects to the endpoint and copies bytes both ways, those of the endpoint in frames. The
+//! requesting host still decides on the call and counts it. Refused: to pass the call to the other host, where it would be admitted, counted
 //! and logged a second time.
 
 use std::{net::SocketAddr, time::Duration};
@@ -24,7 +24,10 @@
 };
 
 /// Protocol to which a connection between hosts is upgraded.
-pub(crate) const PROTOCOL: HeaderValue = HeaderValue::from_static("burdockroad-endpoint-frames");
+pub(crate) const PROTOCOL: HeaderValue = HeaderValue::from_static("burdockroad-endpoint");
+
+/// Header by which both hosts state that the endpoint's bytes are in frames. Hosts of earlier versions do not send it.
+pub(crate) const FRAMES: HeaderName = HeaderName::from_static("endpoint-frames");
 
 /// Id of the endpoint that the connection leads to.
 pub(crate) const ENDPOINT: HeaderName = HeaderName::from_static("endpoint");
@@ -47,9 +50,13 @@
     time_limit: Duration,
 ) -> Result<SendRequest<Full<Bytes>>, TunnelError> {
     let opening = async {
-        let upgraded = request_tunnel(address, endpoint, time_limit).await?;
-        let connection = FramedConnection::new(TokioIo::new(upgraded));
-        let handshake = handshake(TokioIo::new(connection)).await;
+        let tunnel = request_tunnel(address, endpoint, time_limit).await?;
+        let handshake = if tunnel.has_frames {
+            let connection = FramedConnection::new(TokioIo::new(tunnel.upgraded));
+            handshake(TokioIo::new(connection)).await
+        } else {
+            handshake(tunnel.upgraded).await
+        };
         handshake.map_err(|_failed| TunnelError::NoRelay)
     };
     timeout(time_limit, opening)
@@ -57,11 +64,18 @@
         .unwrap_or(Err(TunnelError::NoRelay))
 }
 
+/// An upgraded connection to another host.
+struct Tunnel {
+    upgraded: Upgraded,
+    /// Whether the endpoint's bytes are in frames.
+    has_frames: bool,
+}
+
 async fn request_tunnel(
     address: SocketAddr,
     endpoint: &str,
     time_limit: Duration,
-) -> Result<Upgraded, TunnelError> {
+) -> Result<Tunnel, TunnelError> {
     let endpoint = HeaderValue::from_str(endpoint).map_err(|_unprintable| TunnelError::NoRelay)?;
     let stream = connect_stream(address, time_limit)
         .await
@@ -79,14 +93,18 @@
     headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
     headers.insert(header::UPGRADE, PROTOCOL);
     headers.insert(ENDPOINT, endpoint);
+    headers.insert(FRAMES, HeaderValue::from_static("1"));
     let response = sender
         .send_request(request)
         .await
         .map_err(|_failed| TunnelError::NoRelay)?;
     match response.status() {
-        StatusCode::SWITCHING_PROTOCOLS => upgrade::on(response)
-            .await
-            .map_err(|_failed| TunnelError::NoRelay),
+        StatusCode::SWITCHING_PROTOCOLS => {
+            let has_frames = response.headers().contains_key(FRAMES);
+            let upgraded = upgrade::on(response).await;
+            let upgraded = upgraded.map_err(|_failed| TunnelError::NoRelay)?;
+            Ok(Tunnel { upgraded, has_frames })
+        }
         StatusCode::BAD_GATEWAY => Err(TunnelError::NotListening),
         StatusCode::GATEWAY_TIMEOUT => Err(TunnelError::Unreachable),
         _ => Err(TunnelError::NoRelay),
--- a/crates/burdockroad-gateway/src/tunnel_server.rs
+++ b/crates/burdockroad-gateway/src/tunnel_server.rs
@@ -19,7 +19,7 @@
     endpoint_path::open_own_link,
     response_body::ResponseBody,
     shared::Shared,
-    tunnel::{ENDPOINT, PROTOCOL, TunnelError},
+    tunnel::{ENDPOINT, FRAMES, PROTOCOL, TunnelError},
     tunnel_frames::send_frames,
 };
 
@@ -32,15 +32,19 @@
     let mut response = Response::new(ResponseBody::full(Bytes::new()));
     *response.status_mut() = match connect_in_place(&shared, &request).await {
         Ok(endpoint) => {
+            let has_frames = request.headers().contains_key(FRAMES);
             tokio::spawn(async move {
                 // A host that disconnects needs no connection.
                 if let Ok(upgraded) = upgrade::on(request).await {
-                    carry(upgraded, endpoint).await;
+                    carry(upgraded, endpoint, has_frames).await;
                 }
             });
             let headers = response.headers_mut();
             headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
             headers.insert(header::UPGRADE, PROTOCOL);
+            if has_frames {
+                headers.insert(FRAMES, HeaderValue::from_static("1"));
+            }
             StatusCode::SWITCHING_PROTOCOLS
         }
         Err(TunnelError::NotListening) => StatusCode::BAD_GATEWAY,
@@ -80,9 +84,10 @@
     Ok(())
 }
 
-/// Copies bytes both ways until a side ends. Only the end of the endpoint's side is marked: without the mark, the
-/// requesting host knows that the connection broke off.
-async fn carry(upgraded: Upgraded, mut endpoint: TcpStream) {
+/// Copies bytes both ways until a side ends. Only the end of the endpoint's side is marked in the frames: without the
+/// mark, the requesting host knows that the connection broke off. Without frames, a failure of the endpoint's side
+/// resets the host's side, as a close would look like the end of a response without a length.
+async fn carry(upgraded: Upgraded, mut endpoint: TcpStream, has_frames: bool) {
     let Ok(parts) = upgraded.downcast::<TokioIo<TcpStream>>() else {
         return;
     };
@@ -90,11 +95,21 @@
     if endpoint.write_all(&parts.read_buf).await.is_err() {
         return;
     }
-    let (mut from_host, to_host) = host.split();
-    let (from_endpoint, mut to_endpoint) = endpoint.split();
-    // Either side may fail; the other is closed then.
-    tokio::select! {
-        _ended = copy(&mut from_host, &mut to_endpoint) => {}
-        _ended = send_frames(from_endpoint, to_host) => {}
+    let (mut from_host, mut to_host) = host.split();
+    let (mut from_endpoint, mut to_endpoint) = endpoint.split();
+    let to_requester = async {
+        if has_frames {
+            send_frames(&mut from_endpoint, &mut to_host).await
+        } else {
+            copy(&mut from_endpoint, &mut to_host).await.map(|_bytes| ())
+        }
+    };
+    let is_complete = tokio::select! {
+        _ended = copy(&mut from_host, &mut to_endpoint) => true,
+        ended = to_requester => ended.is_ok(),
+    };
+    if !is_complete {
+        // It fails only if the host's side is closed already.
+        let _set = host.set_zero_linger();
     }
 }
