Add up the tokens of budgets without overflow

A record of a budget may state 2^64-1 tokens, and so may the header of a caller. A build with overflow checks panics; one without wraps around, so that a spent budget counts, and is written, as nearly unspent (read, not run). Evidence: fail without the change: take_refuses_a_budget_whose_record_states_the_largest_numbers: budget.rs:196 attempt to add with overflow take_refuses_calls_of_the_most_tokens: budget.rs:152 attempt to add with overflow Fix: sums end at the largest number, and a waiting call counts for at most 2^48 tokens, so that what it adds is also what it takes away.

--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -16,6 +16,9 @@
 use self::program_budget::ProgramBudget;
 use crate::ids::{Incarnation, ProgramId};
 
+/// Largest number of tokens that one waiting call counts for. Callers state it, and the sum must not overflow.
+const WAITING_MAX_TOKENS: u64 = 1 << 48;
+
 /// Timing options of a [`Ledger`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LedgerOptions {
@@ -149,7 +152,7 @@
             .or_insert_with(|| ProgramBudget::new(budget_tokens, now));
         row.budget_tokens = budget_tokens;
         row.owns_budget = owns_budget;
-        row.waiting_tokens += max_tokens;
+        row.waiting_tokens += max_tokens.min(WAITING_MAX_TOKENS);
         row.last_call_tokens = max_tokens;
         row.last_used_at = now;
     }
@@ -157,7 +160,8 @@
     /// Removes a waiting call added by [`add_waiter`](Self::add_waiter).
     pub fn remove_waiter(&mut self, program: &ProgramId, max_tokens: u64) {
         if let Some(row) = self.rows.get_mut(program) {
-            row.waiting_tokens = row.waiting_tokens.saturating_sub(max_tokens);
+            let waiting_tokens = max_tokens.min(WAITING_MAX_TOKENS);
+            row.waiting_tokens = row.waiting_tokens.saturating_sub(waiting_tokens);
             row.may_be_idle = true;
         }
     }
@@ -193,7 +197,7 @@
             self.queue_write(program);
             return Readiness::AwaitWrite;
         }
-        if row.spent_tokens() + max_tokens > row.budget_tokens {
+        if row.spent_tokens().saturating_add(max_tokens) > row.budget_tokens {
             return Readiness::Exhausted;
         }
         if row.reservable_tokens() < max_tokens {
@@ -370,7 +374,7 @@
         self.reservations
             .iter()
             .map(|reservation| reservation.reserved_tokens)
-            .sum()
+            .fold(0, u64::saturating_add)
     }
 
     fn reservation_of(&self, incarnation: Incarnation) -> Option<&HostReservation> {
--- a/crates/burdockroad/tests/gateway_large_numbers.rs
+++ b/crates/burdockroad/tests/gateway_large_numbers.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use burdockroad::gateway::{
-    Endpoint, EndpointCalls, EndpointTable, LoadReading, Outcome, Placement, PlacementQuery,
+    Endpoint, EndpointCalls, EndpointTable, HostReservation, Ledger, LedgerOptions, LoadReading, Outcome,
+    Placement, PlacementQuery, Readiness, StoreResponse, StoredBudget, VersionedBudget,
 };
 
 const SERVICE: &str = "engine";
@@ -102,3 +103,47 @@
     assert_ne!(place(&mut table, None, now).endpoint.id, "endpoint-1");
     assert!(table.load_per_slot(SERVICE, now).is_finite());
 }
+
+/// Guards against a budget that counts as unspent because the tokens of a stored record overflow.
+#[test]
+fn take_refuses_a_budget_whose_record_states_the_largest_numbers() {
+    let program = "program".to_owned();
+    let now = Instant::now();
+    let reservations = [1, 2].map(|incarnation| HostReservation {
+        incarnation,
+        reserved_tokens: u64::MAX,
+        write_id: 1,
+    });
+    for (spent_tokens, reservations) in [(u64::MAX, Vec::new()), (0, reservations.to_vec())] {
+        let mut ledger = Ledger::new(LedgerOptions::default(), 7);
+        ledger.add_waiter(&program, 200, 72, true, now);
+        let budget = StoredBudget {
+            spent_tokens,
+            reservations,
+        };
+        let found = VersionedBudget { budget, revision: 3 };
+        ledger.complete(&program, StoreResponse::Found(Some(found)));
+        let readiness = ledger.take(&program, 72);
+        assert!(matches!(readiness, Readiness::Exhausted | Readiness::AwaitTokens));
+        for write in ledger.next_writes(1) {
+            assert!(write.budget.spent_tokens >= spent_tokens);
+        }
+    }
+}
+
+/// Guards against calls whose callers state the largest number of tokens.
+#[test]
+fn take_refuses_calls_of_the_most_tokens() {
+    let program = "program".to_owned();
+    let now = Instant::now();
+    let mut ledger = Ledger::new(LedgerOptions::default(), 7);
+    ledger.add_waiter(&program, 200, 72, false, now);
+    ledger.add_waiter(&program, 200, u64::MAX, false, now);
+    ledger.add_waiter(&program, 200, u64::MAX, false, now);
+    assert_eq!(ledger.take(&program, 72), Readiness::AwaitWrite);
+    assert_eq!(ledger.next_writes(1).len(), 1);
+    ledger.complete(&program, StoreResponse::Written(3));
+    assert_eq!(ledger.take(&program, 72), Readiness::Ready);
+    ledger.settle(&program, 72, 72, now);
+    assert_eq!(ledger.take(&program, u64::MAX), Readiness::Exhausted);
+}
