Split the program table by job

table.rs keeps the programs, their calls and the records of their changes. Moved into modules below it, with no change of behaviour:

* handoff: adopt, freeze, thaw, has_open, export, remove_partitions and clear;
* releases: release of cached prefixes.
* expiry: tick, and the time at which a tree is due.

--- a/crates/burdockroad/src/program/table.rs
+++ b/crates/burdockroad/src/program/table.rs
@@ -1,32 +1,27 @@
 //! Table of the programs that one host owns, and the operations on them.
 
+mod expiry;
+mod handoff;
+mod releases;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    time::{Duration, SystemTime},
+    time::SystemTime,
 };
 
 use crate::{
     error::Result,
-    ids::{AccountId, EndpointId, PartitionId, ProgramId, partition_of_program},
+    ids::{AccountId, PartitionId, ProgramId},
     program::{
         Action, CachedPrefix, CallDecision, CallRequest, CancelledCall, Event, Intent, NewProgram, Outcome,
         Placement, PreparedCall, Program, ProgramsOptions, Record, Refusal, State, Tree,
         checks::{
-            check_active, check_budget, check_history, check_next, is_prefix_reusable, prompt,
-            retry_of_finished_call, retry_of_open_call, usage,
+            check_active, check_budget, check_history, check_next, prompt, retry_of_finished_call,
+            retry_of_open_call, usage,
         },
     },
 };
 
-/// Reason reported for a call that was running when its host failed.
-const OWNER_LOST: &str = "the host that ran the call failed";
-
-/// Reason reported for a program that reached its time limit.
-const TIME_LIMIT: &str = "its time limit has passed";
-
-/// Interval between two requests to release the same cached prefix.
-const RELEASE_RETRY: Duration = Duration::from_secs(1);
-
 /// The program trees that one host owns.
 ///
 /// Every method that changes a tree returns the records of the change, and the caller appends them to
@@ -227,104 +222,6 @@
         Ok(self.end_subtree(&root_id, program_id, reason, now))
     }
 
-    /// Records that an endpoint no longer caches the prefix of a program.
-    ///
-    /// Returns none if the program has an open call, can reuse the prefix in its next call, or is not in
-    /// the table, and if the release is already recorded.
-    pub fn on_prefix_released(&mut self, prefix: &CachedPrefix) -> Option<Record> {
-        self.releasing.remove(prefix);
-        let tree = self.tree_of(&prefix.program_id)?;
-        let cached = tree.cached_prefixes.contains(prefix);
-        if !cached || self.open.contains_key(&prefix.program_id) || is_prefix_reusable(tree, prefix) {
-            return None;
-        }
-        let root_id = tree.root_id.clone();
-        let event = Event::Released {
-            program_id: prefix.program_id.clone(),
-            endpoint_id: prefix.endpoint_id.clone(),
-        };
-        Some(self.apply_change(&root_id, event))
-    }
-
-    /// Ends programs that reached their time limit, requests the release of cached prefixes, and
-    /// removes trees whose retention period has passed.
-    pub fn tick(&mut self, now: SystemTime) -> Vec<Action> {
-        let mut actions = Vec::new();
-        while let Some((_, root_id)) = self.pop_due(now) {
-            actions.extend(self.process_due(&root_id, now));
-        }
-        actions.extend(self.due_releases(now));
-        actions
-    }
-
-    /// Adds trees of a previous owner, and closes their calls that were still running when it stopped.
-    ///
-    /// A tree that is not newer than the one in the table is ignored.
-    pub fn adopt(&mut self, trees: Vec<Tree>, now: SystemTime) -> Vec<Record> {
-        let mut records = Vec::new();
-        for tree in trees {
-            let current = self
-                .trees
-                .get(&tree.root_id)
-                .map_or(0, |existing| existing.sequence);
-            if tree.sequence > current {
-                records.extend(self.adopt_tree(tree, now));
-            }
-        }
-        records
-    }
-
-    /// Stops accepting programs and calls in partitions that are being handed off.
-    pub fn freeze(&mut self, partitions: &[PartitionId]) {
-        self.frozen.extend(partitions);
-    }
-
-    /// Accepts programs and calls in the partitions again.
-    pub fn thaw(&mut self, partitions: &[PartitionId]) {
-        for partition in partitions {
-            self.frozen.remove(partition);
-        }
-    }
-
-    /// Returns whether a call of one of the partitions is open.
-    pub fn has_open(&self, partitions: &[PartitionId]) -> bool {
-        self.open
-            .keys()
-            .any(|id| partition_of_program(id).is_some_and(|own| partitions.contains(&own)))
-    }
-
-    /// Returns copies of all trees in the partitions.
-    pub fn export(&self, partitions: &[PartitionId]) -> Vec<Tree> {
-        self.roots_in(partitions)
-            .iter()
-            .filter_map(|root_id| self.trees.get(root_id).cloned())
-            .collect()
-    }
-
-    /// Removes the trees of partitions that another host now owns.
-    pub fn remove_partitions(&mut self, partitions: &[PartitionId]) -> Vec<Record> {
-        let root_ids = self.roots_in(partitions);
-        let records = root_ids
-            .iter()
-            .filter_map(|root_id| self.drop_tree(root_id))
-            .collect();
-        self.thaw(partitions);
-        records
-    }
-
-    /// Removes all trees after the host was fenced. Returns the prefixes that endpoints may cache for
-    /// trees with open calls.
-    pub fn clear(&mut self) -> Vec<CachedPrefix> {
-        let cached_prefixes = self
-            .open
-            .keys()
-            .filter_map(|id| self.tree_of(id))
-            .flat_map(|tree| tree.cached_prefixes.clone());
-        let cached_prefixes = cached_prefixes.collect();
-        *self = Self::new(self.options);
-        cached_prefixes
-    }
-
     /// Creates snapshots of trees, which replace all earlier records of these trees.
     pub fn snapshots(&mut self, root_ids: &[ProgramId]) -> Vec<Record> {
         root_ids
@@ -342,14 +239,6 @@
         Ok(tree.root_id.clone())
     }
 
-    fn check_partition(&self, program_id: &ProgramId) -> std::result::Result<(), Refusal> {
-        match partition_of_program(program_id) {
-            Some(partition) if !self.frozen.contains(&partition) => Ok(()),
-            Some(_) => Err(Refusal::NotOwner),
-            None => Err(Refusal::UnknownProgram),
-        }
-    }
-
     fn check_send(&self, request: &CallRequest, now: SystemTime) -> std::result::Result<(), Refusal> {
         let (tree, program) = self.get(&request.account_id, &request.program_id)?;
         check_active(program)?;
@@ -394,24 +283,6 @@
         }
     }
 
-    /// Schedules the release of prefixes that other endpoints cache for a program that has moved to
-    /// `endpoint_id`.
-    fn release_other_endpoints(
-        &mut self,
-        root_id: &ProgramId,
-        program_id: &ProgramId,
-        endpoint_id: &EndpointId,
-        now: SystemTime,
-    ) {
-        let cached_prefixes = self.trees[root_id].cached_prefixes.iter();
-        let stale = cached_prefixes
-            .filter(|prefix| prefix.program_id == *program_id && prefix.endpoint_id != *endpoint_id);
-        let stale: Vec<CachedPrefix> = stale.cloned().collect();
-        for prefix in stale {
-            self.releasing.entry(prefix).or_insert(now);
-        }
-    }
-
     fn end_subtree(
         &mut self,
         root_id: &ProgramId,
@@ -443,86 +314,6 @@
         actions
     }
 
-    fn release_program(&mut self, root_id: &ProgramId, program_id: &ProgramId, now: SystemTime) {
-        let cached_prefixes = self.trees[root_id]
-            .cached_prefixes
-            .iter()
-            .filter(|prefix| prefix.program_id == *program_id);
-        let cached_prefixes: Vec<CachedPrefix> = cached_prefixes.cloned().collect();
-        for prefix in cached_prefixes {
-            self.releasing.entry(prefix).or_insert(now);
-        }
-    }
-
-    fn pop_due(&mut self, now: SystemTime) -> Option<(SystemTime, ProgramId)> {
-        let first = self.due.first()?;
-        if first.0 > now {
-            return None;
-        }
-        self.due.pop_first()
-    }
-
-    fn process_due(&mut self, root_id: &ProgramId, now: SystemTime) -> Vec<Action> {
-        let Some(tree) = self.trees.get(root_id) else {
-            return Vec::new();
-        };
-        let Some(ended_at) = tree.ended_at() else {
-            return self.end_subtree(&root_id.clone(), root_id, TIME_LIMIT, now);
-        };
-        // A tree that ended early is still scheduled for its time limit, which may come before the end of
-        // its retention period.
-        if ended_at + self.options.retention > now {
-            return Vec::new();
-        }
-        let in_use =
-            !tree.cached_prefixes.is_empty() || tree.programs.keys().any(|id| self.open.contains_key(id));
-        if in_use {
-            self.due.insert((now + RELEASE_RETRY, root_id.clone()));
-            return Vec::new();
-        }
-        self.drop_tree(root_id).map(Action::Append).into_iter().collect()
-    }
-
-    fn due_releases(&mut self, now: SystemTime) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for (prefix, next) in &mut self.releasing {
-            if *next <= now && !self.open.contains_key(&prefix.program_id) {
-                *next = now + RELEASE_RETRY;
-                actions.push(Action::Release(prefix.clone()));
-            }
-        }
-        actions
-    }
-
-    fn adopt_tree(&mut self, tree: Tree, now: SystemTime) -> Vec<Record> {
-        let root_id = tree.root_id.clone();
-        for id in tree.programs.keys() {
-            self.roots.insert(id.clone(), root_id.clone());
-        }
-        let orphans = tree.close_orphans(OWNER_LOST);
-        self.trees.insert(root_id.clone(), tree);
-        self.schedule(&root_id);
-        let records = orphans
-            .into_iter()
-            .map(|event| self.apply_change(&root_id, event))
-            .collect();
-        self.release_unused(&root_id, now);
-        records
-    }
-
-    fn release_unused(&mut self, root_id: &ProgramId, now: SystemTime) {
-        let tree = &self.trees[root_id];
-        let unused: Vec<CachedPrefix> = tree
-            .cached_prefixes
-            .iter()
-            .filter(|prefix| !is_prefix_reusable(tree, prefix))
-            .cloned()
-            .collect();
-        for prefix in unused {
-            self.releasing.entry(prefix).or_insert(now);
-        }
-    }
-
     fn snapshot(&mut self, root_id: &ProgramId) -> Option<Record> {
         let tree = self.trees.get_mut(root_id)?;
         tree.sequence += 1;
@@ -551,11 +342,6 @@
         })
     }
 
-    fn roots_in(&self, partitions: &[PartitionId]) -> Vec<ProgramId> {
-        let inside = |id: &&ProgramId| partition_of_program(id).is_some_and(|own| partitions.contains(&own));
-        self.trees.keys().filter(inside).cloned().collect()
-    }
-
     fn tree_of(&self, program_id: &ProgramId) -> Option<&Tree> {
         self.trees.get(self.roots.get(program_id)?)
     }
@@ -582,15 +368,4 @@
         self.schedule(root_id);
         Ok(1)
     }
-
-    /// Schedules the next processing of a tree: at its time limit while it is active, and at the end of
-    /// its retention period after that.
-    fn schedule(&mut self, root_id: &ProgramId) {
-        let tree = &self.trees[root_id];
-        let at = match tree.ended_at() {
-            Some(ended_at) => ended_at + self.options.retention,
-            None => tree.ledger.created_at + tree.ledger.budget.max_duration,
-        };
-        self.due.insert((at, root_id.clone()));
-    }
 }
