Split the assembly of the daemon by job

daemon.rs keeps the start and the end of a daemon. Moved into modules below it, with no change of behaviour: components (assembly of the services), servers (for peers and operators) and error.

--- a/crates/burdockroad-daemon/src/daemon.rs
+++ b/crates/burdockroad-daemon/src/daemon.rs
@@ -1,40 +1,33 @@
 //! Assembly, startup and shutdown of a daemon.
 
+mod components;
+mod error;
 mod journals;
 mod observed_hosts;
 mod operators;
+mod servers;
 
-use std::{
-    fmt, io,
-    net::SocketAddr,
-    sync::{Arc, Mutex, atomic::AtomicBool},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use burdockroad::{
-    PARTITIONS, membership,
-    program::ProgramsOptions,
-    retry::{RetryBudgets, RetryOptions},
-};
-use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
+use burdockroad::PARTITIONS;
+use tokio::task::JoinHandle;
 
-use self::{journals::Journals, observed_hosts::ObservedHostList, operators::OperatorApi};
+pub use self::error::DaemonError;
+use self::{
+    components::Components,
+    observed_hosts::ObservedHostList,
+    servers::{AdminServer, PeerServer, listen, local_address},
+};
 use crate::{
-    admin::{self, AdminHandlers},
-    calls::{CallLimits, CallRunner},
-    config_watch::{ConfigWatch, DocumentOffer, InForceReceiver},
-    coordinator::{Coordinator, CoordinatorOptions, JournalHandle, StartError, Views},
-    dispatch::{DispatchParts, PoolDispatcher},
-    document_source::{DocumentSource, LeavingReceiver},
-    edge::{Edge, EdgeLimits},
-    endpoint::{Endpoints, HttpEndpoints},
+    config_watch::ConfigWatch,
+    coordinator::{Coordinator, JournalHandle, Views},
+    endpoint::HttpEndpoints,
     http::{CallerServer, CallerServerParts},
-    journal::{StoreRecovery, TailStore, Trees},
-    peer::{self, PeerClients, PeerHandlers},
-    platform::{self, PlatformError, SharedKeyValue},
-    prefix_cache::{EnginePrefixCache, PrefixCacheAudit},
-    programs::{ProgramsHandle, ProgramsParts},
-    quota::{EscrowQuota, QuotaParts},
+    journal::{TailStore, Trees},
+    peer::PeerClients,
+    platform,
+    prefix_cache::PrefixCacheAudit,
+    programs::ProgramsHandle,
     settings::Settings,
     telemetry::Telemetry,
 };
@@ -43,61 +36,6 @@
 /// whose retention period has passed.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Maximum size of a response on a route of kind `service`, in bytes.
-const RESPONSE_MAX_BYTES: usize = 4 * 1024 * 1024;
-
-/// Maximum wait for a program that is moving between hosts. This is longer than a takeover takes.
-const MOVING_TIMEOUT: Duration = Duration::from_secs(8);
-
-/// Error returned when a daemon fails to start.
-#[derive(Debug)]
-pub enum DaemonError {
-    /// The platform's services cannot be used with the settings.
-    Platform(PlatformError),
-    /// The daemon cannot listen on an address.
-    Listen {
-        /// The address.
-        address: String,
-        /// Error of the operating system.
-        cause: io::Error,
-    },
-    /// An actor could not be started.
-    Actor(ractor::SpawnErr),
-    /// The coordinator could not be started.
-    Coordinator(StartError),
-}
-
-impl fmt::Display for DaemonError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Platform(cause) => cause.fmt(f),
-            Self::Listen { address, cause } => write!(f, "cannot listen on {address}: {cause}"),
-            Self::Actor(cause) => write!(f, "an actor could not be started: {cause}"),
-            Self::Coordinator(cause) => cause.fmt(f),
-        }
-    }
-}
-
-impl std::error::Error for DaemonError {}
-
-impl From<PlatformError> for DaemonError {
-    fn from(cause: PlatformError) -> Self {
-        Self::Platform(cause)
-    }
-}
-
-impl From<ractor::SpawnErr> for DaemonError {
-    fn from(cause: ractor::SpawnErr) -> Self {
-        Self::Actor(cause)
-    }
-}
-
-impl From<StartError> for DaemonError {
-    fn from(cause: StartError) -> Self {
-        Self::Coordinator(cause)
-    }
-}
-
 /// Running daemon.
 #[derive(Debug)]
 pub struct Daemon {
@@ -116,25 +54,6 @@
     ticker: JoinHandle<()>,
 }
 
-/// Server for requests from peers.
-#[derive(Debug)]
-struct PeerServer {
-    stop: oneshot::Sender<()>,
-    task: JoinHandle<()>,
-}
-
-/// Settings and shared components from which the daemon's services are assembled.
-struct Components {
-    settings: Settings,
-    store: SharedKeyValue,
-    clients: Arc<PeerClients>,
-    views: Views,
-    tails: Arc<TailStore>,
-    endpoints: Arc<dyn Endpoints>,
-    in_force: InForceReceiver,
-    telemetry: Telemetry,
-}
-
 impl Daemon {
     /// Starts a daemon with the given settings. Port 0 selects a free port.
     ///
@@ -253,223 +172,6 @@
     }
 }
 
-/// Services for callers and peers.
-struct Services {
-    edge: Edge,
-    handlers: PeerHandlers,
-}
-
-impl Components {
-    fn journals(&self) -> Journals {
-        Journals {
-            store: Arc::clone(&self.store),
-            settings: self.settings.clone(),
-            peers: self.views.peers(),
-            clients: Arc::clone(&self.clients),
-            tails: Arc::clone(&self.tails),
-            cleanup: Mutex::default(),
-        }
-    }
-
-    async fn start_programs(&self, journal: &Arc<JournalHandle>) -> Result<ProgramsHandle, DaemonError> {
-        let parts = ProgramsParts {
-            journal: Arc::clone(journal) as _,
-            releaser: Arc::new(self.engine_prefix_cache()),
-            ownership: self.views.ownership(),
-            options: ProgramsOptions::default(),
-        };
-        Ok(ProgramsHandle::start(parts).await?)
-    }
-
-    fn engine_prefix_cache(&self) -> EnginePrefixCache {
-        EnginePrefixCache {
-            endpoints: Arc::clone(&self.endpoints),
-            in_force: self.in_force.clone(),
-        }
-    }
-
-    fn coordinator_options(
-        &self,
-        config: &ConfigWatch,
-        hosts: ObservedHostList,
-        journal: Arc<JournalHandle>,
-        trees: Arc<dyn Trees>,
-        peer_address: SocketAddr,
-    ) -> CoordinatorOptions {
-        let recovery = StoreRecovery::new(
-            Arc::clone(&self.store),
-            self.views.peers(),
-            Arc::clone(&self.clients),
-            Arc::clone(&self.tails),
-        );
-        CoordinatorOptions {
-            views: self.views.clone(),
-            peer_address: peer_address.to_string(),
-            failure_domain: self.settings.failure_domain.clone(),
-            membership: membership::Options::default(),
-            store: Arc::clone(&self.store),
-            host_list: Arc::new(hosts),
-            journal,
-            recovery: Arc::new(journals::RetryingRecovery { recovery }),
-            trees,
-            clients: Arc::clone(&self.clients),
-            document: config.gossip(),
-        }
-    }
-
-    async fn start_serving(
-        &self,
-        coordinator: &Coordinator,
-        config: &ConfigWatch,
-        programs: &Arc<ProgramsHandle>,
-        leaving: LeavingReceiver,
-    ) -> Result<Services, DaemonError> {
-        let source = Arc::new(DocumentSource::new(self.in_force.clone(), leaving));
-        let quota = Arc::new(self.start_quota(coordinator, &source).await?);
-        let dispatcher = Arc::new(self.start_dispatcher(&source).await?);
-        let runner = CallRunner {
-            programs: ProgramsHandle::clone(programs),
-            quota: Arc::clone(&quota) as _,
-            dispatcher: Arc::clone(&dispatcher) as _,
-            endpoints: Arc::clone(&self.endpoints),
-            in_force: self.in_force.clone(),
-            retries: Arc::new(Mutex::new(RetryBudgets::new(RetryOptions::default()))),
-            telemetry: self.telemetry.clone(),
-            limits: self.call_limits(),
-        };
-        let edge = Edge {
-            runner,
-            ownership: self.views.ownership(),
-            peers: self.views.peers(),
-            clients: Arc::clone(&self.clients),
-            in_force: self.in_force.clone(),
-            limits: EdgeLimits {
-                moving_timeout: MOVING_TIMEOUT,
-            },
-        };
-        let handlers = PeerHandlers {
-            heartbeat: coordinator.heartbeat_handler(),
-            forward: Arc::new(edge.clone()),
-            tail: Arc::clone(&self.tails) as _,
-            adopt: coordinator.adopt_handler(),
-            document: config.handler(),
-            grant: quota,
-            slot: dispatcher,
-        };
-        Ok(Services { edge, handlers })
-    }
-
-    async fn start_quota(
-        &self,
-        coordinator: &Coordinator,
-        source: &Arc<DocumentSource>,
-    ) -> Result<EscrowQuota, DaemonError> {
-        let parts = QuotaParts {
-            ownership: self.views.ownership(),
-            peers: self.views.peers(),
-            clients: Arc::clone(&self.clients),
-            lease: coordinator.lease(),
-            limits: Arc::clone(source) as _,
-        };
-        Ok(EscrowQuota::start(parts).await?)
-    }
-
-    async fn start_dispatcher(&self, source: &Arc<DocumentSource>) -> Result<PoolDispatcher, DaemonError> {
-        let parts = DispatchParts {
-            ownership: self.views.ownership(),
-            peers: self.views.peers(),
-            clients: Arc::clone(&self.clients),
-            source: Arc::clone(source) as _,
-            limits: Arc::clone(source) as _,
-        };
-        Ok(PoolDispatcher::start(parts).await?)
-    }
-
-    fn operators(&self, coordinator: &Arc<Coordinator>, programs: &Arc<ProgramsHandle>) -> OperatorApi {
-        OperatorApi {
-            failure_domain: self.settings.failure_domain.clone(),
-            in_force: self.in_force.clone(),
-            ownership: self.views.ownership(),
-            peers: self.views.peers(),
-            programs: ProgramsHandle::clone(programs),
-            coordinator: Arc::downgrade(coordinator),
-            telemetry: self.telemetry.clone(),
-            draining: AtomicBool::new(false),
-        }
-    }
-
-    fn call_limits(&self) -> CallLimits {
-        CallLimits {
-            queue_timeout: Duration::from_secs(self.settings.limits.queue_timeout_s),
-            response_max_bytes: RESPONSE_MAX_BYTES,
-        }
-    }
-}
-
-impl PeerServer {
-    fn start(listener: TcpListener, handlers: PeerHandlers) -> Self {
-        let (stop, stopped) = oneshot::channel();
-        let task = tokio::spawn(async move {
-            let stopped = async {
-                // Dropping the sender also stops the server.
-                let _stopped = stopped.await;
-            };
-            if let Err(error) = peer::serve(listener, handlers, stopped).await {
-                log::error!("event=peer_server_failed reason=\"{error}\"");
-            }
-        });
-        Self { stop, task }
-    }
-
-    async fn close(self) {
-        // The server may already have stopped by itself.
-        let _sent = self.stop.send(());
-        let mut task = self.task;
-        if tokio::time::timeout(Duration::from_secs(1), &mut task)
-            .await
-            .is_err()
-        {
-            task.abort();
-        }
-    }
-}
-
-/// Server for requests from operators and the load balancer.
-#[derive(Debug)]
-struct AdminServer {
-    stop: oneshot::Sender<()>,
-    task: JoinHandle<()>,
-    operators: Arc<OperatorApi>,
-}
-
-impl AdminServer {
-    fn start(listener: TcpListener, operators: &Arc<OperatorApi>, document: Arc<dyn DocumentOffer>) -> Self {
-        let (stop, stopped) = oneshot::channel();
-        let handlers = AdminHandlers {
-            document,
-            status: Arc::clone(operators) as _,
-            actions: Arc::clone(operators) as _,
-        };
-        let task = tokio::spawn(admin::serve(listener, handlers, async {
-            // Dropping the sender also stops the server.
-            let _stopped = stopped.await;
-        }));
-        Self {
-            stop,
-            task,
-            operators: Arc::clone(operators),
-        }
-    }
-
-    async fn close(self) {
-        // The server may already have stopped by itself.
-        let _sent = self.stop.send(());
-        if let Err(error) = self.task.await {
-            log::warn!("event=admin_server_failed reason=\"{error}\"");
-        }
-    }
-}
-
 async fn tick(programs: ProgramsHandle) {
     let mut interval = tokio::time::interval(TICK_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -478,19 +180,3 @@
         programs.tick();
     }
 }
-
-async fn listen(address: &str) -> Result<TcpListener, DaemonError> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|cause| DaemonError::Listen {
-        address: address.to_owned(),
-        cause,
-    })
-}
-
-fn local_address(listener: &TcpListener, address: &str) -> Result<SocketAddr, DaemonError> {
-    let local = listener.local_addr();
-    local.map_err(|cause| DaemonError::Listen {
-        address: address.to_owned(),
-        cause,
-    })
-}
