Split the coordinator's worker by job

worker.rs keeps what the worker decides. Moved into modules below it, with no change of behaviour: moves (handoffs of many partitions) and repeated_task.

--- a/crates/burdockroad-daemon/src/coordinator/worker.rs
+++ b/crates/burdockroad-daemon/src/coordinator/worker.rs
@@ -1,5 +1,8 @@
 //! Background task that acts on membership changes: map refreshes, takeovers, handoffs and cleanup.
 
+mod moves;
+mod repeated_task;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -13,13 +16,16 @@
 };
 use tokio::{
     sync::{Mutex, Notify, mpsc, oneshot},
-    task::JoinHandle,
     time::Instant,
 };
 
+use self::{
+    moves::{HandoffGroup, move_groups},
+    repeated_task::RepeatedTask,
+};
 use crate::{
     coordinator::{journal_handle::JournalHandle, orphaned_journals::OrphanedJournals, rejoin::rejoin},
-    handoff::{Handoff, HandoffError},
+    handoff::Handoff,
     membership::{MembershipHandle, MembershipSnapshot},
     ownership::OwnershipHandle,
     takeover::Takeover,
@@ -49,9 +55,6 @@
 /// Maximum time that one rebalancing attempt waits for running calls.
 const REBALANCE_DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum number of partitions in one handoff.
-const HANDOFF_PARTITIONS_MAX: usize = 32;
-
 /// Minimum time between the starts of two sweeps for orphaned journals.
 const ORPHAN_SWEEP_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -89,46 +92,6 @@
     live_changed_at: Instant,
 }
 
-/// Task that is started repeatedly, with at most one run at a time.
-#[derive(Debug)]
-struct RepeatedTask {
-    first_due: Instant,
-    last_start: Option<Instant>,
-    task: Option<JoinHandle<()>>,
-}
-
-impl RepeatedTask {
-    fn new(now: Instant) -> Self {
-        Self {
-            first_due: now,
-            last_start: None,
-            task: None,
-        }
-    }
-
-    fn is_running(&self) -> bool {
-        self.task.as_ref().is_some_and(|task| !task.is_finished())
-    }
-
-    /// Returns whether the task is not running and was last started at least `interval` ago.
-    fn is_due(&self, now: Instant, interval: Duration) -> bool {
-        !self.is_running() && self.last_start.is_none_or(|start| now - start >= interval)
-    }
-
-    fn start(&mut self, now: Instant, work: impl Future<Output = ()> + Send + 'static) {
-        self.last_start = Some(now);
-        self.task = Some(tokio::spawn(work));
-    }
-
-    async fn cancel(&mut self) {
-        if let Some(task) = self.task.take() {
-            task.abort();
-            // The result is the cancellation error of the abort.
-            let _ = task.await;
-        }
-    }
-}
-
 impl Worker {
     pub(super) fn new(
         membership: MembershipHandle,
@@ -368,13 +331,6 @@
     }
 }
 
-/// Partitions to hand off to one process.
-#[derive(Debug)]
-struct HandoffGroup {
-    to: Member,
-    partitions: Vec<PartitionId>,
-}
-
 fn candidates(snapshot: &MembershipSnapshot) -> Vec<Candidate> {
     snapshot
         .live
@@ -427,47 +383,3 @@
         ),
     }
 }
-
-async fn move_groups(
-    handoff: Handoff,
-    membership: MembershipHandle,
-    groups: Vec<HandoffGroup>,
-    timeout: Duration,
-) {
-    let deadline = Instant::now() + timeout;
-    for group in groups {
-        for partitions in group.partitions.chunks(HANDOFF_PARTITIONS_MAX) {
-            let timeout = deadline.saturating_duration_since(Instant::now());
-            move_chunk(&handoff, partitions, &group.to, timeout).await;
-            membership.send_heartbeats();
-        }
-    }
-}
-
-/// Hands off partitions together, or one by one when some of them have running calls.
-async fn move_chunk(handoff: &Handoff, partitions: &[PartitionId], to: &Member, timeout: Duration) {
-    // The other half of the timeout is reserved for handing off one by one those partitions that have no
-    // running calls.
-    match handoff.hand_off(partitions, to, timeout / 2).await {
-        Err(HandoffError::Busy) if partitions.len() > 1 => {}
-        outcome => {
-            log_failure(to, outcome);
-            return;
-        }
-    }
-    let deadline = Instant::now() + timeout / 2;
-    for partition in partitions {
-        let timeout = deadline.saturating_duration_since(Instant::now());
-        let partition_timeout = timeout / 4;
-        log_failure(to, handoff.hand_off(&[*partition], to, partition_timeout).await);
-    }
-}
-
-fn log_failure(to: &Member, outcome: Result<usize, HandoffError>) {
-    if let Err(cause) = outcome {
-        log::warn!(
-            "event=handoff_failed to={} reason=\"{cause}\"",
-            to.process.host_id
-        );
-    }
-}
