Split the membership actor by job

actor.rs keeps the actor; its handle, which callers and peers use, moved to handle.rs with no change of behaviour. The handle imports from the actor only.

--- a/crates/burdockroad-daemon/src/membership.rs
+++ b/crates/burdockroad-daemon/src/membership.rs
@@ -5,11 +5,13 @@
 //! may be taken over.
 
 mod actor;
+mod handle;
 mod lease;
 mod wire;
 
 pub use self::{
-    actor::{MembershipArguments, MembershipHandle, MembershipSnapshot},
+    actor::{MembershipArguments, MembershipSnapshot},
+    handle::MembershipHandle,
     lease::Lease,
     wire::{host_ref, process_of},
 };
