Split the keys of the key-value stand-in by job

store.rs keeps keys, revisions and history. Moved into modules below it, with no change of behaviour: transaction and leases.

--- a/crates/burdockroad-standins/src/kv/store.rs
+++ b/crates/burdockroad-standins/src/kv/store.rs
@@ -1,31 +1,24 @@
 //! The keys of the key-value stand-in, with their revisions, change history and leases.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    time::Duration,
-};
+mod leases;
+mod transaction;
+
+use std::collections::{BTreeMap, VecDeque};
 
 use burdockroad_proto::{
     etcdserverpb::{
-        Compare, DeleteRangeRequest, DeleteRangeResponse, PutRequest, PutResponse, RangeRequest,
-        RangeResponse, RequestOp, ResponseHeader, ResponseOp, TxnRequest, TxnResponse,
-        compare::{CompareResult, CompareTarget, TargetUnion},
-        request_op::Request as Op,
-        response_op::Response as OpResponse,
+        DeleteRangeRequest, DeleteRangeResponse, PutRequest, PutResponse, RangeRequest, RangeResponse,
+        ResponseHeader,
     },
     mvccpb::{Event, KeyValue, event::EventType},
 };
-use tokio::time::Instant;
 
-use crate::kv::{
-    key_range::{KeyRange, overlaps},
-    refusal::Refusal,
-};
+use self::leases::Lease;
+use crate::kv::{key_range::KeyRange, refusal::Refusal};
 
 const HISTORY_MAX_EVENTS: usize = 20_000;
 const HISTORY_MAX_BYTES: usize = 128 << 20;
 const VALUE_MAX_BYTES: usize = 1 << 20;
-const LEASE_MAX_TTL_S: i64 = 9_000_000_000;
 const CLUSTER_ID: u64 = 1;
 const MEMBER_ID: u64 = 1;
 const RAFT_TERM: u64 = 1;
@@ -44,12 +37,6 @@
     next_lease_id: i64,
 }
 
-#[derive(Debug)]
-struct Lease {
-    ttl_s: i64,
-    expires_at: Instant,
-}
-
 impl Store {
     pub(crate) fn new() -> Self {
         Self {
@@ -133,27 +120,6 @@
         })
     }
 
-    /// Runs a transaction.
-    ///
-    /// All comparisons, including nested ones, are evaluated first. The selected branches are then applied
-    /// as one revision.
-    pub(crate) fn txn(&mut self, request: &TxnRequest) -> Result<TxnResponse, Refusal> {
-        self.check_txn(request)?;
-        let mut branches = VecDeque::new();
-        self.select_branches(request, &mut branches);
-        let revision = self.revision + 1;
-        let mut response = self.apply_txn(request, revision, &mut branches);
-        if self
-            .history
-            .back()
-            .is_some_and(|event| event_revision(event) == revision)
-        {
-            self.revision = revision;
-        }
-        response.header = Some(self.header());
-        Ok(response)
-    }
-
     /// Returns the changes to a key range since a revision, inclusive.
     pub(crate) fn events_since(&self, key_range: &KeyRange, revision: i64) -> Vec<Event> {
         let start = self
@@ -171,68 +137,6 @@
             .collect()
     }
 
-    /// Grants a lease and returns its id and its TTL in seconds; id 0 selects an unused one.
-    pub(crate) fn lease_grant(&mut self, id: i64, ttl_s: i64, now: Instant) -> Result<(i64, i64), Refusal> {
-        if ttl_s > LEASE_MAX_TTL_S {
-            return Err(Refusal::LeaseTtlTooLarge);
-        }
-        if self.leases.contains_key(&id) {
-            return Err(Refusal::LeaseExists);
-        }
-        let id = if id == 0 { self.unused_lease_id() } else { id };
-        let ttl_s = ttl_s.max(1);
-        let expires_at = now + lease_duration(ttl_s);
-        self.leases.insert(id, Lease { ttl_s, expires_at });
-        Ok((id, ttl_s))
-    }
-
-    /// Revokes a lease and removes its keys as one revision.
-    pub(crate) fn lease_revoke(&mut self, id: i64) -> Result<(), Refusal> {
-        self.leases.remove(&id).ok_or(Refusal::LeaseNotFound)?;
-        let entries = self.keys.values();
-        let attached_keys: Vec<_> = entries
-            .filter(|entry| entry.lease == id)
-            .map(|entry| entry.key.clone())
-            .collect();
-        if attached_keys.is_empty() {
-            return Ok(());
-        }
-        self.revision += 1;
-        for key in attached_keys {
-            self.remove(&key, self.revision);
-        }
-        Ok(())
-    }
-
-    /// Renews a lease and returns its TTL in seconds, or 0 if the lease does not exist.
-    pub(crate) fn lease_keep_alive(&mut self, id: i64, now: Instant) -> i64 {
-        let Some(lease) = self.leases.get_mut(&id) else {
-            return 0;
-        };
-        lease.expires_at = now + lease_duration(lease.ttl_s);
-        lease.ttl_s
-    }
-
-    /// Revokes the expired leases.
-    pub(crate) fn expire_leases(&mut self, now: Instant) {
-        let leases = self.leases.iter();
-        let expired: Vec<_> = leases
-            .filter(|(_, lease)| lease.expires_at <= now)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in expired {
-            let revoked = self.lease_revoke(id);
-            debug_assert_eq!(revoked, Ok(()), "the lease was just found");
-        }
-    }
-
-    fn unused_lease_id(&mut self) -> i64 {
-        while self.leases.contains_key(&self.next_lease_id) {
-            self.next_lease_id += 1;
-        }
-        self.next_lease_id
-    }
-
     /// Reads a key range as of a revision; 0 means the current one.
     fn read_at(&self, key_range: &KeyRange, revision: i64) -> Result<Vec<KeyValue>, Refusal> {
         self.check_revision(revision)?;
@@ -282,133 +186,6 @@
         Ok(())
     }
 
-    fn check_txn(&self, request: &TxnRequest) -> Result<(), Refusal> {
-        if request.compare.iter().any(|compare| compare.key.is_empty()) {
-            return Err(Refusal::KeyMissing);
-        }
-        for branch in [&request.success, &request.failure] {
-            self.check_branch(branch)?;
-        }
-        Ok(())
-    }
-
-    fn check_branch(&self, branch: &[RequestOp]) -> Result<(), Refusal> {
-        let mut put_keys = BTreeSet::new();
-        let mut deleted = Vec::new();
-        for op in branch {
-            match &op.request {
-                None => return Err(Refusal::KeyMissing),
-                Some(Op::RequestRange(range)) => {
-                    KeyRange::new(&range.key, &range.range_end)?;
-                    self.check_revision(range.revision)?;
-                }
-                Some(Op::RequestPut(put)) => {
-                    self.check_put(put)?;
-                    if !put_keys.insert(put.key.clone()) {
-                        return Err(Refusal::DuplicateKey);
-                    }
-                }
-                Some(Op::RequestDeleteRange(delete)) => {
-                    deleted.push(KeyRange::new(&delete.key, &delete.range_end)?);
-                }
-                Some(Op::RequestTxn(nested)) => self.check_txn(nested)?,
-            }
-        }
-        if overlaps(&deleted, &put_keys) {
-            return Err(Refusal::DuplicateKey);
-        }
-        Ok(())
-    }
-
-    /// Evaluates the comparisons of a transaction, then those of the nested transactions in the selected
-    /// branch, and appends the result of each transaction to `branches`.
-    fn select_branches(&self, request: &TxnRequest, branches: &mut VecDeque<bool>) {
-        let succeeded = request
-            .compare
-            .iter()
-            .all(|compare| self.compare_succeeds(compare));
-        branches.push_back(succeeded);
-        for op in branch_of(request, succeeded) {
-            if let Some(Op::RequestTxn(nested)) = &op.request {
-                self.select_branches(nested, branches);
-            }
-        }
-    }
-
-    /// Returns whether a comparison succeeds.
-    ///
-    /// For an absent key, every comparison of the value fails, and the numbers compare as 0.
-    fn compare_succeeds(&self, compare: &Compare) -> bool {
-        let entry = self.keys.get(&compare.key);
-        let entry_field = |field: fn(&KeyValue) -> i64| entry.map_or(0, field);
-        let ordering = match (compare.target(), &compare.target_union) {
-            (CompareTarget::Value, union) => {
-                let Some(entry) = entry else {
-                    return false;
-                };
-                let expected: &[u8] = match union {
-                    Some(TargetUnion::Value(value)) => value,
-                    _ => &[],
-                };
-                entry.value.as_slice().cmp(expected)
-            }
-            (CompareTarget::Version, union) => {
-                entry_field(|entry| entry.version).cmp(&expected_number(union.as_ref()))
-            }
-            (CompareTarget::Create, union) => {
-                entry_field(|entry| entry.create_revision).cmp(&expected_number(union.as_ref()))
-            }
-            (CompareTarget::Mod, union) => {
-                entry_field(|entry| entry.mod_revision).cmp(&expected_number(union.as_ref()))
-            }
-            (CompareTarget::Lease, union) => {
-                entry_field(|entry| entry.lease).cmp(&expected_number(union.as_ref()))
-            }
-        };
-        match compare.result() {
-            CompareResult::Equal => ordering.is_eq(),
-            CompareResult::Greater => ordering.is_gt(),
-            CompareResult::Less => ordering.is_lt(),
-            CompareResult::NotEqual => ordering.is_ne(),
-        }
-    }
-
-    fn apply_txn(
-        &mut self,
-        request: &TxnRequest,
-        revision: i64,
-        branches: &mut VecDeque<bool>,
-    ) -> TxnResponse {
-        let succeeded = branches.pop_front().unwrap_or_default();
-        let branch = branch_of(request, succeeded);
-        let responses = branch
-            .iter()
-            .map(|op| ResponseOp {
-                response: op
-                    .request
-                    .as_ref()
-                    .map(|op| self.apply_op(op, revision, branches)),
-            })
-            .collect();
-        TxnResponse {
-            header: None,
-            succeeded,
-            responses,
-        }
-    }
-
-    fn apply_op(&mut self, op: &Op, revision: i64, branches: &mut VecDeque<bool>) -> OpResponse {
-        match op {
-            // The request was checked before, so it cannot be refused here.
-            Op::RequestRange(range) => OpResponse::ResponseRange(self.range(range).unwrap_or_default()),
-            Op::RequestPut(put) => OpResponse::ResponsePut(self.apply_put(put, revision)),
-            Op::RequestDeleteRange(delete) => {
-                OpResponse::ResponseDeleteRange(self.apply_delete(delete, revision))
-            }
-            Op::RequestTxn(nested) => OpResponse::ResponseTxn(self.apply_txn(nested, revision, branches)),
-        }
-    }
-
     fn apply_put(&mut self, request: &PutRequest, revision: i64) -> PutResponse {
         let previous = self.keys.get(&request.key).cloned();
         let entry = KeyValue {
@@ -470,26 +247,6 @@
     }
 }
 
-fn branch_of(request: &TxnRequest, succeeded: bool) -> &[RequestOp] {
-    if succeeded {
-        &request.success
-    } else {
-        &request.failure
-    }
-}
-
-fn expected_number(union: Option<&TargetUnion>) -> i64 {
-    match union {
-        Some(
-            TargetUnion::Version(number)
-            | TargetUnion::CreateRevision(number)
-            | TargetUnion::ModRevision(number)
-            | TargetUnion::Lease(number),
-        ) => *number,
-        _ => 0,
-    }
-}
-
 fn event_revision(event: &Event) -> i64 {
     event.kv.as_ref().map_or(0, |entry| entry.mod_revision)
 }
@@ -502,7 +259,3 @@
         .map(|entry| entry.key.len() + entry.value.len())
         .sum()
 }
-
-fn lease_duration(ttl_s: i64) -> Duration {
-    Duration::from_secs(ttl_s.unsigned_abs())
-}
