Split the test site by job

site.rs keeps the running site. Moved into modules below it: options, addresses and document. Site::start is now made of short functions that start the stand-ins in the same order; one message, "the stand-in starts", replaces those of each stand-in.

--- a/crates/burdockroad-site/src/site.rs
+++ b/crates/burdockroad-site/src/site.rs
@@ -1,27 +1,24 @@
 //! Test site of processes: stand-ins for the platform, endpoints and several daemons.
 
-use std::{
-    collections::BTreeMap,
-    net::{Ipv4Addr, SocketAddr},
-    path::PathBuf,
-    sync::atomic::{AtomicU8, Ordering},
-    time::Duration,
-};
+mod addresses;
+mod document;
+mod options;
+
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
 
-use burdockroad::config::{VersionedDocument, new_key};
 use burdockroad_daemon::{
-    config_watch::DOCUMENT_KEY,
-    platform::{self, Expected, Put, SharedKeyValue},
+    platform::{self, SharedKeyValue},
     settings::StoreSettings,
 };
 use burdockroad_standins::{http_client::HttpClient, processes::Process};
-use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::Full;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
 
+use self::addresses::{Addresses, allocate_addresses, host_list_entries};
+pub use self::options::{AccountOptions, SiteOptions};
 use crate::caller::Caller;
 
 /// Timeout of [`wait_until`].
@@ -33,61 +30,6 @@
 /// Failure domains over which hosts and endpoints are distributed.
 const FAILURE_DOMAINS: [&str; 3] = ["sohar-a", "sohar-b", "liwa"];
 
-/// Configuration of a site.
-#[derive(Clone, Debug)]
-pub struct SiteOptions {
-    /// Number of daemons.
-    pub daemons: usize,
-    /// Number of model engines.
-    pub engines: usize,
-    /// Command-line options of each engine stand-in.
-    pub engine_options: Vec<&'static str>,
-    /// Command-line options of the service stand-in.
-    pub service_options: Vec<&'static str>,
-    /// Calls that each endpoint serves concurrently.
-    pub slots: u32,
-    /// Client accounts in the document.
-    pub accounts: Vec<AccountOptions>,
-    /// Limits in the settings of each daemon that differ from the defaults, as JSON.
-    pub limits: Value,
-}
-
-/// Client account of a site.
-#[derive(Clone, Copy, Debug)]
-pub struct AccountOptions {
-    /// Id of the account.
-    pub id: &'static str,
-    /// Admitted calls per second, in total over all hosts.
-    pub rate_per_s: f64,
-    /// Calls admitted at once, in total over all hosts.
-    pub burst: u32,
-}
-
-impl Default for SiteOptions {
-    fn default() -> Self {
-        Self {
-            daemons: 3,
-            engines: 2,
-            engine_options: vec!["--token-ms", "1"],
-            service_options: Vec::new(),
-            slots: 8,
-            accounts: vec![
-                AccountOptions {
-                    id: "masters",
-                    rate_per_s: 200.0,
-                    burst: 200,
-                },
-                AccountOptions {
-                    id: "port-agents",
-                    rate_per_s: 200.0,
-                    burst: 200,
-                },
-            ],
-            limits: json!({}),
-        }
-    }
-}
-
 /// Running site. Daemons are numbered from 0.
 #[derive(Debug)]
 pub struct Site {
@@ -114,56 +56,22 @@
     folder: TempDir,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Addresses {
-    caller: SocketAddr,
-    peer: SocketAddr,
-    admin: SocketAddr,
-}
-
 impl Site {
     /// Starts all processes and waits until all daemons are ready and own partitions.
     pub async fn start(options: SiteOptions) -> Self {
-        let kv = Process::spawn("burdockroad-standin", &["kv"])
-            .await
-            .expect("the key-value service starts");
+        let kv = spawn_standin(&["kv"]).await;
+        let kv_address = kv.address().expect("the process has an address");
         let addresses = allocate_addresses(options.daemons);
         let listed = host_list_entries(&addresses).to_string();
-        let arguments = ["host-list", "--hosts", &listed];
-        let host_list = Process::spawn("burdockroad-standin", &arguments)
-            .await
-            .expect("the host list starts");
-        let mut engines = Vec::new();
-        for _ in 0..options.engines {
-            let mut arguments = vec!["engine"];
-            arguments.extend(&options.engine_options);
-            engines.push(
-                Process::spawn("burdockroad-standin", &arguments)
-                    .await
-                    .expect("the engine starts"),
-            );
-        }
-        let mut arguments = vec!["service"];
-        arguments.extend(&options.service_options);
-        let service = Process::spawn("burdockroad-standin", &arguments)
-            .await
-            .expect("the service starts");
-        let mut store_proxies = Vec::new();
-        let target = kv.address().expect("the process has an address").to_string();
-        for _ in 0..options.daemons {
-            let proxy = Process::spawn("burdockroad-standin", &["proxy", "--target", &target]).await;
-            store_proxies.push(proxy.expect("the proxy starts"));
-        }
-        let store = connect(kv.address().expect("the process has an address"));
         let mut site = Self {
-            kv,
-            host_list,
-            engines,
-            service,
+            host_list: spawn_standin(&["host-list", "--hosts", &listed]).await,
+            engines: start_engines(&options).await,
+            service: start_service(&options).await,
             daemons: Vec::new(),
-            store_proxies,
-            store,
+            store_proxies: start_store_proxies(options.daemons, kv_address).await,
+            store: connect(kv_address),
             http: HttpClient::with_timeout(Duration::from_mins(1)),
+            kv,
             options,
             addresses,
             keys: BTreeMap::new(),
@@ -171,15 +79,20 @@
         };
         let document = site.initial_document();
         site.apply(&document).await;
-        for number in 0..site.options.daemons {
-            let daemon = site.spawn_daemon(number).await;
-            site.daemons.push(daemon);
+        site.start_daemons().await;
+        site
+    }
+
+    /// Starts all daemons and waits until they are ready and own partitions.
+    async fn start_daemons(&mut self) {
+        for number in 0..self.options.daemons {
+            let daemon = self.spawn_daemon(number).await;
+            self.daemons.push(daemon);
         }
-        for number in 0..site.options.daemons {
-            site.wait_until_ready(number).await;
+        for number in 0..self.options.daemons {
+            self.wait_until_ready(number).await;
         }
-        site.wait_until_partitions_owned().await;
-        site
+        self.wait_until_partitions_owned().await;
     }
 
     /// Restarts a daemon that has ended, with the same host id and addresses.
@@ -276,39 +189,6 @@
             .expect("the stand-in responds")
     }
 
-    /// Stores a document as the next version and returns that version.
-    pub async fn apply(&self, document: &Value) -> u64 {
-        let stored = self
-            .store
-            .get(DOCUMENT_KEY)
-            .await
-            .expect("the store is available");
-        let earlier = stored
-            .as_ref()
-            .map(|entry| VersionedDocument::from_bytes(&entry.value).expect("the store contains a document"));
-        let version = earlier.map_or(1, |earlier| earlier.version + 1);
-        let next = VersionedDocument::new(version, document.to_string()).expect("the document is valid");
-        let expected = stored.map_or(Expected::Absent, |entry| Expected::Revision(entry.revision));
-        let put = self
-            .store
-            .put(DOCUMENT_KEY, Bytes::from(next.to_bytes()), expected)
-            .await;
-        assert!(matches!(put, Ok(Put::Done(_))), "{put:?}");
-        version
-    }
-
-    /// Returns the stored document.
-    pub async fn document(&self) -> Value {
-        let entry = self
-            .store
-            .get(DOCUMENT_KEY)
-            .await
-            .expect("the store is available")
-            .expect("the store contains a document");
-        let document = VersionedDocument::from_bytes(&entry.value).expect("the store contains a document");
-        serde_json::from_str(&document.text).expect("the document is plain JSON")
-    }
-
     /// Returns all requests that the engines and the service have received, as one text.
     pub async fn recorded_requests(&self) -> String {
         let mut text = String::new();
@@ -395,80 +275,38 @@
         std::fs::write(&path, settings.to_string()).expect("the settings can be written");
         path
     }
+}
 
-    fn initial_document(&mut self) -> Value {
-        let mut accounts = Vec::new();
-        for account in &self.options.accounts {
-            let key = new_key(&mut rand::rng());
-            accounts.push(json!({
-                "id": account.id, "rate_per_s": account.rate_per_s, "burst": account.burst, "keys": [key.entry],
-            }));
-            self.keys.insert(account.id, key.secret);
-        }
-        let engines: Vec<Value> = self
-            .engines
-            .iter()
-            .enumerate()
-            .map(|(number, engine)| endpoint(&format!("engine-{number}"), number, engine, self.options.slots))
-            .collect();
-        let service = endpoint("service-0", 0, &self.service, self.options.slots);
-        json!({
-            "sites": [{ "id": "batinah", "weight": 1 }],
-            "accounts": accounts,
-            "routes": [
-                { "id": "planner-llm", "kind": "model", "endpoint_sets": ["engines"] },
-                { "id": "fuel-orders", "kind": "service", "endpoint_sets": ["services"] },
-                { "id": "tides", "kind": "service", "idempotent": true, "endpoint_sets": ["services"] },
-                { "id": "notices", "kind": "service", "access": "open", "idempotent": true, "endpoint_sets": ["services"] },
-            ],
-            "endpoint_sets": [
-                { "id": "engines", "site": "batinah", "endpoints": engines },
-                { "id": "services", "site": "batinah", "endpoints": [service] },
-            ],
-        })
-    }
+async fn spawn_standin(arguments: &[&str]) -> Process {
+    Process::spawn("burdockroad-standin", arguments)
+        .await
+        .expect("the stand-in starts")
 }
 
-fn endpoint(id: &str, number: usize, process: &Process, slots: u32) -> Value {
-    json!({
-        "id": id,
-        "address": process.address().expect("the process has an address").to_string(),
-        "host_id": format!("host-of-{id}"),
-        "failure_domain": FAILURE_DOMAINS[number % FAILURE_DOMAINS.len()],
-        "slots": slots,
-    })
+async fn start_engines(options: &SiteOptions) -> Vec<Process> {
+    let mut arguments = vec!["engine"];
+    arguments.extend(&options.engine_options);
+    let mut engines = Vec::new();
+    for _ in 0..options.engines {
+        engines.push(spawn_standin(&arguments).await);
+    }
+    engines
 }
 
-/// Returns the addresses of the daemons of a new site.
-///
-/// Each site uses its own loopback address. On a shared address, an outgoing connection of another test
-/// could take a port that was free shortly before.
-fn allocate_addresses(daemons: usize) -> Vec<Addresses> {
-    static SITES: AtomicU8 = AtomicU8::new(1);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let site = SITES.fetch_add(1, Ordering::Relaxed);
-    let ip = Ipv4Addr::new(127, 64 + high % 64, low, site);
-    let at = |port: usize| SocketAddr::from((ip, u16::try_from(port).expect("the port fits into 16 bits")));
-    let numbers = 0..daemons;
-    numbers
-        .map(|number| Addresses {
-            caller: at(7_100 + number),
-            peer: at(7_200 + number),
-            admin: at(7_300 + number),
-        })
-        .collect()
+async fn start_service(options: &SiteOptions) -> Process {
+    let mut arguments = vec!["service"];
+    arguments.extend(&options.service_options);
+    spawn_standin(&arguments).await
 }
 
-fn host_list_entries(addresses: &[Addresses]) -> Value {
-    let hosts = addresses.iter().enumerate().map(|(number, addresses)| {
-        json!({
-            "host_id": format!("host-{number}"),
-            "failure_domain": FAILURE_DOMAINS[number % FAILURE_DOMAINS.len()],
-            "peer_address": addresses.peer.to_string(),
-            "state": "live",
-        })
-    });
-    hosts.collect()
+/// Starts one proxy of the key-value service for each daemon.
+async fn start_store_proxies(daemons: usize, store_address: SocketAddr) -> Vec<Process> {
+    let target = store_address.to_string();
+    let mut proxies = Vec::new();
+    for _ in 0..daemons {
+        proxies.push(spawn_standin(&["proxy", "--target", &target]).await);
+    }
+    proxies
 }
 
 fn connect(address: SocketAddr) -> SharedKeyValue {
