Let the quota table import from no module that imports it

escrow and table imported each other. The messages to the actor and its dependencies moved to message.rs, from which both import.

--- a/crates/burdockroad-daemon/src/quota.rs
+++ b/crates/burdockroad-daemon/src/quota.rs
@@ -2,6 +2,7 @@
 
 mod escrow;
 mod grant_client;
+mod message;
 mod table;
 
 use std::{fmt, time::Duration};
@@ -10,7 +11,7 @@
 use burdockroad::{AccountId, quota::Limits};
 use tokio::time::Instant;
 
-pub use self::escrow::{EscrowQuota, QuotaParts};
+pub use self::{escrow::EscrowQuota, message::QuotaParts};
 
 /// A rate limiter that admits calls within each account's rate and burst.
 #[async_trait]
--- a/crates/burdockroad-daemon/src/quota/escrow.rs
+++ b/crates/burdockroad-daemon/src/quota/escrow.rs
@@ -1,37 +1,25 @@
 //! Admission of calls with tokens granted by the owners of the accounts' buckets.
 
-use std::{fmt, sync::Arc, time::Duration};
+use std::{fmt, time::Duration};
 
 use async_trait::async_trait;
 use burdockroad::{AccountId, quota::GRANT_LIFE};
 use burdockroad_proto::peer::{GrantRequest, GrantResponse};
-use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort, SpawnErr};
+use ractor::{Actor, ActorProcessingErr, ActorRef, SpawnErr};
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
-    ownership::{OwnershipReceiver, PeersReceiver},
-    peer::{GrantHandler, PeerClients},
-    quota::{AccountLimits, OwnerLease, Quota, QuotaRefusal, grant_client::GrantOutcome, table::QuotaTable},
+    peer::GrantHandler,
+    quota::{
+        Quota, QuotaRefusal,
+        message::{QuotaMessage, QuotaParts},
+        table::QuotaTable,
+    },
 };
 
 /// Retry delay for a call that arrives after the quota actor has stopped.
 const STOPPED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// The dependencies of [`EscrowQuota`].
-#[derive(Clone, Debug)]
-pub struct QuotaParts {
-    /// Ownership map, which determines the owner of each account's bucket.
-    pub ownership: OwnershipReceiver,
-    /// Addresses of the other hosts.
-    pub peers: PeersReceiver,
-    /// Connections to the owners.
-    pub clients: Arc<PeerClients>,
-    /// Lease that this process needs to act as an owner.
-    pub lease: Arc<dyn OwnerLease>,
-    /// Rate limits of the accounts.
-    pub limits: Arc<dyn AccountLimits>,
-}
-
 /// A rate limiter that enforces each account's rate and burst across all hosts.
 ///
 /// One actor contains the buckets that this host owns, and the tokens that were granted to this host
@@ -40,28 +28,6 @@
     actor: ActorRef<QuotaMessage>,
 }
 
-/// A message to the quota actor.
-#[derive(Debug)]
-pub(super) enum QuotaMessage {
-    /// Requests the admission of a call.
-    Admit {
-        account_id: AccountId,
-        deadline: Instant,
-        reply: RpcReplyPort<Result<(), QuotaRefusal>>,
-    },
-    /// Requests tokens for another host.
-    Grant {
-        request: GrantRequest,
-        reply: RpcReplyPort<GrantResponse>,
-    },
-    /// Reports the outcome of a token request that this host sent to the owner of an account.
-    GrantOutcome(GrantOutcome),
-    /// Signals that a scheduled time has been reached.
-    Wake(Instant),
-    /// Settles waiting calls and requests tokens, four times per [`GRANT_LIFE`].
-    Tick,
-}
-
 #[derive(Debug)]
 struct QuotaActor;
 
--- a/crates/burdockroad-daemon/src/quota/table.rs
+++ b/crates/burdockroad-daemon/src/quota/table.rs
@@ -19,9 +19,9 @@
 use crate::{
     ownership::{OwnershipView, Process},
     quota::{
-        QuotaParts, QuotaRefusal,
-        escrow::QuotaMessage,
+        QuotaRefusal,
         grant_client::{self, GrantOutcome},
+        message::{QuotaMessage, QuotaParts},
     },
 };
 
