Let the pool table import from no module that imports it

The pool actor, the dispatcher, the polling and the pool table imported each other in circles. The messages to the actor, what they carry and the dependencies of the actor moved to pool_message.rs, from which all of them import.

--- a/crates/burdockroad-daemon/src/dispatch.rs
+++ b/crates/burdockroad-daemon/src/dispatch.rs
@@ -9,6 +9,7 @@
 mod evacuations;
 mod messages;
 mod polling;
+mod pool_message;
 mod pools;
 
 use std::{collections::BTreeSet, fmt, time::Duration};
@@ -17,7 +18,7 @@
 use burdockroad::{AccountId, CallNumber, EndpointId, HostId, PoolId, ProgramId, config::EndpointSet};
 use tokio::time::Instant;
 
-pub use self::dispatcher::{DispatchParts, PoolDispatcher};
+pub use self::{dispatcher::PoolDispatcher, pool_message::DispatchParts};
 
 /// A scheduler that grants slots at the endpoints of each pool, fairly between accounts.
 #[async_trait]
--- a/crates/burdockroad-daemon/src/dispatch/dispatcher.rs
+++ b/crates/burdockroad-daemon/src/dispatch/dispatcher.rs
@@ -18,14 +18,14 @@
 
 use crate::{
     dispatch::{
-        Dispatcher, PoolSource, Slot, SlotRefusal, SlotReport, SlotRequest,
-        actor::{AcquireError, OfferedSlot, PoolActor, PoolMessage, SlotRequester, SlotSource},
+        Dispatcher, Slot, SlotRefusal, SlotReport, SlotRequest,
+        actor::PoolActor,
         messages::{self, AcquireOutcome, RequestId},
         polling,
+        pool_message::{AcquireError, DispatchParts, OfferedSlot, PoolMessage, SlotRequester, SlotSource},
     },
-    ownership::{OwnershipReceiver, PeersReceiver, Process},
+    ownership::Process,
     peer::{PeerClients, SlotHandler},
-    quota::AccountLimits,
 };
 
 /// Time after a call's slot deadline within which the owner's response is still accepted.
@@ -43,21 +43,6 @@
 /// Retry delay for a call when this host cannot grant slots, or when its route has no endpoint set.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// The dependencies of [`PoolDispatcher`].
-#[derive(Clone, Debug)]
-pub struct DispatchParts {
-    /// Ownership map, which determines the owner of each pool.
-    pub ownership: OwnershipReceiver,
-    /// Addresses and liveness of the other hosts.
-    pub peers: PeersReceiver,
-    /// Connections to the owners.
-    pub clients: Arc<PeerClients>,
-    /// Source of the endpoint sets.
-    pub source: Arc<dyn PoolSource>,
-    /// Scheduling weights of the accounts.
-    pub limits: Arc<dyn AccountLimits>,
-}
-
 /// A dispatcher that grants slots of the pools that this host owns and requests others from their
 /// owners.
 pub struct PoolDispatcher {
--- a/crates/burdockroad-daemon/src/dispatch/polling.rs
+++ b/crates/burdockroad-daemon/src/dispatch/polling.rs
@@ -17,7 +17,7 @@
 use serde::Deserialize;
 use tokio::sync::oneshot;
 
-use crate::dispatch::actor::PoolMessage;
+use crate::dispatch::pool_message::PoolMessage;
 
 /// Interval between two polls of an endpoint.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -30,14 +30,6 @@
 
 type HttpClient = Client<HttpConnector, Empty<Bytes>>;
 
-/// An endpoint to poll.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct PollTarget {
-    pub(super) pool_id: PoolId,
-    pub(super) endpoint_id: EndpointId,
-    pub(super) address: String,
-}
-
 /// The response body of an endpoint's `/load` API.
 #[derive(Debug, Default)]
 #[derive(Deserialize)]
--- a/crates/burdockroad-daemon/src/dispatch/pools.rs
+++ b/crates/burdockroad-daemon/src/dispatch/pools.rs
@@ -18,10 +18,10 @@
 use crate::{
     dispatch::{
         Slot, SlotRefusal, SlotRequest,
-        actor::{AcquireError, OfferedSlot, PoolMessage, SlotRequester, SlotSource},
-        dispatcher::DispatchParts,
         evacuations::EvacuationReport,
-        polling::PollTarget,
+        pool_message::{
+            AcquireError, DispatchParts, OfferedSlot, PollTarget, PoolMessage, SlotRequester, SlotSource,
+        },
     },
     ownership::{OwnershipView, PeersView, Process},
 };
