Let problem import nothing from programs

answer imported problem, problem imported programs, and programs imported answer. The conversion of a Rejection to a Problem moved to programs.rs, which cuts the circle.

--- a/crates/burdockroad-daemon/src/problem.rs
+++ b/crates/burdockroad-daemon/src/problem.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use serde_json::json;
 
-use crate::{dispatch::SlotRefusal, journal::JournalError, programs::Rejection, quota::QuotaRefusal};
+use crate::{dispatch::SlotRefusal, journal::JournalError, quota::QuotaRefusal};
 
 /// Media type of a problem response.
 pub const PROBLEM_CONTENT_TYPE: &str = "application/problem+json";
@@ -218,15 +218,6 @@
     }
 }
 
-impl From<Rejection> for Problem {
-    fn from(rejection: Rejection) -> Self {
-        match rejection {
-            Rejection::Refused(refusal) => refusal.into(),
-            Rejection::NotRecordable(error) => error.into(),
-        }
-    }
-}
-
 impl From<QuotaRefusal> for Problem {
     fn from(refusal: QuotaRefusal) -> Self {
         let (kind, detail) = if refusal.over_rate {
--- a/crates/burdockroad-daemon/src/programs.rs
+++ b/crates/burdockroad-daemon/src/programs.rs
@@ -29,6 +29,7 @@
     answer::ResponseLog,
     journal::{Appended, Journal, JournalError, Trees},
     ownership::OwnershipReceiver,
+    problem::Problem,
     programs::actor::{ProgramsActor, ProgramsArguments},
 };
 
@@ -92,6 +93,15 @@
     }
 }
 
+impl From<Rejection> for Problem {
+    fn from(rejection: Rejection) -> Self {
+        match rejection {
+            Rejection::Refused(refusal) => refusal.into(),
+            Rejection::NotRecordable(error) => error.into(),
+        }
+    }
+}
+
 /// A copy of a program's tree at the time of the request.
 #[derive(Clone, Debug)]
 pub struct ProgramView {
