Read both services of the settings with one function

The readers of the store and of the host list differed only in the fields of each kind; both now use service_or.

--- a/crates/burdockroad-daemon/src/settings/read.rs
+++ b/crates/burdockroad-daemon/src/settings/read.rs
@@ -96,20 +96,36 @@
 }
 
 fn store(reader: &mut Reader<'_>, node: &Node<'_>) -> Option<StoreSettings> {
+    let service = |reader: &mut Reader<'_>, fields: &mut Fields<'_>| {
+        let node = fields.required(reader, "addresses")?;
+        let addresses = store_addresses(reader, &node)?;
+        Some(StoreSettings::Service { addresses })
+    };
+    let embedded = |reader: &mut Reader<'_>, fields: &mut Fields<'_>| {
+        let node = fields.required(reader, "data_folder")?;
+        let data_folder = path(reader, &node)?;
+        Some(StoreSettings::Embedded { data_folder })
+    };
+    service_or(reader, node, service, ("embedded", embedded))
+}
+
+/// Reads an object whose `kind` is `service` or another one, with the field of its kind.
+fn service_or<T>(
+    reader: &mut Reader<'_>,
+    node: &Node<'_>,
+    service: impl FnOnce(&mut Reader<'_>, &mut Fields<'_>) -> Option<T>,
+    (other_kind, other): (
+        &'static str,
+        impl FnOnce(&mut Reader<'_>, &mut Fields<'_>) -> Option<T>,
+    ),
+) -> Option<T> {
     let mut fields = Fields::open(reader, node)?;
-    let kind = fields
-        .required(reader, "kind")
-        .and_then(|node| reader.choice(&node, &[("service", true), ("embedded", false)]));
-    let settings = match kind {
-        None => return None,
-        Some(true) => fields
-            .required(reader, "addresses")
-            .and_then(|node| store_addresses(reader, &node))
-            .map(|addresses| StoreSettings::Service { addresses }),
-        Some(false) => fields
-            .required(reader, "data_folder")
-            .and_then(|node| path(reader, &node))
-            .map(|data_folder| StoreSettings::Embedded { data_folder }),
+    let kind = fields.required(reader, "kind")?;
+    let is_service = reader.choice(&kind, &[("service", true), (other_kind, false)])?;
+    let settings = if is_service {
+        service(reader, &mut fields)
+    } else {
+        other(reader, &mut fields)
     };
     fields.close(reader);
     settings
@@ -129,23 +145,17 @@
 }
 
 fn host_list(reader: &mut Reader<'_>, node: &Node<'_>) -> Option<HostListSettings> {
-    let mut fields = Fields::open(reader, node)?;
-    let kind = fields
-        .required(reader, "kind")
-        .and_then(|node| reader.choice(&node, &[("service", true), ("fixed", false)]));
-    let settings = match kind {
-        None => return None,
-        Some(true) => fields
-            .required(reader, "url")
-            .and_then(|node| url(reader, &node, "http://IP:PORT/path", |_| true))
-            .map(|url| HostListSettings::Service { url }),
-        Some(false) => fields
-            .required(reader, "hosts")
-            .and_then(|node| reader.list(&node, HOSTS_MAX, listed_host))
-            .map(|hosts| HostListSettings::Fixed { hosts }),
+    let service = |reader: &mut Reader<'_>, fields: &mut Fields<'_>| {
+        let node = fields.required(reader, "url")?;
+        let url = url(reader, &node, "http://IP:PORT/path", |_| true)?;
+        Some(HostListSettings::Service { url })
     };
-    fields.close(reader);
-    settings
+    let fixed = |reader: &mut Reader<'_>, fields: &mut Fields<'_>| {
+        let node = fields.required(reader, "hosts")?;
+        let hosts = reader.list(&node, HOSTS_MAX, listed_host)?;
+        Some(HostListSettings::Fixed { hosts })
+    };
+    service_or(reader, node, service, ("fixed", fixed))
 }
 
 fn listed_host(reader: &mut Reader<'_>, node: &Node<'_>) -> Option<ListedHost> {
