--- a/crates/burdockroad-standins/src/host_list.rs
+++ b/crates/burdockroad-standins/src/host_list.rs
@@ -217,19 +217,11 @@
 impl Handler for ControlHandler {
     async fn handle(&self, request: ReceivedRequest) -> HandlerResult {
         let (method, path) = request.route();
-        let result = match (method, path.as_slice()) {
-            ("PUT", ["hosts"]) => request.json().map(|hosts| self.shared.set_hosts(hosts)),
-            ("POST", ["faults"]) => request.json().map(|faults| self.shared.state().faults = faults),
-            _ => {
-                return Ok(http_server::text(
-                    StatusCode::NOT_FOUND,
-                    "no such control request",
-                ));
-            }
+        let response = match (method, path.as_slice()) {
+            ("PUT", ["hosts"]) => request.apply_json(|hosts| self.shared.set_hosts(hosts)),
+            ("POST", ["faults"]) => request.apply_json(|faults| self.shared.state().faults = faults),
+            _ => http_server::text(StatusCode::NOT_FOUND, "no such control request"),
         };
-        Ok(match result {
-            Ok(()) => http_server::empty(StatusCode::NO_CONTENT),
-            Err(error_response) => *error_response,
-        })
+        Ok(response)
     }
 }
--- a/crates/burdockroad-standins/src/http_server.rs
+++ b/crates/burdockroad-standins/src/http_server.rs
@@ -74,6 +74,17 @@
         serde_json::from_slice(&self.body)
             .map_err(|error| Box::new(text(StatusCode::BAD_REQUEST, &format!("invalid JSON: {error}"))))
     }
+
+    /// Applies the value that the body contains as JSON, and returns the response to the request.
+    pub(crate) fn apply_json<T: DeserializeOwned>(&self, apply: impl FnOnce(T)) -> Response<ResponseBody> {
+        match self.json() {
+            Ok(value) => {
+                apply(value);
+                empty(StatusCode::NO_CONTENT)
+            }
+            Err(error_response) => *error_response,
+        }
+    }
 }
 
 /// Serves a handler on an address.
--- a/crates/burdockroad-standins/src/kv.rs
+++ b/crates/burdockroad-standins/src/kv.rs
@@ -325,13 +325,7 @@
     async fn handle(&self, request: ReceivedRequest) -> HandlerResult {
         let (method, path) = request.route();
         let response = match (method, path.as_slice()) {
-            ("POST", ["faults"]) => match request.json() {
-                Ok(faults) => {
-                    self.shared.set_faults(faults);
-                    http_server::empty(StatusCode::NO_CONTENT)
-                }
-                Err(error_response) => *error_response,
-            },
+            ("POST", ["faults"]) => request.apply_json(|faults| self.shared.set_faults(faults)),
             ("GET", ["counts"]) => http_server::json(StatusCode::OK, &self.shared.state().meter.counts()),
             _ => http_server::text(StatusCode::NOT_FOUND, "no such control request"),
         };
--- a/crates/burdockroad-standins/src/service.rs
+++ b/crates/burdockroad-standins/src/service.rs
@@ -255,13 +255,9 @@
         let (method, path) = request.route();
         let response = match (method, path.as_slice()) {
             ("GET", ["recorded"]) => http_server::json(StatusCode::OK, &self.shared.state().requests),
-            ("POST", ["faults"]) => match request.json() {
-                Ok(faults) => {
-                    self.shared.state().fault_injector = RequestFaultInjector::new(faults);
-                    http_server::empty(StatusCode::NO_CONTENT)
-                }
-                Err(error_response) => *error_response,
-            },
+            ("POST", ["faults"]) => request.apply_json(|faults| {
+                self.shared.state().fault_injector = RequestFaultInjector::new(faults);
+            }),
             _ => http_server::text(StatusCode::NOT_FOUND, "no such control request"),
         };
         Ok(response)
