--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -13,7 +13,6 @@
 //! * [`DecisionLog`] writes one log line for each decision and never blocks the calls.
 
 mod admitted_call;
-mod announced_range;
 mod attempt;
 mod budget_messages;
 mod budgets;
