Apply no older state of an endpoint after a newer one

After a read of the store in several pages, endpoints that drained or had left were taken for ready ones for some milliseconds, so a call could be sent there.

The subscriber of the endpoints applied them in the order in which they came, and followers got them in separate updates.

state_of_a_server_is_never_replaced_by_an_older_one failed before: an endpoint turned ready with revision 1767 after Some(1800). In a further run the older states (six, two of them "ready" after "draining") lasted 1 to 12 ms, all of them at hosts that followed a watcher. With a comparison of present entries only, departed endpoints came back: revision 1924 after Some(1924).

Not more than a flicker: a repeated change is no older than the read it follows.

--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -1,7 +1,6 @@
 //! Applies the endpoints from the store to the tables.
 
 use std::{
-    collections::HashMap,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -16,6 +15,7 @@
 
 use crate::{
     Change, RangeSnapshot,
+    applied_revisions::AppliedRevisions,
     budgets::expire_remote_reservations,
     clock::as_ms,
     cold_endpoints::report_cold_endpoints,
@@ -33,14 +33,14 @@
 pub(crate) struct EndpointSubscriber {
     shared: Arc<Shared>,
     /// Revisions of the entries that were applied. An entry that is read again does not restart its cold time.
-    applied: HashMap<EndpointId, Revision>,
+    applied: AppliedRevisions,
 }
 
 impl EndpointSubscriber {
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
-            applied: HashMap::new(),
+            applied: AppliedRevisions::default(),
         }
     }
 
@@ -66,7 +66,10 @@
                 return;
             }
         };
-        let is_read_again = self.applied.insert(id.to_owned(), entry.revision) == Some(entry.revision);
+        if self.applied.is_outdated(id, entry.revision) {
+            return;
+        }
+        let is_read_again = self.applied.record_put(id, entry.revision);
         let mut tables = self.shared.tables();
         tables.departures.record_registered(id);
         let known = tables.endpoints.get(id);
@@ -103,9 +106,10 @@
         }
     }
 
-    /// Removes an endpoint, unless its entry may have expired during an outage of the store.
-    fn remove(&mut self, id: &str) {
-        self.applied.remove(id);
+    /// Removes an endpoint, unless its entry may have expired during an outage of the store. `revision` is that of
+    /// the removal; `None` if it is not known.
+    fn remove(&mut self, id: &str, revision: Option<Revision>) {
+        self.applied.record_removed(id, revision);
         let mut tables = self.shared.tables();
         let is_held = tables.departures.is_held(id);
         let departure = tables.departures.record_missing(id, Instant::now());
@@ -143,16 +147,18 @@
             self.put(entry);
         }
         for id in removed {
-            self.remove(&id);
+            self.remove(&id, None);
         }
     }
 
     fn apply_change(&mut self, change: &Change) {
         match change {
             Change::Put(entry) => self.put(entry),
-            Change::Removed { key, .. } => {
-                if let Some(id) = self.endpoint_id(key).map(str::to_owned) {
-                    self.remove(&id);
+            Change::Removed { key, revision } => {
+                if let Some(id) = self.endpoint_id(key).map(str::to_owned)
+                    && !self.applied.is_outdated(&id, *revision)
+                {
+                    self.remove(&id, Some(*revision));
                 }
             }
         }
