Take no report that waited while the process stood still for a response of the store

A host that was frozen before an outage of the store and woke during it believed that the outage had ended. The reports that waited in its socket say how long ago the store had responded when they were sent, and were dated by their arrival. The time for endpoints to register again then passed during the outage, and the host forwarded and collected such reports for others, whose outage ended with them.

--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -6,6 +6,7 @@
 //! streams are not used because a report would wait for the retransmission of an older one and arrive
 //! outdated. In a large fleet, reports go to a collector of the failure domain, which sends them together.
 
+mod backlog;
 mod collector;
 mod pace;
 mod quarantine;
@@ -27,6 +28,7 @@
 
 pub(crate) use self::collector::send_collected;
 use self::{
+    backlog::Backlog,
     pace::WirePace,
     rates::{WireRate, log_changed_rates},
     wire::{WireRange, WireReport, wire_reports},
@@ -65,6 +67,15 @@
 /// domain.
 const FORWARD_BATCH: u8 = 4;
 
+/// When a report arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Arrival {
+    /// It has just arrived.
+    Current,
+    /// It may have waited while this process stood still.
+    Outdated,
+}
+
 /// Opens the socket for datagrams to and from other hosts.
 pub(crate) async fn bind(address: SocketAddr) -> io::Result<Arc<UdpSocket>> {
     Ok(Arc::new(UdpSocket::bind(address).await?))
@@ -155,13 +166,31 @@
 pub(crate) async fn receive_reports(shared: Arc<Shared>) {
     let socket = Arc::clone(&shared.datagrams);
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+    let mut backlog = Backlog::new(Instant::now());
     loop {
         let Ok((length, _from)) = socket.recv_from(&mut buffer).await else {
             metrics::counter!("burdockroad_reports_unreadable_total").increment(1);
             sleep(RECEIVE_BACKOFF).await;
             continue;
         };
-        receive_datagram(&shared, &socket, &mut buffer[..length]).await;
+        let datagram = &mut buffer[..length];
+        if backlog.record(Instant::now()) {
+            receive_outdated(&shared, datagram);
+        } else {
+            receive_datagram(&shared, &socket, datagram).await;
+        }
+    }
+}
+
+/// Applies the reports of a datagram that may have waited while this process stood still. They are not passed on, and
+/// their age of the store's last response says nothing.
+fn receive_outdated(shared: &Shared, datagram: &[u8]) {
+    metrics::counter!("burdockroad_reports_outdated_total").increment(1);
+    match datagram.split_first() {
+        Some((&(DELIVER | FORWARD | COLLECT), report)) => read_report(shared, report, Arrival::Outdated),
+        Some((&(DELIVER_BATCH | FORWARD_BATCH), batch)) => read_batch(shared, batch, Arrival::Outdated),
+        Some((&STREAM_ORIGIN, bytes)) => stream_origins::receive(shared, bytes),
+        _ => metrics::counter!("burdockroad_reports_unreadable_total").increment(1),
     }
 }
 
@@ -172,20 +201,20 @@
         return;
     };
     match *kind {
-        DELIVER => read_report(shared, bytes),
+        DELIVER => read_report(shared, bytes, Arrival::Current),
         FORWARD => {
             let local = shared.addresses_in_domain();
             send_all(socket, DELIVER, bytes, &local).await;
-            read_report(shared, bytes);
+            read_report(shared, bytes, Arrival::Current);
         }
         COLLECT => {
             shared.collected_reports.add(bytes.to_vec());
-            read_report(shared, bytes);
+            read_report(shared, bytes, Arrival::Current);
         }
-        DELIVER_BATCH => read_batch(shared, bytes),
+        DELIVER_BATCH => read_batch(shared, bytes, Arrival::Current),
         STREAM_ORIGIN => stream_origins::receive(shared, bytes),
         FORWARD_BATCH => {
-            read_batch(shared, bytes);
+            read_batch(shared, bytes, Arrival::Current);
             datagram[0] = DELIVER_BATCH;
             for address in shared.addresses_in_domain() {
                 send(socket, datagram, address).await;
@@ -195,21 +224,21 @@
     }
 }
 
-fn read_batch(shared: &Shared, batch: &[u8]) {
+fn read_batch(shared: &Shared, batch: &[u8], arrival: Arrival) {
     for report in split_reports(batch) {
-        read_report(shared, report);
+        read_report(shared, report, arrival);
     }
 }
 
-fn read_report(shared: &Shared, report: &[u8]) {
+fn read_report(shared: &Shared, report: &[u8], arrival: Arrival) {
     match ciborium::from_reader::<WireReport, _>(report) {
-        Ok(report) => apply_report(shared, report),
+        Ok(report) => apply_report(shared, report, arrival),
         Err(_malformed) => metrics::counter!("burdockroad_reports_unreadable_total").increment(1),
     }
 }
 
 /// Applies a report. Reports of hosts that are not registered are ignored.
-fn apply_report(shared: &Shared, mut report: WireReport) {
+fn apply_report(shared: &Shared, mut report: WireReport, arrival: Arrival) {
     let now = Instant::now();
     let address = shared.peers.borrow().get(&report.host).map(|peer| peer.address);
     let Some(address) = address else {
@@ -228,7 +257,9 @@
     let quarantine = std::mem::take(&mut report.quarantine);
     let quarantined = tables.quarantine.record_report(quarantine.decode(now), now);
     let is_newer = tables.record_ranges(&report.ranges, address, now);
-    let store_response_age = report.store_response_age();
+    let store_response_age = report
+        .store_response_age()
+        .filter(|_| arrival == Arrival::Current);
     let host = report.host.clone();
     tables.rate_limiter.record_report(&report.decode(), now);
     drop(tables);
