Let a stream go on at another endpoint when its endpoint drained and has ended

Callers of streams whose server drained and then ended got a stream that broke off, though its events could come from another server.

stream_goes_on_at_another_server_when_its_server_drains_and_ends failed before: servers [1] in place of [1, 2].

Now a connection on which nothing is sent is opened to the departing endpoint. If it is refused, the endpoint has ended and another one is chosen; otherwise the call is given up as before.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -237,27 +237,6 @@
         placement
     }
 
-    /// Waits until the rate of the endpoint that the next attempt must use lets this host send another call. Fails
-    /// when the endpoint is evacuated or may no longer be used.
-    async fn wait_for_rate_of_next_endpoint(&mut self) -> Result<(), Refusal> {
-        while let Some(endpoint) = &self.next_endpoint {
-            self.check_next_endpoint()?;
-            let wait = {
-                let mut tables = self.shared.tables();
-                if tables.endpoints.is_evacuated(endpoint) {
-                    return Err(self.give_up_refusal());
-                }
-                tables.endpoints.endpoint_rate_wait(&endpoint.id, Instant::now())
-            };
-            match wait {
-                Some(Duration::ZERO) => break,
-                Some(wait) if wait < self.time_left() => sleep(wait).await,
-                Some(_) | None => return Err(self.give_up_refusal()),
-            }
-        }
-        Ok(())
-    }
-
     /// Waits when all endpoints were full, for [`FULL_BACKOFF`] or until their rates allow another call. Fails when
     /// the call may have run, when the service has no endpoint, or when the call would then have taken longer than
     /// a quarter of the route's latency objective or half of the time left.
--- a/crates/burdockroad-gateway/src/attempt/constraints.rs
+++ b/crates/burdockroad-gateway/src/attempt/constraints.rs
@@ -1,9 +1,19 @@
 //! Limits on where a call may be sent, and its preference among the endpoints within them.
 
-use burdockroad::{RegionId, gateway::Endpoint};
+use std::time::{Duration, Instant};
+
+use burdockroad::{
+    RegionId,
+    gateway::{Endpoint, Failure, NextStep, next_step},
+};
+use tokio::time::sleep;
 
 use super::Call;
-use crate::{pool::Connection, refusal::Refusal};
+use crate::{
+    endpoint_path::open_own_link,
+    pool::{CONNECT_TIMEOUT, Connection},
+    refusal::Refusal,
+};
 
 impl Call {
     /// Returns the key of the object that the call concerns, on routes whose endpoints work faster for objects that
@@ -25,20 +35,56 @@
             .allows(&endpoint.failure_domain, self.allowed_regions())
     }
 
-    /// Gives the call up if the endpoint that the next attempt must use departs, or has registered again in another
-    /// region. The call may have run there, so it may not run elsewhere either.
-    pub(super) fn check_next_endpoint(&self) -> Result<(), Refusal> {
+    /// Waits until the rate of the endpoint that the next attempt must use lets this host send another call. Fails
+    /// when the endpoint is evacuated or may no longer be used, and has not ended.
+    pub(super) async fn wait_for_rate_of_next_endpoint(&mut self) -> Result<(), Refusal> {
+        while let Some(endpoint) = &self.next_endpoint {
+            if !self.may_use_next_endpoint() {
+                return self.leave_next_endpoint().await;
+            }
+            let wait = {
+                let mut tables = self.shared.tables();
+                if tables.endpoints.is_evacuated(endpoint) {
+                    return Err(self.give_up_refusal());
+                }
+                tables.endpoints.endpoint_rate_wait(&endpoint.id, Instant::now())
+            };
+            match wait {
+                Some(Duration::ZERO) => break,
+                Some(wait) if wait < self.time_left() => sleep(wait).await,
+                Some(_) | None => return Err(self.give_up_refusal()),
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whether the endpoint that the next attempt must use does not depart, and is in a region in which the call
+    /// must stay.
+    fn may_use_next_endpoint(&self) -> bool {
         let Some(endpoint) = &self.next_endpoint else {
-            return Ok(());
+            return true;
         };
         let tables = self.shared.tables();
         let current = tables.endpoints.get(&endpoint.id);
-        let may_be_used = current.is_some_and(|current| !current.draining && self.is_allowed_at(current));
-        drop(tables);
-        if may_be_used {
+        current.is_some_and(|current| !current.draining && self.is_allowed_at(current))
+    }
+
+    /// Lets the next attempt choose another endpoint if the one that it must use has ended: a connection to it, on which
+    /// nothing is sent, is refused. Otherwise the call may still run there, so it may not run elsewhere either.
+    async fn leave_next_endpoint(&mut self) -> Result<(), Refusal> {
+        let Some(endpoint) = self.next_endpoint.take() else {
             return Ok(());
+        };
+        let time_limit = CONNECT_TIMEOUT.min(self.time_left());
+        let connected = open_own_link(&self.shared, &endpoint, time_limit).await;
+        let Err(failure @ Failure::NotListening) = connected else {
+            return Err(self.give_up_refusal());
+        };
+        self.count(failure, &endpoint);
+        match next_step(self.route.kind, self.route.endpoints_max, failure, self.retries) {
+            NextStep::OtherEndpoint => Ok(()),
+            NextStep::SameEndpoint | NextStep::Refuse | NextStep::GiveUp => Err(self.give_up_refusal()),
         }
-        Err(self.give_up_refusal())
     }
 
     /// Returns whether the call's body may be sent on a connection, which another host may have opened.
