Refuse forwarded calls that reach a host under an odd entry

Callers saw 401 for sound calls, and no server got them, while an entry among those of the servers had the address at which a host takes callers: the host answered the forwarded request, which has no key, with a refusal of its own under the call's id, and the sending host passed it on as the server's answer. With the address for readiness, of other hosts or of a host with a disk, calls that may not be repeated ended with 502, since the response had no call id.

Cause: an entry counted as proof that an endpoint runs at its address, and hosts gave answers of their own to requests that were meant for an endpoint.

A host now refuses a request that another host forwarded (it names an endpoint and has no key) with 421, 'not executed' and the call id if that endpoint is registered with the address at which the connection arrived. At its other addresses, where no calls are taken, it refuses all of them. The sender then takes another endpoint. The name alone decides nothing, because callers may send it. The body is read before the refusal, or a closed connection may lose the refusal.

--- a/crates/burdockroad-gateway/src/dialect.rs
+++ b/crates/burdockroad-gateway/src/dialect.rs
@@ -22,6 +22,10 @@
     /// Converts a caller's headers to the headers of the forwarded request.
     fn write_forward(&self, headers: &mut HeaderMap, forward: &ForwardHead<'_>);
 
+    /// Reads the head of a request that a host forwarded to an endpoint; `None` for requests of callers as far as the
+    /// head tells them apart.
+    fn read_forwarded(&self, headers: &HeaderMap) -> Option<ForwardedHead>;
+
     /// Reads the head of an endpoint's response.
     fn read_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
@@ -31,6 +35,10 @@
     /// Adds the call id to a response that the gateway generates itself.
     fn write_gateway_response(&self, headers: &mut HeaderMap, call_id: &str);
 
+    /// Writes the headers of a response stating that the call did not run because another endpoint was meant, and
+    /// returns its status.
+    fn write_wrong_endpoint(&self, headers: &mut HeaderMap, call_id: &str) -> StatusCode;
+
     /// Returns the prefix of the keys that the operator writes: the configuration document and orders.
     ///
     /// They are one range, so that a host learns of orders together with the configuration, from the same watchers
@@ -141,6 +149,15 @@
     pub priority: u8,
 }
 
+/// Information from the head of a request that a host forwarded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ForwardedHead {
+    /// Endpoint that the request was sent to.
+    pub endpoint: String,
+    /// Id of the caller's attempt.
+    pub call_id: String,
+}
+
 /// Information from the head of an endpoint's response.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
--- a/crates/burdockroad-gateway/src/disk_host.rs
+++ b/crates/burdockroad-gateway/src/disk_host.rs
@@ -65,7 +65,7 @@
 ) -> Result<(), HostError> {
     let host = options.host.clone();
     log.line("started", &HostLine { host: &host });
-    let turns = start_turn_host(options, &store, &log).await?;
+    let turns = start_turn_host(options, &dialect, &store, &log).await?;
     let orders = RemovalOrders {
         key: dialect.removal_order_key(&host),
         status_key: dialect.removal_status_key(&host),
@@ -86,6 +86,7 @@
 /// Starts to store turns. Returns `None` when the host has no data folder or its folder cannot be opened.
 async fn start_turn_host(
     options: DiskHostOptions,
+    dialect: &Arc<dyn Dialect>,
     store: &Arc<dyn SharedStore>,
     log: &DecisionLog,
 ) -> Result<Option<Arc<TurnHostState>>, HostError> {
@@ -114,7 +115,10 @@
         regions: RegionMap::new(options.regions),
     };
     let state = Arc::new(TurnHostState::new(options, turn_log, log.clone()));
-    state.start(listener, store).await.map_err(not_listening)?;
+    state
+        .start(listener, Arc::clone(dialect), store)
+        .await
+        .map_err(not_listening)?;
     Ok(Some(state))
 }
 
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod listener;
 mod message_server;
 mod metrics_page;
+mod misdirected;
 mod operator;
 mod options;
 mod peer;
@@ -75,8 +76,8 @@
 pub use self::{
     decision_log::DecisionLog,
     dialect::{
-        CallHead, DecodeError, Dialect, EndpointPhase, ForwardHead, InvalidHead, OperatorKey, ProgramHead,
-        ResponseHead, TokenCount,
+        CallHead, DecodeError, Dialect, EndpointPhase, ForwardHead, ForwardedHead, InvalidHead, OperatorKey,
+        ProgramHead, ResponseHead, TokenCount,
     },
     disk_host::{DiskHostOptions, run_disk_host},
     options::HostOptions,
--- a/crates/burdockroad-gateway/src/message_server.rs
+++ b/crates/burdockroad-gateway/src/message_server.rs
@@ -1,6 +1,6 @@
 //! Server of calls between hosts, over HTTP with CBOR bodies.
 
-use std::{convert::Infallible, time::Duration};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -10,7 +10,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::TcpListener;
 
-use crate::{listener::accept, response_body::ResponseBody};
+use crate::{Dialect, listener::accept, misdirected::refuse_forwarded, response_body::ResponseBody};
 
 /// Largest body of a call between hosts. A turn contains a request body, which the operator usually limits to
 /// 4 MiB, and an output.
@@ -22,13 +22,14 @@
 /// Serves calls of the type `Q` that arrive at `listener`.
 pub(crate) async fn serve_messages<Q, R, F>(
     listener: TcpListener,
+    dialect: Arc<dyn Dialect>,
     handler: impl Fn(Q) -> F + Clone + Send + 'static,
 ) where
     Q: DeserializeOwned + Send + 'static,
     R: Serialize + Send + 'static,
     F: Future<Output = R> + Send + 'static,
 {
-    serve_requests(listener, move |request| {
+    serve_requests(listener, dialect, move |request| {
         respond_to_message(handler.clone(), request)
     })
     .await;
@@ -37,6 +38,7 @@
 /// Serves the requests that arrive at `listener`.
 pub(crate) async fn serve_requests<F>(
     listener: TcpListener,
+    dialect: Arc<dyn Dialect>,
     respond: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
 ) where
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
@@ -44,9 +46,17 @@
     loop {
         let stream = accept(&listener).await;
         let respond = respond.clone();
-        let service = service_fn(move |request| {
-            let response = respond(request);
-            async move { Ok::<_, Infallible>(response.await) }
+        let dialect = Arc::clone(&dialect);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let respond = respond.clone();
+            let dialect = Arc::clone(&dialect);
+            async move {
+                let response = match dialect.read_forwarded(request.headers()) {
+                    Some(head) => refuse_forwarded(&*dialect, &head, request.into_body()).await,
+                    None => respond(request).await,
+                };
+                Ok::<_, Infallible>(response)
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -17,7 +17,8 @@
 
 /// Serves the calls of other hosts to a gateway host.
 pub(crate) async fn serve_peers(shared: Arc<Shared>, listener: TcpListener) {
-    serve_requests(listener, move |request| {
+    let dialect = Arc::clone(&shared.dialect);
+    serve_requests(listener, dialect, move |request| {
         let shared = Arc::clone(&shared);
         async move {
             if tunnel::is_tunnel_request(&request) {
--- a/crates/burdockroad-gateway/src/process.rs
+++ b/crates/burdockroad-gateway/src/process.rs
@@ -132,7 +132,9 @@
     if let Some(address) = options.metrics_address
         && let Some(handle) = metrics_page::install()
     {
-        tokio::spawn(serve_metrics(handle.clone(), bind_listener(address).await?));
+        let dialect = Arc::clone(&shared.dialect);
+        let pages = bind_listener(address).await?;
+        tokio::spawn(serve_metrics(dialect, handle.clone(), pages));
         tokio::spawn(metrics_page::upkeep(Arc::clone(shared), handle));
     }
     tokio::spawn(serve_callers(
--- a/crates/burdockroad-gateway/src/server.rs
+++ b/crates/burdockroad-gateway/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -11,7 +12,7 @@
 
 use burdockroad_daemon::http::{TruncatedBody, requires_length, with_length};
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -21,7 +22,12 @@
 };
 
 use crate::{
-    call, listener::accept, refusal::Refusal, response_body::ResponseBody, shared::Shared,
+    Dialect, ForwardedHead, call,
+    listener::accept,
+    misdirected::{is_registered_at, refuse_forwarded},
+    refusal::Refusal,
+    response_body::ResponseBody,
+    shared::Shared,
     stream::RESPONSE_MAX_BYTES,
 };
 
@@ -67,7 +73,8 @@
         .as_ref()
         .map(|directory| directory.document().limits)
         .unwrap_or_default();
-    let service = service_fn(move |request| respond(Arc::clone(&shared), request));
+    let address = stream.local_addr().ok();
+    let service = service_fn(move |request| respond(Arc::clone(&shared), address, request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
@@ -87,10 +94,15 @@
     let _ended = connection.await;
 }
 
+/// Responds to a request that arrived at `address`.
 async fn respond(
     shared: Arc<Shared>,
+    address: Option<SocketAddr>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
+    if let Some(head) = forwarded_to(&shared, address, request.headers()) {
+        return Ok(refuse_forwarded(&*shared.dialect, &head, request.into_body()).await);
+    }
     let version = request.version();
     let mut response = call::serve(Arc::clone(&shared), request).await;
     if requires_length(version) {
@@ -103,6 +115,15 @@
     Ok(response)
 }
 
+/// Returns the head of a request that was forwarded to an endpoint which is registered with `address`, at which the
+/// request arrived. Callers may name any endpoint, so a name alone says nothing.
+fn forwarded_to(shared: &Shared, address: Option<SocketAddr>, headers: &HeaderMap) -> Option<ForwardedHead> {
+    let head = shared.dialect.read_forwarded(headers)?;
+    let tables = shared.tables();
+    let endpoint = tables.endpoints.get(&head.endpoint)?;
+    is_registered_at(endpoint, address?).then_some(head)
+}
+
 /// Returns a response with its length, or a refusal if it was broken off.
 async fn buffered_response(shared: &Shared, response: Response<ResponseBody>) -> Response<ResponseBody> {
     match with_length(response, RESPONSE_MAX_BYTES).await {
@@ -113,7 +134,8 @@
 
 /// Serves the balancer's readiness checks.
 pub(crate) async fn serve_readiness(shared: Arc<Shared>, listener: TcpListener) {
-    serve_pages(listener, move |path| {
+    let dialect = Arc::clone(&shared.dialect);
+    serve_pages(listener, dialect, move |path| {
         let status = match (path, shared.is_ready()) {
             ("/ready", true) => StatusCode::OK,
             ("/ready", false) => StatusCode::SERVICE_UNAVAILABLE,
@@ -125,8 +147,12 @@
 }
 
 /// Serves the metrics page.
-pub(crate) async fn serve_metrics(handle: PrometheusHandle, listener: TcpListener) {
-    serve_pages(listener, move |path| match path {
+pub(crate) async fn serve_metrics(
+    dialect: Arc<dyn Dialect>,
+    handle: PrometheusHandle,
+    listener: TcpListener,
+) {
+    serve_pages(listener, dialect, move |path| match path {
         "/metrics" => page_response(StatusCode::OK, Bytes::from(handle.render())),
         _ => page_response(StatusCode::NOT_FOUND, Bytes::new()),
     })
@@ -135,14 +161,23 @@
 
 async fn serve_pages(
     listener: TcpListener,
+    dialect: Arc<dyn Dialect>,
     respond: impl Fn(&str) -> Response<ResponseBody> + Clone + Send + 'static,
 ) {
     loop {
         let stream = accept(&listener).await;
         let respond = respond.clone();
+        let dialect = Arc::clone(&dialect);
         let service = service_fn(move |request: Request<Incoming>| {
-            let response = respond(request.uri().path());
-            async move { Ok::<_, Infallible>(response) }
+            let page = respond(request.uri().path());
+            let dialect = Arc::clone(&dialect);
+            async move {
+                let response = match dialect.read_forwarded(request.headers()) {
+                    Some(head) => refuse_forwarded(&*dialect, &head, request.into_body()).await,
+                    None => page,
+                };
+                Ok::<_, Infallible>(response)
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- a/crates/burdockroad-gateway/src/turn_store/host.rs
+++ b/crates/burdockroad-gateway/src/turn_store/host.rs
@@ -10,7 +10,7 @@
 use tokio::{net::TcpListener, time::sleep};
 
 use crate::{
-    LeaseId, SharedStore,
+    Dialect, LeaseId, SharedStore,
     clock::unix_ms,
     message_server::serve_messages,
     registration::{Registration, RegistrationErrorLine, renew},
@@ -46,11 +46,12 @@
     pub(crate) async fn start(
         self: &Arc<Self>,
         listener: TcpListener,
+        dialect: Arc<dyn Dialect>,
         store: &Arc<dyn SharedStore>,
     ) -> io::Result<()> {
         self.streams.start(self.address).await?;
         let state = Arc::clone(self);
-        tokio::spawn(serve_messages(listener, move |call| {
+        tokio::spawn(serve_messages(listener, dialect, move |call| {
             let state = Arc::clone(&state);
             async move { state.respond(call).await }
         }));
