Send each completion on a connection of its own

An engine that repeated an earlier refusal on a kept connection made the host take it for the answer to the next completion. With 503 or 429 the completion ran once more, though it already ran; with 400 its caller was told 'ran: no', and the program's record said so, without the tokens that the engine generated.

Cause: any error status of an engine counts as 'did not run', and responses were attributed to calls by their position on a pooled connection alone; engines echo no id. Calls that may not be repeated already used connections of their own; now completions and the requests that resume their streams do, too. On such a connection no earlier request exists whose response could be repeated.

For resumed streams the change is read, not tested.

--- a/crates/burdockroad-daemon/src/calls/attempt.rs
+++ b/crates/burdockroad-daemon/src/calls/attempt.rs
@@ -392,7 +392,8 @@
         target: COMPLETIONS_PATH.to_owned(),
         headers,
         body: request.engine_body(attempt.prompt, attempt.max_tokens),
-        fresh_connection: false,
+        // An error status states that the call did not run, so it must not be the response to an earlier one.
+        fresh_connection: true,
     }
 }
 
--- a/crates/burdockroad-daemon/src/calls/engine_stream.rs
+++ b/crates/burdockroad-daemon/src/calls/engine_stream.rs
@@ -43,11 +43,11 @@
     /// Returns `None` if the request fails or the engine no longer has the stream.
     pub(super) async fn resume(&self, from_token: u64) -> Option<EndpointResponse> {
         let target = format!("/streams/{}?from={from_token}", self.request_id);
-        let response = self
-            .endpoints
-            .send(self.request(Method::GET, target))
-            .await
-            .ok()?;
+        let request = EndpointRequest {
+            fresh_connection: true,
+            ..self.request(Method::GET, target)
+        };
+        let response = self.endpoints.send(request).await.ok()?;
         (response.status == 200).then_some(response)
     }
 
--- a/crates/burdockroad-daemon/src/endpoint.rs
+++ b/crates/burdockroad-daemon/src/endpoint.rs
@@ -47,7 +47,8 @@
     /// Whether to use a new connection instead of a pooled one.
     ///
     /// If the endpoint closes a pooled connection while a request is sent on it, it is unknown
-    /// whether the request ran. This matters for calls that must not be repeated.
+    /// whether the request ran. This matters for calls that must not be repeated. A faulty endpoint may also send the
+    /// response to an earlier request of the connection once more.
     pub fresh_connection: bool,
 }
 
--- a/crates/burdockroad-daemon/tests/call_order.rs
+++ b/crates/burdockroad-daemon/tests/call_order.rs
@@ -41,6 +41,11 @@
     time::Instant,
 };
 
+use crate::repeating_engine::RepeatingEngine;
+
+#[path = "support/repeating_engine.rs"]
+mod repeating_engine;
+
 /// Time for which a test checks that an event does not happen.
 const OBSERVATION_TIME: Duration = Duration::from_millis(300);
 
@@ -180,28 +185,36 @@
     }
 
     async fn call(&self, payload: CallPayload, idempotent: bool) -> ResponseReader {
-        let plan = CallPlan {
-            caller: Caller {
-                account_id: "trust".to_owned(),
-                key_id: None,
-            },
-            route_id: "route".to_owned(),
-            pool_ids: vec!["pool".to_owned()],
-            idempotent,
-            digest: [1; 32],
-            keeps_prefix: true,
-            payload,
-            deadline: Instant::now() + Duration::from_secs(20),
-            traceparent: None,
-        };
+        self.numbered_call(1, payload, idempotent).await
+    }
+
+    async fn numbered_call(&self, number: u32, payload: CallPayload, idempotent: bool) -> ResponseReader {
         let position = CallPosition {
             program_id: self.program.clone(),
-            number: 1,
+            number,
         };
+        let plan = plan(payload, idempotent);
         self.runner.program_call(plan, position).await.unwrap()
     }
 }
 
+fn plan(payload: CallPayload, idempotent: bool) -> CallPlan {
+    CallPlan {
+        caller: Caller {
+            account_id: "trust".to_owned(),
+            key_id: None,
+        },
+        route_id: "route".to_owned(),
+        pool_ids: vec!["pool".to_owned()],
+        idempotent,
+        digest: [1; 32],
+        keeps_prefix: true,
+        payload,
+        deadline: Instant::now() + Duration::from_secs(20),
+        traceparent: None,
+    }
+}
+
 fn new_program(id: &str) -> NewProgram {
     let budget = Budget {
         max_tokens: 100,
@@ -371,3 +384,46 @@
         "the response ended as complete although its result was not recorded: {frames:?}"
     );
 }
+
+fn is_complete_answer(frames: &[Frame]) -> bool {
+    let is_answer = matches!(frames.first(), Some(Frame::Head(head)) if head.status == 200);
+    is_answer && matches!(frames.last(), Some(Frame::End))
+}
+
+/// Guards against a call that an engine runs, but that its caller is told did not run or that runs again, because the
+/// engine repeats an earlier refusal on a kept connection.
+#[tokio::test]
+async fn call_runs_once_when_an_engine_repeats_an_earlier_refusal() {
+    for refusal in [
+        "503 Service Unavailable",
+        "429 Too Many Requests",
+        "400 Bad Request",
+    ] {
+        let engine = RepeatingEngine::start(refusal).await;
+        let fixture = Fixture::start(engine.address.to_string()).await;
+        for number in 1..=3 {
+            let mut reader = fixture.runner.single_call(plan(completion(), true));
+            let frames = frames(&mut reader, Duration::from_secs(5)).await;
+            assert!(is_complete_answer(&frames), "{refusal}: {frames:?}");
+            assert_eq!(engine.executed().len(), number, "{refusal}");
+            tokio::time::sleep(OBSERVATION_TIME).await;
+        }
+    }
+}
+
+/// Guards against a program whose call is recorded as not run, without its tokens, although it ran.
+#[tokio::test]
+async fn program_call_that_ran_is_recorded_when_an_engine_repeats_an_earlier_refusal() {
+    let engine = RepeatingEngine::start("400 Bad Request").await;
+    let fixture = Fixture::start(engine.address.to_string()).await;
+    for number in 1..=2 {
+        let mut reader = fixture.numbered_call(number, completion(), true).await;
+        for _ in 0..2 {
+            fixture.journal.complete_next(Ok(())).await;
+        }
+        let frames = frames(&mut reader, Duration::from_secs(5)).await;
+        assert!(is_complete_answer(&frames), "{number}: {frames:?}");
+        assert_eq!(engine.executed().len(), usize::try_from(number).unwrap());
+        tokio::time::sleep(OBSERVATION_TIME).await;
+    }
+}
