Take back the change of the watcher that is asked for updates

The fault that it mended is open again: a watcher that stops between an announcement and the request may be asked again until a newer change. That whole hosts were held up so was never reproduced.

--- a/crates/burdockroad-gateway/src/endpoint_view.rs
+++ b/crates/burdockroad-gateway/src/endpoint_view.rs
@@ -76,7 +76,7 @@
         let view = self.range_views.get(prefix);
         // A watcher that announces no newer change confirms the last update.
         let announced = self.announced_ranges.get(prefix);
-        let announcement_age = announced.map(|range| range.age(now));
+        let announcement_age = announced.map(|range| now.saturating_duration_since(range.announced_at));
         let ages = view.map(|view| view.age(now)).into_iter().chain(announcement_age);
         EndpointView {
             state,
--- a/crates/burdockroad-gateway/src/follow.rs
+++ b/crates/burdockroad-gateway/src/follow.rs
@@ -118,7 +118,7 @@
         failure_domain: peer.failure_domain.clone(),
     }));
     let announced = tables.announced_ranges.get(prefix);
-    let announcement_age = announced.map(|announced| announced.age(now));
+    let announcement_age = announced.map(|announced| now.saturating_duration_since(announced.announced_at));
     drop(tables);
     should_watch(&shared.host, &live_hosts, announcement_age)
 }
@@ -147,21 +147,16 @@
 async fn follow_watcher(shared: &Shared, subscriber: &mut dyn RangeSubscriber, after: Revision) -> Revision {
     let mut announced = pin!(shared.range_announced.notified());
     announced.as_mut().enable();
-    let Some(watcher) = watcher_ahead(shared, subscriber.prefix(), after) else {
+    let announcement = shared.tables().announced_ranges.get(subscriber.prefix()).copied();
+    let Some(announcement) = announcement.filter(|announcement| announcement.last_change > after) else {
         // After each wait, the caller rechecks whether this host should watch.
         let _ended = timeout(ROLE_CHECK_INTERVAL, announced).await;
         return after;
     };
-    if let Some(as_of) = fetch_updates(shared, subscriber, watcher, after).await {
-        return as_of;
-    }
-    // Another watcher may have announced the change meanwhile.
-    let other_watcher = watcher_ahead(shared, subscriber.prefix(), after).filter(|other| *other != watcher);
-    if let Some(other_watcher) = other_watcher
-        && let Some(as_of) = fetch_updates(shared, subscriber, other_watcher, after).await
-    {
+    if let Some(as_of) = fetch_updates(shared, subscriber, announcement.address, after).await {
         return as_of;
     }
+    metrics::counter!("burdockroad_range_news_failed_total").increment(1);
     match poll_store(shared, subscriber, None).await {
         Ok(as_of) => as_of.unwrap_or(after),
         Err(error) => {
@@ -170,22 +165,13 @@
             shared
                 .log
                 .line("range_read_failed", &ReadFailedLine { prefix, reason });
-            let _ended = timeout(BACKOFF_MAX, announced).await;
+            sleep(BACKOFF_MAX).await;
             after
         }
     }
 }
 
-/// Returns the address of the watcher that last announced the latest change of a range; `None` if that is not newer
-/// than `after`.
-fn watcher_ahead(shared: &Shared, prefix: &str, after: Revision) -> Option<SocketAddr> {
-    let tables = shared.tables();
-    let announced = tables.announced_ranges.get(prefix)?;
-    (announced.last_change() > after).then(|| announced.watcher())
-}
-
-/// Fetches the updates of a range from a watcher and applies them. Returns `None`, and counts this, if the watcher has
-/// none.
+/// Fetches the updates of a range from a watcher and applies them.
 async fn fetch_updates(
     shared: &Shared,
     subscriber: &mut dyn RangeSubscriber,
@@ -198,7 +184,6 @@
     };
     let result = shared.peer_client.call(address, &call, UPDATE_TIMEOUT).await;
     let Ok(PeerResponse::RangeUpdate(Some(response))) = result else {
-        metrics::counter!("burdockroad_range_news_failed_total").increment(1);
         return None;
     };
     let source = UpdateSource::Watcher(address);
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`DecisionLog`] writes one log line for each decision and never blocks the calls.
 
 mod admitted_call;
+mod announced_range;
 mod applied_revisions;
 mod attempt;
 mod budget_messages;
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -21,8 +21,8 @@
 };
 
 use burdockroad::gateway::{
-    AnnouncedRange, EndpointUsage, HostLocation, ReportedPace, collects_reports, report_interval,
-    report_targets, split_reports,
+    EndpointUsage, HostLocation, ReportedPace, collects_reports, report_interval, report_targets,
+    split_reports,
 };
 use tokio::{net::UdpSocket, time::sleep};
 
@@ -34,6 +34,7 @@
     wire::{WireRange, WireReport, wire_reports},
 };
 use crate::{
+    announced_range::AnnouncedRange,
     crash_detection::log_quarantined,
     follow::watched_ranges,
     shared::{Shared, Tables},
@@ -279,13 +280,18 @@
     fn record_ranges(&mut self, ranges: &[WireRange], address: SocketAddr, now: Instant) -> bool {
         let mut is_newer = false;
         for range in ranges {
-            if let Some(announced) = self.announced_ranges.get_mut(&range.prefix) {
-                is_newer |= announced.record(address, range.last_change, now);
-                continue;
+            let announced = AnnouncedRange {
+                address,
+                last_change: range.last_change,
+                announced_at: now,
+            };
+            match self.announced_ranges.get_mut(&range.prefix) {
+                Some(latest) if latest.last_change >= announced.last_change => latest.announced_at = now,
+                _ => {
+                    self.announced_ranges.insert(range.prefix.clone(), announced);
+                    is_newer = true;
+                }
             }
-            let announced = AnnouncedRange::new(address, range.last_change, now);
-            self.announced_ranges.insert(range.prefix.clone(), announced);
-            is_newer = true;
         }
         is_newer
     }
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -13,9 +13,8 @@
 use burdockroad::{
     HostId, Incarnation,
     gateway::{
-        AnnouncedRange, Departures, Directory, EndpointReach, EndpointTable, Ledger, LedgerOptions,
-        ProgramStartGate, Quarantine, RateLimiter, RegionMap, RunningPrograms, StreamOrigins, UnsentOrigins,
-        VersionHistory,
+        Departures, Directory, EndpointReach, EndpointTable, Ledger, LedgerOptions, ProgramStartGate,
+        Quarantine, RateLimiter, RegionMap, RunningPrograms, StreamOrigins, UnsentOrigins, VersionHistory,
     },
 };
 use burdockroad_daemon::platform::Revision;
@@ -25,10 +24,10 @@
 };
 
 use crate::{
-    DecisionLog, Dialect, HostOptions, RangeLog, collected_reports::CollectedReports,
-    crash_checks::CrashChecks, failed_polls::FailedPolls, peer_client::PeerClient, peers::Peers,
-    pool::ConnectionPool, range_view::RangeView, relay::RelayedStore, remote_reservation::RemoteReservation,
-    response_space::ResponseSpace, turn_store::client::TurnClient,
+    DecisionLog, Dialect, HostOptions, RangeLog, announced_range::AnnouncedRange,
+    collected_reports::CollectedReports, crash_checks::CrashChecks, failed_polls::FailedPolls,
+    peer_client::PeerClient, peers::Peers, pool::ConnectionPool, range_view::RangeView, relay::RelayedStore,
+    remote_reservation::RemoteReservation, response_space::ResponseSpace, turn_store::client::TurnClient,
 };
 
 /// State of one host.
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -19,7 +19,6 @@
 //! * [`StreamOrigins`] holds the software versions that streams began at, so that they go on at the same one.
 //! * [`Turn`] and the types around it keep the history of conversations on routes that ask for it.
 
-mod announced_range;
 mod budget;
 mod departures;
 mod directory;
@@ -43,7 +42,6 @@
 mod version_history;
 
 pub use self::{
-    announced_range::AnnouncedRange,
     budget::{
         BudgetWrite, HostReservation, Ledger, LedgerOptions, Readiness, StoreResponse, StoredBudget,
         VersionedBudget,
