Serve the two addresses of stand-ins at one place

Six stand-ins started, addressed and closed a server and a control server of their own, with the same lines. They now share ControlledServer.

--- a/crates/burdockroad-standins/src/engine.rs
+++ b/crates/burdockroad-standins/src/engine.rs
@@ -48,6 +48,7 @@
 };
 
 use crate::{
+    controlled_server::{ControlledServer, ListenAddresses},
     engine::{
         api::ApiHandler,
         batch::{Batch, BatchLimits, Phase},
@@ -60,7 +61,6 @@
     http_server::{self, Handler, HandlerResult, ReceivedRequest},
     record::{RecordedRequest, Recorder},
     request_faults::{RequestFault, RequestFaultInjector},
-    server::Server,
 };
 
 mod api;
@@ -142,8 +142,7 @@
 #[derive(Debug)]
 pub struct EngineStandin {
     shared: Arc<Shared>,
-    server: Server,
-    control: Server,
+    server: ControlledServer,
     tasks: [JoinHandle<()>; 2],
 }
 
@@ -159,11 +158,14 @@
         let api = ApiHandler {
             shared: Arc::clone(&shared),
         };
-        let server = http_server::serve(options.listen, Arc::new(api)).await?;
         let control = ControlHandler {
             shared: Arc::clone(&shared),
         };
-        let control = http_server::serve(options.control_listen, Arc::new(control)).await?;
+        let listen = ListenAddresses {
+            server: options.listen,
+            control: options.control_listen,
+        };
+        let server = ControlledServer::serve(listen, Arc::new(api), Arc::new(control)).await?;
         let order_executor = OrderExecutor {
             shared: Arc::clone(&shared),
             load_time: options.load_time,
@@ -177,7 +179,6 @@
         Ok(Self {
             shared,
             server,
-            control,
             tasks,
         })
     }
@@ -189,7 +190,7 @@
 
     /// Returns the address that serves `POST /faults`, `GET /recorded` and `GET /stats`.
     pub fn control_address(&self) -> SocketAddr {
-        self.control.address()
+        self.server.control_address()
     }
 
     /// Replaces the active set of faults.
@@ -220,7 +221,6 @@
     /// Stops the stand-in, ends all its connections and drops its cache.
     pub async fn close(self) {
         self.server.close().await;
-        self.control.close().await;
         for task in self.tasks {
             task.abort();
         }
--- a/crates/burdockroad-standins/src/host_list.rs
+++ b/crates/burdockroad-standins/src/host_list.rs
@@ -16,9 +16,9 @@
 use tokio::time::Instant;
 
 use crate::{
+    controlled_server::{ControlledServer, ListenAddresses},
     error::Result,
     http_server::{self, Handler, HandlerResult, ReceivedRequest},
-    server::Server,
 };
 
 /// A host in the platform's list.
@@ -87,8 +87,7 @@
 #[derive(Debug)]
 pub struct HostListStandin {
     shared: Arc<Shared>,
-    server: Server,
-    control: Server,
+    server: ControlledServer,
 }
 
 impl HostListStandin {
@@ -110,16 +109,15 @@
         let list = ListHandler {
             shared: Arc::clone(&shared),
         };
-        let server = http_server::serve(options.listen, Arc::new(list)).await?;
         let control = ControlHandler {
             shared: Arc::clone(&shared),
         };
-        let control = http_server::serve(options.control_listen, Arc::new(control)).await?;
-        Ok(Self {
-            shared,
-            server,
-            control,
-        })
+        let listen = ListenAddresses {
+            server: options.listen,
+            control: options.control_listen,
+        };
+        let server = ControlledServer::serve(listen, Arc::new(list), Arc::new(control)).await?;
+        Ok(Self { shared, server })
     }
 
     /// Returns the address of the list.
@@ -129,7 +127,7 @@
 
     /// Returns the address that serves `PUT /hosts` and `POST /faults`.
     pub fn control_address(&self) -> SocketAddr {
-        self.control.address()
+        self.server.control_address()
     }
 
     /// Sets the list, which becomes visible after the lag.
@@ -145,7 +143,6 @@
     /// Stops the stand-in and ends all its connections.
     pub async fn close(self) {
         self.server.close().await;
-        self.control.close().await;
     }
 }
 
--- a/crates/burdockroad-standins/src/kv.rs
+++ b/crates/burdockroad-standins/src/kv.rs
@@ -28,6 +28,7 @@
 use tonic::{Response, Status, service::Routes};
 
 use crate::{
+    controlled_server::ControlledServer,
     error::Result,
     http_server::{self, Handler, HandlerResult, ReceivedRequest},
     kv::{
@@ -98,8 +99,7 @@
 #[derive(Debug)]
 pub struct KvStandin {
     shared: Arc<Shared>,
-    server: Server,
-    control: Server,
+    server: ControlledServer,
     expiry_task: JoinHandle<()>,
 }
 
@@ -115,12 +115,11 @@
         let handler = Arc::new(ControlHandler {
             shared: Arc::clone(&shared),
         });
-        let control = http_server::serve(options.control_listen, handler).await?;
+        let server = ControlledServer::add_control(server, options.control_listen, handler).await?;
         let expiry_task = tokio::spawn(expire_leases(Arc::clone(&shared)));
         Ok(Self {
             shared,
             server,
-            control,
             expiry_task,
         })
     }
@@ -132,7 +131,7 @@
 
     /// Returns the address that serves `POST /faults` and `GET /counts`.
     pub fn control_address(&self) -> SocketAddr {
-        self.control.address()
+        self.server.control_address()
     }
 
     /// Replaces the active set of faults.
@@ -149,7 +148,6 @@
     pub async fn close(self) {
         self.expiry_task.abort();
         self.server.close().await;
-        self.control.close().await;
     }
 }
 
--- a/crates/burdockroad-standins/src/lib.rs
+++ b/crates/burdockroad-standins/src/lib.rs
@@ -36,6 +36,7 @@
 };
 
 pub mod arguments;
+mod controlled_server;
 pub mod engine;
 mod error;
 pub mod host_list;
--- a/crates/burdockroad-standins/src/proxy.rs
+++ b/crates/burdockroad-standins/src/proxy.rs
@@ -16,6 +16,7 @@
 use http::StatusCode;
 
 use crate::{
+    controlled_server::ControlledServer,
     error::Result,
     http_server::{self, Handler, HandlerResult, ReceivedRequest},
     proxy::faults::Shared,
@@ -51,8 +52,7 @@
 #[derive(Debug)]
 pub struct ProxyStandin {
     shared: Arc<Shared>,
-    server: Server,
-    control: Server,
+    server: ControlledServer,
 }
 
 impl ProxyStandin {
@@ -73,12 +73,9 @@
         let control = ControlHandler {
             shared: Arc::clone(&shared),
         };
-        let control = http_server::serve(options.control_listen, Arc::new(control)).await?;
-        Ok(Self {
-            shared,
-            server,
-            control,
-        })
+        let control = Arc::new(control);
+        let server = ControlledServer::add_control(server, options.control_listen, control).await?;
+        Ok(Self { shared, server })
     }
 
     /// Returns the address that clients connect to.
@@ -88,7 +85,7 @@
 
     /// Returns the address that serves `POST /faults` and `GET /counts`.
     pub fn control_address(&self) -> SocketAddr {
-        self.control.address()
+        self.server.control_address()
     }
 
     /// Replaces the active set of faults.
@@ -104,7 +101,6 @@
     /// Stops the proxy and ends all its connections.
     pub async fn close(self) {
         self.server.close().await;
-        self.control.close().await;
     }
 }
 
--- a/crates/burdockroad-standins/src/service.rs
+++ b/crates/burdockroad-standins/src/service.rs
@@ -17,12 +17,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    controlled_server::{ControlledServer, ListenAddresses},
     engine::Load,
     error::Result,
     http_server::{self, ConnectionCut, Handler, HandlerResult, ReceivedRequest},
     record::RecordedRequest,
     request_faults::{RequestFault, RequestFaultInjector},
-    server::Server,
 };
 
 const REQUEST_ID: &str = "x-request-id";
@@ -84,8 +84,7 @@
 #[derive(Debug)]
 pub struct ServiceStandin {
     shared: Arc<Shared>,
-    server: Server,
-    control: Server,
+    server: ControlledServer,
 }
 
 impl ServiceStandin {
@@ -109,16 +108,15 @@
         let service = ServiceHandler {
             shared: Arc::clone(&shared),
         };
-        let server = http_server::serve(options.listen, Arc::new(service)).await?;
         let control = ControlHandler {
             shared: Arc::clone(&shared),
         };
-        let control = http_server::serve(options.control_listen, Arc::new(control)).await?;
-        Ok(Self {
-            shared,
-            server,
-            control,
-        })
+        let listen = ListenAddresses {
+            server: options.listen,
+            control: options.control_listen,
+        };
+        let server = ControlledServer::serve(listen, Arc::new(service), Arc::new(control)).await?;
+        Ok(Self { shared, server })
     }
 
     /// Returns the address of the service.
@@ -128,7 +126,7 @@
 
     /// Returns the address that serves `POST /faults` and `GET /recorded`.
     pub fn control_address(&self) -> SocketAddr {
-        self.control.address()
+        self.server.control_address()
     }
 
     /// Replaces the active set of faults.
@@ -149,7 +147,6 @@
     /// Stops the stand-in and ends all its connections.
     pub async fn close(self) {
         self.server.close().await;
-        self.control.close().await;
     }
 }
 
--- a/crates/burdockroad-standins/src/weight_store.rs
+++ b/crates/burdockroad-standins/src/weight_store.rs
@@ -15,9 +15,9 @@
 use tokio::time::Instant;
 
 use crate::{
+    controlled_server::{ControlledServer, ListenAddresses},
     error::Result,
     http_server::{self, Handler, HandlerResult, ReceivedRequest},
-    server::Server,
     window::FixedWindowCounter,
 };
 
@@ -62,8 +62,7 @@
 #[derive(Debug)]
 pub struct WeightStoreStandin {
     shared: Arc<Shared>,
-    server: Server,
-    control: Server,
+    server: ControlledServer,
 }
 
 impl WeightStoreStandin {
@@ -85,16 +84,15 @@
         let store = StoreHandler {
             shared: Arc::clone(&shared),
         };
-        let server = http_server::serve(options.listen, Arc::new(store)).await?;
         let control = ControlHandler {
             shared: Arc::clone(&shared),
         };
-        let control = http_server::serve(options.control_listen, Arc::new(control)).await?;
-        Ok(Self {
-            shared,
-            server,
-            control,
-        })
+        let listen = ListenAddresses {
+            server: options.listen,
+            control: options.control_listen,
+        };
+        let server = ControlledServer::serve(listen, Arc::new(store), Arc::new(control)).await?;
+        Ok(Self { shared, server })
     }
 
     /// Returns the address of the store.
@@ -104,7 +102,7 @@
 
     /// Returns the address that serves `GET /counts`.
     pub fn control_address(&self) -> SocketAddr {
-        self.control.address()
+        self.server.control_address()
     }
 
     /// Returns the request counts.
@@ -115,7 +113,6 @@
     /// Stops the stand-in and ends all its connections.
     pub async fn close(self) {
         self.server.close().await;
-        self.control.close().await;
     }
 }
 
