Refuse calls that cannot end in the grace period of a stop

What callers saw: in a planned stop of a host, calls that came late in the grace period were passed on and cut without an answer at its end, among them calls that may run once. Whether a call on a new connection was read at all was a toss.

Cause: the host stopped keeping idle connections after the notice, but went on accepting. A call was forwarded with its full deadline however little of the grace period was left, and the process ended under it. A new connection's first request raced with the request to close, which ends a connection on which hyper has read nothing.

The fix: a plan of the stop that the path of a call knows. After the notice, a call is served only if its timeout ends before the last responses are due; any other is refused as not run. Connections that carried no call yet stay open for their first. Calls that still run when the last responses are due are answered 502, and streams are broken off with a log line.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -401,6 +401,15 @@
         Refusal::UnknownOutcome
     }
 
+    /// Returns the refusal of a call that is ended because the host stops.
+    pub(crate) fn stop_refusal(&self) -> Refusal {
+        if self.current_endpoint.is_none() && self.retries.unknown == 0 {
+            Refusal::Stopping
+        } else {
+            Refusal::CutByStop
+        }
+    }
+
     /// Returns the refusal of a call whose deadline has passed.
     fn timeout_refusal(&self) -> Refusal {
         if self.retries.unknown == 0 {
--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -48,11 +48,14 @@
         Ok(context) => context,
         Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
     };
-    let body_timeout = call_timeout(&head, &context.route);
-    let body = match read_body(body, &context.limits, body_timeout).await {
+    let call_time = call_timeout(&head, &context.route);
+    let body = match read_body(body, &context.limits, call_time).await {
         Ok(body) => body,
         Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
     };
+    if !shared.shutdown.may_serve(started_at + call_time) {
+        return refuse_unsent(&shared, Some(&head), Refusal::Stopping, started_at);
+    }
     if let Err(refusal) = refuse_quarantined(&shared, &head, &context, &parts, &body) {
         return refuse_unsent(&shared, Some(&head), refusal, started_at);
     }
@@ -96,7 +99,7 @@
         record,
     };
     let mut call = Call::new(Arc::clone(&shared), admitted_call);
-    match run(&mut call, context.rate_status).await {
+    match run_until_stop(&mut call, context.rate_status).await {
         Ok(ServedResponse::Complete(response)) => response,
         Ok(ServedResponse::Events(opened)) => relay_stream(call, opened),
         Err(refusal) => {
@@ -295,6 +298,16 @@
     }
 }
 
+/// Runs the call, at most until the last responses must be sent before the process ends.
+async fn run_until_stop(call: &mut Call, rate_status: RateStatus) -> Result<ServedResponse, Refusal> {
+    let shared = Arc::clone(&call.shared);
+    tokio::select! {
+        biased;
+        result = run(call, rate_status) => result,
+        () = shared.shutdown.wait_until_responses_are_due() => Err(call.stop_refusal()),
+    }
+}
+
 /// Reserves the tokens that the call may generate, counts the call against the rate limit if it is not
 /// counted yet, and sends the call to endpoints until one responds.
 async fn run(call: &mut Call, rate_status: RateStatus) -> Result<ServedResponse, Refusal> {
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -60,6 +60,7 @@
 mod response_space;
 mod server;
 mod shared;
+mod shutdown;
 mod store;
 mod store_messages;
 mod store_outage;
--- a/crates/burdockroad-gateway/src/process.rs
+++ b/crates/burdockroad-gateway/src/process.rs
@@ -3,17 +3,13 @@
 use std::{
     fmt, io,
     net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use burdockroad::Incarnation;
 use serde::Serialize;
-use tokio::{
-    net::TcpListener,
-    sync::{mpsc, watch},
-    time::sleep,
-};
+use tokio::{net::TcpListener, sync::mpsc, time::sleep};
 
 use crate::{
     DecisionLog, Dialect, HostOptions, SharedStore,
@@ -34,13 +30,6 @@
     version_records::keep_records,
 };
 
-/// Time after the stop signal for which the host still serves callers while the balancer and the
-/// `Connection: close` headers move them to other hosts.
-const DRAIN_NOTICE_TIME: Duration = Duration::from_millis(2500);
-
-/// Part of the grace period that is left unused, so that the process exits before it is killed.
-const STOP_RESERVE: Duration = Duration::from_millis(400);
-
 /// Interval between two checks whether all caller connections are closed.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -110,13 +99,12 @@
         log.clone(),
     ));
     let open_connections = Arc::new(OpenConnections::default());
-    let (close_idle, closing) = watch::channel(false);
-    start_listeners(&options, &shared, &open_connections, closing).await?;
+    start_listeners(&options, &shared, &open_connections).await?;
     start_background_tasks(&options, &shared).await?;
     if signals.stop.recv().await.is_none() {
         std::future::pending::<()>().await;
     }
-    stop(&options, &shared, &open_connections, &close_idle).await;
+    stop(&options, &shared, &open_connections).await;
     log.close(LOG_FLUSH_TIMEOUT);
     Ok(())
 }
@@ -125,7 +113,6 @@
     options: &HostOptions,
     shared: &Arc<Shared>,
     open_connections: &Arc<OpenConnections>,
-    closing: watch::Receiver<bool>,
 ) -> Result<(), HostError> {
     let callers = bind_listener(options.caller_address).await?;
     let readiness = bind_listener(options.readiness_address).await?;
@@ -141,7 +128,6 @@
         Arc::clone(shared),
         callers,
         Arc::clone(open_connections),
-        closing,
     ));
     tokio::spawn(serve_readiness(Arc::clone(shared), readiness));
     Ok(())
@@ -183,14 +169,8 @@
 }
 
 /// Lets callers move to other hosts, completes the calls in progress, and returns within the grace period.
-async fn stop(
-    options: &HostOptions,
-    shared: &Shared,
-    open_connections: &OpenConnections,
-    close_idle: &watch::Sender<bool>,
-) {
-    let deadline = Instant::now() + options.grace_period.saturating_sub(STOP_RESERVE);
-    shared.stopping.store(true, Ordering::Relaxed);
+async fn stop(options: &HostOptions, shared: &Shared, open_connections: &OpenConnections) {
+    let plan = shared.shutdown.begin(options.grace_period);
     shared.stop_started.notify_one();
     shared.log.line(
         "stopping",
@@ -198,9 +178,10 @@
             connections: open_connections.count(),
         },
     );
-    sleep(DRAIN_NOTICE_TIME).await;
-    close_idle.send_replace(true);
-    while open_connections.count() > 0 && Instant::now() < deadline {
+    shared.shutdown.wait_for_notice_end().await;
+    // Lets the connections that wait for another call close.
+    sleep(STOP_POLL_INTERVAL).await;
+    while open_connections.count() > 0 && Instant::now() < plan.end {
         sleep(STOP_POLL_INTERVAL).await;
     }
     shared.log.line(
--- a/crates/burdockroad-gateway/src/refusal.rs
+++ b/crates/burdockroad-gateway/src/refusal.rs
@@ -7,7 +7,7 @@
 
 use crate::{Dialect, response_body::ResponseBody};
 
-/// `Retry-After` of a host that is not ready. It is short because another host can serve the caller.
+/// `Retry-After` of a host that is not ready or stops. It is short because another host can serve the caller.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// `Retry-After` when the turn that a call continues cannot be read. A host that stores turns is asked again
@@ -26,6 +26,8 @@
 pub(crate) enum Refusal {
     /// The host has not read the configuration or the list of hosts yet.
     NotReady,
+    /// The host is stopping, and the call may take longer than the host runs.
+    Stopping,
     /// The named header is missing or malformed.
     InvalidHead(&'static str),
     /// The body exceeds the limit.
@@ -60,6 +62,8 @@
     DeadlineExceededUnsent,
     /// The deadline passed, and the call may have run.
     DeadlineExceeded,
+    /// The host stops, and the call may have run.
+    CutByStop,
     /// The call may have run, and its outcome is unknown.
     UnknownOutcome,
 }
@@ -69,6 +73,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::NotReady => "not_ready",
+            Self::Stopping => "stopping",
             Self::InvalidHead(_) => "bad_head",
             Self::BodyTooLong => "body_too_long",
             Self::BodyIncomplete => "body_incomplete",
@@ -86,6 +91,7 @@
             Self::Quarantined(_) => "quarantined",
             Self::DeadlineExceededUnsent => "time_over_unsent",
             Self::DeadlineExceeded => "time_over",
+            Self::CutByStop => "cut_by_stop",
             Self::UnknownOutcome => "unknown_outcome",
         }
     }
@@ -94,6 +100,7 @@
     pub(crate) fn status(self) -> StatusCode {
         match self {
             Self::NotReady
+            | Self::Stopping
             | Self::TurnUnavailable
             | Self::UnknownStream
             | Self::NoReservation(_)
@@ -109,14 +116,14 @@
             Self::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-            Self::UnknownOutcome | Self::TurnNotStored => StatusCode::BAD_GATEWAY,
+            Self::CutByStop | Self::UnknownOutcome | Self::TurnNotStored => StatusCode::BAD_GATEWAY,
         }
     }
 
     /// Returns the time after which the caller may retry.
     pub(crate) fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NotReady => Some(NOT_READY_RETRY_AFTER),
+            Self::NotReady | Self::Stopping => Some(NOT_READY_RETRY_AFTER),
             Self::TurnUnavailable => Some(TURN_RETRY_AFTER),
             Self::UnknownStream => Some(STREAM_RETRY_AFTER),
             Self::NoAllowedEndpoint => Some(NO_ALLOWED_ENDPOINT_RETRY_AFTER),
--- a/crates/burdockroad-gateway/src/server.rs
+++ b/crates/burdockroad-gateway/src/server.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -18,7 +18,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    time::timeout,
 };
 
 use crate::{
@@ -46,27 +46,23 @@
     }
 }
 
-/// Serves callers. Idle connections are closed when `closing` becomes `true`.
-pub(crate) async fn serve_callers(
-    shared: Arc<Shared>,
-    listener: TcpListener,
-    open: Arc<OpenConnections>,
-    closing: watch::Receiver<bool>,
-) {
+/// Serves callers, until the process ends. Callers that come late in its stop are answered, too.
+pub(crate) async fn serve_callers(shared: Arc<Shared>, listener: TcpListener, open: Arc<OpenConnections>) {
     loop {
         let stream = accept(&listener).await;
         let shared = Arc::clone(&shared);
         let open = Arc::clone(&open);
-        let closing = closing.clone();
+        open.count.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(async move {
-            open.count.fetch_add(1, Ordering::Relaxed);
-            serve_caller(shared, stream, closing).await;
+            serve_caller(shared, stream).await;
             open.count.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
 
-async fn serve_caller(shared: Arc<Shared>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+/// Serves a caller's connection. Late in the stop of the host, it is closed while it waits for another call. Its first
+/// call is answered, because the caller cannot know that the host stops.
+async fn serve_caller(shared: Arc<Shared>, stream: TcpStream) {
     let limits = shared
         .tables()
         .directory
@@ -74,23 +70,27 @@
         .map(|directory| directory.document().limits)
         .unwrap_or_default();
     let address = stream.local_addr().ok();
-    let service = service_fn(move |request| respond(Arc::clone(&shared), address, request));
+    let is_used = AtomicBool::new(false);
+    let service = service_fn(|request| {
+        is_used.store(true, Ordering::Relaxed);
+        respond(Arc::clone(&shared), address, request)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
         .max_buf_size(limits.head_max_bytes.max(8 << 10))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let close_requested = async {
-        if closing.wait_for(|closing| *closing).await.is_err() {
-            std::future::pending::<()>().await;
-        }
-    };
+    // The log lines of the connection's calls show how they ended.
     tokio::select! {
-        // The log lines of the connection's calls show how they ended.
+        biased;
         _ended = connection.as_mut() => return,
-        () = close_requested => connection.as_mut().graceful_shutdown(),
+        () = shared.shutdown.wait_for_notice_end() => {}
+    }
+    if !is_used.load(Ordering::Relaxed) && timeout(limits.head_timeout, connection.as_mut()).await.is_ok() {
+        return;
     }
+    connection.as_mut().graceful_shutdown();
     let _ended = connection.await;
 }
 
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -3,10 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Instant,
 };
 
@@ -27,7 +24,8 @@
     DecisionLog, Dialect, HostOptions, RangeLog, announced_range::AnnouncedRange,
     collected_reports::CollectedReports, crash_checks::CrashChecks, failed_polls::FailedPolls,
     peer_client::PeerClient, peers::Peers, pool::ConnectionPool, range_view::RangeView, relay::RelayedStore,
-    remote_reservation::RemoteReservation, response_space::ResponseSpace, turn_store::client::TurnClient,
+    remote_reservation::RemoteReservation, response_space::ResponseSpace, shutdown::Shutdown,
+    turn_store::client::TurnClient,
 };
 
 /// State of one host.
@@ -68,8 +66,8 @@
     pub(crate) versions_changed: Notify,
     /// Notified when a check whether an endpoint crashed has ended.
     pub(crate) endpoint_checked: Notify,
-    /// Whether the host is shutting down.
-    pub(crate) stopping: AtomicBool,
+    /// Whether the host is shutting down, and how far.
+    pub(crate) shutdown: Shutdown,
     tables: Mutex<Tables>,
 }
 
@@ -162,7 +160,7 @@
             range_announced: Notify::new(),
             versions_changed: Notify::new(),
             endpoint_checked: Notify::new(),
-            stopping: AtomicBool::new(false),
+            shutdown: Shutdown::default(),
             tables: Mutex::new(Tables {
                 directory: None,
                 directory_applied_at: None,
@@ -197,7 +195,7 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.shutdown.is_begun()
     }
 
     /// Returns whether the host can serve new programs.
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -101,7 +102,7 @@
         progress: Progress::Relaying,
     };
     ResponseBody::Events(Box::pin(stream::unfold(relay, |mut relay| async move {
-        let chunk = relay.next_chunk().await?;
+        let chunk = relay.next_chunk_until_stop().await?;
         Some((chunk, relay))
     })))
 }
@@ -114,6 +115,19 @@
 }
 
 impl Relay {
+    /// Returns the next complete events for the caller; `None` at the end of the stream. Breaks the stream off before
+    /// the process ends.
+    async fn next_chunk_until_stop(&mut self) -> Option<io::Result<Bytes>> {
+        let shared = Arc::clone(&self.call.shared);
+        tokio::select! {
+            biased;
+            chunk = self.next_chunk() => return chunk,
+            () = shared.shutdown.wait_until_responses_are_due() => {}
+        }
+        let refusal = self.call.stop_refusal();
+        Some(Err(self.break_off(refusal).await))
+    }
+
     /// Returns the next complete events for the caller; `None` at the end of the stream.
     async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
         loop {
