Take a head that goes on as another head for no answer

What callers saw (stand-ins): an endpoint wrote a part of a 200's head and, right behind it, its answer to its failure. The caller got a 200 with the error's text and its length, framed as whole. With a refusal behind it, the caller was told that a call had not run whose answer the endpoint had begun.

Cause: a cut header value goes on to the next line end, and may contain any text, also a status line. So two heads read as one, with the status and the attestation of the first and the framing and the statements of the second.

The fix: a response with a version and a status in a header value leaves the outcome of its attempt unknown, before anything that it states is used.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 mod constraints;
 mod crash_suspect;
 mod exchange;
+mod second_head;
 mod stream_version;
 
 use std::{
--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -103,6 +103,9 @@
         opened: OpenedResponse,
         connection: ConnectionUse,
     ) -> Result<OpenedResponse, Failure> {
+        if self.has_second_head(endpoint, &opened) {
+            return Err(Failure::Unknown);
+        }
         if self.attribute(endpoint, &opened, connection) != Attribution::Own {
             return Err(Failure::Unknown);
         }
