Log how many holders answer and how old a host's view is when a stream is taken up

Tells the hypotheses of the incident apart: holders that are silent, and a view of the endpoints that is out of date. No change of behaviour.

--- a/crates/burdockroad-gateway/src/attempt/stream_version.rs
+++ b/crates/burdockroad-gateway/src/attempt/stream_version.rs
@@ -7,8 +7,9 @@
 
 use super::Call;
 use crate::{
+    clock::as_ms,
     refusal::Refusal,
-    stream_origins::{StreamVersion, announce, version_of},
+    stream_origins::{VersionLookup, announce, version_of},
 };
 
 impl Call {
@@ -19,15 +20,16 @@
         }
         let asked_at = Instant::now();
         let origin = self.head.stream_origin.as_ref();
-        let version = version_of(&self.shared, &self.service, origin).await;
-        self.log_take_up(version.as_ref(), asked_at.elapsed());
-        let version = version.ok_or(Refusal::UnknownStream)?.version;
+        let lookup = version_of(&self.shared, &self.service, origin).await;
+        self.log_take_up(&lookup, asked_at.elapsed());
+        let version = lookup.version.ok_or(Refusal::UnknownStream)?.version;
         self.stream_version = Some(version);
         Ok(())
     }
 
     /// Logs and counts a stream that the caller takes up.
-    fn log_take_up(&self, version: Option<&StreamVersion>, waited: Duration) {
+    fn log_take_up(&self, lookup: &VersionLookup, waited: Duration) {
+        let version = lookup.version.as_ref();
         let known_from = version.map_or("unknown", |version| version.known_from.name());
         metrics::counter!("burdockroad_streams_taken_up_total", "known_from" => known_from).increment(1);
         let line = TakeUpLine {
@@ -36,12 +38,22 @@
             last_event: self.head.last_event,
             software_version: version.map(|version| version.version.as_str()),
             known_from,
+            holders_asked: lookup.holders_asked,
+            holders_answered: lookup.holders_answered,
+            endpoints_age_ms: self.endpoints_age().map(as_ms),
             waited_ms: waited.as_millis(),
             host_age_ms: self.shared.started_at.elapsed().as_millis(),
         };
         self.shared.log.line("stream_taken_up", &line);
     }
 
+    /// Returns the time since this host last learned of a change of the endpoints, or that there is none.
+    fn endpoints_age(&self) -> Option<Duration> {
+        let tables = self.shared.tables();
+        let view = tables.range_views.get(self.shared.dialect.endpoints_prefix())?;
+        Some(view.age(Instant::now()))
+    }
+
     /// Records that the caller is about to receive the first event of its stream, which binds the stream to the
     /// software version of its endpoint.
     pub(crate) fn begin_stream(&mut self) {
@@ -88,6 +100,9 @@
     last_event: Option<u64>,
     software_version: Option<&'a str>,
     known_from: &'static str,
+    holders_asked: usize,
+    holders_answered: usize,
+    endpoints_age_ms: Option<u64>,
     waited_ms: u128,
     host_age_ms: u128,
 }
--- a/crates/burdockroad-gateway/src/stream_origins.rs
+++ b/crates/burdockroad-gateway/src/stream_origins.rs
@@ -64,6 +64,34 @@
     }
 }
 
+/// What was found out about the version that began a stream.
+#[derive(Debug, Default)]
+pub(crate) struct VersionLookup {
+    /// The version; `None` when it is not known.
+    pub(crate) version: Option<StreamVersion>,
+    /// Holders that were asked.
+    pub(crate) holders_asked: usize,
+    /// Holders whose answer arrived, whether or not they hold the version.
+    pub(crate) holders_answered: usize,
+}
+
+/// Answer of a holder that was asked for the version of a stream.
+#[derive(Debug)]
+enum HolderAnswer {
+    Holds(StreamVersion),
+    HoldsNone,
+    /// The answer did not arrive in time.
+    Missing,
+}
+
+impl HolderAnswer {
+    fn new(version: Option<SoftwareVersion>, known_from: KnownFrom) -> Self {
+        version.map_or(Self::HoldsNone, |version| {
+            Self::Holds(StreamVersion { version, known_from })
+        })
+    }
+}
+
 /// Records the version that begins a stream at this host, and sends it to the holders of the stream while the
 /// service has several versions. `time_left` is the time until the caller's deadline.
 pub(crate) fn announce(
@@ -141,74 +169,72 @@
     tables.stream_origins.version(stream, Instant::now()).cloned()
 }
 
-/// Returns the version at which a stream that a caller takes up has to go on; `None` when it is not known.
+/// Returns what is known of the version at which a stream that a caller takes up has to go on.
 ///
 /// The holders of the stream are asked even while this host knows one version only, because another host may
 /// have learned of a second one earlier.
-pub(crate) async fn version_of(
-    shared: &Shared,
-    service: &str,
-    stream: Option<&StreamId>,
-) -> Option<StreamVersion> {
+pub(crate) async fn version_of(shared: &Shared, service: &str, stream: Option<&StreamId>) -> VersionLookup {
+    let mut lookup = VersionLookup::default();
     if let Some(stream) = stream {
-        if let Some(version) = known_version(shared, stream) {
-            return Some(StreamVersion {
-                version,
-                known_from: KnownFrom::OwnTable,
-            });
-        }
-        if let Some(version) = ask_holders(shared, stream).await {
-            return Some(version);
+        lookup.version = known_version(shared, stream).map(|version| StreamVersion {
+            version,
+            known_from: KnownFrom::OwnTable,
+        });
+        if lookup.version.is_none() {
+            ask_holders(shared, stream, &mut lookup).await;
         }
     }
-    if shared.is_isolated() {
-        return None;
+    if lookup.version.is_none() && !shared.is_isolated() {
+        let only_version = shared.tables().only_version(service, Instant::now());
+        lookup.version = only_version.map(|version| StreamVersion {
+            version,
+            known_from: KnownFrom::OnlyVersion,
+        });
     }
-    let version = shared.tables().only_version(service, Instant::now())?;
-    Some(StreamVersion {
-        version,
-        known_from: KnownFrom::OnlyVersion,
-    })
+    lookup
 }
 
-/// Asks the holders of a stream at once, and returns the first version that one of them holds.
-async fn ask_holders(shared: &Shared, stream: &StreamId) -> Option<StreamVersion> {
-    let requests: FuturesUnordered<BoxFuture<'_, Option<StreamVersion>>> = FuturesUnordered::new();
+/// Asks the holders of a stream at once, until one of them holds its version.
+async fn ask_holders(shared: &Shared, stream: &StreamId, lookup: &mut VersionLookup) {
+    let mut answers: FuturesUnordered<BoxFuture<'_, HolderAnswer>> = FuturesUnordered::new();
     for holder in holders(shared, stream) {
-        requests.push(ask_host(shared, holder, stream.clone()).boxed());
+        answers.push(ask_host(shared, holder, stream.clone()).boxed());
     }
     for address in shared.turns.stream_holders(stream) {
-        requests.push(ask_disk_host(shared, address, stream.clone()).boxed());
+        answers.push(ask_disk_host(shared, address, stream.clone()).boxed());
+    }
+    lookup.holders_asked = answers.len();
+    while let Some(answer) = answers.next().await {
+        match answer {
+            HolderAnswer::Holds(version) => {
+                lookup.holders_answered += 1;
+                lookup.version = Some(version);
+                return;
+            }
+            HolderAnswer::HoldsNone => lookup.holders_answered += 1,
+            HolderAnswer::Missing => {}
+        }
     }
-    let mut versions = std::pin::pin!(requests.filter_map(std::future::ready));
-    versions.next().await
 }
 
-async fn ask_host(shared: &Shared, holder: Peer, stream: StreamId) -> Option<StreamVersion> {
+async fn ask_host(shared: &Shared, holder: Peer, stream: StreamId) -> HolderAnswer {
     let call = PeerCall::StreamVersion { stream };
     let response = shared
         .peer_client
         .call(holder.address, &call, REQUEST_TIMEOUT)
         .await;
     match response {
-        Ok(PeerResponse::StreamVersion(version)) => Some(StreamVersion {
-            version: version?,
-            known_from: KnownFrom::Host,
-        }),
-        // Another holder may respond; without any, the stream is refused.
-        Ok(_) | Err(_) => None,
+        Ok(PeerResponse::StreamVersion(version)) => HolderAnswer::new(version, KnownFrom::Host),
+        Ok(_) | Err(_) => HolderAnswer::Missing,
     }
 }
 
-async fn ask_disk_host(shared: &Shared, address: SocketAddr, stream: StreamId) -> Option<StreamVersion> {
+async fn ask_disk_host(shared: &Shared, address: SocketAddr, stream: StreamId) -> HolderAnswer {
     let call = TurnCall::StreamVersion { stream };
     let response = shared.peer_client.call(address, &call, REQUEST_TIMEOUT).await;
     match response {
-        Ok(TurnResponse::StreamVersion(version)) => Some(StreamVersion {
-            version: version?,
-            known_from: KnownFrom::DiskHost,
-        }),
-        Ok(_) | Err(_) => None,
+        Ok(TurnResponse::StreamVersion(version)) => HolderAnswer::new(version, KnownFrom::DiskHost),
+        Ok(_) | Err(_) => HolderAnswer::Missing,
     }
 }
 
