Take the only known version of a service for a stream's only when it is confirmed

Cause: a stream whose version no holder tells goes on at the only version that the host knows. Holders that do not answer counted like holders that hold none, and the host's view could be out of date: `is_isolated` notices a cut late, and a standstill never. The class: a conclusion from not having heard of something.

Now such a stream goes on only if a read of the endpoints' changes that began after the call arrived shows no other version. The read runs beside the question to the holders, one at a time a host, shared by waiting calls. Without the store the host must hear most hosts and have applied what they announce, and either all holders answered or the store responds to no host, so that no server can register. Otherwise the call is refused with 503 and has not run.

--- a/crates/burdockroad-gateway/src/attempt/stream_version.rs
+++ b/crates/burdockroad-gateway/src/attempt/stream_version.rs
@@ -10,6 +10,7 @@
     clock::as_ms,
     refusal::Refusal,
     stream_origins::{VersionLookup, announce, version_of},
+    version_check::VersionCheck,
 };
 
 impl Call {
@@ -40,6 +41,7 @@
             known_from,
             holders_asked: lookup.holders_asked,
             holders_answered: lookup.holders_answered,
+            only_version_check: lookup.check.map(VersionCheck::name),
             endpoints_age_ms: self.endpoints_age().map(as_ms),
             waited_ms: waited.as_millis(),
             host_age_ms: self.shared.started_at.elapsed().as_millis(),
@@ -102,6 +104,8 @@
     known_from: &'static str,
     holders_asked: usize,
     holders_answered: usize,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    only_version_check: Option<&'static str>,
     endpoints_age_ms: Option<u64>,
     waited_ms: u128,
     host_age_ms: u128,
--- a/crates/burdockroad-gateway/src/range_log.rs
+++ b/crates/burdockroad-gateway/src/range_log.rs
@@ -88,6 +88,11 @@
         self.last_change
     }
 
+    /// Returns the revision up to which the log is complete; 0 before the range was read.
+    pub fn as_of(&self) -> Revision {
+        self.as_of
+    }
+
     /// Returns the update for a host that has seen the range up to `after`; `None` before the range was
     /// read.
     pub fn changes_since(&self, after: Revision) -> Option<RangeUpdate> {
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -28,6 +28,7 @@
     collected_reports::CollectedReports, crash_checks::CrashChecks, failed_polls::FailedPolls,
     peer_client::PeerClient, peers::Peers, pool::ConnectionPool, range_view::RangeView, relay::RelayedStore,
     remote_reservation::RemoteReservation, response_space::ResponseSpace, turn_store::client::TurnClient,
+    version_check::LastRead,
 };
 
 /// State of one host.
@@ -66,6 +67,8 @@
     pub(crate) range_announced: Notify,
     /// Notified when the versions of a service may have changed.
     pub(crate) versions_changed: Notify,
+    /// Versions of endpoints that the last check read from the store.
+    pub(crate) last_version_read: LastRead,
     /// Notified when a check whether an endpoint crashed has ended.
     pub(crate) endpoint_checked: Notify,
     /// Whether the host is shutting down.
@@ -161,6 +164,7 @@
             report_now: Notify::new(),
             range_announced: Notify::new(),
             versions_changed: Notify::new(),
+            last_version_read: LastRead::default(),
             endpoint_checked: Notify::new(),
             stopping: AtomicBool::new(false),
             tables: Mutex::new(Tables {
--- a/crates/burdockroad-gateway/src/stream_origins.rs
+++ b/crates/burdockroad-gateway/src/stream_origins.rs
@@ -6,6 +6,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     time::{Duration, Instant},
 };
 
@@ -13,7 +14,11 @@
     SoftwareVersion,
     gateway::{StreamId, UnsentOrigin, stream_holders},
 };
-use futures_util::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use futures_util::{
+    FutureExt, StreamExt,
+    future::{BoxFuture, Either, select},
+    stream::FuturesUnordered,
+};
 
 use crate::{
     peer_messages::{PeerCall, PeerResponse},
@@ -21,6 +26,7 @@
     shared::{Shared, Tables},
     stream_origin_message::{StreamOriginMessage, record_stream_origin},
     turn_store::messages::{TurnCall, TurnResponse},
+    version_check::{VersionCheck, check_only_version},
 };
 
 /// Timeout of a request for a stream's version. It is well below the latency objective of a stream.
@@ -73,6 +79,36 @@
     pub(crate) holders_asked: usize,
     /// Holders whose answer arrived, whether or not they hold the version.
     pub(crate) holders_answered: usize,
+    /// Result of the check of the only version; `None` if there was none.
+    pub(crate) check: Option<VersionCheck>,
+}
+
+/// The only version of a service that this host knows, after a check.
+#[derive(Debug)]
+struct CheckedVersion {
+    version: SoftwareVersion,
+    check: VersionCheck,
+}
+
+impl VersionLookup {
+    fn of(version: SoftwareVersion, known_from: KnownFrom) -> Self {
+        Self {
+            version: Some(StreamVersion { version, known_from }),
+            ..Self::default()
+        }
+    }
+
+    /// Adds the only version of the service if no holder holds the version of the stream.
+    fn or_only_version(mut self, checked: Option<CheckedVersion>) -> Self {
+        self.check = checked.as_ref().map(|checked| checked.check);
+        let all_answered = self.holders_asked > 0 && self.holders_answered == self.holders_asked;
+        let only_version = checked.filter(|checked| checked.check.is_only_version(all_answered));
+        self.version = self.version.or(only_version.map(|checked| StreamVersion {
+            version: checked.version,
+            known_from: KnownFrom::OnlyVersion,
+        }));
+        self
+    }
 }
 
 /// Answer of a holder that was asked for the version of a stream.
@@ -172,30 +208,39 @@
 /// Returns what is known of the version at which a stream that a caller takes up has to go on.
 ///
 /// The holders of the stream are asked even while this host knows one version only, because another host may
-/// have learned of a second one earlier.
+/// have learned of a second one earlier. The only version counts once the store has confirmed it meanwhile: holders
+/// that do not answer say nothing, and a host that was cut off or stood still does not know of newer versions.
 pub(crate) async fn version_of(shared: &Shared, service: &str, stream: Option<&StreamId>) -> VersionLookup {
-    let mut lookup = VersionLookup::default();
-    if let Some(stream) = stream {
-        lookup.version = known_version(shared, stream).map(|version| StreamVersion {
-            version,
-            known_from: KnownFrom::OwnTable,
-        });
-        if lookup.version.is_none() {
-            ask_holders(shared, stream, &mut lookup).await;
-        }
+    let held = stream.and_then(|stream| known_version(shared, stream));
+    if let Some(version) = held {
+        return VersionLookup::of(version, KnownFrom::OwnTable);
     }
-    if lookup.version.is_none() && !shared.is_isolated() {
-        let only_version = shared.tables().only_version(service, Instant::now());
-        lookup.version = only_version.map(|version| StreamVersion {
-            version,
-            known_from: KnownFrom::OnlyVersion,
-        });
+    let asking = pin!(ask_holders(shared, stream));
+    let checking = pin!(check_versions(shared, service));
+    match select(asking, checking).await {
+        Either::Left((lookup, _)) if lookup.version.is_some() => lookup,
+        Either::Left((lookup, checking)) => lookup.or_only_version(checking.await),
+        Either::Right((checked, asking)) => asking.await.or_only_version(checked),
     }
-    lookup
+}
+
+/// Checks whether the service has one version only; `None` if this host knows that it has several.
+async fn check_versions(shared: &Shared, service: &str) -> Option<CheckedVersion> {
+    let version = shared.tables().only_version(service, Instant::now())?;
+    let mut check = check_only_version(shared, service, &version).await;
+    // Another version may have been applied meanwhile.
+    if shared.tables().only_version(service, Instant::now()).as_ref() != Some(&version) {
+        check = VersionCheck::OtherVersion;
+    }
+    Some(CheckedVersion { version, check })
 }
 
 /// Asks the holders of a stream at once, until one of them holds its version.
-async fn ask_holders(shared: &Shared, stream: &StreamId, lookup: &mut VersionLookup) {
+async fn ask_holders(shared: &Shared, stream: Option<&StreamId>) -> VersionLookup {
+    let mut lookup = VersionLookup::default();
+    let Some(stream) = stream else {
+        return lookup;
+    };
     let mut answers: FuturesUnordered<BoxFuture<'_, HolderAnswer>> = FuturesUnordered::new();
     for holder in holders(shared, stream) {
         answers.push(ask_host(shared, holder, stream.clone()).boxed());
@@ -209,12 +254,13 @@
             HolderAnswer::Holds(version) => {
                 lookup.holders_answered += 1;
                 lookup.version = Some(version);
-                return;
+                break;
             }
             HolderAnswer::HoldsNone => lookup.holders_answered += 1,
             HolderAnswer::Missing => {}
         }
     }
+    lookup
 }
 
 async fn ask_host(shared: &Shared, holder: Peer, stream: StreamId) -> HolderAnswer {
--- /dev/null
+++ b/crates/burdockroad-gateway/src/version_check.rs
@@ -0,0 +1,159 @@
+//! Checks with the store whether a service has software versions that this host does not know of yet.
+//!
+//! Failure: a host that is cut off or stands still while endpoints of another version register. The only version
+//! that it knows need not have begun a stream that a caller takes up.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use burdockroad::{SoftwareVersion, gateway::Endpoint};
+use burdockroad_daemon::platform::{Entry, StoreError};
+use tokio::{sync::Mutex, time::timeout};
+
+use crate::{Change, Changes, RangeLog, SharedStore, shared::Shared};
+
+/// Time in which the store must respond to a check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What a check tells about the only version that this host knows of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum VersionCheck {
+    /// The store has no endpoint of another version.
+    Confirmed,
+    /// The store responds to no host, so no endpoint of another version can have registered.
+    StoreOutage,
+    /// The store did not respond. Most hosts are heard, and announce no change that this host has not applied.
+    InTouch,
+    /// The store did not respond, and too little is heard of the other hosts.
+    OutOfTouch,
+    /// Endpoints of another version have registered.
+    OtherVersion,
+}
+
+impl VersionCheck {
+    /// Returns the name in logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Confirmed => "confirmed",
+            Self::StoreOutage => "store_outage",
+            Self::InTouch => "in_touch",
+            Self::OutOfTouch => "out_of_touch",
+            Self::OtherVersion => "other_version",
+        }
+    }
+
+    /// Returns whether the version that this host knows is the only one. `all_holders_answered` tells whether all
+    /// holders of the stream answered that they do not hold its version: while several versions serve, they do.
+    pub(crate) fn is_only_version(self, all_holders_answered: bool) -> bool {
+        match self {
+            Self::Confirmed | Self::StoreOutage => true,
+            Self::InTouch => all_holders_answered,
+            Self::OutOfTouch | Self::OtherVersion => false,
+        }
+    }
+}
+
+/// Result of the last read of changes, which all calls use that arrived before it began.
+#[derive(Debug, Default)]
+pub(crate) struct LastRead(Mutex<Option<UnseenVersions>>);
+
+/// Versions in entries that this host had not applied.
+#[derive(Debug)]
+struct UnseenVersions {
+    /// Time at which the read began.
+    read_at: Instant,
+    by_service: BTreeMap<String, BTreeSet<SoftwareVersion>>,
+}
+
+/// Checks whether `version` is the only one that the service has had up to now.
+pub(crate) async fn check_only_version(
+    shared: &Shared,
+    service: &str,
+    version: &SoftwareVersion,
+) -> VersionCheck {
+    let asked_at = Instant::now();
+    let read = timeout(
+        CHECK_TIMEOUT,
+        has_other_version(shared, service, version, asked_at),
+    )
+    .await;
+    match read {
+        Ok(Ok(false)) => VersionCheck::Confirmed,
+        Ok(Ok(true)) => VersionCheck::OtherVersion,
+        Ok(Err(_)) | Err(_) => check_without_store(shared),
+    }
+}
+
+/// Returns whether a read that began at `asked_at` or later finds entries of another version of a service. One
+/// read at a time is under way, and calls share it.
+async fn has_other_version(
+    shared: &Shared,
+    service: &str,
+    version: &SoftwareVersion,
+    asked_at: Instant,
+) -> Result<bool, StoreError> {
+    let mut last_read = shared.last_version_read.0.lock().await;
+    let unseen = match last_read.take() {
+        Some(unseen) if unseen.read_at >= asked_at => unseen,
+        _ => read_unseen_versions(shared).await?,
+    };
+    let unseen = last_read.insert(unseen);
+    let versions = unseen.by_service.get(service);
+    Ok(versions.is_some_and(|versions| versions.iter().any(|other| other != version)))
+}
+
+/// Reads the entries that endpoints have written since the last change that this host has applied.
+async fn read_unseen_versions(shared: &Shared) -> Result<UnseenVersions, StoreError> {
+    let read_at = Instant::now();
+    let prefix = shared.dialect.endpoints_prefix();
+    let applied = shared.tables().range_logs.get(prefix).map(RangeLog::as_of);
+    let changes = match applied {
+        Some(after) => shared.store.changes(prefix, after, Duration::ZERO).await?,
+        None => Changes::HistoryTruncated,
+    };
+    let entries: Vec<Entry> = match changes {
+        Changes::Complete { changes, .. } => changes.into_iter().filter_map(put_entry).collect(),
+        Changes::HistoryTruncated => shared.store.read_range(prefix).await?.entries,
+    };
+    let mut by_service: BTreeMap<String, BTreeSet<SoftwareVersion>> = BTreeMap::new();
+    for endpoint in entries.iter().filter_map(|entry| read_endpoint(shared, entry)) {
+        let versions = by_service.entry(endpoint.service).or_default();
+        versions.insert(endpoint.software_version);
+    }
+    Ok(UnseenVersions { read_at, by_service })
+}
+
+fn put_entry(change: Change) -> Option<Entry> {
+    match change {
+        Change::Put(entry) => Some(entry),
+        Change::Removed { .. } => None,
+    }
+}
+
+/// Returns the endpoint of an entry; `None` if the entry cannot be read, so that it names none.
+fn read_endpoint(shared: &Shared, entry: &Entry) -> Option<Endpoint> {
+    let id = entry.key.strip_prefix(shared.dialect.endpoints_prefix())?;
+    shared.dialect.read_endpoint(id, &entry.value).ok()
+}
+
+/// Checks by the reports of the other hosts, because the store did not respond.
+fn check_without_store(shared: &Shared) -> VersionCheck {
+    let now = Instant::now();
+    let peers = shared.peers.borrow();
+    let tables = shared.tables();
+    let heard = peers.keys().filter(|host| tables.rate_limiter.is_live(host, now));
+    let hears_most = 2 * (heard.count() + 1) > peers.len() + 1;
+    let prefix = shared.dialect.endpoints_prefix();
+    let applied = tables.range_logs.get(prefix).map_or(0, RangeLog::as_of);
+    let announced = tables.announced_ranges.get(prefix);
+    let has_applied_all = announced.is_none_or(|range| range.last_change <= applied);
+    if !hears_most || !has_applied_all {
+        VersionCheck::OutOfTouch
+    } else if tables.departures.is_store_outage(now) {
+        VersionCheck::StoreOutage
+    } else {
+        VersionCheck::InTouch
+    }
+}
--- a/crates/burdockroad/src/gateway/departures.rs
+++ b/crates/burdockroad/src/gateway/departures.rs
@@ -50,6 +50,11 @@
         self.store.record_response(at)
     }
 
+    /// Returns whether the store responds to no host.
+    pub fn is_store_outage(&self, now: Instant) -> bool {
+        self.store.is_outage(now)
+    }
+
     /// Records that an endpoint has an entry.
     pub fn record_registered(&mut self, id: &str) {
         self.held.remove(id);
