Let refused connections use up no attempts of a call that has not run

Cause: each attempt that ends before the call runs counted against one bound of six, also a connection that was refused at once. With more dead entries than that, six draws could all be dead. The class: a bound that stands for the cost of round trips applied to something that costs next to none.

Refused connections now have a bound of their own (64) besides the call's deadline. They ran nothing, so the servers that a call runs on stay within its route's limit. Each entry is tried once, and set aside after it (`Outcome::Failed`) as before.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -376,7 +376,11 @@
             | Failure::Unreachable
             | Failure::Full
             | Failure::Evacuated => {
-                self.retries.unstarted += 1;
+                if failure == Failure::NotListening {
+                    self.retries.refused += 1;
+                } else {
+                    self.retries.unstarted += 1;
+                }
                 if may_have_run_here && failure == Failure::Unreachable {
                     self.retries.unreachable_attempts += 1;
                 }
--- a/crates/burdockroad/src/gateway/retry.rs
+++ b/crates/burdockroad/src/gateway/retry.rs
@@ -5,6 +5,10 @@
 /// Maximum number of attempts that end before the call runs. Each of them costs a connection or a round trip.
 const UNSTARTED_MAX: u32 = 6;
 
+/// Maximum number of connections that are refused to a call. Entries of endpoints that have ended may outnumber the
+/// others, and a refused connection costs little.
+const REFUSED_MAX: u32 = 64;
+
 /// Maximum number of attempts of unknown outcome that are retried.
 const UNKNOWN_RETRIES_MAX: u32 = 2;
 
@@ -32,8 +36,10 @@
 /// Attempts of one call so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RetryState {
-    /// Attempts that are known not to have run the call.
+    /// Attempts that are known not to have run the call, without refused connections.
     pub unstarted: u32,
+    /// Attempts whose connection was refused.
+    pub refused: u32,
     /// Attempts of unknown outcome.
     pub unknown: u32,
     /// Endpoints on which the call may have run and which may still be up.
@@ -44,6 +50,13 @@
     pub unreachable_attempts: u32,
 }
 
+impl RetryState {
+    /// Returns whether so many attempts have ended before the call ran that no other one is made.
+    fn has_tried_enough(self) -> bool {
+        self.unstarted >= UNSTARTED_MAX || self.refused >= REFUSED_MAX
+    }
+}
+
 /// Action after a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextStep {
@@ -73,14 +86,14 @@
         | Failure::WrongEndpoint
             if !ran_somewhere =>
         {
-            if state.unstarted < UNSTARTED_MAX {
-                NextStep::OtherEndpoint
-            } else {
+            if state.has_tried_enough() {
                 NextStep::Refuse
+            } else {
+                NextStep::OtherEndpoint
             }
         }
         _ if !kind.may_retry() => NextStep::GiveUp,
-        _ if state.unknown > UNKNOWN_RETRIES_MAX || state.unstarted >= UNSTARTED_MAX => NextStep::GiveUp,
+        _ if state.unknown > UNKNOWN_RETRIES_MAX || state.has_tried_enough() => NextStep::GiveUp,
         // An endpoint that does not accept connections may be on a busy host and still be processing the call.
         Failure::Unreachable if state.unreachable_attempts < UNREACHABLE_ATTEMPTS_MIN => {
             NextStep::SameEndpoint
--- a/crates/burdockroad/tests/gateway_placement.rs
+++ b/crates/burdockroad/tests/gateway_placement.rs
@@ -261,6 +261,23 @@
     }
 }
 
+/// Guards against a refusal because refused connections used up the attempts of a call that has not run.
+#[test]
+fn next_step_after_refused_connections_selects_other_endpoint() {
+    let step_after = |unstarted, refused| {
+        let state = RetryState {
+            unstarted,
+            refused,
+            ..RetryState::default()
+        };
+        next_step(RouteKind::Idempotent, 1, Failure::NotListening, state)
+    };
+    assert_eq!(step_after(0, 24), NextStep::OtherEndpoint);
+    assert_eq!(step_after(5, 24), NextStep::OtherEndpoint);
+    assert_eq!(step_after(6, 24), NextStep::Refuse, "attempts are bounded");
+    assert_eq!(step_after(0, 1000), NextStep::Refuse, "connections are bounded");
+}
+
 #[test]
 fn next_step_retries_same_endpoint_while_call_may_run() {
     let kind = RouteKind::Streaming { resumable: true };
