Log what the end of a turn that was not stored waited for

A turn_not_stored line lists the hosts with disks that the turn was sent to, how the last call to each ended or that it is still in flight, since when the host has been silent and whether it counts as lost, and by how much the gateway host itself was late to look at responses. It is written where the turn's time ends, so the caller's time is now passed to the write.

The write of a turn moves to a module of its own, and calls with the health of hosts to another below it. Decisions are unchanged.

--- a/crates/burdockroad-gateway/src/kept_turn.rs
+++ b/crates/burdockroad-gateway/src/kept_turn.rs
@@ -118,8 +118,9 @@
         self.output.push(events);
     }
 
-    /// Stores the turn. Returns the number of replicas, or `None` when the turn is not durable.
-    pub(crate) async fn store(self, shared: &Shared) -> Option<usize> {
+    /// Stores the turn within the time that the caller has left. Returns the number of replicas, or `None` when the turn
+    /// is not durable.
+    pub(crate) async fn store(self, shared: &Shared, time_left: Duration) -> Option<usize> {
         let retention_ms = u64::try_from(self.retention.as_millis()).unwrap_or(u64::MAX);
         let storage_time = self.retention * STORAGE_FACTOR + CLOCK_MARGIN;
         let storage_ms = u64::try_from(storage_time.as_millis()).unwrap_or(u64::MAX);
@@ -139,6 +140,9 @@
             output: self.output.finish(),
             key: self.key,
         };
-        shared.turns.store(turn, &self.history.turns, storage_time).await
+        let turns = &shared.turns;
+        turns
+            .store(turn, &self.history.turns, storage_time, time_left)
+            .await
     }
 }
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -152,8 +152,8 @@
     async fn store_turn(&mut self) -> Option<io::Result<Bytes>> {
         if let Some(kept_turn) = self.kept_turn.take() {
             let started_at = Instant::now();
-            let storing = timeout(self.call.time_left(), kept_turn.store(&self.call.shared));
-            let replicas = storing.await.ok().flatten();
+            let storing = kept_turn.store(&self.call.shared, self.call.time_left());
+            let replicas = storing.await;
             self.call.record.store_time = Some(started_at.elapsed());
             if replicas.is_none() {
                 return Some(Err(self.break_off(Refusal::TurnNotStored).await));
--- a/crates/burdockroad-gateway/src/turn_store.rs
+++ b/crates/burdockroad-gateway/src/turn_store.rs
@@ -5,6 +5,7 @@
 //! store but does not. [`burdockroad::gateway`] decides which hosts store a turn and when it is durable.
 
 pub(crate) mod client;
+mod disk_hosts;
 pub(crate) mod host;
 pub(crate) mod log;
 pub(crate) mod members;
@@ -13,3 +14,4 @@
 pub(crate) mod state;
 pub(crate) mod stream_holder;
 pub(crate) mod sync;
+mod write;
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -9,38 +9,27 @@
 use burdockroad::{
     HostId, RegionId,
     gateway::{
-        Lookup, LookupOutcome, LookupReply, RegionMap, Replication, ReplicationProgress, Turn, TurnCache,
-        TurnHostHealth, TurnKey, renewals, stream_holders,
+        Lookup, LookupOutcome, LookupReply, RegionMap, Replication, Turn, TurnCache, TurnKey, renewals,
+        stream_holders,
     },
 };
-use bytes::Bytes;
-use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time::{sleep, timeout};
 
 use crate::{
+    DecisionLog,
     clock::unix_ms,
     peer_client::{PeerClient, encode_message},
     turn_store::{
+        disk_hosts::{DiskHosts, STORE_TIMEOUT},
         members::{TurnMembers, readable, writable},
         messages::{TurnCall, TurnResponse},
+        write::TurnWrite,
     },
 };
 
-/// Timeout of the replication of a turn. The caller's deadline may end it before. It is shorter than the time for which
-/// a host that is back without its disk still counts as lost, so that the response of a host which has since lost the
-/// turn never counts beside the loss of another.
-const STORE_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Timeout of a call that reads turns. After it, another host is asked.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time without a response after which a turn is also sent to another host. The end of the caller's stream waits
-/// for the turn.
-const HEDGE_DELAY: Duration = Duration::from_millis(80);
-
-/// Interval before a turn that was not stored is sent to the same host again.
-const RETRY_INTERVAL: Duration = Duration::from_millis(40);
-
 /// Interval at which failing hosts are looked for.
 const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -57,28 +46,17 @@
     tolerated_losses: usize,
     failure_domain: String,
     regions: Arc<RegionMap>,
-    peer_client: Arc<PeerClient>,
+    disk_hosts: Arc<DiskHosts>,
+    log: DecisionLog,
     state: Mutex<ClientState>,
 }
 
 #[derive(Debug)]
 struct ClientState {
     members: TurnMembers,
-    health: TurnHostHealth,
     cache: TurnCache,
 }
 
-/// Call that stores a turn at a host and has no response yet.
-#[derive(Debug)]
-struct PendingStore {
-    host: HostId,
-    sent_at: Instant,
-    /// Whether the turn was also sent to another host because this one is slow.
-    hedged: bool,
-    /// Whether the replication counts the host as lost. It may still respond.
-    silent: bool,
-}
-
 /// Chain of turns that a call continues.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct History {
@@ -97,32 +75,22 @@
     Uncertain,
 }
 
-impl PendingStore {
-    fn new(host: HostId) -> Self {
-        Self {
-            host,
-            sent_at: Instant::now(),
-            hedged: false,
-            silent: false,
-        }
-    }
-}
-
 impl TurnClient {
     pub(crate) fn new(
         tolerated_losses: usize,
         failure_domain: String,
         regions: Arc<RegionMap>,
         peer_client: Arc<PeerClient>,
+        log: DecisionLog,
     ) -> Self {
         Self {
             tolerated_losses,
             failure_domain,
             regions,
-            peer_client,
+            disk_hosts: Arc::new(DiskHosts::new(peer_client)),
+            log,
             state: Mutex::new(ClientState {
                 members: TurnMembers::new(),
-                health: TurnHostHealth::default(),
                 cache: TurnCache::new(CACHE_BYTES),
             }),
         }
@@ -145,17 +113,14 @@
     /// Returns whether enough hosts in allowed regions are left for a turn to be durable. A turn that is bound to
     /// regions needs as many hosts there as any other turn.
     pub(crate) fn can_store(&self, allowed_regions: Option<&[RegionId]>) -> bool {
-        let state = self.lock();
-        let hosts = writable(&state.members);
+        let hosts = writable(&self.lock().members);
         let replicas = hosts.len().min(self.tolerated_losses + 1);
         let hosts = self.regions.allowed_hosts(hosts, allowed_regions);
         if hosts.len() < replicas {
             return false;
         }
-        let lost = hosts
-            .iter()
-            .filter(|host| state.health.is_lost(&host.host))
-            .count();
+        let health = self.disk_hosts.health();
+        let lost = hosts.iter().filter(|host| health.is_lost(&host.host)).count();
         lost < hosts.len() && lost <= self.tolerated_losses
     }
 
@@ -203,100 +168,42 @@
         })
     }
 
-    /// Stores a turn that continues `history`. Returns the number of replicas, or `None` when the turn is not
-    /// durable.
+    /// Stores a turn that continues `history` within the time that its caller has left. Returns the number of replicas,
+    /// or `None` when the turn is not durable.
     pub(crate) async fn store(
         &self,
         turn: Turn,
         history: &[Arc<Turn>],
         storage_time: Duration,
+        time_left: Duration,
     ) -> Option<usize> {
         let storage_time_ms = u64::try_from(storage_time.as_millis()).unwrap_or(u64::MAX);
         let mut turns = renewals(history, &turn, unix_ms(), storage_time_ms);
         turns.push(turn.clone());
         let message = encode_message(&TurnCall::Store(turns)).ok()?;
-        let replicating = self.replicate(turn, message);
-        timeout(STORE_TIMEOUT, replicating).await.ok().flatten()
-    }
-
-    /// Sends an encoded call that stores a turn to as many hosts as must store it.
-    async fn replicate(&self, turn: Turn, message: Bytes) -> Option<usize> {
-        let (mut replication, members) = {
-            let state = self.lock();
-            let hosts = writable(&state.members);
-            let hosts = self.regions.allowed_hosts(hosts, turn.allowed_regions.as_deref());
-            let replication = Replication::new(&turn, &hosts, self.tolerated_losses, &state.health);
-            (replication, state.members.clone())
-        };
-        let address_of = |host: &HostId| members.get(host).map(|member| member.address);
-        let mut in_flight = FuturesUnordered::new();
-        let mut pending: Vec<PendingStore> = Vec::new();
-        loop {
-            let extra = self.record_slow_hosts(&mut pending, &mut replication);
-            let next = std::iter::from_fn(|| replication.next_host());
-            for host in extra.into_iter().chain(next) {
-                pending.push(PendingStore::new(host.clone()));
-                in_flight.push(self.store_at(host.clone(), address_of(&host), message.clone()));
-            }
-            match replication.progress() {
-                ReplicationProgress::Durable => {
-                    self.lock().cache.insert(Arc::new(turn));
-                    return Some(replication.replicas());
-                }
-                ReplicationProgress::Failed => return None,
-                ReplicationProgress::Pending => {}
-            }
-            let Ok(ended) = timeout(HEDGE_DELAY, in_flight.next()).await else {
-                continue;
-            };
-            let (host, stored) = ended?;
-            let position = pending.iter().position(|store| store.host == host)?;
-            let ended = pending.swap_remove(position);
-            match (ended.silent, stored) {
-                (true, stored) => replication.record_late(stored),
-                (false, true) => replication.record_stored(),
-                (false, false) => {
-                    let is_lost = self.lock().health.is_lost(&host);
-                    replication.record_failed(host, is_lost);
-                }
-            }
-        }
-    }
-
-    /// Records the hosts that do not respond in time. Returns the hosts that the turn is also sent to.
-    fn record_slow_hosts(&self, pending: &mut [PendingStore], replication: &mut Replication) -> Vec<HostId> {
-        let mut extra = Vec::new();
-        let slow = pending
-            .iter_mut()
-            .filter(|store| store.sent_at.elapsed() >= HEDGE_DELAY);
-        for store in slow {
-            self.record_health(&store.host, false);
-            if !std::mem::replace(&mut store.hedged, true) {
-                extra.extend(replication.next_extra_host());
-            }
-            if !store.silent && self.lock().health.is_lost(&store.host) {
-                store.silent = true;
-                replication.record_silent();
-            }
+        let mut write = self.begin_write(&turn);
+        let running = timeout(
+            time_left.min(STORE_TIMEOUT),
+            write.run(&self.disk_hosts, &message),
+        );
+        let replicas = running.await.ok().flatten();
+        if replicas.is_some() {
+            self.lock().cache.insert(Arc::new(turn));
+        } else {
+            let line = write.line(&self.disk_hosts, &turn.key.turn);
+            self.log.line("turn_not_stored", &line);
         }
-        extra
+        replicas
     }
 
-    /// Stores an encoded call at one host. Returns whether it is on the host's disk.
-    async fn store_at(&self, host: HostId, address: Option<SocketAddr>, message: Bytes) -> (HostId, bool) {
-        let Some(address) = address else {
-            return (host, false);
-        };
-        let response = self
-            .peer_client
-            .call_encoded(address, message, STORE_TIMEOUT)
-            .await;
-        let stored = matches!(response, Ok(TurnResponse::Stored));
-        self.record_health(&host, stored);
-        if !stored {
-            sleep(RETRY_INTERVAL).await;
-        }
-        (host, stored)
+    /// Starts the write of a turn to those hosts in allowed regions that store turns.
+    fn begin_write(&self, turn: &Turn) -> TurnWrite {
+        let members = self.lock().members.clone();
+        let hosts = writable(&members);
+        let hosts = self.regions.allowed_hosts(hosts, turn.allowed_regions.as_deref());
+        let health = self.disk_hosts.health();
+        let replication = Replication::new(turn, &hosts, self.tolerated_losses, &health);
+        TurnWrite::new(replication, members)
     }
 
     /// Reads the newest turns of a chain, newest turn first.
@@ -329,21 +236,18 @@
         key: &TurnKey,
         included: impl Fn(&str) -> bool,
     ) -> Result<Vec<Turn>, HistoryError> {
-        let (mut lookup, members) = {
-            let state = self.lock();
-            let mut hosts = readable(&state.members);
-            hosts.retain(|host| included(&host.failure_domain));
-            let lookup = Lookup::new(key, &self.failure_domain, &hosts, &state.health);
-            (lookup, state.members.clone())
-        };
+        let members = self.lock().members.clone();
+        let mut hosts = readable(&members);
+        hosts.retain(|host| included(&host.failure_domain));
+        let mut lookup = Lookup::new(key, &self.failure_domain, &hosts, &self.disk_hosts.health());
         let mut chain = Vec::new();
         while let Some(host) = lookup.next_host() {
             let Some(member) = members.get(&host) else {
                 continue;
             };
             let call = TurnCall::ReadChain(key.clone());
-            let response = self.peer_client.call(member.address, &call, READ_TIMEOUT).await;
-            self.record_health(&host, response.is_ok());
+            let response = self.disk_hosts.call(&host, member.address, &call, READ_TIMEOUT);
+            let response = response.await;
             let reply = match response {
                 Ok(TurnResponse::Chain(turns)) if !turns.is_empty() => {
                     chain = turns;
@@ -362,21 +266,11 @@
         }
     }
 
-    /// Records whether a host responded.
-    fn record_health(&self, host: &HostId, responded: bool) {
-        let mut state = self.lock();
-        if responded {
-            state.health.record_response(host);
-        } else {
-            state.health.record_failure(host, Instant::now());
-        }
-    }
-
     /// Probes failing hosts, so that they are used again when they are back.
     pub(crate) async fn probe_failing_hosts(self: Arc<Self>) {
         loop {
             sleep(PROBE_CHECK_INTERVAL).await;
-            let due = self.lock().health.take_due_probes(Instant::now());
+            let due = self.disk_hosts.health().take_due_probes(Instant::now());
             for host in due {
                 let client = Arc::clone(&self);
                 tokio::spawn(async move { client.probe(host).await });
@@ -391,15 +285,12 @@
     async fn probe(&self, host: HostId) {
         let Some(address) = self.address_of(&host) else {
             // A host that is not registered any more is not used.
-            self.record_health(&host, true);
+            self.disk_hosts.record(&host, true);
             return;
         };
         let call = TurnCall::Missing(Vec::new());
-        let response = self
-            .peer_client
-            .call::<TurnResponse>(address, &call, READ_TIMEOUT)
-            .await;
-        self.record_health(&host, response.is_ok());
+        // The call records whether the host responded.
+        let _response = self.disk_hosts.call(&host, address, &call, READ_TIMEOUT).await;
     }
 
     /// Locks the state. The lock is never held across an `await`.
--- /dev/null
+++ b/crates/burdockroad-gateway/src/turn_store/disk_hosts.rs
@@ -0,0 +1,118 @@
+//! Calls to the hosts that store turns, with their health as this host sees it.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use burdockroad::{HostId, gateway::TurnHostHealth};
+use bytes::Bytes;
+
+use crate::{
+    peer_client::{PeerClient, PeerError},
+    turn_store::messages::{TurnCall, TurnResponse},
+};
+
+/// Timeout of the replication of a turn. The caller's deadline may end it before. It is shorter than the time for which
+/// a host that is back without its disk still counts as lost, so that the response of a host which has since lost the
+/// turn never counts beside the loss of another.
+pub(super) const STORE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The hosts that store turns.
+#[derive(Debug)]
+pub(super) struct DiskHosts {
+    peer_client: Arc<PeerClient>,
+    health: Mutex<TurnHostHealth>,
+}
+
+/// How a call that stores a turn ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StoreResult {
+    /// The turn is on the host's disk.
+    Stored,
+    /// The host responded that it did not store the turn.
+    NotStored,
+    /// The host could not be reached.
+    Unreachable,
+    /// The host did not respond.
+    NoResponse,
+}
+
+impl StoreResult {
+    fn of(response: Result<TurnResponse, PeerError>) -> Self {
+        match response {
+            Ok(TurnResponse::Stored) => Self::Stored,
+            Ok(_) => Self::NotStored,
+            Err(PeerError::Unreachable) => Self::Unreachable,
+            Err(PeerError::NoResponse) => Self::NoResponse,
+        }
+    }
+
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Stored => "stored",
+            Self::NotStored => "not_stored",
+            Self::Unreachable => "unreachable",
+            Self::NoResponse => "no_response",
+        }
+    }
+}
+
+impl DiskHosts {
+    pub(super) fn new(peer_client: Arc<PeerClient>) -> Self {
+        Self {
+            peer_client,
+            health: Mutex::default(),
+        }
+    }
+
+    /// Stores an encoded call at one host, and records its health.
+    pub(super) async fn store(&self, host: &HostId, address: SocketAddr, message: Bytes) -> StoreResult {
+        let response = self
+            .peer_client
+            .call_encoded(address, message, STORE_TIMEOUT)
+            .await;
+        let result = StoreResult::of(response);
+        self.record(host, result == StoreResult::Stored);
+        result
+    }
+
+    /// Calls one host, and records its health.
+    pub(super) async fn call(
+        &self,
+        host: &HostId,
+        address: SocketAddr,
+        call: &TurnCall,
+        response_timeout: Duration,
+    ) -> Result<TurnResponse, PeerError> {
+        let response = self.peer_client.call(address, call, response_timeout).await;
+        self.record(host, response.is_ok());
+        response
+    }
+
+    /// Records whether a host responded.
+    pub(super) fn record(&self, host: &HostId, responded: bool) {
+        let mut health = self.health();
+        if responded {
+            health.record_response(host);
+        } else {
+            health.record_failure(host, Instant::now());
+        }
+    }
+
+    /// Returns whether a host counts as lost.
+    pub(super) fn is_lost(&self, host: &str) -> bool {
+        self.health().is_lost(host)
+    }
+
+    /// Returns the time since the first of a host's consecutive failures; `None` if its last call succeeded.
+    pub(super) fn failing_time(&self, host: &str) -> Option<Duration> {
+        self.health().failing_time(host, Instant::now())
+    }
+
+    /// Locks the health. The lock is never held across an `await`.
+    pub(super) fn health(&self) -> MutexGuard<'_, TurnHostHealth> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/burdockroad-gateway/src/turn_store/write.rs
@@ -0,0 +1,223 @@
+//! Writes one turn to the hosts that store it.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use burdockroad::{
+    HostId,
+    gateway::{Replication, ReplicationProgress},
+};
+use bytes::Bytes;
+use futures_util::{
+    future::BoxFuture,
+    stream::{FuturesUnordered, StreamExt},
+};
+use serde::Serialize;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    clock::as_ms,
+    turn_store::{
+        disk_hosts::{DiskHosts, StoreResult},
+        members::TurnMembers,
+    },
+};
+
+/// Time without a response after which a turn is also sent to another host. The end of the caller's stream waits
+/// for the turn.
+const HEDGE_DELAY: Duration = Duration::from_millis(80);
+
+/// Interval before a turn that was not stored is sent to the same host again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Maximum number of hosts in the log line of a turn that was not stored.
+const LOGGED_HOSTS_MAX: usize = 24;
+
+/// Write of one turn.
+#[derive(Debug)]
+pub(super) struct TurnWrite {
+    replication: Replication,
+    members: TurnMembers,
+    /// The hosts that the turn was sent to.
+    sent: Vec<HostCall>,
+    replies: FuturesUnordered<BoxFuture<'static, StoreReply>>,
+    started_at: Instant,
+    /// Longest time by which this host was late to look at its responses.
+    longest_delay: Duration,
+}
+
+/// Last call that stores the turn at a host.
+#[derive(Debug)]
+struct HostCall {
+    host: HostId,
+    sent_at: Instant,
+    /// How the call ended; `None` while it is in flight.
+    result: Option<StoreResult>,
+    /// Whether the turn was also sent to another host because this one is slow.
+    hedged: bool,
+    /// Whether the replication counts the host as lost. It may still respond.
+    silent: bool,
+}
+
+/// End of a call that stores the turn at a host.
+#[derive(Debug)]
+struct StoreReply {
+    host: HostId,
+    result: StoreResult,
+}
+
+impl TurnWrite {
+    pub(super) fn new(replication: Replication, members: TurnMembers) -> Self {
+        Self {
+            replication,
+            members,
+            sent: Vec::new(),
+            replies: FuturesUnordered::new(),
+            started_at: Instant::now(),
+            longest_delay: Duration::ZERO,
+        }
+    }
+
+    /// Sends an encoded call to as many hosts as must store the turn. Returns the number of replicas, or `None` if
+    /// there is no host that could store the turn.
+    pub(super) async fn run(&mut self, disk_hosts: &Arc<DiskHosts>, message: &Bytes) -> Option<usize> {
+        loop {
+            self.record_slow_hosts(disk_hosts, message);
+            while let Some(host) = self.replication.next_host() {
+                self.send(disk_hosts, host, message);
+            }
+            match self.replication.progress() {
+                ReplicationProgress::Durable => return Some(self.replication.replicas()),
+                ReplicationProgress::Failed => return None,
+                ReplicationProgress::Pending => {}
+            }
+            let waiting_since = Instant::now();
+            let ended = timeout(HEDGE_DELAY, self.replies.next()).await;
+            let delay = waiting_since.elapsed().saturating_sub(HEDGE_DELAY);
+            self.longest_delay = self.longest_delay.max(delay);
+            if let Ok(reply) = ended {
+                self.record_reply(disk_hosts, reply?);
+            }
+        }
+    }
+
+    /// Sends the turn to a host.
+    fn send(&mut self, disk_hosts: &Arc<DiskHosts>, host: HostId, message: &Bytes) {
+        self.sent.retain(|call| call.host != host);
+        self.sent.push(HostCall {
+            host: host.clone(),
+            sent_at: Instant::now(),
+            result: None,
+            hedged: false,
+            silent: false,
+        });
+        let address = self.members.get(&host).map(|member| member.address);
+        let disk_hosts = Arc::clone(disk_hosts);
+        let message = message.clone();
+        self.replies.push(Box::pin(async move {
+            let result = match address {
+                Some(address) => disk_hosts.store(&host, address, message).await,
+                None => StoreResult::Unreachable,
+            };
+            if result != StoreResult::Stored {
+                sleep(RETRY_INTERVAL).await;
+            }
+            StoreReply { host, result }
+        }));
+    }
+
+    /// Records the hosts that do not respond in time, and sends the turn to others.
+    fn record_slow_hosts(&mut self, disk_hosts: &Arc<DiskHosts>, message: &Bytes) {
+        let mut extra_hosts = 0;
+        let calls = self.sent.iter_mut().filter(|call| call.result.is_none());
+        for call in calls.filter(|call| call.sent_at.elapsed() >= HEDGE_DELAY) {
+            disk_hosts.record(&call.host, false);
+            if !std::mem::replace(&mut call.hedged, true) {
+                extra_hosts += 1;
+            }
+            if !call.silent && disk_hosts.is_lost(&call.host) {
+                call.silent = true;
+                self.replication.record_silent();
+            }
+        }
+        for _ in 0..extra_hosts {
+            if let Some(host) = self.replication.next_extra_host() {
+                self.send(disk_hosts, host, message);
+            }
+        }
+    }
+
+    fn record_reply(&mut self, disk_hosts: &DiskHosts, reply: StoreReply) {
+        let StoreReply { host, result } = reply;
+        let call = self.sent.iter_mut().find(|call| call.host == host);
+        let Some(call) = call else {
+            return;
+        };
+        call.result = Some(result);
+        match (call.silent, result) {
+            (true, result) => self.replication.record_late(result == StoreResult::Stored),
+            (false, StoreResult::Stored) => self.replication.record_stored(),
+            (false, _) => {
+                let is_lost = disk_hosts.is_lost(&host);
+                self.replication.record_failed(host, is_lost);
+            }
+        }
+    }
+
+    /// Returns the log line of a turn that was not stored.
+    pub(super) fn line<'a>(&'a self, disk_hosts: &DiskHosts, id: &'a str) -> TurnNotStoredLine<'a> {
+        let hosts = self.sent.iter().take(LOGGED_HOSTS_MAX);
+        TurnNotStoredLine {
+            id,
+            waited_ms: as_ms(self.started_at.elapsed()),
+            replicas: self.replication.replicas(),
+            own_delay_ms: as_ms(self.longest_delay),
+            known_hosts: self.members.len(),
+            hosts_sent_to: self.sent.len(),
+            hosts: hosts.map(|call| call.line(disk_hosts)).collect(),
+        }
+    }
+}
+
+impl HostCall {
+    fn line(&self, disk_hosts: &DiskHosts) -> HostCallLine<'_> {
+        HostCallLine {
+            host: &self.host,
+            state: self.result.map_or("waiting", StoreResult::name),
+            sent_ms_ago: as_ms(self.sent_at.elapsed()),
+            silent_ms: disk_hosts.failing_time(&self.host).map(as_ms),
+            lost: disk_hosts.is_lost(&self.host),
+        }
+    }
+}
+
+/// Log line of a turn that was not stored.
+#[derive(Debug)]
+#[derive(Serialize)]
+pub(super) struct TurnNotStoredLine<'a> {
+    id: &'a str,
+    /// Time for which the write went on.
+    waited_ms: u64,
+    replicas: usize,
+    /// Longest time by which this host was late to look at its responses.
+    own_delay_ms: u64,
+    known_hosts: usize,
+    hosts_sent_to: usize,
+    hosts: Vec<HostCallLine<'a>>,
+}
+
+/// State of a host in the line of a turn that was not stored.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct HostCallLine<'a> {
+    host: &'a str,
+    /// How the last call to the host ended, or that it is in flight.
+    state: &'static str,
+    sent_ms_ago: u64,
+    /// Time since the first of the host's consecutive failures; absent if its last response was good.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    silent_ms: Option<u64>,
+    lost: bool,
+}
--- a/crates/burdockroad/src/gateway/turns/health.rs
+++ b/crates/burdockroad/src/gateway/turns/health.rs
@@ -55,6 +55,12 @@
         self.failing.contains_key(host)
     }
 
+    /// Returns the time since the first of a host's consecutive failures; `None` if its last call succeeded.
+    pub fn failing_time(&self, host: &str, now: Instant) -> Option<Duration> {
+        let failures = self.failing.get(host)?;
+        Some(now.saturating_duration_since(failures.first))
+    }
+
     /// Returns whether a host counts as lost.
     pub fn is_lost(&self, host: &str) -> bool {
         let failures = self.failing.get(host);
