Try hosts that seem lost when a turn is not durable without them

Callers saw all events of a kept turn (status 200) and then a cut in place of the end, though they had seconds left (turn_not_stored).

Cause: the view that hosts with disks are lost is one gateway host's own, from 0.5 s without responses. Replication dropped such hosts, at its start and when a call to one failed, so a turn was given up at once when too many seemed lost. The class: work for which the caller has time left is given up on a belief.

Fix: hosts that seem lost are kept, and tried again and again when the turn cannot be durable without them. Only the caller's time or STORE_TIMEOUT ends a replication. A turn that can be durable without them still does not wait for them.

--- a/crates/burdockroad-gateway/src/turn_store/write.rs
+++ b/crates/burdockroad-gateway/src/turn_store/write.rs
@@ -32,6 +32,9 @@
 /// Interval before a turn that was not stored is sent to the same host again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
+/// The same for a host that counts as lost.
+const LOST_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Maximum number of hosts in the log line of a turn that was not stored.
 const LOGGED_HOSTS_MAX: usize = 24;
 
@@ -53,6 +56,10 @@
 struct HostCall {
     host: HostId,
     sent_at: Instant,
+    /// Number of calls to the host, with this one.
+    calls: u32,
+    /// How the call before ended.
+    previous_result: Option<StoreResult>,
     /// How the call ended; `None` while it is in flight.
     result: Option<StoreResult>,
     /// Whether the turn was also sent to another host because this one is slow.
@@ -86,7 +93,10 @@
         loop {
             self.record_slow_hosts(disk_hosts, message);
             while let Some(host) = self.replication.next_host() {
-                self.send(disk_hosts, host, message);
+                self.send(disk_hosts, host, false, message);
+            }
+            while let Some(host) = self.replication.next_lost_host() {
+                self.send(disk_hosts, host, true, message);
             }
             match self.replication.progress() {
                 ReplicationProgress::Durable => return Some(self.replication.replicas()),
@@ -104,14 +114,17 @@
     }
 
     /// Sends the turn to a host.
-    fn send(&mut self, disk_hosts: &Arc<DiskHosts>, host: HostId, message: &Bytes) {
-        self.sent.retain(|call| call.host != host);
+    fn send(&mut self, disk_hosts: &Arc<DiskHosts>, host: HostId, is_lost: bool, message: &Bytes) {
+        let position = self.sent.iter().position(|call| call.host == host);
+        let previous = position.map(|position| self.sent.swap_remove(position));
         self.sent.push(HostCall {
             host: host.clone(),
             sent_at: Instant::now(),
+            calls: previous.as_ref().map_or(0, |call| call.calls) + 1,
+            previous_result: previous.and_then(|call| call.result),
             result: None,
             hedged: false,
-            silent: false,
+            silent: is_lost,
         });
         let address = self.members.get(&host).map(|member| member.address);
         let disk_hosts = Arc::clone(disk_hosts);
@@ -121,8 +134,10 @@
                 Some(address) => disk_hosts.store(&host, address, message).await,
                 None => StoreResult::Unreachable,
             };
-            if result != StoreResult::Stored {
-                sleep(RETRY_INTERVAL).await;
+            match result {
+                StoreResult::Stored => {}
+                _ if disk_hosts.is_lost(&host) => sleep(LOST_RETRY_INTERVAL).await,
+                _ => sleep(RETRY_INTERVAL).await,
             }
             StoreReply { host, result }
         }));
@@ -144,7 +159,9 @@
         }
         for _ in 0..extra_hosts {
             if let Some(host) = self.replication.next_extra_host() {
-                self.send(disk_hosts, host, message);
+                self.send(disk_hosts, host, false, message);
+            } else if let Some(host) = self.replication.next_extra_lost_host() {
+                self.send(disk_hosts, host, true, message);
             }
         }
     }
@@ -157,11 +174,15 @@
         };
         call.result = Some(result);
         match (call.silent, result) {
-            (true, result) => self.replication.record_late(result == StoreResult::Stored),
+            (true, StoreResult::Stored) => self.replication.record_late_stored(),
             (false, StoreResult::Stored) => self.replication.record_stored(),
-            (false, _) => {
+            (is_silent, _) => {
                 let is_lost = disk_hosts.is_lost(&host);
-                self.replication.record_failed(host, is_lost);
+                if is_silent {
+                    self.replication.record_late_failed(host, is_lost);
+                } else {
+                    self.replication.record_failed(host, is_lost);
+                }
             }
         }
     }
@@ -185,7 +206,8 @@
     fn line(&self, disk_hosts: &DiskHosts) -> HostCallLine<'_> {
         HostCallLine {
             host: &self.host,
-            state: self.result.map_or("waiting", StoreResult::name),
+            last_result: self.result.or(self.previous_result).map(StoreResult::name),
+            calls: self.calls,
             sent_ms_ago: as_ms(self.sent_at.elapsed()),
             silent_ms: disk_hosts.failing_time(&self.host).map(as_ms),
             lost: disk_hosts.is_lost(&self.host),
@@ -213,8 +235,10 @@
 #[derive(Serialize)]
 struct HostCallLine<'a> {
     host: &'a str,
-    /// How the last call to the host ended, or that it is in flight.
-    state: &'static str,
+    /// How the last call that ended did so; `None` if the host has not responded yet.
+    last_result: Option<&'static str>,
+    calls: u32,
+    /// Time since the last call was sent.
     sent_ms_ago: u64,
     /// Time since the first of the host's consecutive failures; absent if its last response was good.
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/burdockroad/src/gateway/turns/health.rs
+++ b/crates/burdockroad/src/gateway/turns/health.rs
@@ -67,12 +67,12 @@
         failures.is_some_and(Failures::is_lost)
     }
 
-    /// Splits an order of hosts into those to use, failing hosts last, and the number of lost hosts.
-    pub(super) fn split_order(&self, order: Vec<HostId>) -> (VecDeque<HostId>, usize) {
+    /// Splits an order of hosts into those to use, failing hosts last, and the lost hosts.
+    pub(super) fn split_order(&self, order: Vec<HostId>) -> (VecDeque<HostId>, VecDeque<HostId>) {
         let (lost, mut usable): (Vec<HostId>, Vec<HostId>) =
             order.into_iter().partition(|host| self.is_lost(host));
         usable.sort_by_key(|host| self.is_failing(host));
-        (VecDeque::from(usable), lost.len())
+        (VecDeque::from(usable), VecDeque::from(lost))
     }
 
     /// Returns the failing hosts that should be probed now. They are next returned after [`PROBE_INTERVAL`].
--- a/crates/burdockroad/src/gateway/turns/lookup.rs
+++ b/crates/burdockroad/src/gateway/turns/lookup.rs
@@ -48,7 +48,7 @@
     pub fn new(key: &TurnKey, failure_domain: &str, hosts: &[HostLocation], health: &TurnHostHealth) -> Self {
         let order = replica_order(&key.turn, failure_domain, hosts);
         let (untried, lost) = health.split_order(order);
-        let outcome = if hosts.is_empty() || lost > 0 {
+        let outcome = if hosts.is_empty() || !lost.is_empty() {
             LookupOutcome::Uncertain
         } else {
             LookupOutcome::Nonexistent
--- a/crates/burdockroad/src/gateway/turns/replication.rs
+++ b/crates/burdockroad/src/gateway/turns/replication.rs
@@ -90,7 +90,7 @@
     Pending,
     /// The turn survives the tolerated losses.
     Durable,
-    /// Too many hosts failed, so the turn may be lost.
+    /// There is no host that could store the turn.
     Failed,
 }
 
@@ -98,23 +98,29 @@
 ///
 /// A turn is durable when `tolerated_losses` + 1 hosts have stored it. When all other hosts are lost, one
 /// replica less is enough for each lost host, because that many fewer hosts may still be lost. A host that
-/// fails without being lost is tried again. A host that is silent for long counts as lost, but a turn that is not
-/// durable without it waits for its response: its disk may only be slow. When fewer hosts are registered than should store a turn, because
-/// the operator has removed others, all of them store it.
+/// fails without being lost is tried again.
+///
+/// That a host is lost is only the view of the host that stores the turn, whose own link may be full. So hosts that
+/// count as lost are not waited for as long as the turn can be durable without them; when it cannot, they are tried
+/// again and again, and their responses count. The replication does not give a turn up: the time of its caller ends it.
+///
+/// When fewer hosts are registered than should store a turn, because the operator has removed others, all of them
+/// store it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Replication {
     tolerated_losses: usize,
     untried: VecDeque<HostId>,
+    /// Hosts that count as lost and have no call in flight.
+    lost: VecDeque<HostId>,
     in_flight: usize,
     stored: usize,
-    lost: usize,
-    /// Hosts that count as lost and may still respond.
+    /// Calls in flight to hosts that count as lost.
     silent: usize,
 }
 
 impl Replication {
-    /// Starts the replication of `turn` to those of `hosts` that are not lost. Failing hosts are tried last,
-    /// so that the turn does not wait for them.
+    /// Starts the replication of `turn`. Failing hosts are tried after the others, and lost hosts last, so that the
+    /// turn does not wait for them.
     pub fn new(
         turn: &Turn,
         hosts: &[HostLocation],
@@ -126,9 +132,9 @@
         Self {
             tolerated_losses: tolerated_losses.min(hosts.len().saturating_sub(1)),
             untried,
+            lost,
             in_flight: 0,
             stored: 0,
-            lost,
             silent: 0,
         }
     }
@@ -143,6 +149,19 @@
         Some(host)
     }
 
+    /// Returns a host that counts as lost to send the turn to now; `None` while the turn can be durable without it, or
+    /// enough requests are in flight. How the request ends is recorded with [`record_late_stored`] or
+    /// [`record_late_failed`].
+    ///
+    /// [`record_late_stored`]: Self::record_late_stored
+    /// [`record_late_failed`]: Self::record_late_failed
+    pub fn next_lost_host(&mut self) -> Option<HostId> {
+        if self.stored + self.in_flight + self.silent > self.tolerated_losses {
+            return None;
+        }
+        self.next_extra_lost_host()
+    }
+
     /// Returns a further host to send the turn to because the requests in flight take too long; `None` if
     /// every host was tried.
     pub fn next_extra_host(&mut self) -> Option<HostId> {
@@ -151,38 +170,61 @@
         Some(host)
     }
 
+    /// Like [`next_extra_host`](Self::next_extra_host), for a host that counts as lost; `None` while the turn can be
+    /// durable without it.
+    pub fn next_extra_lost_host(&mut self) -> Option<HostId> {
+        if !self.untried.is_empty() || self.lost_hosts() <= self.tolerated_losses {
+            return None;
+        }
+        let host = self.lost.pop_front()?;
+        self.silent += 1;
+        Some(host)
+    }
+
     /// Records that a host stored the turn.
     pub fn record_stored(&mut self) {
         self.in_flight -= 1;
         self.stored += 1;
     }
 
-    /// Records that a host did not store the turn. Unless the host is lost, it is tried again after the
-    /// others.
+    /// Records that a host did not store the turn. It is tried again after the others; if it is lost, only when the
+    /// turn cannot be durable without it.
     pub fn record_failed(&mut self, host: HostId, is_lost: bool) {
         self.in_flight -= 1;
-        if is_lost {
-            self.lost += 1;
-        } else {
-            self.untried.push_back(host);
-        }
+        self.retry_later(host, is_lost);
     }
 
-    /// Records that a host has been silent for so long that it counts as lost. Its response is recorded with
-    /// [`record_late`](Self::record_late).
+    /// Records that a host has been silent for so long that it counts as lost. How its request ends is recorded with
+    /// [`record_late_stored`](Self::record_late_stored) or [`record_late_failed`](Self::record_late_failed).
     pub fn record_silent(&mut self) {
         self.in_flight -= 1;
         self.silent += 1;
     }
 
-    /// Records how the request to a silent host ended.
-    pub fn record_late(&mut self, stored: bool) {
+    /// Records that a host which counted as lost has stored the turn.
+    pub fn record_late_stored(&mut self) {
+        self.silent -= 1;
+        self.stored += 1;
+    }
+
+    /// Records that a host which counted as lost did not store the turn. It is tried again.
+    pub fn record_late_failed(&mut self, host: HostId, is_lost: bool) {
         self.silent -= 1;
-        if stored {
-            self.stored += 1;
+        self.retry_later(host, is_lost);
+    }
+
+    fn retry_later(&mut self, host: HostId, is_lost: bool) {
+        let queue = if is_lost {
+            &mut self.lost
         } else {
-            self.lost += 1;
-        }
+            &mut self.untried
+        };
+        queue.push_back(host);
+    }
+
+    /// Returns the number of hosts that count as lost and have not stored the turn.
+    fn lost_hosts(&self) -> usize {
+        self.lost.len() + self.silent
     }
 
     /// Returns the number of hosts that have stored the turn.
@@ -199,11 +241,11 @@
         if self.in_flight > 0 || !self.untried.is_empty() {
             return ReplicationProgress::Pending;
         }
-        let lost = self.lost + self.silent;
+        let lost = self.lost_hosts();
         if self.stored > 0 && lost <= tolerated && self.stored + lost > tolerated {
             return ReplicationProgress::Durable;
         }
-        if self.silent > 0 {
+        if lost > 0 {
             return ReplicationProgress::Pending;
         }
         ReplicationProgress::Failed
