Count late responses of hosts with disks as signs of life

A call that stores a turn was dropped once the turn was durable elsewhere, so the response of a host that was only slow was never seen, its connection was closed, and the host went on counting as failing until a probe; two slow moments half a second apart could make it count as lost. Calls that were sent before a host's last response counted against it, too. When more hosts seem lost than may be, new calls are refused (turn_unavailable) although turns could be stored.

Calls now go on in a task of their own, for 3 s at most as before, and record how they end. An unanswered call counts as a failure only if the host has not responded to another one for 80 ms.

host_that_responded_since_a_call_was_sent_is_slow_and_not_failing checks the rule, which did not exist before (record_silence). That late responses of dropped calls are seen is read in the code and not shown by a test of processes.

--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -285,7 +285,7 @@
     async fn probe(&self, host: HostId) {
         let Some(address) = self.address_of(&host) else {
             // A host that is not registered any more is not used.
-            self.disk_hosts.record(&host, true);
+            self.disk_hosts.record_response(&host);
             return;
         };
         let call = TurnCall::Missing(Vec::new());
--- a/crates/burdockroad-gateway/src/turn_store/disk_hosts.rs
+++ b/crates/burdockroad-gateway/src/turn_store/disk_hosts.rs
@@ -69,12 +69,18 @@
 
     /// Stores an encoded call at one host, and records its health.
     pub(super) async fn store(&self, host: &HostId, address: SocketAddr, message: Bytes) -> StoreResult {
+        let sent_at = Instant::now();
         let response = self
             .peer_client
             .call_encoded(address, message, STORE_TIMEOUT)
             .await;
         let result = StoreResult::of(response);
-        self.record(host, result == StoreResult::Stored);
+        match result {
+            StoreResult::Stored => self.record_response(host),
+            // The host responds, but its turns do not last.
+            StoreResult::NotStored => self.health().record_failure(host, Instant::now()),
+            StoreResult::Unreachable | StoreResult::NoResponse => self.record_silence(host, sent_at),
+        }
         result
     }
 
@@ -86,19 +92,23 @@
         call: &TurnCall,
         response_timeout: Duration,
     ) -> Result<TurnResponse, PeerError> {
+        let sent_at = Instant::now();
         let response = self.peer_client.call(address, call, response_timeout).await;
-        self.record(host, response.is_ok());
+        match response {
+            Ok(_) => self.record_response(host),
+            Err(_) => self.record_silence(host, sent_at),
+        }
         response
     }
 
-    /// Records whether a host responded.
-    pub(super) fn record(&self, host: &HostId, responded: bool) {
-        let mut health = self.health();
-        if responded {
-            health.record_response(host);
-        } else {
-            health.record_failure(host, Instant::now());
-        }
+    /// Records that a host responded.
+    pub(super) fn record_response(&self, host: &HostId) {
+        self.health().record_response(host, Instant::now());
+    }
+
+    /// Records that a host has not responded to a call that was sent at `sent_at`.
+    pub(super) fn record_silence(&self, host: &HostId, sent_at: Instant) {
+        self.health().record_silence(host, sent_at, Instant::now());
     }
 
     /// Returns whether a host counts as lost.
--- a/crates/burdockroad-gateway/src/turn_store/sync.rs
+++ b/crates/burdockroad-gateway/src/turn_store/sync.rs
@@ -100,9 +100,9 @@
             match self.copy_from(host, member).await {
                 Ok(()) => {
                     reached += 1;
-                    self.health.record_response(host);
+                    self.health.record_response(host, Instant::now());
                 }
-                Err(SyncError::DiskFailed) => self.health.record_response(host),
+                Err(SyncError::DiskFailed) => self.health.record_response(host, Instant::now()),
                 Err(SyncError::NoResponse) => self.health.record_failure(host, Instant::now()),
             }
         }
--- a/crates/burdockroad-gateway/src/turn_store/write.rs
+++ b/crates/burdockroad-gateway/src/turn_store/write.rs
@@ -10,12 +10,12 @@
     gateway::{Replication, ReplicationProgress},
 };
 use bytes::Bytes;
-use futures_util::{
-    future::BoxFuture,
-    stream::{FuturesUnordered, StreamExt},
-};
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use serde::Serialize;
-use tokio::time::{sleep, timeout};
+use tokio::{
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
 
 use crate::{
     clock::as_ms,
@@ -45,7 +45,7 @@
     members: TurnMembers,
     /// The hosts that the turn was sent to.
     sent: Vec<HostCall>,
-    replies: FuturesUnordered<BoxFuture<'static, StoreReply>>,
+    replies: FuturesUnordered<JoinHandle<StoreReply>>,
     started_at: Instant,
     /// Longest time by which this host was late to look at its responses.
     longest_delay: Duration,
@@ -108,12 +108,13 @@
             let delay = waiting_since.elapsed().saturating_sub(HEDGE_DELAY);
             self.longest_delay = self.longest_delay.max(delay);
             if let Ok(reply) = ended {
-                self.record_reply(disk_hosts, reply?);
+                self.record_reply(disk_hosts, reply?.ok()?);
             }
         }
     }
 
-    /// Sends the turn to a host.
+    /// Sends the turn to a host. The call goes on when the turn is durable without it, so that its response shows that
+    /// the host is not lost, and its connection is kept.
     fn send(&mut self, disk_hosts: &Arc<DiskHosts>, host: HostId, is_lost: bool, message: &Bytes) {
         let position = self.sent.iter().position(|call| call.host == host);
         let previous = position.map(|position| self.sent.swap_remove(position));
@@ -129,7 +130,7 @@
         let address = self.members.get(&host).map(|member| member.address);
         let disk_hosts = Arc::clone(disk_hosts);
         let message = message.clone();
-        self.replies.push(Box::pin(async move {
+        self.replies.push(tokio::spawn(async move {
             let result = match address {
                 Some(address) => disk_hosts.store(&host, address, message).await,
                 None => StoreResult::Unreachable,
@@ -148,7 +149,7 @@
         let mut extra_hosts = 0;
         let calls = self.sent.iter_mut().filter(|call| call.result.is_none());
         for call in calls.filter(|call| call.sent_at.elapsed() >= HEDGE_DELAY) {
-            disk_hosts.record(&call.host, false);
+            disk_hosts.record_silence(&call.host, call.sent_at);
             if !std::mem::replace(&mut call.hedged, true) {
                 extra_hosts += 1;
             }
--- a/crates/burdockroad/src/gateway/turns/health.rs
+++ b/crates/burdockroad/src/gateway/turns/health.rs
@@ -11,6 +11,9 @@
 /// that is only slow for a moment must not count as lost, because a turn then gets fewer replicas.
 const LOST_MIN: Duration = Duration::from_millis(500);
 
+/// Time since a host's last response after which a call that it has not answered counts as a failure.
+const SILENCE_MIN: Duration = Duration::from_millis(80);
+
 /// Interval at which a failing host is probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -18,6 +21,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct TurnHostHealth {
     failing: HashMap<HostId, Failures>,
+    /// Time of each host's last response.
+    responded_at: HashMap<HostId, Instant>,
 }
 
 /// Consecutive failures of a host.
@@ -36,8 +41,18 @@
 
 impl TurnHostHealth {
     /// Records that a host responded.
-    pub fn record_response(&mut self, host: &str) {
+    pub fn record_response(&mut self, host: &HostId, now: Instant) {
         self.failing.remove(host);
+        self.responded_at.insert(host.clone(), now);
+    }
+
+    /// Records that a host has not responded to a call that was sent at `sent_at`. If it has just responded to another
+    /// call since, it is only slow, and does not count as failing.
+    pub fn record_silence(&mut self, host: &HostId, sent_at: Instant, now: Instant) {
+        let responded_at = self.responded_at.get(host).filter(|at| **at >= sent_at);
+        if responded_at.is_none_or(|at| now >= *at + SILENCE_MIN) {
+            self.record_failure(host, now);
+        }
     }
 
     /// Records that a host did not respond, or failed to store a turn.
--- a/crates/burdockroad/tests/gateway_turns.rs
+++ b/crates/burdockroad/tests/gateway_turns.rs
@@ -350,10 +350,29 @@
     assert_eq!(health.take_due_probes(later(1000)), std::slice::from_ref(&host));
     health.record_failure(&host, later(1000));
     assert!(health.is_lost(&host));
-    health.record_response(&host);
+    health.record_response(&host, later(1000));
     assert!(!health.is_failing(&host) && !health.is_lost(&host));
 }
 
+/// A call that was only slow made a host fail, though it answered others.
+#[test]
+fn host_that_responded_since_a_call_was_sent_is_slow_and_not_failing() {
+    let now = Instant::now();
+    let later = |after_ms: u64| now + Duration::from_millis(after_ms);
+    let host = "h".to_owned();
+    let mut health = TurnHostHealth::default();
+    health.record_silence(&host, now, later(80));
+    assert!(health.is_failing(&host));
+    health.record_response(&host, later(90));
+    health.record_response(&host, later(590));
+    health.record_silence(&host, later(500), later(600));
+    assert!(!health.is_failing(&host));
+    health.record_silence(&host, later(500), later(700));
+    assert!(health.is_failing(&host), "silent since its last response");
+    health.record_silence(&host, later(500), later(1200));
+    assert!(health.is_lost(&host));
+}
+
 #[test]
 fn lookup_is_nonexistent_only_after_all_hosts_said_so() {
     use LookupReply::{Absent, Found, Incomplete, NoReply};
