--- a/crates/burdockroad-gateway/src/turn_store/disk_hosts.rs
+++ b/crates/burdockroad-gateway/src/turn_store/disk_hosts.rs
@@ -40,7 +40,7 @@
 }
 
 impl StoreResult {
-    fn of(response: Result<TurnResponse, PeerError>) -> Self {
+    fn of(response: &Result<TurnResponse, PeerError>) -> Self {
         match response {
             Ok(TurnResponse::Stored) => Self::Stored,
             Ok(_) => Self::NotStored,
@@ -74,7 +74,7 @@
             .peer_client
             .call_encoded(address, message, STORE_TIMEOUT)
             .await;
-        let result = StoreResult::of(response);
+        let result = StoreResult::of(&response);
         match result {
             StoreResult::Stored => self.record_response(host),
             // The host responds, but its turns do not last.
