--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -406,10 +406,7 @@
         &RefusalLine {
             id: call_id,
             reason: refusal.name(),
-            detail: match refusal {
-                Refusal::InvalidHead(field) => Some(field),
-                _ => None,
-            },
+            detail: refusal.detail(),
             program: head.and_then(|head| Some(head.program.as_ref()?.id.as_str())),
             key: head.and_then(|head| head.api_key.as_deref()).map(key_hash),
             status: refusal.status().as_u16(),
--- a/crates/burdockroad-gateway/src/kept_turn.rs
+++ b/crates/burdockroad-gateway/src/kept_turn.rs
@@ -11,7 +11,7 @@
 use crate::{
     CallHead,
     clock::unix_ms,
-    refusal::Refusal,
+    refusal::{Refusal, TurnObstacle},
     shared::Shared,
     turn_store::client::{History, HistoryError},
 };
@@ -53,8 +53,11 @@
         allowed_regions: Option<&[RegionId]>,
         input: Bytes,
     ) -> Result<Self, Refusal> {
-        if !shared.turns.can_store(allowed_regions) || shared.is_isolated() {
-            return Err(Refusal::TurnUnavailable);
+        if shared.is_isolated() {
+            return Err(Refusal::TurnUnavailable(TurnObstacle::Isolated));
+        }
+        if !shared.turns.can_store(allowed_regions) {
+            return Err(Refusal::TurnUnavailable(TurnObstacle::DiskHostsLost));
         }
         let key = |turn: &str| TurnKey {
             account: account.map_or_else(String::new, |account| account.name.clone()),
@@ -71,7 +74,7 @@
                 .await
                 .map_err(|error| match error {
                     HistoryError::Nonexistent => Refusal::UnknownTurn,
-                    HistoryError::Uncertain => Refusal::TurnUnavailable,
+                    HistoryError::Uncertain => Refusal::TurnUnavailable(TurnObstacle::HistoryUnread),
                 })?,
         };
         // A turn is bound to the regions of its previous turn, too, so the newest turn has the regions of the whole
@@ -83,7 +86,7 @@
             return Err(Refusal::NoAllowedEndpoint);
         }
         if of_history.is_some() && !shared.turns.can_store(common.as_deref()) {
-            return Err(Refusal::TurnUnavailable);
+            return Err(Refusal::TurnUnavailable(TurnObstacle::DiskHostsLost));
         }
         Ok(Self {
             key: key(&head.call_id),
--- a/crates/burdockroad-gateway/src/refusal.rs
+++ b/crates/burdockroad-gateway/src/refusal.rs
@@ -21,6 +21,28 @@
 /// there at any time.
 const NO_ALLOWED_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Reason why the turn of a call cannot be begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TurnObstacle {
+    /// This host reaches neither the store nor another host.
+    Isolated,
+    /// Too many of the hosts with disks count as lost, or too few are in allowed regions.
+    DiskHostsLost,
+    /// The previous turn cannot be read.
+    HistoryUnread,
+}
+
+impl TurnObstacle {
+    /// Returns the name used in logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Isolated => "isolated",
+            Self::DiskHostsLost => "disk_hosts_lost",
+            Self::HistoryUnread => "history_unread",
+        }
+    }
+}
+
 /// Reason why a call ends without an endpoint's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
@@ -39,7 +61,7 @@
     /// The turn that the call continues does not exist.
     UnknownTurn,
     /// Turns cannot be stored at the moment, or the turn that the call continues cannot be read.
-    TurnUnavailable,
+    TurnUnavailable(TurnObstacle),
     /// The call's turn could not be stored, so later calls could not continue it.
     TurnNotStored,
     /// The software version that began the stream which the caller takes up is not known.
@@ -75,7 +97,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::UnknownTurn => "unknown_turn",
-            Self::TurnUnavailable => "turn_unavailable",
+            Self::TurnUnavailable(_) => "turn_unavailable",
             Self::TurnNotStored => "turn_not_stored",
             Self::UnknownStream => "unknown_stream",
             Self::OverRate(_) => "over_rate",
@@ -90,11 +112,20 @@
         }
     }
 
+    /// Returns what the log tells beside the name: the invalid header, or why a turn cannot be begun.
+    pub(crate) fn detail(self) -> Option<&'static str> {
+        match self {
+            Self::InvalidHead(field) => Some(field),
+            Self::TurnUnavailable(obstacle) => Some(obstacle.name()),
+            _ => None,
+        }
+    }
+
     /// Returns the HTTP status. 408, 429 and 503 promise that the call has not run and will not run.
     pub(crate) fn status(self) -> StatusCode {
         match self {
             Self::NotReady
-            | Self::TurnUnavailable
+            | Self::TurnUnavailable(_)
             | Self::UnknownStream
             | Self::NoReservation(_)
             | Self::NoEndpoint(_)
@@ -117,7 +148,7 @@
     pub(crate) fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NotReady => Some(NOT_READY_RETRY_AFTER),
-            Self::TurnUnavailable => Some(TURN_RETRY_AFTER),
+            Self::TurnUnavailable(_) => Some(TURN_RETRY_AFTER),
             Self::UnknownStream => Some(STREAM_RETRY_AFTER),
             Self::NoAllowedEndpoint => Some(NO_ALLOWED_ENDPOINT_RETRY_AFTER),
             Self::OverRate(wait)
