--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -33,6 +33,7 @@
 async fn respond(shared: Arc<Shared>, call: PeerCall) -> PeerResponse {
     match call {
         PeerCall::Store(call) => PeerResponse::Store(handle_store_call(shared.store.direct(), call).await),
+        PeerCall::Turns { host, call } => PeerResponse::Turns(shared.turns.relay(&host, &call).await),
         PeerCall::RangeUpdate { prefix, after } => {
             PeerResponse::RangeUpdate(range_update(&shared, &prefix, after))
         }
--- a/crates/burdockroad-gateway/src/peer_messages.rs
+++ b/crates/burdockroad-gateway/src/peer_messages.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use burdockroad::{ProgramId, SoftwareVersion, gateway::StreamId};
+use burdockroad::{HostId, ProgramId, SoftwareVersion, gateway::StreamId};
 use burdockroad_daemon::platform::Revision;
 use serde::{Deserialize, Serialize};
 
@@ -10,6 +10,7 @@
     RangeUpdate,
     budget_messages::{ReservationRequest, ReservationResponse},
     store_messages::{StoreCall, StoreCallResponse},
+    turn_store::messages::{TurnCall, TurnResponse},
 };
 
 /// A call to another host.
@@ -18,6 +19,13 @@
 pub(crate) enum PeerCall {
     /// Relays a call to the store.
     Store(StoreCall),
+    /// Passes a call on to a host that stores turns.
+    Turns {
+        /// Host that stores turns.
+        host: HostId,
+        /// The call.
+        call: TurnCall,
+    },
     /// Requests the updates of a range of the store.
     #[serde(rename = "RangeNews")]
     RangeUpdate {
@@ -54,6 +62,8 @@
 pub(crate) enum PeerResponse {
     /// Response of the store.
     Store(StoreCallResponse),
+    /// Response of the host that stores turns; `None` if it did not respond.
+    Turns(Option<TurnResponse>),
     /// Updates of the range; `None` when the responding host has not read it.
     #[serde(rename = "RangeNews")]
     RangeUpdate(Option<RangeUpdateResponse>),
--- a/crates/burdockroad-gateway/src/process.rs
+++ b/crates/burdockroad-gateway/src/process.rs
@@ -170,6 +170,7 @@
     tokio::spawn(Arc::clone(&shared.store).probe());
     tokio::spawn(probe_own_link(clone_shared()));
     tokio::spawn(Arc::clone(&shared.turns).probe_failing_hosts());
+    tokio::spawn(Arc::clone(&shared.turns).check_cut_links());
     tokio::spawn(reports::send_reports(clone_shared()));
     tokio::spawn(reports::send_collected(clone_shared()));
     tokio::spawn(reports::receive_reports(clone_shared()));
--- a/crates/burdockroad-gateway/src/relay.rs
+++ b/crates/burdockroad-gateway/src/relay.rs
@@ -146,7 +146,8 @@
             }
             Ok(PeerResponse::Store(response)) => Ok(response),
             Ok(
-                PeerResponse::RangeUpdate(_)
+                PeerResponse::Turns(_)
+                | PeerResponse::RangeUpdate(_)
                 | PeerResponse::Reservation(_)
                 | PeerResponse::StreamVersion(_)
                 | PeerResponse::Released,
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -241,10 +241,14 @@
 /// Applies a report. Reports of hosts that are not registered are ignored.
 fn apply_report(shared: &Shared, mut report: WireReport, arrival: Arrival) {
     let now = Instant::now();
-    let address = shared.peers.borrow().get(&report.host).map(|peer| peer.address);
-    let Some(address) = address else {
+    let Some(peer) = shared.peers.borrow().get(&report.host).cloned() else {
         return;
     };
+    let address = peer.address;
+    shared
+        .turns
+        .links()
+        .record_relay(address, &peer.failure_domain, report.reaches_turn_hosts, now);
     shared.store.record_peer(address, report.is_served_directly, now);
     let mut tables = shared.tables();
     tables.reach.record_peer(&report.host, report.is_cut_off);
--- a/crates/burdockroad-gateway/src/reports/wire.rs
+++ b/crates/burdockroad-gateway/src/reports/wire.rs
@@ -35,6 +35,9 @@
     /// Whether the host reaches endpoints only through other hosts. Hosts of earlier versions do not report it.
     #[serde(default)]
     pub(super) is_cut_off: bool,
+    /// Whether the host reaches the hosts that store turns on its own. Hosts of earlier versions do not report it.
+    #[serde(rename = "t", default)]
+    pub(super) reaches_turn_hosts: bool,
     /// Calls in flight at endpoints; only in the first datagram of a report.
     in_flight: Option<Vec<WireCalls>>,
     /// Ranges that the host watches; only in the first datagram of a report.
@@ -141,6 +144,7 @@
         .into_iter()
         .map(|(prefix, last_change)| WireRange { prefix, last_change });
     let is_served_directly = shared.store.is_served_directly();
+    let reaches_turn_hosts = shared.turns.reaches_hosts();
     let store_response_age = response_age(shared, RESPONSE_AGE_MAX);
     let mut tables = shared.tables();
     let now = Instant::now();
@@ -159,6 +163,7 @@
     let empty = || WireReport {
         is_served_directly,
         is_cut_off,
+        reaches_turn_hosts,
         ..wire_report(&shared.host, &report)
     };
     let first = WireReport {
@@ -210,6 +215,7 @@
         running_ms: u64::try_from(report.uptime.as_millis()).unwrap_or(u64::MAX),
         is_served_directly: false,
         is_cut_off: false,
+        reaches_turn_hosts: false,
         in_flight: None,
         ranges: Vec::new(),
         store_response_age_ms: None,
--- a/crates/burdockroad-gateway/src/turn_store.rs
+++ b/crates/burdockroad-gateway/src/turn_store.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod client;
 pub(crate) mod host;
+pub(crate) mod links;
 pub(crate) mod log;
 pub(crate) mod members;
 pub(crate) mod messages;
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -13,14 +13,15 @@
         TurnHostHealth, TurnKey, renewals, stream_holders,
     },
 };
-use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time::{sleep, timeout};
 
 use crate::{
+    DecisionLog,
     clock::unix_ms,
-    peer_client::{PeerClient, encode_message},
+    peer_client::PeerClient,
     turn_store::{
+        links::{Destination, EncodedCall, TurnHostLinks},
         members::{TurnMembers, readable, writable},
         messages::{TurnCall, TurnResponse},
     },
@@ -57,7 +58,7 @@
     tolerated_losses: usize,
     failure_domain: String,
     regions: Arc<RegionMap>,
-    peer_client: Arc<PeerClient>,
+    links: TurnHostLinks,
     state: Mutex<ClientState>,
 }
 
@@ -114,12 +115,14 @@
         failure_domain: String,
         regions: Arc<RegionMap>,
         peer_client: Arc<PeerClient>,
+        log: DecisionLog,
     ) -> Self {
+        let links = TurnHostLinks::new(failure_domain.clone(), Arc::clone(&regions), peer_client, log);
         Self {
             tolerated_losses,
             failure_domain,
             regions,
-            peer_client,
+            links,
             state: Mutex::new(ClientState {
                 members: TurnMembers::new(),
                 health: TurnHostHealth::default(),
@@ -159,6 +162,24 @@
         lost < hosts.len() && lost <= self.tolerated_losses
     }
 
+    /// Returns the links to the hosts that store turns.
+    pub(crate) fn links(&self) -> &TurnHostLinks {
+        &self.links
+    }
+
+    /// Returns whether this host's own links reach enough hosts for a turn to be durable.
+    pub(crate) fn reaches_hosts(&self) -> bool {
+        let members = self.lock().members.clone();
+        let cut = members.keys().filter(|host| self.links.is_cut(host)).count();
+        cut < members.len() && cut <= self.tolerated_losses
+    }
+
+    /// Passes the call of another gateway host on. Returns `None` if the host that stores turns does not respond.
+    pub(crate) async fn relay(&self, host: &str, call: &TurnCall) -> Option<TurnResponse> {
+        let address = self.address_of(host)?;
+        self.links.relay(address, call, STORE_TIMEOUT).await
+    }
+
     /// Returns the chain that ends with a turn. Turns that this host does not have are read from hosts in allowed
     /// regions if possible.
     pub(crate) async fn history(
@@ -214,13 +235,13 @@
         let storage_time_ms = u64::try_from(storage_time.as_millis()).unwrap_or(u64::MAX);
         let mut turns = renewals(history, &turn, unix_ms(), storage_time_ms);
         turns.push(turn.clone());
-        let message = encode_message(&TurnCall::Store(turns)).ok()?;
-        let replicating = self.replicate(turn, message);
+        let call = EncodedCall::new(TurnCall::Store(turns)).ok()?;
+        let replicating = self.replicate(turn, &call);
         timeout(STORE_TIMEOUT, replicating).await.ok().flatten()
     }
 
     /// Sends an encoded call that stores a turn to as many hosts as must store it.
-    async fn replicate(&self, turn: Turn, message: Bytes) -> Option<usize> {
+    async fn replicate(&self, turn: Turn, call: &EncodedCall) -> Option<usize> {
         let (mut replication, members) = {
             let state = self.lock();
             let hosts = writable(&state.members);
@@ -229,6 +250,8 @@
             (replication, state.members.clone())
         };
         let address_of = |host: &HostId| members.get(host).map(|member| member.address);
+        let allowed_regions = turn.allowed_regions.clone();
+        let allowed_regions = allowed_regions.as_deref();
         let mut in_flight = FuturesUnordered::new();
         let mut pending: Vec<PendingStore> = Vec::new();
         loop {
@@ -236,7 +259,7 @@
             let next = std::iter::from_fn(|| replication.next_host());
             for host in extra.into_iter().chain(next) {
                 pending.push(PendingStore::new(host.clone()));
-                in_flight.push(self.store_at(host.clone(), address_of(&host), message.clone()));
+                in_flight.push(self.store_at(host.clone(), address_of(&host), allowed_regions, call));
             }
             match replication.progress() {
                 ReplicationProgress::Durable => {
@@ -283,14 +306,18 @@
     }
 
     /// Stores an encoded call at one host. Returns whether it is on the host's disk.
-    async fn store_at(&self, host: HostId, address: Option<SocketAddr>, message: Bytes) -> (HostId, bool) {
+    async fn store_at(
+        &self,
+        host: HostId,
+        address: Option<SocketAddr>,
+        allowed_regions: Option<&[RegionId]>,
+        call: &EncodedCall,
+    ) -> (HostId, bool) {
         let Some(address) = address else {
             return (host, false);
         };
-        let response = self
-            .peer_client
-            .call_encoded(address, message, STORE_TIMEOUT)
-            .await;
+        let destination = Destination::new(&host, address, allowed_regions);
+        let response = self.links.call(destination, call, STORE_TIMEOUT).await;
         let stored = matches!(response, Ok(TurnResponse::Stored));
         self.record_health(&host, stored);
         if !stored {
@@ -310,14 +337,15 @@
         allowed_regions: Option<&[RegionId]>,
     ) -> Result<Vec<Turn>, HistoryError> {
         let is_allowed = |domain: &str| self.regions.allows(domain, allowed_regions);
-        let read = self.read_chain_in(key, is_allowed).await;
+        let read = self.read_chain_in(key, allowed_regions, is_allowed).await;
         let has_others = {
             let hosts = readable(&self.lock().members);
             hosts.iter().any(|host| !is_allowed(&host.failure_domain))
         };
         match read {
             Err(HistoryError::Nonexistent) if has_others => {
-                self.read_chain_in(key, |domain| !is_allowed(domain)).await
+                self.read_chain_in(key, allowed_regions, |domain| !is_allowed(domain))
+                    .await
             }
             read => read,
         }
@@ -327,6 +355,7 @@
     async fn read_chain_in(
         &self,
         key: &TurnKey,
+        allowed_regions: Option<&[RegionId]>,
         included: impl Fn(&str) -> bool,
     ) -> Result<Vec<Turn>, HistoryError> {
         let (mut lookup, members) = {
@@ -336,13 +365,15 @@
             let lookup = Lookup::new(key, &self.failure_domain, &hosts, &state.health);
             (lookup, state.members.clone())
         };
+        let call = TurnCall::ReadChain(key.clone());
+        let call = EncodedCall::new(call).map_err(|_unencodable| HistoryError::Uncertain)?;
         let mut chain = Vec::new();
         while let Some(host) = lookup.next_host() {
             let Some(member) = members.get(&host) else {
                 continue;
             };
-            let call = TurnCall::ReadChain(key.clone());
-            let response = self.peer_client.call(member.address, &call, READ_TIMEOUT).await;
+            let destination = Destination::new(&host, member.address, allowed_regions);
+            let response = self.links.call(destination, &call, READ_TIMEOUT).await;
             self.record_health(&host, response.is_ok());
             let reply = match response {
                 Ok(TurnResponse::Chain(turns)) if !turns.is_empty() => {
@@ -384,6 +415,11 @@
         }
     }
 
+    /// Checks this host's own links that are cut, so that they are used again when they carry calls.
+    pub(crate) async fn check_cut_links(self: Arc<Self>) {
+        self.links.check_cut_links(|host| self.address_of(host)).await;
+    }
+
     fn address_of(&self, host: &str) -> Option<SocketAddr> {
         self.lock().members.get(host).map(|member| member.address)
     }
@@ -394,11 +430,11 @@
             self.record_health(&host, true);
             return;
         };
-        let call = TurnCall::Missing(Vec::new());
-        let response = self
-            .peer_client
-            .call::<TurnResponse>(address, &call, READ_TIMEOUT)
-            .await;
+        let Ok(call) = EncodedCall::new(TurnCall::Missing(Vec::new())) else {
+            return;
+        };
+        let destination = Destination::new(&host, address, None);
+        let response = self.links.call(destination, &call, READ_TIMEOUT).await;
         self.record_health(&host, response.is_ok());
     }
 
--- /dev/null
+++ b/crates/burdockroad-gateway/src/turn_store/links.rs
@@ -0,0 +1,299 @@
+//! Calls of a gateway host to the hosts that store turns, on its own links or through another gateway host.
+//!
+//! A gateway host may be cut from the hosts that store turns while callers, endpoints and other gateway hosts
+//! reach it. Its calls to them then go through a gateway host that reports to reach them. Calls to these hosts may be
+//! repeated, so a call whose link does not respond is sent on both ways, and the first response counts.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    pin::pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use burdockroad::{
+    HostId, RegionId,
+    gateway::{RegionMap, TurnHostHealth},
+};
+use bytes::Bytes;
+use futures_util::future::{Either, join_all, select};
+use serde::Serialize;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    DecisionLog,
+    peer_client::{PeerClient, PeerError, encode_message},
+    peer_messages::{PeerCall, PeerResponse},
+    turn_store::messages::{TurnCall, TurnResponse},
+};
+
+/// Time without a response after which the link to a host is checked. The host itself may be slow.
+const LINK_CHECK_DELAY: Duration = Duration::from_millis(100);
+
+/// Longest time of a check of a link. A check reads nothing from a disk.
+const LINK_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Interval at which links that are cut are checked again.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Maximum age of a gateway host's report that it reaches the hosts that store turns.
+const RELAY_REPORT_AGE_MAX: Duration = Duration::from_secs(1);
+
+/// Links of a gateway host to the hosts that store turns.
+#[derive(Debug)]
+pub(crate) struct TurnHostLinks {
+    failure_domain: String,
+    regions: Arc<RegionMap>,
+    peer_client: Arc<PeerClient>,
+    log: DecisionLog,
+    state: Mutex<LinkState>,
+}
+
+#[derive(Debug, Default)]
+struct LinkState {
+    /// Links of this host that carried no call. Says nothing about the health of the hosts at their other end.
+    cut: TurnHostHealth,
+    /// Gateway hosts that reach the hosts that store turns, by address.
+    relays: HashMap<SocketAddr, Relay>,
+}
+
+/// Gateway host that passes calls on.
+#[derive(Clone, Debug)]
+struct Relay {
+    failure_domain: String,
+    reported_at: Instant,
+}
+
+/// Host that a call goes to.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Destination<'a> {
+    host: &'a HostId,
+    address: SocketAddr,
+    /// Regions in which the call must stay; `None` if any region is allowed.
+    allowed_regions: Option<&'a [RegionId]>,
+}
+
+/// Call that is encoded already because several hosts receive it.
+#[derive(Clone, Debug)]
+pub(super) struct EncodedCall {
+    call: TurnCall,
+    message: Bytes,
+}
+
+impl<'a> Destination<'a> {
+    pub(super) fn new(
+        host: &'a HostId,
+        address: SocketAddr,
+        allowed_regions: Option<&'a [RegionId]>,
+    ) -> Self {
+        Self {
+            host,
+            address,
+            allowed_regions,
+        }
+    }
+}
+
+impl EncodedCall {
+    /// Encodes a call.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the call cannot be encoded.
+    pub(super) fn new(call: TurnCall) -> Result<Self, PeerError> {
+        let message = encode_message(&call)?;
+        Ok(Self { call, message })
+    }
+}
+
+impl TurnHostLinks {
+    pub(super) fn new(
+        failure_domain: String,
+        regions: Arc<RegionMap>,
+        peer_client: Arc<PeerClient>,
+        log: DecisionLog,
+    ) -> Self {
+        Self {
+            failure_domain,
+            regions,
+            peer_client,
+            log,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Records a gateway host's report on whether it reaches the hosts that store turns.
+    pub(crate) fn record_relay(
+        &self,
+        address: SocketAddr,
+        failure_domain: &str,
+        reaches_turn_hosts: bool,
+        now: Instant,
+    ) {
+        let mut state = self.lock();
+        if !reaches_turn_hosts {
+            state.relays.remove(&address);
+            return;
+        }
+        let relay = state.relays.entry(address).or_insert_with(|| Relay {
+            failure_domain: failure_domain.to_owned(),
+            reported_at: now,
+        });
+        relay.reported_at = now;
+    }
+
+    /// Returns whether this host's own link to a host is cut.
+    pub(super) fn is_cut(&self, host: &str) -> bool {
+        self.lock().cut.is_failing(host)
+    }
+
+    /// Calls a host on this host's own link, and through another gateway host if the link is cut.
+    pub(super) async fn call(
+        &self,
+        destination: Destination<'_>,
+        call: &EncodedCall,
+        response_timeout: Duration,
+    ) -> Result<TurnResponse, PeerError> {
+        let message = call.message.clone();
+        let own_link = self
+            .peer_client
+            .call_encoded(destination.address, message, response_timeout);
+        let mut own_link = pin!(own_link);
+        if !self.is_cut(destination.host) {
+            let link_cut = pin!(self.wait_for_cut(destination));
+            match select(own_link.as_mut(), link_cut).await {
+                Either::Left((Ok(response), _)) => return Ok(response),
+                Either::Left((Err(error), _)) => {
+                    if self.check(destination).await {
+                        return Err(error);
+                    }
+                    let relayed = self.call_through_host(destination, call, response_timeout).await;
+                    return relayed.ok_or(error);
+                }
+                Either::Right(((), _)) => {}
+            }
+        }
+        let through_host = pin!(self.call_through_host(destination, call, response_timeout));
+        match select(own_link, through_host).await {
+            Either::Left((Ok(response), _)) | Either::Right((Some(response), _)) => Ok(response),
+            Either::Left((Err(error), through_host)) => through_host.await.ok_or(error),
+            Either::Right((None, own_link)) => own_link.await,
+        }
+    }
+
+    /// Passes the call of another gateway host on, on this host's own link.
+    pub(super) async fn relay(
+        &self,
+        address: SocketAddr,
+        call: &TurnCall,
+        response_timeout: Duration,
+    ) -> Option<TurnResponse> {
+        let response = self.peer_client.call(address, call, response_timeout).await;
+        response.ok()
+    }
+
+    /// Checks links that are cut until they carry calls again. `address_of` returns the address of a host.
+    pub(super) async fn check_cut_links(&self, address_of: impl Fn(&str) -> Option<SocketAddr>) {
+        loop {
+            sleep(RECHECK_INTERVAL).await;
+            let due = self.lock().cut.take_due_probes(Instant::now());
+            let checks = due.iter().map(async |host| match address_of(host) {
+                Some(address) => {
+                    // The check itself records whether the link carries calls.
+                    let _responds = self.check(Destination::new(host, address, None)).await;
+                }
+                None => self.record_link(host, true),
+            });
+            join_all(checks).await;
+        }
+    }
+
+    /// Returns when a call has waited for long and the link is found to be cut.
+    async fn wait_for_cut(&self, destination: Destination<'_>) {
+        sleep(LINK_CHECK_DELAY).await;
+        if !self.is_cut(destination.host) && self.check(destination).await {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Checks whether this host's own link to a host carries calls.
+    async fn check(&self, destination: Destination<'_>) -> bool {
+        let call = TurnCall::Missing(Vec::new());
+        let calling = self
+            .peer_client
+            .call::<TurnResponse>(destination.address, &call, LINK_CHECK_TIMEOUT);
+        let responds = matches!(timeout(LINK_CHECK_TIMEOUT, calling).await, Ok(Ok(_)));
+        self.record_link(destination.host, responds);
+        responds
+    }
+
+    /// Calls a host through another gateway host in allowed regions. Returns `None` without a response.
+    async fn call_through_host(
+        &self,
+        destination: Destination<'_>,
+        call: &EncodedCall,
+        response_timeout: Duration,
+    ) -> Option<TurnResponse> {
+        let relay = self.choose_relay(destination.allowed_regions)?;
+        metrics::counter!("burdockroad_turn_calls_relayed_total").increment(1);
+        let relayed = PeerCall::Turns {
+            host: destination.host.clone(),
+            call: call.call.clone(),
+        };
+        let response = self.peer_client.call(relay, &relayed, response_timeout).await;
+        match response {
+            Ok(PeerResponse::Turns(response)) => response,
+            Ok(_) => None,
+            Err(_) => {
+                self.lock().relays.remove(&relay);
+                None
+            }
+        }
+    }
+
+    /// Chooses a random gateway host in allowed regions, of this host's failure domain if there is one.
+    fn choose_relay(&self, allowed_regions: Option<&[RegionId]>) -> Option<SocketAddr> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        state
+            .relays
+            .retain(|_, relay| now < relay.reported_at + RELAY_REPORT_AGE_MAX);
+        let allowed = state
+            .relays
+            .iter()
+            .filter(|(_, relay)| self.regions.allows(&relay.failure_domain, allowed_regions));
+        let (local, remote): (Vec<_>, Vec<_>) =
+            allowed.partition(|(_, relay)| relay.failure_domain == self.failure_domain);
+        let preferred = if local.is_empty() { remote } else { local };
+        let index = usize::from(rand::random::<u16>()).checked_rem(preferred.len())?;
+        Some(*preferred[index].0)
+    }
+
+    /// Records whether a link carried a call, and logs when it is cut and when it carries calls again.
+    fn record_link(&self, host: &HostId, carries_calls: bool) {
+        let mut state = self.lock();
+        let was_cut = state.cut.is_failing(host);
+        if carries_calls {
+            state.cut.record_response(host);
+        } else {
+            state.cut.record_failure(host, Instant::now());
+        }
+        drop(state);
+        match (was_cut, carries_calls) {
+            (false, false) => self.log.line("turn_link_cut", &LinkLine { host }),
+            (true, true) => self.log.line("turn_link_open", &LinkLine { host }),
+            _ => {}
+        }
+    }
+
+    /// Locks the state. The lock is never held across an `await`.
+    fn lock(&self) -> MutexGuard<'_, LinkState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[derive(Serialize)]
+struct LinkLine<'a> {
+    host: &'a str,
+}
