--- a/crates/burdockroad-gateway/src/hosts.rs
+++ b/crates/burdockroad-gateway/src/hosts.rs
@@ -190,7 +190,7 @@
         let reason = error.to_string();
         shared.log.line("leave_failed", &RegistrationErrorLine { reason });
     }
-    shared.tables().ledger.release_idle(Instant::now());
+    shared.tables().ledger.stop();
 }
 
 /// Returns this host's entry.
--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -119,6 +119,8 @@
     /// Programs with a write to send, in the order in which they were queued.
     write_queue: VecDeque<ProgramId>,
     next_write_id: u64,
+    /// Whether the host is stopping and returns all tokens that no running call needs.
+    stopping: bool,
 }
 
 impl Ledger {
@@ -130,6 +132,7 @@
             rows: HashMap::new(),
             write_queue: VecDeque::new(),
             next_write_id: 1,
+            stopping: false,
         }
     }
 
@@ -267,6 +270,15 @@
         }
     }
 
+    /// Records that the host is stopping. From then on, [`settle_due`](Self::settle_due) returns the tokens of all
+    /// programs that no running call uses, because nobody can ask a host that is gone for them.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+        for row in self.rows.values_mut() {
+            row.owns_budget = false;
+        }
+    }
+
     /// Queues writes that return unused tokens which no other write has returned within `settle_after`. A
     /// write is queued only if other hosts may need the tokens.
     pub fn settle_due(&mut self, now: Instant) {
@@ -275,7 +287,9 @@
             if std::mem::take(&mut row.may_be_idle) && row.settle_at.is_none() {
                 row.settle_at = Some(now + self.options.settle_after);
             }
-            if row.settle_at.is_some_and(|at| at <= now) {
+            if self.stopping && row.returns_tokens_at_stop() {
+                due.push(program.clone());
+            } else if row.settle_at.is_some_and(|at| at <= now) {
                 row.settle_at = None;
                 if row.needs_settling() {
                     due.push(program.clone());
--- a/crates/burdockroad/src/gateway/budget/program_budget.rs
+++ b/crates/burdockroad/src/gateway/budget/program_budget.rs
@@ -126,6 +126,11 @@
             && unreserved < self.last_call_tokens.saturating_mul(SETTLE_THRESHOLD_CALLS)
     }
 
+    /// Returns whether a host that is stopping returns tokens of this budget.
+    pub(super) fn returns_tokens_at_stop(&self) -> bool {
+        self.idle_tokens() > 0 && self.waiting_tokens == 0 && self.pending.is_none()
+    }
+
     /// Returns the next write, if one is needed. A write of unknown outcome is repeated unchanged until its
     /// outcome is known.
     pub(super) fn plan_write(&mut self, incarnation: Incarnation, write_id: u64) -> Option<Pending> {
--- a/crates/burdockroad/tests/gateway_budget.rs
+++ b/crates/burdockroad/tests/gateway_budget.rs
@@ -11,6 +11,8 @@
 const HOSTS: usize = 3;
 const BUDGET_TOKENS: u64 = 1300;
 const MAX_TOKENS: u64 = 288;
+/// Budget of which much more is left unreserved than the next calls need.
+const LARGE_BUDGET_TOKENS: u64 = 100 * MAX_TOKENS;
 const PROGRAM: &str = "program";
 
 /// Simulated outcome of a write.
@@ -31,6 +33,7 @@
     DelayedArrives,
     Poll { host: usize },
     Release { host: usize },
+    Stop { host: usize },
     Kill { host: usize },
 }
 
@@ -140,6 +143,11 @@
                 ledger.release_idle(now);
                 ledger.settle_due(now);
             }
+            Step::Stop { host } => {
+                let ledger = &mut self.hosts[host].ledger;
+                ledger.stop();
+                ledger.settle_due(now);
+            }
             Step::Kill { host } => {
                 // The callers may have received all tokens that the host's running calls could generate.
                 self.generated_tokens += self.hosts[host].running as u64 * MAX_TOKENS;
@@ -192,6 +200,7 @@
         1 => Just(Step::DelayedArrives),
         1 => host.clone().prop_map(|host| Step::Poll { host }),
         1 => host.clone().prop_map(|host| Step::Release { host }),
+        1 => host.clone().prop_map(|host| Step::Stop { host }),
         1 => host.prop_map(|host| Step::Kill { host }),
     ]
 }
@@ -389,3 +398,51 @@
     assert_eq!(stored.spent_tokens, 10);
     assert_eq!(stored.reserved_tokens(), 0);
 }
+
+/// Runs one call of a program with a large budget at a host that owns it.
+fn run_call_of_large_program(cluster: &mut Cluster, host: usize) {
+    let program = PROGRAM.to_owned();
+    let now = cluster.now;
+    let ledger = &mut cluster.hosts[host].ledger;
+    ledger.add_waiter(&program, LARGE_BUDGET_TOKENS, MAX_TOKENS, true, now);
+    for _ in 0..3 {
+        if cluster.hosts[host].ledger.take(&program, MAX_TOKENS) == Readiness::Ready {
+            break;
+        }
+        cluster.write(host, WriteOutcome::Responded);
+    }
+    let ledger = &mut cluster.hosts[host].ledger;
+    ledger.remove_waiter(&program, MAX_TOKENS);
+    ledger.settle(&program, MAX_TOKENS, 10, now);
+}
+
+/// Guards against 402 after a series of planned restarts: hosts that stopped kept their part of a large budget.
+#[test]
+fn stop_returns_unused_tokens_of_large_budget() {
+    let mut cluster = Cluster::new();
+    run_call_of_large_program(&mut cluster, 0);
+    cluster.hosts[0].ledger.stop();
+    let now = cluster.now;
+    cluster.hosts[0].ledger.settle_due(now);
+    cluster.write(0, WriteOutcome::Responded);
+    let stored = cluster.store.stored.expect("the budget is stored").budget;
+    assert_eq!(stored.spent_tokens, 10);
+    assert_eq!(stored.reserved_tokens(), 0);
+}
+
+/// Guards against tokens that stay reserved because another host wrote the budget while this one stopped.
+#[test]
+fn stop_returns_unused_tokens_after_a_conflict() {
+    let mut cluster = Cluster::new();
+    run_call_of_large_program(&mut cluster, 0);
+    run_call_of_large_program(&mut cluster, 1);
+    cluster.hosts[0].ledger.stop();
+    for _ in 0..2 {
+        let now = cluster.now;
+        cluster.hosts[0].ledger.settle_due(now);
+        cluster.write(0, WriteOutcome::Responded);
+    }
+    let stored = cluster.store.stored.expect("the budget is stored").budget;
+    let reserving: Vec<u64> = stored.reservations.iter().map(|one| one.incarnation).collect();
+    assert_eq!(reserving, [2]);
+}
