Merge the relay of calls to hosts with disks through other gateway hosts

The relay and the storing of turns while hosts seem lost met in turn_store/client.rs: DiskHosts now makes its calls on TurnHostLinks, so the health of a host counts responses on both ways.

--- a/crates/burdockroad-gateway/src/turn_store.rs
+++ b/crates/burdockroad-gateway/src/turn_store.rs
@@ -7,6 +7,7 @@
 pub(crate) mod client;
 mod disk_hosts;
 pub(crate) mod host;
+pub(crate) mod links;
 pub(crate) mod log;
 pub(crate) mod members;
 pub(crate) mod messages;
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -18,9 +18,10 @@
 use crate::{
     DecisionLog,
     clock::unix_ms,
-    peer_client::{PeerClient, encode_message},
+    peer_client::PeerClient,
     turn_store::{
         disk_hosts::{DiskHosts, STORE_TIMEOUT},
+        links::{Destination, EncodedCall, TurnHostLinks},
         members::{TurnMembers, readable, writable},
         messages::{TurnCall, TurnResponse},
         write::TurnWrite,
@@ -83,11 +84,17 @@
         peer_client: Arc<PeerClient>,
         log: DecisionLog,
     ) -> Self {
+        let links = TurnHostLinks::new(
+            failure_domain.clone(),
+            Arc::clone(&regions),
+            peer_client,
+            log.clone(),
+        );
         Self {
             tolerated_losses,
             failure_domain,
             regions,
-            disk_hosts: Arc::new(DiskHosts::new(peer_client)),
+            disk_hosts: Arc::new(DiskHosts::new(links)),
             log,
             state: Mutex::new(ClientState {
                 members: TurnMembers::new(),
@@ -124,6 +131,24 @@
         lost < hosts.len() && lost <= self.tolerated_losses
     }
 
+    /// Returns the links to the hosts that store turns.
+    pub(crate) fn links(&self) -> &TurnHostLinks {
+        self.disk_hosts.links()
+    }
+
+    /// Returns whether this host's own links reach enough hosts for a turn to be durable.
+    pub(crate) fn reaches_hosts(&self) -> bool {
+        let members = self.lock().members.clone();
+        let cut = members.keys().filter(|host| self.links().is_cut(host)).count();
+        cut < members.len() && cut <= self.tolerated_losses
+    }
+
+    /// Passes the call of another gateway host on. Returns `None` if the host that stores turns does not respond.
+    pub(crate) async fn relay(&self, host: &str, call: &TurnCall) -> Option<TurnResponse> {
+        let address = self.address_of(host)?;
+        self.links().relay(address, call, STORE_TIMEOUT).await
+    }
+
     /// Returns the chain that ends with a turn. Turns that this host does not have are read from hosts in allowed
     /// regions if possible.
     pub(crate) async fn history(
@@ -180,12 +205,9 @@
         let storage_time_ms = u64::try_from(storage_time.as_millis()).unwrap_or(u64::MAX);
         let mut turns = renewals(history, &turn, unix_ms(), storage_time_ms);
         turns.push(turn.clone());
-        let message = encode_message(&TurnCall::Store(turns)).ok()?;
+        let call = Arc::new(EncodedCall::new(TurnCall::Store(turns)).ok()?);
         let mut write = self.begin_write(&turn);
-        let running = timeout(
-            time_left.min(STORE_TIMEOUT),
-            write.run(&self.disk_hosts, &message),
-        );
+        let running = timeout(time_left.min(STORE_TIMEOUT), write.run(&self.disk_hosts, &call));
         let replicas = running.await.ok().flatten();
         if replicas.is_some() {
             self.lock().cache.insert(Arc::new(turn));
@@ -203,7 +225,7 @@
         let hosts = self.regions.allowed_hosts(hosts, turn.allowed_regions.as_deref());
         let health = self.disk_hosts.health();
         let replication = Replication::new(turn, &hosts, self.tolerated_losses, &health);
-        TurnWrite::new(replication, members)
+        TurnWrite::new(replication, members, turn.allowed_regions.clone())
     }
 
     /// Reads the newest turns of a chain, newest turn first.
@@ -217,14 +239,15 @@
         allowed_regions: Option<&[RegionId]>,
     ) -> Result<Vec<Turn>, HistoryError> {
         let is_allowed = |domain: &str| self.regions.allows(domain, allowed_regions);
-        let read = self.read_chain_in(key, is_allowed).await;
+        let read = self.read_chain_in(key, allowed_regions, is_allowed).await;
         let has_others = {
             let hosts = readable(&self.lock().members);
             hosts.iter().any(|host| !is_allowed(&host.failure_domain))
         };
         match read {
             Err(HistoryError::Nonexistent) if has_others => {
-                self.read_chain_in(key, |domain| !is_allowed(domain)).await
+                self.read_chain_in(key, allowed_regions, |domain| !is_allowed(domain))
+                    .await
             }
             read => read,
         }
@@ -234,20 +257,22 @@
     async fn read_chain_in(
         &self,
         key: &TurnKey,
+        allowed_regions: Option<&[RegionId]>,
         included: impl Fn(&str) -> bool,
     ) -> Result<Vec<Turn>, HistoryError> {
         let members = self.lock().members.clone();
         let mut hosts = readable(&members);
         hosts.retain(|host| included(&host.failure_domain));
         let mut lookup = Lookup::new(key, &self.failure_domain, &hosts, &self.disk_hosts.health());
+        let call = TurnCall::ReadChain(key.clone());
+        let call = EncodedCall::new(call).map_err(|_unencodable| HistoryError::Uncertain)?;
         let mut chain = Vec::new();
         while let Some(host) = lookup.next_host() {
             let Some(member) = members.get(&host) else {
                 continue;
             };
-            let call = TurnCall::ReadChain(key.clone());
-            let response = self.disk_hosts.call(&host, member.address, &call, READ_TIMEOUT);
-            let response = response.await;
+            let destination = Destination::new(&host, member.address, allowed_regions);
+            let response = self.disk_hosts.call(destination, &call, READ_TIMEOUT).await;
             let reply = match response {
                 Ok(TurnResponse::Chain(turns)) if !turns.is_empty() => {
                     chain = turns;
@@ -278,6 +303,11 @@
         }
     }
 
+    /// Checks this host's own links that are cut, so that they are used again when they carry calls.
+    pub(crate) async fn check_cut_links(self: Arc<Self>) {
+        self.links().check_cut_links(|host| self.address_of(host)).await;
+    }
+
     fn address_of(&self, host: &str) -> Option<SocketAddr> {
         self.lock().members.get(host).map(|member| member.address)
     }
@@ -288,9 +318,12 @@
             self.disk_hosts.record_response(&host);
             return;
         };
-        let call = TurnCall::Missing(Vec::new());
+        let Ok(call) = EncodedCall::new(TurnCall::Missing(Vec::new())) else {
+            return;
+        };
+        let destination = Destination::new(&host, address, None);
         // The call records whether the host responded.
-        let _response = self.disk_hosts.call(&host, address, &call, READ_TIMEOUT).await;
+        let _response = self.disk_hosts.call(destination, &call, READ_TIMEOUT).await;
     }
 
     /// Locks the state. The lock is never held across an `await`.
--- a/crates/burdockroad-gateway/src/turn_store/disk_hosts.rs
+++ b/crates/burdockroad-gateway/src/turn_store/disk_hosts.rs
@@ -1,17 +1,18 @@
 //! Calls to the hosts that store turns, with their health as this host sees it.
 
 use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
 use burdockroad::{HostId, gateway::TurnHostHealth};
-use bytes::Bytes;
 
 use crate::{
-    peer_client::{PeerClient, PeerError},
-    turn_store::messages::{TurnCall, TurnResponse},
+    peer_client::PeerError,
+    turn_store::{
+        links::{Destination, EncodedCall, TurnHostLinks},
+        messages::TurnResponse,
+    },
 };
 
 /// Timeout of the replication of a turn. The caller's deadline may end it before. It is shorter than the time for which
@@ -22,7 +23,7 @@
 /// The hosts that store turns.
 #[derive(Debug)]
 pub(super) struct DiskHosts {
-    peer_client: Arc<PeerClient>,
+    links: TurnHostLinks,
     health: Mutex<TurnHostHealth>,
 }
 
@@ -60,20 +61,23 @@
 }
 
 impl DiskHosts {
-    pub(super) fn new(peer_client: Arc<PeerClient>) -> Self {
+    pub(super) fn new(links: TurnHostLinks) -> Self {
         Self {
-            peer_client,
+            links,
             health: Mutex::default(),
         }
     }
 
-    /// Stores an encoded call at one host, and records its health.
-    pub(super) async fn store(&self, host: &HostId, address: SocketAddr, message: Bytes) -> StoreResult {
+    /// Returns the links to the hosts that store turns.
+    pub(super) fn links(&self) -> &TurnHostLinks {
+        &self.links
+    }
+
+    /// Sends a call that stores turns to one host, and records its health.
+    pub(super) async fn store(&self, destination: Destination<'_>, call: &EncodedCall) -> StoreResult {
         let sent_at = Instant::now();
-        let response = self
-            .peer_client
-            .call_encoded(address, message, STORE_TIMEOUT)
-            .await;
+        let host = destination.host;
+        let response = self.links.call(destination, call, STORE_TIMEOUT).await;
         let result = StoreResult::of(&response);
         match result {
             StoreResult::Stored => self.record_response(host),
@@ -87,13 +91,13 @@
     /// Calls one host, and records its health.
     pub(super) async fn call(
         &self,
-        host: &HostId,
-        address: SocketAddr,
-        call: &TurnCall,
+        destination: Destination<'_>,
+        call: &EncodedCall,
         response_timeout: Duration,
     ) -> Result<TurnResponse, PeerError> {
         let sent_at = Instant::now();
-        let response = self.peer_client.call(address, call, response_timeout).await;
+        let host = destination.host;
+        let response = self.links.call(destination, call, response_timeout).await;
         match response {
             Ok(_) => self.record_response(host),
             Err(_) => self.record_silence(host, sent_at),
--- a/crates/burdockroad-gateway/src/turn_store/write.rs
+++ b/crates/burdockroad-gateway/src/turn_store/write.rs
@@ -6,10 +6,9 @@
 };
 
 use burdockroad::{
-    HostId,
+    HostId, RegionId,
     gateway::{Replication, ReplicationProgress},
 };
-use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use serde::Serialize;
 use tokio::{
@@ -21,6 +20,7 @@
     clock::as_ms,
     turn_store::{
         disk_hosts::{DiskHosts, StoreResult},
+        links::{Destination, EncodedCall},
         members::TurnMembers,
     },
 };
@@ -43,6 +43,8 @@
 pub(super) struct TurnWrite {
     replication: Replication,
     members: TurnMembers,
+    /// Regions in which the turn must stay; `None` if any region is allowed.
+    allowed_regions: Option<Vec<RegionId>>,
     /// The hosts that the turn was sent to.
     sent: Vec<HostCall>,
     replies: FuturesUnordered<JoinHandle<StoreReply>>,
@@ -76,10 +78,15 @@
 }
 
 impl TurnWrite {
-    pub(super) fn new(replication: Replication, members: TurnMembers) -> Self {
+    pub(super) fn new(
+        replication: Replication,
+        members: TurnMembers,
+        allowed_regions: Option<Vec<RegionId>>,
+    ) -> Self {
         Self {
             replication,
             members,
+            allowed_regions,
             sent: Vec::new(),
             replies: FuturesUnordered::new(),
             started_at: Instant::now(),
@@ -89,14 +96,18 @@
 
     /// Sends an encoded call to as many hosts as must store the turn. Returns the number of replicas, or `None` if
     /// there is no host that could store the turn.
-    pub(super) async fn run(&mut self, disk_hosts: &Arc<DiskHosts>, message: &Bytes) -> Option<usize> {
+    pub(super) async fn run(
+        &mut self,
+        disk_hosts: &Arc<DiskHosts>,
+        call: &Arc<EncodedCall>,
+    ) -> Option<usize> {
         loop {
-            self.record_slow_hosts(disk_hosts, message);
+            self.record_slow_hosts(disk_hosts, call);
             while let Some(host) = self.replication.next_host() {
-                self.send(disk_hosts, host, false, message);
+                self.send(disk_hosts, host, false, call);
             }
             while let Some(host) = self.replication.next_lost_host() {
-                self.send(disk_hosts, host, true, message);
+                self.send(disk_hosts, host, true, call);
             }
             match self.replication.progress() {
                 ReplicationProgress::Durable => return Some(self.replication.replicas()),
@@ -115,7 +126,7 @@
 
     /// Sends the turn to a host. The call goes on when the turn is durable without it, so that its response shows that
     /// the host is not lost, and its connection is kept.
-    fn send(&mut self, disk_hosts: &Arc<DiskHosts>, host: HostId, is_lost: bool, message: &Bytes) {
+    fn send(&mut self, disk_hosts: &Arc<DiskHosts>, host: HostId, is_lost: bool, call: &Arc<EncodedCall>) {
         let position = self.sent.iter().position(|call| call.host == host);
         let previous = position.map(|position| self.sent.swap_remove(position));
         self.sent.push(HostCall {
@@ -129,10 +140,14 @@
         });
         let address = self.members.get(&host).map(|member| member.address);
         let disk_hosts = Arc::clone(disk_hosts);
-        let message = message.clone();
+        let call = Arc::clone(call);
+        let allowed_regions = self.allowed_regions.clone();
         self.replies.push(tokio::spawn(async move {
             let result = match address {
-                Some(address) => disk_hosts.store(&host, address, message).await,
+                Some(address) => {
+                    let destination = Destination::new(&host, address, allowed_regions.as_deref());
+                    disk_hosts.store(destination, &call).await
+                }
                 None => StoreResult::Unreachable,
             };
             match result {
@@ -145,7 +160,7 @@
     }
 
     /// Records the hosts that do not respond in time, and sends the turn to others.
-    fn record_slow_hosts(&mut self, disk_hosts: &Arc<DiskHosts>, message: &Bytes) {
+    fn record_slow_hosts(&mut self, disk_hosts: &Arc<DiskHosts>, call: &Arc<EncodedCall>) {
         let mut extra_hosts = 0;
         let calls = self.sent.iter_mut().filter(|call| call.result.is_none());
         for call in calls.filter(|call| call.sent_at.elapsed() >= HEDGE_DELAY) {
@@ -160,9 +175,9 @@
         }
         for _ in 0..extra_hosts {
             if let Some(host) = self.replication.next_extra_host() {
-                self.send(disk_hosts, host, false, message);
+                self.send(disk_hosts, host, false, call);
             } else if let Some(host) = self.replication.next_extra_lost_host() {
-                self.send(disk_hosts, host, true, message);
+                self.send(disk_hosts, host, true, call);
             }
         }
     }
