Abort the calls of a turn that was not stored

Calls that store a turn go on in tasks of their own since. When the turn is not durable, its caller sees a cut and may repeat the call under the same id; a late call would then replace the turn of the repeat at one host. Only the calls of a durable turn go on now, whose content cannot change.

--- a/crates/burdockroad-gateway/src/turn_store/write.rs
+++ b/crates/burdockroad-gateway/src/turn_store/write.rs
@@ -10,10 +10,9 @@
     gateway::{Replication, ReplicationProgress},
 };
 use bytes::Bytes;
-use futures_util::stream::{FuturesUnordered, StreamExt};
 use serde::Serialize;
 use tokio::{
-    task::JoinHandle,
+    task::JoinSet,
     time::{sleep, timeout},
 };
 
@@ -45,7 +44,9 @@
     members: TurnMembers,
     /// The hosts that the turn was sent to.
     sent: Vec<HostCall>,
-    replies: FuturesUnordered<JoinHandle<StoreReply>>,
+    /// Calls in flight. They are aborted with the write unless the turn is durable, because the caller may then repeat
+    /// the call, and its turn must not be replaced by this one.
+    replies: JoinSet<StoreReply>,
     started_at: Instant,
     /// Longest time by which this host was late to look at its responses.
     longest_delay: Duration,
@@ -81,7 +82,7 @@
             replication,
             members,
             sent: Vec::new(),
-            replies: FuturesUnordered::new(),
+            replies: JoinSet::new(),
             started_at: Instant::now(),
             longest_delay: Duration::ZERO,
         }
@@ -99,12 +100,15 @@
                 self.send(disk_hosts, host, true, message);
             }
             match self.replication.progress() {
-                ReplicationProgress::Durable => return Some(self.replication.replicas()),
+                ReplicationProgress::Durable => {
+                    self.replies.detach_all();
+                    return Some(self.replication.replicas());
+                }
                 ReplicationProgress::Failed => return None,
                 ReplicationProgress::Pending => {}
             }
             let waiting_since = Instant::now();
-            let ended = timeout(HEDGE_DELAY, self.replies.next()).await;
+            let ended = timeout(HEDGE_DELAY, self.replies.join_next()).await;
             let delay = waiting_since.elapsed().saturating_sub(HEDGE_DELAY);
             self.longest_delay = self.longest_delay.max(delay);
             if let Ok(reply) = ended {
@@ -130,7 +134,7 @@
         let address = self.members.get(&host).map(|member| member.address);
         let disk_hosts = Arc::clone(disk_hosts);
         let message = message.clone();
-        self.replies.push(tokio::spawn(async move {
+        self.replies.spawn(async move {
             let result = match address {
                 Some(address) => disk_hosts.store(&host, address, message).await,
                 None => StoreResult::Unreachable,
@@ -141,7 +145,7 @@
                 _ => sleep(RETRY_INTERVAL).await,
             }
             StoreReply { host, result }
-        }));
+        });
     }
 
     /// Records the hosts that do not respond in time, and sends the turn to others.
