--- a/crates/burdockroad-gateway/src/turn_store/write.rs
+++ b/crates/burdockroad-gateway/src/turn_store/write.rs
@@ -9,10 +9,9 @@
     HostId, RegionId,
     gateway::{Replication, ReplicationProgress},
 };
-use futures_util::stream::{FuturesUnordered, StreamExt};
 use serde::Serialize;
 use tokio::{
-    task::JoinHandle,
+    task::JoinSet,
     time::{sleep, timeout},
 };
 
@@ -47,7 +46,9 @@
     allowed_regions: Option<Vec<RegionId>>,
     /// The hosts that the turn was sent to.
     sent: Vec<HostCall>,
-    replies: FuturesUnordered<JoinHandle<StoreReply>>,
+    /// Calls in flight. They are aborted with the write unless the turn is durable, because the caller may then repeat
+    /// the call, and its turn must not be replaced by this one.
+    replies: JoinSet<StoreReply>,
     started_at: Instant,
     /// Longest time by which this host was late to look at its responses.
     longest_delay: Duration,
@@ -88,7 +89,7 @@
             members,
             allowed_regions,
             sent: Vec::new(),
-            replies: FuturesUnordered::new(),
+            replies: JoinSet::new(),
             started_at: Instant::now(),
             longest_delay: Duration::ZERO,
         }
@@ -110,12 +111,15 @@
                 self.send(disk_hosts, host, true, call);
             }
             match self.replication.progress() {
-                ReplicationProgress::Durable => return Some(self.replication.replicas()),
+                ReplicationProgress::Durable => {
+                    self.replies.detach_all();
+                    return Some(self.replication.replicas());
+                }
                 ReplicationProgress::Failed => return None,
                 ReplicationProgress::Pending => {}
             }
             let waiting_since = Instant::now();
-            let ended = timeout(HEDGE_DELAY, self.replies.next()).await;
+            let ended = timeout(HEDGE_DELAY, self.replies.join_next()).await;
             let delay = waiting_since.elapsed().saturating_sub(HEDGE_DELAY);
             self.longest_delay = self.longest_delay.max(delay);
             if let Ok(reply) = ended {
@@ -142,7 +146,7 @@
         let disk_hosts = Arc::clone(disk_hosts);
         let call = Arc::clone(call);
         let allowed_regions = self.allowed_regions.clone();
-        self.replies.push(tokio::spawn(async move {
+        self.replies.spawn(async move {
             let result = match address {
                 Some(address) => {
                     let destination = Destination::new(&host, address, allowed_regions.as_deref());
@@ -156,7 +160,7 @@
                 _ => sleep(RETRY_INTERVAL).await,
             }
             StoreReply { host, result }
-        }));
+        });
     }
 
     /// Records the hosts that do not respond in time, and sends the turn to others.
