--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -26,6 +26,7 @@
     remote_reservation::RemoteReservation,
     reservations::refresh_budget,
     shared::Shared,
+    unreturned_tokens::log_unreturned,
 };
 
 /// Longest time that a call waits for its reservation.
@@ -383,6 +384,7 @@
     let now = Instant::now();
     let is_short = shared.tables().ledger.is_short(program, RECLAIM_TIME, now);
     if is_short {
+        log_unreturned(shared, program);
         ReservationResponse::BudgetExhausted
     } else {
         ReservationResponse::FullyReserved
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -72,6 +72,7 @@
 mod tunnel_server;
 mod turn_store;
 mod unreadable_keys;
+mod unreturned_tokens;
 mod version_records;
 
 pub use self::{
--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -250,6 +250,12 @@
         }
     }
 
+    /// Returns the spent tokens of a program and the reservations of all hosts, as of the last response of the store.
+    pub fn stored_budget(&self, program: &str) -> Option<&StoredBudget> {
+        let stored = self.rows.get(program)?.stored.as_ref()?;
+        Some(&stored.budget)
+    }
+
     /// Returns the other host processes that have reserved tokens of a program, as of the last response of the store.
     pub fn reserving_incarnations(&self, program: &str) -> Vec<Incarnation> {
         let stored = self.rows.get(program).and_then(|row| row.stored.as_ref());
