--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -73,6 +73,7 @@
 mod tunnel_server;
 mod turn_store;
 mod unreadable_keys;
+mod unreturned_tokens;
 mod version_check;
 mod version_records;
 
