Let a program run one turn while the store takes no writes

Cause: a call runs only against a reservation that the store has acknowledged. The class: something that must be known once (that nobody else spends these tokens) is asked of one place only.

Why it works: the rule allows a program the most of one turn beyond its budget, and the ledger never used this. A process claims this overdraft at all hosts with disks. Each stores the claim and then lists the claims that it has, so of two processes at least one learns of the other; without certainty the call is refused as before. The host writes the reservation as soon as the store takes writes.

A write without the host's earlier reservation was recognized by the absence of one, which a first write without tokens does not have; it now leaves a reservation of no tokens. `overdraw_is_counted_in_the_store_after_a_conflict` failed before this: 0 tokens spent in place of 40.

The second turn of a program that begins in an outage still waits for the store.

--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -4,6 +4,7 @@
 //! budget. Tokens that calls release at the owner are available to the next call without a write to the
 //! store. When the owner does not respond, the host that serves the call reserves the tokens itself. The
 //! store records the reservations of each host separately, so the two hosts never reserve the same tokens.
+//! While the store takes no writes, one call of a program may run on its [overdraft](crate::overdrafts).
 
 use std::{
     net::SocketAddr,
@@ -22,6 +23,7 @@
 
 use crate::{
     budget_messages::{ReservationRequest, ReservationResponse},
+    overdrafts::take_overdraft,
     peer_messages::{PeerCall, PeerResponse},
     remote_reservation::RemoteReservation,
     reservations::refresh_budget,
@@ -98,53 +100,40 @@
     max_tokens: u64,
     /// Whether the call starts the program.
     pub(crate) starts_program: bool,
-    /// Address of the budget owner that made the reservation; `None` when this host made it.
-    remote_owner: Option<SocketAddr>,
+    source: ReservationSource,
+}
+
+/// Where the tokens of a call are counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReservationSource {
+    /// At this host.
+    ThisHost,
+    /// At this host, on the overdraft of the program.
+    Overdraft,
+    /// At the budget owner with this address.
+    Owner(SocketAddr),
 }
 
-/// Reserves tokens of a program's budget for a call, at the budget owner if it responds.
+/// Reserves tokens of a program's budget for a call, at the budget owner if it responds, or on the program's
+/// overdraft if the store takes no writes.
 pub(crate) async fn reserve(
     shared: &Shared,
     request: ReservationRequest,
 ) -> Result<Reservation, ReservationError> {
-    let deadline = Instant::now() + RESERVATION_TIMEOUT.min(request.time_left);
     let remote_owner = remote_budget_owner(shared, &request.program);
-    let mut response = ReservationResponse::StoreTimeout;
-    if let Some(address) = remote_owner {
-        let owner_response = reserve_at_owner(shared, address, &request, deadline).await;
-        match owner_response {
-            Some(ReservationResponse::Reserved { starts_program }) => {
-                return Ok(request.into_reservation(starts_program, remote_owner));
-            }
-            Some(ReservationResponse::Deferred(retry_after)) => {
-                return Err(ReservationError::Deferred { retry_after });
-            }
-            Some(ReservationResponse::OverRate(retry_after)) => {
-                return Err(ReservationError::OverRate { retry_after });
-            }
-            Some(ReservationResponse::BudgetExhausted) => return Err(ReservationError::BudgetExhausted),
-            Some(ReservationResponse::FullyReserved) => return Err(ReservationError::FullyReserved),
-            Some(ReservationResponse::StoreUnavailable) => {
-                return Err(ReservationError::StoreUnavailable {
-                    retry_after: STORE_RETRY_AFTER,
-                });
-            }
-            Some(ReservationResponse::StoreTimeout) | None => {}
-        }
-    }
-    let has_time_left = Instant::now() < deadline;
-    if remote_owner.is_none() || has_time_left {
-        response = reserve_locally(shared, &request, remote_owner.is_none(), deadline).await;
-    }
+    let (response, source) = reserve_stored(shared, &request, remote_owner).await;
     match response {
         ReservationResponse::Reserved { starts_program } => {
-            Ok(request.into_reservation(starts_program, None))
+            Ok(request.into_reservation(starts_program, source))
         }
         ReservationResponse::Deferred(retry_after) => Err(ReservationError::Deferred { retry_after }),
         ReservationResponse::OverRate(retry_after) => Err(ReservationError::OverRate { retry_after }),
         ReservationResponse::BudgetExhausted => Err(ReservationError::BudgetExhausted),
         ReservationResponse::FullyReserved => Err(ReservationError::FullyReserved),
         ReservationResponse::StoreTimeout | ReservationResponse::StoreUnavailable => {
+            if take_overdraft(shared, &request).await {
+                return Ok(request.into_reservation(false, ReservationSource::Overdraft));
+            }
             Err(ReservationError::StoreUnavailable {
                 retry_after: STORE_RETRY_AFTER,
             })
@@ -152,19 +141,38 @@
     }
 }
 
+/// Reserves tokens at the budget owner, or at this host if the owner does not respond or times out. Returns
+/// where they are reserved, too.
+async fn reserve_stored(
+    shared: &Shared,
+    request: &ReservationRequest,
+    remote_owner: Option<SocketAddr>,
+) -> (ReservationResponse, ReservationSource) {
+    let deadline = Instant::now() + RESERVATION_TIMEOUT.min(request.time_left);
+    if let Some(address) = remote_owner {
+        let response = reserve_at_owner(shared, address, request, deadline).await;
+        let response = response.unwrap_or(ReservationResponse::StoreTimeout);
+        let has_time_left = Instant::now() < deadline;
+        if response != ReservationResponse::StoreTimeout || !has_time_left {
+            return (response, ReservationSource::Owner(address));
+        }
+    }
+    let response = reserve_locally(shared, request, remote_owner.is_none(), deadline).await;
+    (response, ReservationSource::ThisHost)
+}
+
 /// Settles a reservation: counts the used tokens as spent and returns the rest to the budget.
 pub(crate) fn release(shared: &Arc<Shared>, reservation: Reservation, used_tokens: u64) {
-    match reservation.remote_owner {
-        None => {
-            let now = Instant::now();
-            let mut tables = shared.tables();
-            tables
-                .ledger
-                .settle(&reservation.program, reservation.max_tokens, used_tokens, now);
-            drop(tables);
-            shared.reservations_changed.notify_waiters();
+    match reservation.source {
+        ReservationSource::ThisHost => settle_locally(shared, &reservation, used_tokens),
+        ReservationSource::Overdraft => {
+            settle_locally(shared, &reservation, used_tokens);
+            shared
+                .tables()
+                .overdrafts
+                .end_call(&reservation.program, used_tokens);
         }
-        Some(address) => {
+        ReservationSource::Owner(address) => {
             let shared = Arc::clone(shared);
             let call = PeerCall::Release {
                 call_id: reservation.call_id,
@@ -186,6 +194,16 @@
     }
 }
 
+fn settle_locally(shared: &Shared, reservation: &Reservation, used_tokens: u64) {
+    shared.tables().ledger.settle(
+        &reservation.program,
+        reservation.max_tokens,
+        used_tokens,
+        Instant::now(),
+    );
+    shared.reservations_changed.notify_waiters();
+}
+
 /// Handles a reservation request of another host.
 pub(crate) async fn handle_reserve(shared: &Shared, request: ReservationRequest) -> ReservationResponse {
     // Tokens are reserved only once for each call id.
@@ -272,13 +290,13 @@
 }
 
 impl ReservationRequest {
-    fn into_reservation(self, starts_program: bool, remote_owner: Option<SocketAddr>) -> Reservation {
+    fn into_reservation(self, starts_program: bool, source: ReservationSource) -> Reservation {
         Reservation {
             call_id: self.call_id,
             program: self.program,
             max_tokens: self.max_tokens,
             starts_program,
-            remote_owner,
+            source,
         }
     }
 }
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod misdirected;
 mod operator;
 mod options;
+mod overdrafts;
 mod peer;
 mod peer_client;
 mod peer_messages;
--- /dev/null
+++ b/crates/burdockroad-gateway/src/overdrafts.rs
@@ -0,0 +1,136 @@
+//! Claims overdrafts of programs at the hosts with disks while the store takes no writes.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use burdockroad::{
+    ProgramId,
+    gateway::{ClaimOutcome, ClaimReply, OverdraftDecision, claim_record, decide_claim},
+};
+use bytes::Bytes;
+use futures_util::future::join_all;
+use serde::Serialize;
+use tokio::time::timeout;
+
+use crate::{
+    budget_messages::ReservationRequest,
+    clock::{as_ms, unix_ms},
+    peer_client::encode_message,
+    shared::Shared,
+    turn_store::messages::{TurnCall, TurnResponse},
+};
+
+/// Timeout of a claim. It is shorter than the time after which a host that has lost its disk is complete again,
+/// so that the response of such a host never counts beside the loss of another.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Takes the tokens of a call on the overdraft of its program. Returns whether the call may run.
+pub(crate) async fn take_overdraft(shared: &Shared, request: &ReservationRequest) -> bool {
+    let program = &request.program;
+    let decision = {
+        let mut tables = shared.tables();
+        if !tables
+            .ledger
+            .may_overdraw(program, request.budget_tokens, request.max_tokens)
+        {
+            return false;
+        }
+        tables
+            .overdrafts
+            .begin(program, request.max_tokens, Instant::now())
+    };
+    let is_granted = match decision {
+        OverdraftDecision::Granted => true,
+        OverdraftDecision::Claim => claim(shared, program).await == ClaimOutcome::Granted,
+        OverdraftDecision::Refused => false,
+    };
+    if is_granted {
+        shared
+            .tables()
+            .ledger
+            .overdraw(program, request.budget_tokens, request.max_tokens, Instant::now());
+        shared.reservation_requested.notify_one();
+    }
+    is_granted
+}
+
+/// Claim in progress. Dropping it without an outcome leaves the overdraft to a later claim.
+struct OpenClaim<'a> {
+    shared: &'a Shared,
+    program: &'a ProgramId,
+    outcome: ClaimOutcome,
+}
+
+impl Drop for OpenClaim<'_> {
+    fn drop(&mut self) {
+        let mut tables = self.shared.tables();
+        tables.overdrafts.end_claim(self.program, self.outcome);
+    }
+}
+
+/// Claims the overdraft of a program.
+async fn claim(shared: &Shared, program: &ProgramId) -> ClaimOutcome {
+    let mut open_claim = OpenClaim {
+        shared,
+        program,
+        outcome: ClaimOutcome::Uncertain,
+    };
+    let started_at = Instant::now();
+    let replies = send_claim(shared, program).await;
+    let outcome = decide_claim(shared.incarnation, &replies, shared.turns.tolerated_losses());
+    open_claim.outcome = outcome;
+    drop(open_claim);
+    let outcome_name = match outcome {
+        ClaimOutcome::Granted => "granted",
+        ClaimOutcome::Taken => "taken",
+        ClaimOutcome::Uncertain => "uncertain",
+    };
+    metrics::counter!("burdockroad_overdraft_claims_total", "outcome" => outcome_name).increment(1);
+    let failed = replies.iter().filter(|reply| **reply == ClaimReply::Failed);
+    shared.log.line(
+        "overdraft_claimed",
+        &ClaimLine {
+            program,
+            outcome: outcome_name,
+            hosts: replies.len(),
+            failed_hosts: failed.count(),
+            claim_ms: as_ms(started_at.elapsed()),
+        },
+    );
+    outcome
+}
+
+/// Sends a claim to all hosts with disks.
+async fn send_claim(shared: &Shared, program: &str) -> Vec<ClaimReply> {
+    let Some(members) = shared.turns.claim_members() else {
+        return Vec::new();
+    };
+    let record = claim_record(program, shared.incarnation, unix_ms());
+    let Ok(message) = encode_message(&TurnCall::Claim(record)) else {
+        return Vec::new();
+    };
+    let claims = members
+        .values()
+        .map(|member| claim_at(shared, member.address, message.clone()));
+    join_all(claims).await
+}
+
+/// Sends a claim to one host.
+async fn claim_at(shared: &Shared, address: SocketAddr, message: Bytes) -> ClaimReply {
+    let calling = shared.peer_client.call_encoded(address, message, CLAIM_TIMEOUT);
+    match timeout(CLAIM_TIMEOUT, calling).await {
+        Ok(Ok(TurnResponse::Claims { claims, complete })) => ClaimReply::Stored { claims, complete },
+        Ok(Ok(_) | Err(_)) | Err(_) => ClaimReply::Failed,
+    }
+}
+
+#[derive(Serialize)]
+struct ClaimLine<'a> {
+    program: &'a str,
+    outcome: &'static str,
+    hosts: usize,
+    failed_hosts: usize,
+    claim_ms: u64,
+}
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -13,8 +13,9 @@
 use burdockroad::{
     HostId, Incarnation,
     gateway::{
-        Departures, Directory, EndpointReach, EndpointTable, Ledger, LedgerOptions, ProgramStartGate,
-        Quarantine, RateLimiter, RegionMap, RunningPrograms, StreamOrigins, UnsentOrigins, VersionHistory,
+        Departures, Directory, EndpointReach, EndpointTable, Ledger, LedgerOptions, Overdrafts,
+        ProgramStartGate, Quarantine, RateLimiter, RegionMap, RunningPrograms, StreamOrigins, UnsentOrigins,
+        VersionHistory,
     },
 };
 use burdockroad_daemon::platform::Revision;
@@ -97,6 +98,8 @@
     pub(crate) host_count: usize,
     /// Polls of the store that failed since its last response; `None` if none did.
     pub(crate) failed_polls: Option<FailedPolls>,
+    /// Overdrafts of programs that this process has claimed.
+    pub(crate) overdrafts: Overdrafts,
     /// Time of the first failed budget write since the last successful one; `None` if there is none.
     pub(crate) writes_failing_since: Option<Instant>,
     /// Reservations for calls of other hosts, by call id.
@@ -174,6 +177,7 @@
                 unsent_origins: UnsentOrigins::default(),
                 rate_limiter: RateLimiter::new(now),
                 ledger: Ledger::new(LedgerOptions::default(), options.incarnation),
+                overdrafts: Overdrafts::default(),
                 host_count: 0,
                 failed_polls: None,
                 writes_failing_since: None,
--- a/crates/burdockroad-gateway/src/turn_store.rs
+++ b/crates/burdockroad-gateway/src/turn_store.rs
@@ -4,6 +4,7 @@
 //! receives to its [`TurnLog`](log::TurnLog) and copies from the other disk hosts the turns that it should
 //! store but does not. [`burdockroad::gateway`] decides which hosts store a turn and when it is durable.
 
+mod claims;
 pub(crate) mod client;
 pub(crate) mod host;
 pub(crate) mod log;
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -21,7 +21,7 @@
     clock::unix_ms,
     peer_client::{PeerClient, encode_message},
     turn_store::{
-        members::{TurnMembers, readable, writable},
+        members::{TurnMember, TurnMembers, readable, writable},
         messages::{TurnCall, TurnResponse},
     },
 };
@@ -128,6 +128,19 @@
         }
     }
 
+    /// Returns the number of hosts that store turns which may be lost at the same time.
+    pub(crate) fn tolerated_losses(&self) -> usize {
+        self.tolerated_losses
+    }
+
+    /// Returns the hosts that must store a claim; `None` while one of them fails or is being removed.
+    pub(crate) fn claim_members(&self) -> Option<TurnMembers> {
+        let state = self.lock();
+        let is_usable =
+            |(host, member): (&HostId, &TurnMember)| !member.leaving && !state.health.is_failing(host);
+        state.members.iter().all(is_usable).then(|| state.members.clone())
+    }
+
     /// Changes the table of the hosts that store turns.
     pub(crate) fn update_members<T>(&self, change: impl FnOnce(&mut TurnMembers) -> T) -> T {
         change(&mut self.lock().members)
--- a/crates/burdockroad-gateway/src/turn_store/host.rs
+++ b/crates/burdockroad-gateway/src/turn_store/host.rs
@@ -108,6 +108,7 @@
                 TurnResponse::Missing(missing.collect())
             }
             TurnCall::StreamVersion { stream } => TurnResponse::StreamVersion(self.streams.version(&stream)),
+            TurnCall::Claim(claim) => self.store_claim(claim).await,
         }
     }
 
--- a/crates/burdockroad-gateway/src/turn_store/log.rs
+++ b/crates/burdockroad-gateway/src/turn_store/log.rs
@@ -17,7 +17,10 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc},
 };
 
-use burdockroad::gateway::{IndexPage, Turn, TurnIndex, TurnKey};
+use burdockroad::{
+    AccountId,
+    gateway::{IndexPage, Turn, TurnId, TurnIndex, TurnKey},
+};
 use tokio::{sync::oneshot, task::spawn_blocking};
 
 pub use self::recovery::RecoveredSegment;
@@ -144,6 +147,11 @@
         self.lock().index.contains(key)
     }
 
+    /// Returns the ids of the turns of an account.
+    pub fn turns_of(&self, account: &AccountId) -> Vec<TurnId> {
+        self.lock().index.turns_of(account)
+    }
+
     /// Returns at most `page_max` turns of the index from position `from`.
     pub fn page(&self, from: u64, page_max: usize) -> IndexPage {
         self.lock().index.page(from, page_max)
--- a/crates/burdockroad-gateway/src/turn_store/messages.rs
+++ b/crates/burdockroad-gateway/src/turn_store/messages.rs
@@ -2,7 +2,7 @@
 
 use burdockroad::{
     Incarnation, SoftwareVersion,
-    gateway::{IndexPage, StreamId, Turn, TurnKey},
+    gateway::{IndexPage, StreamId, Turn, TurnId, TurnKey},
 };
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +30,8 @@
         /// Id of the stream.
         stream: StreamId,
     },
+    /// Stores a claim, then lists all claims of its account.
+    Claim(Turn),
 }
 
 /// Response to a [`TurnCall`].
@@ -60,4 +62,11 @@
     Missing(Vec<TurnKey>),
     /// Version that began the stream; `None` if the host does not hold it.
     StreamVersion(Option<SoftwareVersion>),
+    /// The claim is on the disk.
+    Claims {
+        /// Ids of all claims of the account.
+        claims: Vec<TurnId>,
+        /// Whether the host has copied all turns that it should store.
+        complete: bool,
+    },
 }
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -4,7 +4,8 @@
 //! its remaining budget. These modules make the decisions; they open no sockets and read no clock:
 //!
 //! * [`Document`] is the active configuration. [`Directory`] looks up a call's route and account in it.
-//! * [`Ledger`] reserves tokens of a program's budget before its calls run.
+//! * [`Ledger`] reserves tokens of a program's budget before its calls run, and [`Overdrafts`] allow one call
+//!   to run while the store takes no writes.
 //! * [`RateLimiter`] shares an account's rate among the hosts that admit its calls.
 //! * [`ProgramStartGate`] refuses new programs while a service is congested.
 //! * [`EndpointTable`] chooses the endpoint of a call.
@@ -43,8 +44,9 @@
 
 pub use self::{
     budget::{
-        BudgetWrite, HostReservation, Ledger, LedgerOptions, Readiness, StoreResponse, StoredBudget,
-        VersionedBudget,
+        BudgetWrite, ClaimOutcome, ClaimReply, HostReservation, Ledger, LedgerOptions, OverdraftDecision,
+        Overdrafts, Readiness, StoreResponse, StoredBudget, VersionedBudget, claim_account, claim_record,
+        decide_claim,
     },
     departures::{Departure, Departures},
     directory::{AccountLookup, Directory},
--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -6,6 +6,7 @@
 //! or two writes, and the loss of the owner costs at most half of the budget. A call reserves the maximum
 //! number of tokens that it may generate and returns the unused part.
 
+mod overdraft;
 mod program_budget;
 
 use std::{
@@ -13,6 +14,9 @@
     time::{Duration, Instant},
 };
 
+pub use self::overdraft::{
+    ClaimOutcome, ClaimReply, OverdraftDecision, Overdrafts, claim_account, claim_record, decide_claim,
+};
 use self::program_budget::ProgramBudget;
 use crate::ids::{Incarnation, ProgramId};
 
@@ -207,6 +211,26 @@
         Readiness::AwaitWrite
     }
 
+    /// Returns whether the budget has enough tokens left for a call, as far as this host knows.
+    pub fn may_overdraw(&self, program: &str, budget_tokens: u64, max_tokens: u64) -> bool {
+        let row = self.rows.get(program);
+        row.map_or(budget_tokens, ProgramBudget::reservable_tokens) >= max_tokens
+    }
+
+    /// Takes tokens for a call that runs before they are reserved, and queues the write that reserves them.
+    /// [`settle`](Self::settle) completes the call. The caller must hold the [overdraft](Overdrafts) of the
+    /// program.
+    pub fn overdraw(&mut self, program: &ProgramId, budget_tokens: u64, max_tokens: u64, now: Instant) {
+        let row = self
+            .rows
+            .entry(program.clone())
+            .or_insert_with(|| ProgramBudget::new(budget_tokens, now));
+        row.running_tokens += max_tokens;
+        row.last_call_tokens = max_tokens;
+        row.last_used_at = now;
+        self.queue_write(program);
+    }
+
     /// Returns whether the caller should read the program's budget from the store now, and counts that as a
     /// poll.
     ///
@@ -251,7 +275,10 @@
     pub fn reserving_incarnations(&self, program: &str) -> Vec<Incarnation> {
         let stored = self.rows.get(program).and_then(|row| row.stored.as_ref());
         let reservations = stored.map_or(&[][..], |stored| &stored.budget.reservations);
-        let others = reservations.iter().map(|reservation| reservation.incarnation);
+        let others = reservations
+            .iter()
+            .filter(|reservation| reservation.reserved_tokens > 0)
+            .map(|reservation| reservation.incarnation);
         others
             .filter(|incarnation| *incarnation != self.incarnation)
             .collect()
@@ -313,7 +340,7 @@
             StoreResponse::Found(found) => row.on_found(found, incarnation),
             StoreResponse::Indeterminate => row.on_indeterminate(),
         }
-        if row.pending.is_some() {
+        if row.pending.is_some() || row.is_overdrawn() {
             self.queue_write(program);
         }
     }
--- a/crates/burdockroad/src/gateway/turns/index.rs
+++ b/crates/burdockroad/src/gateway/turns/index.rs
@@ -1,12 +1,12 @@
 //! Index of the turns on a host's disk.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     gateway::{Turn, TurnId, TurnKey},
-    ids::RegionId,
+    ids::{AccountId, RegionId},
 };
 
 /// Turn in the index of a host, as listed to other hosts.
@@ -37,7 +37,7 @@
 /// Turns on a disk, with the locations of their records. `L` tells where the disk holds a record.
 #[derive(Debug)]
 pub struct TurnIndex<L> {
-    entries: HashMap<TurnKey, IndexEntry<L>>,
+    entries: BTreeMap<TurnKey, IndexEntry<L>>,
     /// Names of the turns by position, in the order in which they were stored.
     by_position: BTreeMap<u64, TurnKey>,
     next_position: u64,
@@ -57,7 +57,7 @@
 impl<L> Default for TurnIndex<L> {
     fn default() -> Self {
         Self {
-            entries: HashMap::new(),
+            entries: BTreeMap::new(),
             by_position: BTreeMap::new(),
             next_position: 0,
         }
@@ -92,6 +92,17 @@
         self.entries.contains_key(key)
     }
 
+    /// Returns the ids of the turns of an account.
+    pub fn turns_of(&self, account: &AccountId) -> Vec<TurnId> {
+        let first = TurnKey {
+            account: account.clone(),
+            turn: TurnId::new(),
+        };
+        let from_first = self.entries.range(first..).map(|(key, _)| key);
+        let turns = from_first.take_while(|key| key.account == *account);
+        turns.map(|key| key.turn.clone()).collect()
+    }
+
     /// Returns whether the turn may be continued: it is indexed and has not expired.
     pub fn may_continue(&self, key: &TurnKey, now_unix_ms: u64) -> bool {
         let entry = self.entries.get(key);
--- a/crates/burdockroad/tests/gateway_budget.rs
+++ b/crates/burdockroad/tests/gateway_budget.rs
@@ -31,6 +31,7 @@
     DelayedArrives,
     Poll { host: usize },
     Release { host: usize },
+    Overdraw { host: usize },
     Kill { host: usize },
 }
 
@@ -68,6 +69,8 @@
     store: Store,
     incarnation: u64,
     generated_tokens: u64,
+    /// Whether a call has used the overdraft of the program.
+    has_overdrawn: bool,
     now: Instant,
 }
 
@@ -78,6 +81,7 @@
             store: Store::default(),
             incarnation: 0,
             generated_tokens: 0,
+            has_overdrawn: false,
             now: Instant::now(),
         };
         for _ in 0..HOSTS {
@@ -140,6 +144,14 @@
                 ledger.release_idle(now);
                 ledger.settle_due(now);
             }
+            Step::Overdraw { host } => {
+                let host = &mut self.hosts[host];
+                if !self.has_overdrawn && host.ledger.may_overdraw(&program, BUDGET_TOKENS, MAX_TOKENS) {
+                    self.has_overdrawn = true;
+                    host.ledger.overdraw(&program, BUDGET_TOKENS, MAX_TOKENS, now);
+                    host.running += 1;
+                }
+            }
             Step::Kill { host } => {
                 // The callers may have received all tokens that the host's running calls could generate.
                 self.generated_tokens += self.hosts[host].running as u64 * MAX_TOKENS;
@@ -209,6 +221,76 @@
     }
 }
 
+fn steps_with_overdraft() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        20 => steps(),
+        1 => (0..HOSTS).prop_map(|host| Step::Overdraw { host }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 4000, rng_seed: RngSeed::Fixed(11), ..Config::default() })]
+
+    #[test]
+    fn take_and_overdraw_under_faults_never_exceed_budget_by_more_than_one_call(
+        steps in proptest::collection::vec(steps_with_overdraft(), 1..120)
+    ) {
+        let mut cluster = Cluster::new();
+        for step in steps {
+            cluster.apply(step);
+            prop_assert!(cluster.committed_tokens() <= BUDGET_TOKENS + MAX_TOKENS, "after {step:?}");
+        }
+    }
+}
+
+/// Guards against an overdraft that is never counted, because the write that reserves it has met a conflict.
+#[test]
+fn overdraw_is_counted_in_the_store_after_a_conflict() {
+    let mut cluster = Cluster::new();
+    cluster.apply(Step::Overdraw { host: 0 });
+    assert!(start_call(&mut cluster, 1));
+    let used = Step::Settle {
+        host: 0,
+        used_tokens: 40,
+    };
+    cluster.apply(used);
+    for _ in 0..3 {
+        cluster.apply(Step::Write {
+            host: 0,
+            outcome: WriteOutcome::Responded,
+        });
+    }
+    let stored = cluster.store.stored.expect("a budget");
+    assert_eq!(stored.budget.spent_tokens, 40);
+}
+
+#[test]
+fn may_overdraw_only_what_is_left_as_far_as_known() {
+    let mut cluster = Cluster::new();
+    let program = PROGRAM.to_owned();
+    assert!(
+        !cluster.hosts[0]
+            .ledger
+            .may_overdraw(&program, MAX_TOKENS - 1, MAX_TOKENS)
+    );
+    assert!(
+        cluster.hosts[0]
+            .ledger
+            .may_overdraw(&program, MAX_TOKENS, MAX_TOKENS)
+    );
+    while start_call(&mut cluster, 0) {
+        cluster.apply(Step::Settle {
+            host: 0,
+            used_tokens: MAX_TOKENS,
+        });
+    }
+    assert!(
+        !cluster.hosts[0]
+            .ledger
+            .may_overdraw(&program, BUDGET_TOKENS, MAX_TOKENS)
+    );
+}
+
 fn start_call(cluster: &mut Cluster, host: usize) -> bool {
     cluster.apply(Step::AddWaiter {
         host,
