--- /dev/null
+++ b/crates/burdockroad-gateway/src/budget_owner.rs
@@ -0,0 +1,74 @@
+//! Responds to other hosts about the tokens that this host has reserved of programs' budgets.
+
+use std::time::{Duration, Instant};
+
+use burdockroad::ProgramId;
+
+use crate::{
+    budget_messages::{ReservationRequest, ReservationResponse},
+    budgets::{REMOTE_WAIT_MAX, reserve_locally},
+    remote_reservation::RemoteReservation,
+    shared::Shared,
+};
+
+/// Time after a remote call's deadline at which its reserved tokens are counted as used.
+const RESERVATION_EXPIRY_MARGIN: Duration = Duration::from_secs(2);
+
+/// Handles a reservation request of another host.
+pub(crate) async fn handle_reserve(shared: &Shared, request: ReservationRequest) -> ReservationResponse {
+    // Tokens are reserved only once for each call id.
+    if shared.tables().remote_reservations.contains_key(&request.call_id) {
+        return ReservationResponse::Reserved {
+            starts_program: false,
+        };
+    }
+    let response = reserve_locally(shared, &request, true, Instant::now() + REMOTE_WAIT_MAX).await;
+    if matches!(response, ReservationResponse::Reserved { .. }) {
+        let reservation = RemoteReservation {
+            program: request.program,
+            max_tokens: request.max_tokens,
+            expires_at: Instant::now() + request.time_left + RESERVATION_EXPIRY_MARGIN,
+        };
+        shared
+            .tables()
+            .remote_reservations
+            .insert(request.call_id, reservation);
+    }
+    response
+}
+
+/// Settles the reservation of another host's call.
+pub(crate) fn handle_release(shared: &Shared, call_id: &str, used_tokens: u64) {
+    let mut tables = shared.tables();
+    if let Some(reservation) = tables.remote_reservations.remove(call_id) {
+        let now = Instant::now();
+        tables
+            .ledger
+            .settle(&reservation.program, reservation.max_tokens, used_tokens, now);
+        drop(tables);
+        shared.reservations_changed.notify_waiters();
+    }
+}
+
+/// Returns the tokens of a program that this host has reserved and does not use, because another host needs them.
+pub(crate) fn handle_return_tokens(shared: &Shared, program: &ProgramId) {
+    shared.tables().ledger.return_idle(program);
+    shared.reservation_requested.notify_one();
+}
+
+/// Counts remote reservations that were not released before their expiry as used.
+pub(crate) fn expire_remote_reservations(shared: &Shared, now: Instant) {
+    let mut tables = shared.tables();
+    let expired = tables
+        .remote_reservations
+        .extract_if(|_, reservation| reservation.expires_at <= now);
+    let expired: Vec<RemoteReservation> = expired.map(|(_, reservation)| reservation).collect();
+    for reservation in expired {
+        tables.ledger.settle(
+            &reservation.program,
+            reservation.max_tokens,
+            reservation.max_tokens,
+            now,
+        );
+    }
+}
--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -25,7 +25,6 @@
     budget_messages::{ReservationRequest, ReservationResponse},
     overdrafts::take_overdraft,
     peer_messages::{PeerCall, PeerResponse},
-    remote_reservation::RemoteReservation,
     reservations::refresh_budget,
     shared::Shared,
 };
@@ -39,7 +38,7 @@
 ///
 /// [`FullyReserved`]: ReservationResponse::FullyReserved
 /// [`StoreTimeout`]: ReservationResponse::StoreTimeout
-const REMOTE_WAIT_MAX: Duration = Duration::from_millis(200);
+pub(crate) const REMOTE_WAIT_MAX: Duration = Duration::from_millis(200);
 
 /// Time added to [`REMOTE_WAIT_MAX`] to obtain the timeout of a request to the budget owner.
 const REMOTE_RESPONSE_MARGIN: Duration = Duration::from_millis(100);
@@ -65,9 +64,6 @@
 /// Time after the process start in which programs missing from the ledger may already be running.
 const PROGRAM_DISCOVERY_TIME: Duration = Duration::from_secs(3);
 
-/// Time after a remote call's deadline at which its reserved tokens are counted as used.
-const RESERVATION_EXPIRY_MARGIN: Duration = Duration::from_secs(2);
-
 /// Reason why tokens could not be reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReservationError {
@@ -204,48 +200,6 @@
     shared.reservations_changed.notify_waiters();
 }
 
-/// Handles a reservation request of another host.
-pub(crate) async fn handle_reserve(shared: &Shared, request: ReservationRequest) -> ReservationResponse {
-    // Tokens are reserved only once for each call id.
-    if shared.tables().remote_reservations.contains_key(&request.call_id) {
-        return ReservationResponse::Reserved {
-            starts_program: false,
-        };
-    }
-    let response = reserve_locally(shared, &request, true, Instant::now() + REMOTE_WAIT_MAX).await;
-    if matches!(response, ReservationResponse::Reserved { .. }) {
-        let reservation = RemoteReservation {
-            program: request.program,
-            max_tokens: request.max_tokens,
-            expires_at: Instant::now() + request.time_left + RESERVATION_EXPIRY_MARGIN,
-        };
-        shared
-            .tables()
-            .remote_reservations
-            .insert(request.call_id, reservation);
-    }
-    response
-}
-
-/// Settles the reservation of another host's call.
-pub(crate) fn handle_release(shared: &Shared, call_id: &str, used_tokens: u64) {
-    let mut tables = shared.tables();
-    if let Some(reservation) = tables.remote_reservations.remove(call_id) {
-        let now = Instant::now();
-        tables
-            .ledger
-            .settle(&reservation.program, reservation.max_tokens, used_tokens, now);
-        drop(tables);
-        shared.reservations_changed.notify_waiters();
-    }
-}
-
-/// Returns the tokens of a program that this host has reserved and does not use, because another host needs them.
-pub(crate) fn handle_return_tokens(shared: &Shared, program: &ProgramId) {
-    shared.tables().ledger.return_idle(program);
-    shared.reservation_requested.notify_one();
-}
-
 /// Asks the hosts that have reserved tokens of a program for those that they do not use.
 async fn request_tokens(shared: &Shared, program: &ProgramId) {
     let incarnations = shared.tables().ledger.reserving_incarnations(program);
@@ -272,23 +226,6 @@
     }
 }
 
-/// Counts remote reservations that were not released before their expiry as used.
-pub(crate) fn expire_remote_reservations(shared: &Shared, now: Instant) {
-    let mut tables = shared.tables();
-    let expired = tables
-        .remote_reservations
-        .extract_if(|_, reservation| reservation.expires_at <= now);
-    let expired: Vec<RemoteReservation> = expired.map(|(_, reservation)| reservation).collect();
-    for reservation in expired {
-        tables.ledger.settle(
-            &reservation.program,
-            reservation.max_tokens,
-            reservation.max_tokens,
-            now,
-        );
-    }
-}
-
 impl ReservationRequest {
     fn into_reservation(self, starts_program: bool, source: ReservationSource) -> Reservation {
         Reservation {
@@ -408,7 +345,7 @@
 }
 
 /// Reserves tokens in the ledger of this host. `owns_budget` says whether this host is the budget owner.
-async fn reserve_locally(
+pub(crate) async fn reserve_locally(
     shared: &Shared,
     request: &ReservationRequest,
     owns_budget: bool,
--- a/crates/burdockroad-gateway/src/feed.rs
+++ b/crates/burdockroad-gateway/src/feed.rs
@@ -16,7 +16,7 @@
 use crate::{
     Change, DecodeError, RangeSnapshot,
     applied_revisions::AppliedRevisions,
-    budgets::expire_remote_reservations,
+    budget_owner::expire_remote_reservations,
     clock::as_ms,
     cold_endpoints::report_cold_endpoints,
     crash_detection::log_quarantined,
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod applied_revisions;
 mod attempt;
 mod budget_messages;
+mod budget_owner;
 mod budgets;
 mod call;
 mod call_record;
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -5,7 +5,7 @@
 use tokio::net::TcpListener;
 
 use crate::{
-    budgets::{handle_release, handle_reserve, handle_return_tokens},
+    budget_owner::{handle_release, handle_reserve, handle_return_tokens},
     follow::range_update,
     message_server::{respond_to_message, serve_requests},
     peer_messages::{PeerCall, PeerResponse},
