Play claims of overdrafts from before they are sent, and limit their age

The model counted a claim that was not sent yet as under way, so hosts that had lost their disks were not complete again before both claims had ended. Without copies of claims it granted one process, where two must be found:

assertion `left == right` failed left: 1 right: 2

With claims that start at any time, `decide_claim_without_copies_grants_two_processes` finds two, and `decide_claim_in_all_orders_grants_one_process` still finds one.

The model rests on claims that end before a host that lost its disk is complete again. A process that stood still could read replies later, so replies count for half a second only.

--- a/crates/burdockroad-gateway/src/overdrafts.rs
+++ b/crates/burdockroad-gateway/src/overdrafts.rs
@@ -22,10 +22,13 @@
     turn_store::messages::{TurnCall, TurnResponse},
 };
 
-/// Timeout of a claim. It is shorter than the time after which a host that has lost its disk is complete again,
-/// so that the response of such a host never counts beside the loss of another.
+/// Timeout of a claim at one host.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Age after which the replies to a claim do not count. It is shorter than the time after which a host that has
+/// lost its disk is complete again, so that the reply of such a host never counts beside the loss of another.
+const CLAIM_MAX_AGE: Duration = Duration::from_millis(500);
+
 /// Takes the tokens of a call on the overdraft of its program. Returns whether the call may run.
 pub(crate) async fn take_overdraft(shared: &Shared, request: &ReservationRequest) -> bool {
     let program = &request.program;
@@ -79,7 +82,12 @@
     };
     let started_at = Instant::now();
     let replies = send_claim(shared, program).await;
-    let outcome = decide_claim(shared.incarnation, &replies, shared.turns.tolerated_losses());
+    // A process that stood still may have received the replies long before it reads them.
+    let outcome = if started_at.elapsed() > CLAIM_MAX_AGE {
+        ClaimOutcome::Uncertain
+    } else {
+        decide_claim(shared.incarnation, &replies, shared.turns.tolerated_losses())
+    };
     open_claim.outcome = outcome;
     drop(open_claim);
     let outcome_name = match outcome {
--- a/crates/burdockroad/tests/gateway_overdrafts.rs
+++ b/crates/burdockroad/tests/gateway_overdrafts.rs
@@ -1,16 +1,13 @@
 //! Model of claims of one overdraft: in every order of messages, lost responses and lost disks, at most one
 //! process is granted it.
 
-use std::{
-    collections::{BTreeSet, HashSet},
-    time::Instant,
-};
+use std::{collections::HashSet, time::Instant};
 
 use burdockroad::{
     Incarnation,
     gateway::{
         ClaimOutcome, ClaimReply, HostLocation, IndexedTurn, OverdraftDecision, Overdrafts, RegionMap, Turn,
-        claim_account, claim_record, decide_claim, missing_replicas,
+        TurnId, claim_account, claim_record, decide_claim, missing_replicas,
     },
 };
 
@@ -19,21 +16,25 @@
 /// Number of processes that claim the overdraft. A process that was restarted counts as another one.
 const PROCESSES: usize = 2;
 
+/// Set of processes; the bit of a process is set if it is in the set.
+type ProcessSet = u8;
+
 /// Host with a disk.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct DiskHost {
     /// Processes whose claims are on the disk.
-    claims: BTreeSet<usize>,
+    claims: ProcessSet,
     complete: bool,
     /// Processes that were claiming when the disk was lost.
-    claiming_at_loss: BTreeSet<usize>,
+    claiming_at_loss: ProcessSet,
 }
 
 /// Claim of one process at one host.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Message {
+    Unsent,
     Sent,
-    Stored { claims: BTreeSet<usize>, complete: bool },
+    Stored { claims: ProcessSet, complete: bool },
     Failed,
 }
 
@@ -47,8 +48,10 @@
 struct Model {
     locations: Vec<HostLocation>,
     tolerated_losses: usize,
-    /// Whether hosts list the claims before they store another one, which is wrong.
-    lists_first: bool,
+    /// Processes whose claims each host should store.
+    should_store: Vec<ProcessSet>,
+    /// Whether hosts that lost their disks copy claims before they are complete.
+    copies: bool,
 }
 
 fn incarnation(process: usize) -> Incarnation {
@@ -75,30 +78,37 @@
             host: format!("h{number}"),
             failure_domain: format!("d{number}"),
         });
+        let locations: Vec<HostLocation> = locations.collect();
+        let should_store = locations
+            .iter()
+            .map(|host| claims_to_store(host, &locations, tolerated_losses));
         Self {
-            locations: locations.collect(),
+            should_store: should_store.collect(),
+            locations,
             tolerated_losses,
-            lists_first: false,
+            copies: true,
         }
     }
 
     fn start(&self) -> World {
         let host = DiskHost {
-            claims: BTreeSet::new(),
+            claims: 0,
             complete: true,
-            claiming_at_loss: BTreeSet::new(),
+            claiming_at_loss: 0,
         };
         World {
             hosts: vec![host; self.locations.len()],
-            messages: vec![vec![Message::Sent; self.locations.len()]; PROCESSES],
+            messages: vec![vec![Message::Unsent; self.locations.len()]; PROCESSES],
         }
     }
 
-    fn is_claiming(world: &World, process: usize) -> bool {
-        world.messages[process].contains(&Message::Sent)
-    }
-
     fn is_granted(&self, world: &World, process: usize) -> bool {
+        if world.messages[process]
+            .iter()
+            .any(|message| matches!(message, Message::Unsent | Message::Sent))
+        {
+            return false;
+        }
         let replies: Option<Vec<ClaimReply>> = world.messages[process].iter().map(reply).collect();
         replies.is_some_and(|replies| {
             let outcome = decide_claim(incarnation(process), &replies, self.tolerated_losses);
@@ -108,7 +118,9 @@
 
     /// Returns all states that one step leads to.
     fn steps(&self, world: &World) -> Vec<World> {
-        let mut next = Vec::new();
+        let mut next: Vec<World> = (0..PROCESSES)
+            .filter_map(|process| self.send(world, process))
+            .collect();
         for host in 0..self.locations.len() {
             for process in 0..PROCESSES {
                 if world.messages[process][host] == Message::Sent {
@@ -122,17 +134,21 @@
         next
     }
 
+    /// Sends the claim of a process to all hosts.
+    fn send(&self, world: &World, process: usize) -> Option<World> {
+        if world.messages[process][0] != Message::Unsent {
+            return None;
+        }
+        let mut world = world.clone();
+        world.messages[process] = vec![Message::Sent; self.locations.len()];
+        Some(world)
+    }
+
     fn store(&self, world: &World, process: usize, host: usize) -> World {
         let mut world = world.clone();
-        let before = world.hosts[host].claims.clone();
-        world.hosts[host].claims.insert(process);
-        let mut listed = world.hosts[host].claims.clone();
-        if self.lists_first {
-            listed = before;
-            listed.insert(process);
-        }
+        world.hosts[host].claims |= 1 << process;
         world.messages[process][host] = Message::Stored {
-            claims: listed,
+            claims: world.hosts[host].claims,
             complete: world.hosts[host].complete,
         };
         world
@@ -154,10 +170,9 @@
             return None;
         }
         let mut world = world.clone();
-        let claiming = (0..PROCESSES).filter(|process| Self::is_claiming(&world, *process));
         world.hosts[host] = DiskHost {
-            claiming_at_loss: claiming.collect(),
-            claims: BTreeSet::new(),
+            claiming_at_loss: claiming(&world),
+            claims: 0,
             complete: false,
         };
         Some(world)
@@ -167,38 +182,20 @@
     /// its disk was lost.
     fn copy(&self, world: &World, host: usize) -> Option<World> {
         let lost = &world.hosts[host];
-        let is_early = lost
-            .claiming_at_loss
-            .iter()
-            .any(|process| Self::is_claiming(world, *process));
+        let is_early = lost.claiming_at_loss & claiming(world) != 0;
         if lost.complete || is_early {
             return None;
         }
         let mut world = world.clone();
-        for process in 0..PROCESSES {
-            let is_listed = world.hosts.iter().any(|other| other.claims.contains(&process));
-            if is_listed && self.should_store(process, host) {
-                world.hosts[host].claims.insert(process);
-            }
+        if self.copies {
+            let listed = world.hosts.iter().fold(0, |claims, other| claims | other.claims);
+            world.hosts[host].claims |= listed & self.should_store[host];
         }
         world.hosts[host].complete = true;
-        world.hosts[host].claiming_at_loss.clear();
+        world.hosts[host].claiming_at_loss = 0;
         Some(world)
     }
 
-    fn should_store(&self, process: usize, host: usize) -> bool {
-        let listed = [indexed(process)];
-        let missing = missing_replicas(
-            &self.locations[host].host,
-            &listed,
-            self.tolerated_losses + 1,
-            &self.locations,
-            &RegionMap::default(),
-            |_| false,
-        );
-        !missing.is_empty()
-    }
-
     /// Visits all states. Returns the number of processes that are granted the overdraft at most, and the
     /// number of states.
     fn explore(&self) -> (usize, usize) {
@@ -219,12 +216,39 @@
     }
 }
 
+/// Returns the processes whose claims a host should store.
+fn claims_to_store(host: &HostLocation, locations: &[HostLocation], tolerated_losses: usize) -> ProcessSet {
+    let replicas = tolerated_losses + 1;
+    let stores = |process: &usize| {
+        let listed = [indexed(*process)];
+        let regions = RegionMap::default();
+        !missing_replicas(&host.host, &listed, replicas, locations, &regions, |_| false).is_empty()
+    };
+    (0..PROCESSES)
+        .filter(stores)
+        .fold(0, |claims, process| claims | 1 << process)
+}
+
+/// Returns the processes whose claims are under way.
+fn claiming(world: &World) -> ProcessSet {
+    let is_claiming = |process: &usize| world.messages[*process].contains(&Message::Sent);
+    (0..PROCESSES)
+        .filter(is_claiming)
+        .fold(0, |claiming, process| claiming | 1 << process)
+}
+
+/// Returns the ids of the claims of processes.
+fn claim_ids(claims: ProcessSet) -> Vec<TurnId> {
+    let processes = (0..PROCESSES).filter(|process| claims & (1 << process) != 0);
+    processes.map(|process| record(process).key.turn).collect()
+}
+
 /// Returns the reply to a claim; `None` while there is none.
 fn reply(message: &Message) -> Option<ClaimReply> {
     match message {
-        Message::Sent => None,
+        Message::Unsent | Message::Sent => None,
         Message::Stored { claims, complete } => Some(ClaimReply::Stored {
-            claims: claims.iter().map(|process| record(*process).key.turn).collect(),
+            claims: claim_ids(*claims),
             complete: *complete,
         }),
         Message::Failed => Some(ClaimReply::Failed),
@@ -242,38 +266,29 @@
     }
 }
 
-/// The model finds that both processes are granted the overdraft when hosts list claims too early.
+/// The model finds that two processes are granted the overdraft when hosts do not copy claims.
 #[test]
-fn decide_claim_with_early_listing_grants_two_processes() {
+fn decide_claim_without_copies_grants_two_processes() {
     let mut model = Model::new(3, 1);
-    model.lists_first = true;
-    // The first claim at each host lists none, so only claims that overlap at all hosts are not told apart.
-    let mut world = model.start();
-    for host in 0..3 {
-        let first = model.store(&world, 0, host);
-        let second = model.store(&world, 1, host);
-        world = first.clone();
-        world.hosts[host].claims.insert(1);
-        world.messages[1][host] = second.messages[1][host].clone();
-    }
-    assert!(model.is_granted(&world, 0) && model.is_granted(&world, 1));
+    model.copies = false;
+    assert_eq!(model.explore().0, 2);
 }
 
 #[test]
 fn decide_claim_without_certainty_is_not_granted() {
-    let stored = |claims: &[usize], complete| ClaimReply::Stored {
-        claims: claims.iter().map(|process| record(*process).key.turn).collect(),
+    let stored = |claims, complete| ClaimReply::Stored {
+        claims: claim_ids(claims),
         complete,
     };
     let decide = |replies: &[ClaimReply], losses| decide_claim(incarnation(0), replies, losses);
     assert_eq!(decide(&[], 0), ClaimOutcome::Uncertain);
-    assert_eq!(decide(&[stored(&[0], true)], 0), ClaimOutcome::Granted);
-    assert_eq!(decide(&[stored(&[0], true)], 1), ClaimOutcome::Uncertain);
-    assert_eq!(decide(&[stored(&[0], false)], 0), ClaimOutcome::Uncertain);
-    assert_eq!(decide(&[stored(&[], true)], 0), ClaimOutcome::Uncertain);
-    let one_failed = [stored(&[0], true), ClaimReply::Failed, stored(&[0], true)];
+    assert_eq!(decide(&[stored(0b01, true)], 0), ClaimOutcome::Granted);
+    assert_eq!(decide(&[stored(0b01, true)], 1), ClaimOutcome::Uncertain);
+    assert_eq!(decide(&[stored(0b01, false)], 0), ClaimOutcome::Uncertain);
+    assert_eq!(decide(&[stored(0, true)], 0), ClaimOutcome::Uncertain);
+    let one_failed = [stored(0b01, true), ClaimReply::Failed, stored(0b01, true)];
     assert_eq!(decide(&one_failed, 1), ClaimOutcome::Uncertain);
-    let taken = [ClaimReply::Failed, stored(&[0, 1], false)];
+    let taken = [ClaimReply::Failed, stored(0b11, false)];
     assert_eq!(decide(&taken, 1), ClaimOutcome::Taken);
 }
 
