--- a/crates/burdockroad/tests/gateway_overdrafts.rs
+++ b/crates/burdockroad/tests/gateway_overdrafts.rs
@@ -124,8 +124,8 @@
         for host in 0..self.locations.len() {
             for process in 0..PROCESSES {
                 if world.messages[process][host] == Message::Sent {
-                    next.push(self.store(world, process, host));
-                    next.extend(self.lose_message(world, process, host));
+                    next.push(Self::store(world, process, host));
+                    next.extend(Self::lose_message(world, process, host));
                 }
             }
             next.extend(self.lose_disk(world, host));
@@ -144,7 +144,7 @@
         Some(world)
     }
 
-    fn store(&self, world: &World, process: usize, host: usize) -> World {
+    fn store(world: &World, process: usize, host: usize) -> World {
         let mut world = world.clone();
         world.hosts[host].claims |= 1 << process;
         world.messages[process][host] = Message::Stored {
@@ -155,10 +155,10 @@
     }
 
     /// Loses the claim, or the response to it.
-    fn lose_message(&self, world: &World, process: usize, host: usize) -> [World; 2] {
+    fn lose_message(world: &World, process: usize, host: usize) -> [World; 2] {
         let mut lost = world.clone();
         lost.messages[process][host] = Message::Failed;
-        let mut response_lost = self.store(world, process, host);
+        let mut response_lost = Self::store(world, process, host);
         response_lost.messages[process][host] = Message::Failed;
         [lost, response_lost]
     }
