--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -22,7 +22,7 @@
     turn_store::{
         disk_hosts::{DiskHosts, STORE_TIMEOUT},
         links::{Destination, EncodedCall, TurnHostLinks},
-        members::{TurnMembers, readable, writable},
+        members::{TurnMember, TurnMembers, readable, writable},
         messages::{TurnCall, TurnResponse},
         write::TurnWrite,
     },
@@ -103,6 +103,22 @@
         }
     }
 
+    /// Returns the number of hosts that store turns which may be lost at the same time.
+    pub(crate) fn tolerated_losses(&self) -> usize {
+        self.tolerated_losses
+    }
+
+    /// Returns the hosts that must store a claim; `None` while one of them fails or is being removed.
+    pub(crate) fn claim_members(&self) -> Option<TurnMembers> {
+        let members = self.lock().members.clone();
+        let is_usable = {
+            let health = self.disk_hosts.health();
+            let usable = |(host, member): (&HostId, &TurnMember)| !member.leaving && !health.is_failing(host);
+            members.iter().all(usable)
+        };
+        is_usable.then_some(members)
+    }
+
     /// Changes the table of the hosts that store turns.
     pub(crate) fn update_members<T>(&self, change: impl FnOnce(&mut TurnMembers) -> T) -> T {
         change(&mut self.lock().members)
