--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -60,7 +60,8 @@
         return refuse_unsent(&shared, Some(&head), refusal, started_at);
     }
     let history_requested_at = Instant::now();
-    let kept_turn = match begin_turn(&shared, &head, &context, &body).await {
+    let begun_turn = until_stop(&shared, begin_turn(&shared, &head, &context, &body)).await;
+    let kept_turn = match begun_turn.unwrap_or(Err(Refusal::Stopping)) {
         Ok(kept_turn) => kept_turn,
         Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
     };
@@ -301,10 +302,16 @@
 /// Runs the call, at most until the last responses must be sent before the process ends.
 async fn run_until_stop(call: &mut Call, rate_status: RateStatus) -> Result<ServedResponse, Refusal> {
     let shared = Arc::clone(&call.shared);
+    let result = until_stop(&shared, run(call, rate_status)).await;
+    result.unwrap_or_else(|| Err(call.stop_refusal()))
+}
+
+/// Returns the output of a part of a call; `None` if the last responses must be sent before it ends.
+async fn until_stop<F: Future>(shared: &Shared, part: F) -> Option<F::Output> {
     tokio::select! {
         biased;
-        result = run(call, rate_status) => result,
-        () = shared.shutdown.wait_until_responses_are_due() => Err(call.stop_refusal()),
+        output = part => Some(output),
+        () = shared.shutdown.wait_until_responses_are_due() => None,
     }
 }
 
