--- a/crates/burdockroad-gateway/src/turn_store/links.rs
+++ b/crates/burdockroad-gateway/src/turn_store/links.rs
@@ -244,11 +244,12 @@
         let response = self.peer_client.call(relay, &relayed, response_timeout).await;
         match response {
             Ok(PeerResponse::Turns(response)) => response,
-            Ok(_) => None,
-            Err(_) => {
+            Err(PeerError::Unreachable) => {
                 self.lock().relays.remove(&relay);
                 None
             }
+            // The host that stores turns may be the one that does not respond.
+            Ok(_) | Err(PeerError::NoResponse) => None,
         }
     }
 
