--- a/crates/burdockroad-gateway/src/turn_store/links.rs
+++ b/crates/burdockroad-gateway/src/turn_store/links.rs
@@ -17,7 +17,11 @@
     gateway::{RegionMap, TurnHostHealth},
 };
 use bytes::Bytes;
-use futures_util::future::{Either, join_all, select};
+use futures_util::{
+    StreamExt,
+    future::{Either, join_all, select},
+    stream::FuturesUnordered,
+};
 use serde::Serialize;
 use tokio::time::{sleep, timeout};
 
@@ -40,6 +44,12 @@
 /// Maximum age of a gateway host's report that it reaches the hosts that store turns.
 const RELAY_REPORT_AGE_MAX: Duration = Duration::from_secs(1);
 
+/// Time without a response after which a call goes through one more gateway host, which may be sound.
+const RELAY_DELAY: Duration = Duration::from_millis(100);
+
+/// Maximum number of gateway hosts that pass one call on.
+const RELAYS_MAX: usize = 3;
+
 /// Links of a gateway host to the hosts that store turns.
 #[derive(Debug)]
 pub(crate) struct TurnHostLinks {
@@ -148,7 +158,7 @@
         self.lock().cut.is_failing(host)
     }
 
-    /// Calls a host on this host's own link, and through another gateway host if the link is cut.
+    /// Calls a host on this host's own link, and through other gateway hosts if the link is cut.
     pub(super) async fn call(
         &self,
         destination: Destination<'_>,
@@ -168,16 +178,16 @@
                     if self.check(destination).await {
                         return Err(error);
                     }
-                    let relayed = self.call_through_host(destination, call, response_timeout).await;
+                    let relayed = self.call_through_hosts(destination, call, response_timeout).await;
                     return relayed.ok_or(error);
                 }
                 Either::Right(((), _)) => {}
             }
         }
-        let through_host = pin!(self.call_through_host(destination, call, response_timeout));
-        match select(own_link, through_host).await {
+        let through_hosts = pin!(self.call_through_hosts(destination, call, response_timeout));
+        match select(own_link, through_hosts).await {
             Either::Left((Ok(response), _)) | Either::Right((Some(response), _)) => Ok(response),
-            Either::Left((Err(error), through_host)) => through_host.await.ok_or(error),
+            Either::Left((Err(error), through_hosts)) => through_hosts.await.ok_or(error),
             Either::Right((None, own_link)) => own_link.await,
         }
     }
@@ -228,14 +238,39 @@
         responds
     }
 
-    /// Calls a host through another gateway host in allowed regions. Returns `None` without a response.
-    async fn call_through_host(
+    /// Calls a host through other gateway hosts in allowed regions, the next one when the ones before do not respond in
+    /// time. Returns `None` without a response.
+    async fn call_through_hosts(
+        &self,
+        destination: Destination<'_>,
+        call: &EncodedCall,
+        response_timeout: Duration,
+    ) -> Option<TurnResponse> {
+        let mut tried = Vec::new();
+        let mut calls = FuturesUnordered::new();
+        loop {
+            if tried.len() < RELAYS_MAX {
+                let relay = self.choose_relay(destination.allowed_regions, &tried);
+                tried.extend(relay);
+                calls
+                    .extend(relay.map(|relay| self.call_through(relay, destination, call, response_timeout)));
+            }
+            match timeout(RELAY_DELAY, calls.next()).await {
+                Ok(Some(Some(response))) => return Some(response),
+                Ok(None) => return None,
+                Ok(Some(None)) | Err(_) => {}
+            }
+        }
+    }
+
+    /// Calls a host through another gateway host. Returns `None` without a response.
+    async fn call_through(
         &self,
+        relay: SocketAddr,
         destination: Destination<'_>,
         call: &EncodedCall,
         response_timeout: Duration,
     ) -> Option<TurnResponse> {
-        let relay = self.choose_relay(destination.allowed_regions)?;
         metrics::counter!("burdockroad_turn_calls_relayed_total").increment(1);
         let relayed = PeerCall::Turns {
             host: destination.host.clone(),
@@ -253,8 +288,8 @@
         }
     }
 
-    /// Chooses a random gateway host in allowed regions, of this host's failure domain if there is one.
-    fn choose_relay(&self, allowed_regions: Option<&[RegionId]>) -> Option<SocketAddr> {
+    /// Chooses a random gateway host in allowed regions that was not tried yet, of this host's failure domain if there is one.
+    fn choose_relay(&self, allowed_regions: Option<&[RegionId]>, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let now = Instant::now();
         let mut state = self.lock();
         state
@@ -263,6 +298,7 @@
         let allowed = state
             .relays
             .iter()
+            .filter(|(address, _)| !tried.contains(address))
             .filter(|(_, relay)| self.regions.allows(&relay.failure_domain, allowed_regions));
         let (local, remote): (Vec<_>, Vec<_>) =
             allowed.partition(|(_, relay)| relay.failure_domain == self.failure_domain);
