--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -1,9 +1,11 @@
 //! Serves one call, from its request head to the end of its response.
 
+mod body;
 mod regions;
 
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -14,12 +16,10 @@
 };
 use bytes::Bytes;
 use http::{Request, Response, header, request::Parts};
-use http_body::Body;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use serde::Serialize;
-use tokio::time::timeout;
 
+use self::body::read_body;
 use crate::{
     CallHead,
     admitted_call::{AdmittedCall, CallerRequest},
@@ -60,8 +60,7 @@
         return refuse_unsent(&shared, Some(&head), refusal, started_at);
     }
     let history_requested_at = Instant::now();
-    let begun_turn = until_stop(&shared, begin_turn(&shared, &head, &context, &body)).await;
-    let kept_turn = match begun_turn.unwrap_or(Err(Refusal::Stopping)) {
+    let kept_turn = match begin_turn(&shared, &head, &context, &body).await {
         Ok(kept_turn) => kept_turn,
         Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
     };
@@ -249,7 +248,8 @@
     None
 }
 
-/// Reads the history that a call continues. Returns `None` on routes whose turns the system does not keep.
+/// Reads the history that a call continues, at most until the last responses must be sent before the process ends. Returns
+/// `None` on routes whose turns the system does not keep.
 async fn begin_turn(
     shared: &Shared,
     head: &CallHead,
@@ -261,8 +261,10 @@
     }
     let account = context.account.as_deref();
     let regions = context.allowed_regions.as_deref();
-    let kept_turn = KeptTurn::begin(shared, head, &context.route, account, regions, body.clone()).await?;
-    Ok(Some(kept_turn))
+    let reading = KeptTurn::begin(shared, head, &context.route, account, regions, body.clone());
+    let reading = pin!(reading);
+    let kept_turn = shared.shutdown.run_until_responses_are_due(reading).await;
+    kept_turn.unwrap_or(Err(Refusal::Stopping)).map(Some)
 }
 
 /// Refuses requests that crash endpoints, before anything is read or reserved for them.
@@ -287,34 +289,16 @@
     }
 }
 
-async fn read_body(body: Incoming, limits: &CallerLimits, body_timeout: Duration) -> Result<Bytes, Refusal> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let limited = Limited::new(body, limits.body_max_bytes);
-    match timeout(body_timeout, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLong),
-        Ok(Err(_)) | Err(_) => Err(Refusal::BodyIncomplete),
-    }
-}
-
 /// Runs the call, at most until the last responses must be sent before the process ends.
 async fn run_until_stop(call: &mut Call, rate_status: RateStatus) -> Result<ServedResponse, Refusal> {
     let shared = Arc::clone(&call.shared);
-    let result = until_stop(&shared, run(call, rate_status)).await;
+    let result = shared
+        .shutdown
+        .run_until_responses_are_due(run(call, rate_status))
+        .await;
     result.unwrap_or_else(|| Err(call.stop_refusal()))
 }
 
-/// Returns the output of a part of a call; `None` if the last responses must be sent before it ends.
-async fn until_stop<F: Future>(shared: &Shared, part: F) -> Option<F::Output> {
-    tokio::select! {
-        biased;
-        output = part => Some(output),
-        () = shared.shutdown.wait_until_responses_are_due() => None,
-    }
-}
-
 /// Reserves the tokens that the call may generate, counts the call against the rate limit if it is not
 /// counted yet, and sends the call to endpoints until one responds.
 async fn run(call: &mut Call, rate_status: RateStatus) -> Result<ServedResponse, Refusal> {
--- a/crates/burdockroad-gateway/src/shutdown.rs
+++ b/crates/burdockroad-gateway/src/shutdown.rs
@@ -83,8 +83,17 @@
         sleep_until(TokioInstant::from_std(plan.notice_end)).await;
     }
 
+    /// Runs a part of a call. Returns `None` if the call must be answered before the part ends.
+    pub(crate) async fn run_until_responses_are_due<F: Future>(&self, part: F) -> Option<F::Output> {
+        tokio::select! {
+            biased;
+            output = part => Some(output),
+            () = self.wait_until_responses_are_due() => None,
+        }
+    }
+
     /// Waits until the calls that are still running must be answered.
-    pub(crate) async fn wait_until_responses_are_due(&self) {
+    async fn wait_until_responses_are_due(&self) {
         let plan = self.wait_for_plan().await;
         sleep_until(TokioInstant::from_std(plan.responses_due)).await;
     }
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -119,10 +119,9 @@
     /// the process ends.
     async fn next_chunk_until_stop(&mut self) -> Option<io::Result<Bytes>> {
         let shared = Arc::clone(&self.call.shared);
-        tokio::select! {
-            biased;
-            chunk = self.next_chunk() => return chunk,
-            () = shared.shutdown.wait_until_responses_are_due() => {}
+        let next_chunk = self.next_chunk();
+        if let Some(chunk) = shared.shutdown.run_until_responses_are_due(next_chunk).await {
+            return chunk;
         }
         let refusal = self.call.stop_refusal();
         Some(Err(self.break_off(refusal).await))
