Take the versions that a host has not applied out of the circle of shared state and version check

shared.rs imported version_check.rs for one field, and version_check.rs imports shared.rs. The field's type is in a module of its own now. No behaviour changes; modules that import each other in circles: 2 before, 0 after.

--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -76,6 +76,7 @@
 mod turn_store;
 mod unreadable_keys;
 mod unreturned_tokens;
+mod unseen_versions;
 mod version_check;
 mod version_records;
 
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -26,7 +26,7 @@
     collected_reports::CollectedReports, crash_checks::CrashChecks, failed_polls::FailedPolls,
     peer_client::PeerClient, peers::Peers, pool::ConnectionPool, range_view::RangeView, relay::RelayedStore,
     remote_reservation::RemoteReservation, response_space::ResponseSpace, shutdown::Shutdown,
-    turn_store::client::TurnClient, version_check::LastRead,
+    turn_store::client::TurnClient, unseen_versions::LastRead,
 };
 
 /// State of one host.
--- a/crates/burdockroad-gateway/src/version_check.rs
+++ b/crates/burdockroad-gateway/src/version_check.rs
@@ -10,9 +10,9 @@
 
 use burdockroad::{SoftwareVersion, gateway::Endpoint};
 use burdockroad_daemon::platform::{Entry, StoreError};
-use tokio::{sync::Mutex, time::timeout};
+use tokio::time::timeout;
 
-use crate::{Change, Changes, RangeLog, SharedStore, shared::Shared};
+use crate::{Change, Changes, RangeLog, SharedStore, shared::Shared, unseen_versions::UnseenVersions};
 
 /// Time in which the store must respond to a check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
@@ -55,18 +55,6 @@
     }
 }
 
-/// Result of the last read of changes, which all calls use that arrived before it began.
-#[derive(Debug, Default)]
-pub(crate) struct LastRead(Mutex<Option<UnseenVersions>>);
-
-/// Versions in entries that this host had not applied.
-#[derive(Debug)]
-struct UnseenVersions {
-    /// Time at which the read began.
-    read_at: Instant,
-    by_service: BTreeMap<String, BTreeSet<SoftwareVersion>>,
-}
-
 /// Checks whether `version` is the only one that the service has had up to now.
 pub(crate) async fn check_only_version(
     shared: &Shared,
