Return the tokens of calls that begin at a host which is stopping

Callers saw 402 about 0.7 s after a planned stop of a host, though their budget was not spent: half of what was left stayed reserved by a process that had ended.

Cause: `Ledger::stop` gives up the ownership of all budgets, but `add_waiter` took it back for the next call, so the write for it reserved half of the budget ahead of need. Such calls come from other hosts that have not read the removal yet, and from callers in the notice time of a host that is alone. The class: a state that is set once and overwritten by the next request. Found by a reviewer who read the diff.

Evidence: `stop_returns_unused_tokens_of_a_call_that_began_after_it`, which failed before:

panicked at ./tests/gateway_budget.rs:336:5 (reserved_tokens of the stored budget, right: 0)

--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -144,7 +144,8 @@
     /// [`remove_waiter`](Self::remove_waiter) removes it.
     ///
     /// `owns_budget` is true if this host owns the program's budget. It then reserves half of the remaining
-    /// budget ahead of need, and keeps the unused tokens of its calls reserved for later calls.
+    /// budget ahead of need, and keeps the unused tokens of its calls reserved for later calls. A host that is
+    /// [stopping](Self::stop) does neither.
     pub fn add_waiter(
         &mut self,
         program: &ProgramId,
@@ -158,7 +159,7 @@
             .entry(program.clone())
             .or_insert_with(|| ProgramBudget::new(budget_tokens, now));
         row.budget_tokens = budget_tokens;
-        row.owns_budget = owns_budget;
+        row.owns_budget = owns_budget && !self.stopping;
         row.waiting_tokens += max_tokens.min(WAITING_MAX_TOKENS);
         row.last_call_tokens = max_tokens;
         row.last_used_at = now;
--- a/crates/burdockroad/tests/gateway_budget.rs
+++ b/crates/burdockroad/tests/gateway_budget.rs
@@ -322,6 +322,20 @@
     assert_eq!(stored.reserved_tokens(), 0);
 }
 
+/// Guards against 402 after a planned restart: a call that reached the stopping host made it the owner again.
+#[test]
+fn stop_returns_unused_tokens_of_a_call_that_began_after_it() {
+    let mut cluster = Cluster::new();
+    cluster.hosts[0].ledger.stop();
+    run_call_of_large_program(&mut cluster, 0);
+    let now = cluster.now;
+    cluster.hosts[0].ledger.settle_due(now);
+    cluster.write(0, WriteOutcome::Responded);
+    let stored = cluster.store.stored.expect("the budget is stored").budget;
+    assert_eq!(stored.spent_tokens, 10);
+    assert_eq!(stored.reserved_tokens(), 0);
+}
+
 /// Guards against tokens that stay reserved because another host wrote the budget while this one stopped.
 #[test]
 fn stop_returns_unused_tokens_after_a_conflict() {
