Count only the tokens of lost processes as spent

Cause: after 0.7 s all tokens reserved by other processes counted as spent, without regard to whether those processes still report. Tokens that a call of the same host uses never did. The class: a final answer given on a belief (the holder is lost) that was not checked.

Now a shortage counts only for tokens of processes that are not live, and only if the tokens without these are too few for the call; otherwise the caller gets 503 with 0.2 s as before the 0.7 s, and 402 once the live process has settled.

Evidence: `is_short_counts_no_tokens_of_live_hosts`. With the live processes ignored, as before:

panicked at crates/burdockroad/tests/gateway_budget.rs:204:5: assertion failed: !ledger.is_short(&program, reclaim_time, now + reclaim_time)

`is_short_after_the_time_to_reclaim_tokens` passes no live process and holds as before. 16 of 16 tests of gateway_budget passed, 13 of process, 6 of planned_stop, 4 of programs_in_store_outages.

--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -14,7 +14,7 @@
 };
 
 use burdockroad::{
-    HostId, ProgramId,
+    HostId, Incarnation, ProgramId,
     gateway::{Readiness, StartDecision},
     ownership::rendezvous_order,
 };
@@ -50,7 +50,7 @@
 /// Interval at which a waiting call rechecks a budget whose tokens are all reserved.
 const BUDGET_RECHECK_INTERVAL: Duration = Duration::from_millis(80);
 
-/// Time for which a call waits for tokens that other hosts have reserved. After it, these count as spent.
+/// Time for which a call waits for tokens that lost processes have reserved. After it, these count as spent.
 const RECLAIM_TIME: Duration = Duration::from_millis(700);
 
 /// `Retry-After` of a call of whose budget enough is left, but reserved for other calls.
@@ -333,8 +333,27 @@
     }
 }
 
-/// Returns the response to a request that found all tokens reserved until its end. Tokens that other hosts have not
-/// returned for a longer time count as spent.
+/// Returns the process incarnations of the other hosts that are live.
+fn live_incarnations(shared: &Shared) -> Vec<Incarnation> {
+    let now = Instant::now();
+    let peers = shared.peers.borrow();
+    let tables = shared.tables();
+    let live = peers
+        .iter()
+        .filter(|(host, _)| tables.rate_limiter.is_live(host, now));
+    live.map(|(_, peer)| peer.incarnation).collect()
+}
+
+/// Records whether a waiting call lacks tokens of lost processes.
+fn record_shortage(shared: &Shared, request: &ReservationRequest) {
+    let live = live_incarnations(shared);
+    let now = Instant::now();
+    let ledger = &mut shared.tables().ledger;
+    ledger.record_shortage(&request.program, request.max_tokens, &live, now);
+}
+
+/// Returns the response to a request that found all tokens reserved until its end. Tokens that lost processes have
+/// reserved count as spent after [`RECLAIM_TIME`].
 fn fully_reserved(shared: &Shared, program: &ProgramId) -> ReservationResponse {
     let now = Instant::now();
     let is_short = shared.tables().ledger.is_short(program, RECLAIM_TIME, now);
@@ -384,7 +403,7 @@
             }
             Readiness::AwaitWrite if time_left.is_zero() => return ReservationResponse::StoreTimeout,
             Readiness::AwaitTokens => {
-                shared.tables().ledger.record_shortage(program, Instant::now());
+                record_shortage(shared, request);
                 // Calls that release tokens at this host send the notification. Tokens released by other
                 // hosts are visible only in the store.
                 let _ended = timeout(time_left.min(BUDGET_RECHECK_INTERVAL), changed).await;
--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -174,17 +174,28 @@
         }
     }
 
-    /// Records that a waiting call lacks tokens, if other hosts have reserved some.
-    pub fn record_shortage(&mut self, program: &ProgramId, now: Instant) {
-        if let Some(row) = self.rows.get_mut(program)
-            && row.other_hosts_tokens() > 0
-        {
+    /// Records whether a waiting call that needs `max_tokens` lacks tokens that are reserved by other processes than the
+    /// `live` ones. Live processes return what their calls do not use.
+    pub fn record_shortage(
+        &mut self,
+        program: &ProgramId,
+        max_tokens: u64,
+        live: &[Incarnation],
+        now: Instant,
+    ) {
+        let incarnation = self.incarnation;
+        let Some(row) = self.rows.get_mut(program) else {
+            return;
+        };
+        if row.lacks_tokens_of_lost_processes(max_tokens, incarnation, live) {
             row.short_since.get_or_insert(now);
+        } else {
+            row.short_since = None;
         }
     }
 
-    /// Returns whether a program has lacked tokens that other hosts have reserved for `reclaim_time`. Hosts that have not
-    /// returned them until then may be gone, and their tokens count as spent.
+    /// Returns whether a program has lacked tokens that processes which are not live have reserved for `reclaim_time`. These
+    /// tokens then count as spent.
     pub fn is_short(&self, program: &str, reclaim_time: Duration, now: Instant) -> bool {
         let since = self.rows.get(program).and_then(|row| row.short_since);
         since.is_some_and(|since| now >= since + reclaim_time)
--- a/crates/burdockroad/src/gateway/budget/program_budget.rs
+++ b/crates/burdockroad/src/gateway/budget/program_budget.rs
@@ -25,7 +25,7 @@
     pub(super) used_tokens: u64,
     /// Sum of the waiting calls' maximums.
     pub(super) waiting_tokens: u64,
-    /// Time since which calls lack tokens that other hosts have reserved; `None` if they do not.
+    /// Time since which calls lack tokens that lost processes have reserved; `None` if they do not.
     pub(super) short_since: Option<Instant>,
     /// Whether tokens may be idle that no settled call will return.
     pub(super) may_be_idle: bool,
@@ -101,6 +101,28 @@
         reserved.saturating_sub(self.reserved_tokens)
     }
 
+    /// Returns whether the tokens that are neither spent nor reserved by lost processes, which are those other than
+    /// `this` and the `live` ones, are too few for a call.
+    pub(super) fn lacks_tokens_of_lost_processes(
+        &self,
+        max_tokens: u64,
+        this: Incarnation,
+        live: &[Incarnation],
+    ) -> bool {
+        let reservations = self
+            .stored
+            .as_ref()
+            .map_or(&[][..], |stored| &stored.budget.reservations);
+        let lost = reservations.iter().filter(|reservation| {
+            reservation.incarnation != this && !live.contains(&reservation.incarnation)
+        });
+        let lost_tokens = lost.fold(0_u64, |sum, reservation| {
+            sum.saturating_add(reservation.reserved_tokens)
+        });
+        let committed_tokens = self.spent_tokens().saturating_add(lost_tokens);
+        lost_tokens > 0 && committed_tokens.saturating_add(max_tokens) > self.budget_tokens
+    }
+
     /// Returns the tokens that are neither spent nor reserved by other hosts.
     fn uncommitted_tokens(&self) -> u64 {
         let unspent = self.budget_tokens.saturating_sub(self.spent_tokens());
--- a/crates/burdockroad/tests/gateway_budget.rs
+++ b/crates/burdockroad/tests/gateway_budget.rs
@@ -180,12 +180,37 @@
     let now = cluster.now;
     let ledger = &mut cluster.hosts[1].ledger;
     assert!(!ledger.is_short(&program, reclaim_time, now + reclaim_time));
-    ledger.record_shortage(&program, now);
-    ledger.record_shortage(&program, now + reclaim_time / 2);
+    ledger.record_shortage(&program, MAX_TOKENS, &[], now);
+    ledger.record_shortage(&program, MAX_TOKENS, &[], now + reclaim_time / 2);
     assert!(!ledger.is_short(&program, reclaim_time, now + reclaim_time / 2));
     assert!(ledger.is_short(&program, reclaim_time, now + reclaim_time));
 }
 
+/// Guards against 402 for tokens that calls of live hosts use: these return what is left of them.
+#[test]
+fn is_short_counts_no_tokens_of_live_hosts() {
+    let mut cluster = Cluster::new();
+    let program = PROGRAM.to_owned();
+    let reclaim_time = Duration::from_millis(700);
+    for host in [0, 0, 2] {
+        assert!(start_call(&mut cluster, host));
+        cluster.apply(Step::Kill { host });
+    }
+    let holders = cluster.reserving_incarnations();
+    assert!(!start_call(&mut cluster, 1));
+    let now = cluster.now;
+    let ledger = &mut cluster.hosts[1].ledger;
+    ledger.record_shortage(&program, MAX_TOKENS, &holders, now);
+    assert!(!ledger.is_short(&program, reclaim_time, now + reclaim_time));
+    // A host that is lost later counts from then on.
+    ledger.record_shortage(&program, MAX_TOKENS, &[], now + reclaim_time);
+    assert!(!ledger.is_short(&program, reclaim_time, now + reclaim_time));
+    assert!(ledger.is_short(&program, reclaim_time, now + reclaim_time * 2));
+    // One that turns out to be live does not count any more.
+    ledger.record_shortage(&program, MAX_TOKENS, &holders, now + reclaim_time * 2);
+    assert!(!ledger.is_short(&program, reclaim_time, now + reclaim_time * 2));
+}
+
 /// Guards against programs that end because a host which owned their budgets before has reserved the tokens.
 #[test]
 fn return_idle_by_former_owner_frees_all_unused_tokens() {
--- a/crates/burdockroad/tests/gateway_budget/model.rs
+++ b/crates/burdockroad/tests/gateway_budget/model.rs
@@ -180,6 +180,13 @@
         }
     }
 
+    /// Returns the incarnations of the processes that have reserved tokens.
+    pub(crate) fn reserving_incarnations(&self) -> Vec<u64> {
+        let stored = self.store.stored.as_ref().expect("the budget is stored");
+        let reservations = stored.budget.reservations.iter();
+        reservations.map(|reservation| reservation.incarnation).collect()
+    }
+
     /// Returns the generated tokens plus those that running calls may still generate.
     pub(crate) fn committed_tokens(&self) -> u64 {
         let running: usize = self.hosts.iter().map(|host| host.running).sum();
