--- a/crates/burdockroad/tests/journal_interleavings/world.rs
+++ b/crates/burdockroad/tests/journal_interleavings/world.rs
@@ -1,5 +1,8 @@
 //! Simulation of one writer, the store, three peers and a successor, driven by a seed.
 
+mod delivery;
+mod recovery;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
@@ -9,8 +12,8 @@
 use burdockroad::{
     Record, SegmentNumber,
     journal::{
-        Action, Durability, JournalError, Peer, ReadReply, Seal, Segment, StoredSegment, TailBatch, TailCopy,
-        TailReply, TailTable, TailTableOptions, Ticket, WriteReply, Writer, WriterOptions, join,
+        Action, Durability, JournalError, Peer, TailBatch, TailTable, TailTableOptions, Ticket, Writer,
+        WriterOptions,
     },
     ownership::Process,
     program::Event,
@@ -104,35 +107,6 @@
     counts: Counts,
 }
 
-/// Records recovered by a successor.
-struct Recovery {
-    records: Vec<Record>,
-    tail_count: usize,
-    /// Position of the last record that the segments contain completely, or that was removed before.
-    stored_end: u64,
-    /// Whether the tail peer named by the last segment was read, or none was named.
-    complete: bool,
-}
-
-impl Recovery {
-    /// Returns whether both recoveries contain the same records, from the start of the later one. A
-    /// removal that was still in progress may have removed earlier records, and copies that one
-    /// successor read may be lost for the other.
-    fn agrees_with(&self, other: &Self) -> bool {
-        let start = |recovery: &Self| recovery.records.first().map_or(0, |record| record.sequence);
-        let from = start(self).max(start(other));
-        let records_since = |recovery: &Self| -> Vec<Record> {
-            let records = recovery.records.iter();
-            records
-                .filter(|record| record.sequence >= from)
-                .cloned()
-                .collect()
-        };
-        records_since(self).starts_with(&records_since(other))
-            || records_since(other).starts_with(&records_since(self))
-    }
-}
-
 impl World {
     pub(crate) fn new(seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -319,134 +293,6 @@
         }
     }
 
-    fn deliver_one(&mut self) {
-        if self.messages.is_empty() {
-            return;
-        }
-        let index = self.rng.random_range(0..self.messages.len());
-        let message = self.messages.swap_remove(index);
-        self.deliver(message);
-        self.poll();
-    }
-
-    fn deliver_all(&mut self) {
-        while let Some(message) = self.messages.pop() {
-            self.deliver(message);
-        }
-    }
-
-    fn deliver(&mut self, message: Message) {
-        match message {
-            Message::Write {
-                segment,
-                value,
-                replied,
-            } => self.deliver_write(segment, value, replied),
-            Message::Read { segment } => {
-                let reply = match self.store.get(&segment) {
-                    _ if self.store_down => ReadReply::Unavailable {
-                        retry_after: Duration::from_millis(50),
-                    },
-                    Some(value) => ReadReply::Found(value.clone()),
-                    None => ReadReply::Absent,
-                };
-                self.writer.read_back(reply, self.now);
-            }
-            Message::TailBatch { to, copies, replied } => self.deliver_batch(to, copies, replied),
-            Message::Remove { from, to, replied } => {
-                let lost = !replied && self.rng.random_ratio(1, 5);
-                if lost {
-                    self.writer.removed(false);
-                    self.messages.push(Message::Remove {
-                        from,
-                        to,
-                        replied: true,
-                    });
-                    return;
-                }
-                self.store.retain(|&number, _| number < from || number >= to);
-                if !replied {
-                    self.writer.removed(true);
-                }
-            }
-        }
-    }
-
-    fn deliver_write(&mut self, segment: SegmentNumber, value: Arc<[u8]>, replied: bool) {
-        if replied {
-            // The writer has given up this write, but it still takes effect.
-            self.create(segment, &value);
-            return;
-        }
-        let reply = match self.rng.random_range(0..10) {
-            0 => {
-                self.messages.push(Message::Write {
-                    segment,
-                    value,
-                    replied: true,
-                });
-                WriteReply::Ambiguous
-            }
-            1 => WriteReply::Ambiguous,
-            _ if self.store_down => WriteReply::Unavailable {
-                retry_after: Duration::from_millis(50),
-            },
-            2 => {
-                self.create(segment, &value);
-                WriteReply::Ambiguous
-            }
-            _ => self.create(segment, &value),
-        };
-        if reply == WriteReply::Ambiguous {
-            self.ambiguous_segments.insert(segment);
-        }
-        if reply == WriteReply::Done && !self.ambiguous_segments.contains(&segment) {
-            self.opened.get_or_insert(segment);
-        }
-        self.writer.written(reply, self.now);
-    }
-
-    fn create(&mut self, segment: SegmentNumber, value: &[u8]) -> WriteReply {
-        if let Some(value) = self.store.get(&segment) {
-            return WriteReply::Exists(value.clone());
-        }
-        if segment > 1 && !self.store.contains_key(&(segment - 1)) {
-            return WriteReply::Removed;
-        }
-        self.store.insert(segment, value.to_vec());
-        WriteReply::Done
-    }
-
-    fn deliver_batch(&mut self, to: Process, copies: TailBatch, replied: bool) {
-        if !replied && self.rng.random_ratio(1, 10) {
-            // The reply is too late for the writer. The batch may arrive even later, or twice.
-            self.writer
-                .replicated(&to, copies.session, TailReply::Failed, self.now);
-            self.messages.push(Message::TailBatch {
-                to,
-                copies,
-                replied: true,
-            });
-            return;
-        }
-        let session = copies.session;
-        let peer = self.peers.iter_mut().find(|peer| peer.process == to && peer.up);
-        let reply = match peer {
-            Some(peer) => peer.table.append_batch(&self.owner, copies.clone()),
-            None => TailReply::Failed,
-        };
-        if self.rng.random_ratio(1, 10) {
-            self.messages.push(Message::TailBatch {
-                to: to.clone(),
-                copies,
-                replied: true,
-            });
-        }
-        if !replied {
-            self.writer.replicated(&to, session, reply, self.now);
-        }
-    }
-
     fn change_peer(&mut self) {
         let index = self.rng.random_range(0..self.peers.len());
         let peer = &mut self.peers[index];
@@ -475,103 +321,6 @@
         }
         self.writer.set_peers(view, true);
     }
-
-    /// Creates a seal after the newest segment. The writer continues between the steps.
-    fn seal(&mut self) -> SegmentNumber {
-        loop {
-            let newest = self.store.iter().next_back();
-            let Some((&newest, value)) = newest else {
-                self.steps(STEPS_BETWEEN_ACTIONS);
-                continue;
-            };
-            if matches!(StoredSegment::decode(value).unwrap(), StoredSegment::Seal(_)) {
-                return newest;
-            }
-            self.steps(STEPS_BETWEEN_ACTIONS);
-            let seal = StoredSegment::Seal(Seal {
-                successor: process("p", 9),
-            });
-            if self.create(newest + 1, &seal.encode().unwrap()) == WriteReply::Done {
-                return newest + 1;
-            }
-        }
-    }
-
-    fn recover(&mut self, seal: SegmentNumber) -> Recovery {
-        let mut copies = Vec::new();
-        let mut read_peers = Vec::new();
-        for index in 0..self.peers.len() {
-            self.steps(STEPS_BETWEEN_ACTIONS);
-            let peer = &mut self.peers[index];
-            if peer.up {
-                copies.push(peer.table.seal(&self.owner, self.now));
-                read_peers.push(peer.process.clone());
-            }
-        }
-        self.steps(STEPS_BETWEEN_ACTIONS);
-        self.read(seal, &copies, &read_peers)
-    }
-
-    fn read(&self, seal: SegmentNumber, copies: &[TailCopy], read_peers: &[Process]) -> Recovery {
-        let segments: Vec<Segment> = self
-            .store
-            .range(..seal)
-            .map(|(_, value)| match StoredSegment::decode(value).unwrap() {
-                StoredSegment::Group(segment) => segment,
-                StoredSegment::Seal(seal) => panic!("a second seal by {:?}", seal.successor),
-            })
-            .collect();
-        assert!(
-            !self.store.keys().any(|&number| number > seal),
-            "a segment follows the seal"
-        );
-        let tail_peer = segments.last().and_then(|segment| segment.tail_peer.as_ref());
-        let joined = join(&segments, copies).unwrap();
-        let stored_end = segments.last().map_or(0, |segment| {
-            let whole = segment.pieces.iter().filter(|piece| piece.last).count();
-            segment.first_position + whole as u64 - 1
-        });
-        Recovery {
-            stored_end,
-            records: joined.records,
-            tail_count: joined.tail_count,
-            complete: tail_peer.is_none_or(|tail_peer| read_peers.contains(tail_peer)),
-        }
-    }
-
-    /// Checks that all confirmed records were recovered, in order and without gaps.
-    fn check(&self, recovery: &Recovery) {
-        let end = recovery.stored_end + recovery.tail_count as u64;
-        let first = end + 1 - recovery.records.len() as u64;
-        let sequences = recovery.records.iter().map(|record| record.sequence);
-        assert!(sequences.eq(first..=end), "a record is missing or duplicated");
-        let stored_end = recovery.stored_end;
-        let base = stored_end / BASE_INTERVAL * BASE_INTERVAL;
-        assert!(
-            base == 0 || first <= base,
-            "record {base} is needed but was removed"
-        );
-        assert!(
-            self.stored <= stored_end,
-            "confirmed {} as stored, recovered {stored_end}",
-            self.stored
-        );
-        if recovery.complete {
-            assert!(
-                self.replicated <= end,
-                "confirmed {} as replicated, recovered {end}",
-                self.replicated
-            );
-        }
-    }
-
-    /// Removes the journal in the order that a successor uses, with the seal last.
-    fn remove(&mut self, seal: SegmentNumber) {
-        self.steps(STEPS_BETWEEN_ACTIONS);
-        self.store.retain(|&number, _| number >= seal);
-        self.steps(STEPS_BETWEEN_ACTIONS);
-        self.store.remove(&seal);
-    }
 }
 
 fn process(host_id: &str, incarnation: u64) -> Process {
