--- a/crates/burdockroad-gateway/src/overdrafts.rs
+++ b/crates/burdockroad-gateway/src/overdrafts.rs
@@ -82,7 +82,7 @@
     };
     let started_at = Instant::now();
     let replies = send_claim(shared, program).await;
-    // A process that stood still may have received the replies long before it reads them.
+    // A process that was suspended may have received the replies long before it reads them.
     let outcome = if started_at.elapsed() > CLAIM_MAX_AGE {
         ClaimOutcome::Uncertain
     } else {
--- a/crates/burdockroad-gateway/src/refusal.rs
+++ b/crates/burdockroad-gateway/src/refusal.rs
@@ -46,7 +46,7 @@
 /// Reason why a call ends without an endpoint's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
-    /// The host has not read the configuration or the list of hosts yet.
+    /// The host has not read the configuration, the registered hosts or the endpoints yet.
     NotReady,
     /// The host is stopping, and the call may take longer than the host runs.
     Stopping,
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -69,7 +69,7 @@
     pub(crate) last_version_read: LastRead,
     /// Notified when a check whether an endpoint crashed has ended.
     pub(crate) endpoint_checked: Notify,
-    /// Whether the host is shutting down, and how far.
+    /// Whether the host is shutting down, and the times of the stop.
     pub(crate) shutdown: Shutdown,
     tables: Mutex<Tables>,
 }
@@ -239,7 +239,7 @@
 
 impl Tables {
     /// Returns the configuration in force once the host can route calls: it has also read the registered hosts and
-    /// the endpoints. A host that has not read the endpoints would refuse calls for want of them.
+    /// the endpoints. Without the endpoints, it would refuse calls as if there were none.
     pub(crate) fn routing_directory(&self) -> Option<&Arc<Directory>> {
         let has_read_ranges = self.host_count > 0 && self.has_read_endpoints;
         self.directory.as_ref().filter(|_| has_read_ranges)
--- a/crates/burdockroad-gateway/src/stream_origins.rs
+++ b/crates/burdockroad-gateway/src/stream_origins.rs
@@ -208,8 +208,9 @@
 /// Returns what is known of the version at which a stream that a caller takes up has to go on.
 ///
 /// The holders of the stream are asked even while this host knows one version only, because another host may
-/// have learned of a second one earlier. The only version counts once the store has confirmed it meanwhile: holders
-/// that do not answer say nothing, and a host that was cut off or stood still does not know of newer versions.
+/// have learned of a second one earlier. The only version counts only if a check finds no other one
+/// ([`VersionCheck::is_only_version`]): a holder that does not answer may hold another version, and a host that was
+/// cut off or suspended may not have applied the entries of newer endpoints.
 pub(crate) async fn version_of(shared: &Shared, service: &str, stream: Option<&StreamId>) -> VersionLookup {
     let held = stream.and_then(|stream| known_version(shared, stream));
     if let Some(version) = held {
@@ -224,7 +225,7 @@
     }
 }
 
-/// Checks whether the service has one version only; `None` if this host knows that it has several.
+/// Checks whether the service has only one version; `None` if this host knows of several versions or of none.
 async fn check_versions(shared: &Shared, service: &str) -> Option<CheckedVersion> {
     let version = shared.tables().only_version(service, Instant::now())?;
     let mut check = check_only_version(shared, service, &version).await;
--- a/crates/burdockroad-gateway/src/turn_store/disk_hosts.rs
+++ b/crates/burdockroad-gateway/src/turn_store/disk_hosts.rs
@@ -81,7 +81,7 @@
         let result = StoreResult::of(&response);
         match result {
             StoreResult::Stored => self.record_response(host),
-            // The host responds, but its turns do not last.
+            // The host responds, but did not write the turn to its disk.
             StoreResult::NotStored => self.health().record_failure(host, Instant::now()),
             StoreResult::Unreachable | StoreResult::NoResponse => self.record_silence(host, sent_at),
         }
--- a/crates/burdockroad-gateway/src/turn_store/links.rs
+++ b/crates/burdockroad-gateway/src/turn_store/links.rs
@@ -1,8 +1,9 @@
 //! Calls of a gateway host to the hosts that store turns, on its own links or through another gateway host.
 //!
 //! A gateway host may be cut from the hosts that store turns while callers, endpoints and other gateway hosts
-//! reach it. Its calls to them then go through a gateway host that reports to reach them. Calls to these hosts may be
-//! repeated, so a call whose link does not respond is sent on both ways, and the first response counts.
+//! reach it. Its calls then go through a gateway host whose reports state that it reaches them. Each call may be
+//! repeated. If the own link does not respond, the call is sent on the link and through other gateway hosts, and the
+//! first response is used.
 
 use std::{
     collections::HashMap,
@@ -44,7 +45,7 @@
 /// Maximum age of a gateway host's report that it reaches the hosts that store turns.
 const RELAY_REPORT_AGE_MAX: Duration = Duration::from_secs(1);
 
-/// Time without a response after which a call goes through one more gateway host, which may be sound.
+/// Time without a response after which a call is also sent through another gateway host.
 const RELAY_DELAY: Duration = Duration::from_millis(100);
 
 /// Maximum number of gateway hosts that pass one call on.
@@ -62,8 +63,9 @@
 
 #[derive(Debug, Default)]
 struct LinkState {
-    /// Links of this host that carried no call. Says nothing about the health of the hosts at their other end.
-    cut: TurnHostHealth,
+    /// Failed checks of this host's own links, by the host at the other end. A link is cut while its last check failed;
+    /// the host itself may also be down.
+    link_checks: TurnHostHealth,
     /// Gateway hosts that reach the hosts that store turns, by address.
     relays: HashMap<SocketAddr, Relay>,
 }
@@ -155,7 +157,7 @@
 
     /// Returns whether this host's own link to a host is cut.
     pub(super) fn is_cut(&self, host: &str) -> bool {
-        self.lock().cut.is_failing(host)
+        self.lock().link_checks.is_failing(host)
     }
 
     /// Calls a host on this host's own link, and through other gateway hosts if the link is cut.
@@ -192,7 +194,7 @@
         }
     }
 
-    /// Passes the call of another gateway host on, on this host's own link.
+    /// Makes a call for another gateway host on this host's own link.
     pub(super) async fn relay(
         &self,
         address: SocketAddr,
@@ -207,7 +209,7 @@
     pub(super) async fn check_cut_links(&self, address_of: impl Fn(&str) -> Option<SocketAddr>) {
         loop {
             sleep(RECHECK_INTERVAL).await;
-            let due = self.lock().cut.take_due_probes(Instant::now());
+            let due = self.lock().link_checks.take_due_probes(Instant::now());
             let checks = due.iter().map(async |host| match address_of(host) {
                 Some(address) => {
                     // The check itself records whether the link carries calls.
@@ -219,7 +221,7 @@
         }
     }
 
-    /// Returns when a call has waited for long and the link is found to be cut.
+    /// Waits for [`LINK_CHECK_DELAY`], then returns if the link is cut. Never returns if it carries calls.
     async fn wait_for_cut(&self, destination: Destination<'_>) {
         sleep(LINK_CHECK_DELAY).await;
         if !self.is_cut(destination.host) && self.check(destination).await {
@@ -310,11 +312,11 @@
     /// Records whether a link carried a call, and logs when it is cut and when it carries calls again.
     fn record_link(&self, host: &HostId, carries_calls: bool) {
         let mut state = self.lock();
-        let was_cut = state.cut.is_failing(host);
+        let was_cut = state.link_checks.is_failing(host);
         if carries_calls {
-            state.cut.record_response(host, Instant::now());
+            state.link_checks.record_response(host, Instant::now());
         } else {
-            state.cut.record_failure(host, Instant::now());
+            state.link_checks.record_failure(host, Instant::now());
         }
         drop(state);
         match (was_cut, carries_calls) {
--- a/crates/burdockroad-gateway/src/turn_store/write.rs
+++ b/crates/burdockroad-gateway/src/turn_store/write.rs
@@ -31,7 +31,7 @@
 /// Interval before a turn that was not stored is sent to the same host again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
-/// The same for a host that counts as lost.
+/// Interval before a turn is sent again to a host that counts as lost.
 const LOST_RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Maximum number of hosts in the log line of a turn that was not stored.
@@ -50,20 +50,20 @@
     /// the call, and its turn must not be replaced by this one.
     replies: JoinSet<StoreReply>,
     started_at: Instant,
-    /// Longest time by which this host was late to look at its responses.
+    /// Longest time by which a wait of [`HEDGE_DELAY`] ended late because this process did not run.
     longest_delay: Duration,
 }
 
-/// Last call that stores the turn at a host.
+/// State of the calls that send the turn to one host.
 #[derive(Debug)]
 struct HostCall {
     host: HostId,
     sent_at: Instant,
-    /// Number of calls to the host, with this one.
+    /// Number of calls to the host, including the current one.
     calls: u32,
-    /// How the call before ended.
+    /// Result of the previous call.
     previous_result: Option<StoreResult>,
-    /// How the call ended; `None` while it is in flight.
+    /// Result of the current call; `None` while it is in flight.
     result: Option<StoreResult>,
     /// Whether the turn was also sent to another host because this one is slow.
     hedged: bool,
@@ -240,10 +240,10 @@
 #[derive(Serialize)]
 pub(super) struct TurnNotStoredLine<'a> {
     id: &'a str,
-    /// Time for which the write went on.
+    /// Duration of the write.
     waited_ms: u64,
     replicas: usize,
-    /// Longest time by which this host was late to look at its responses.
+    /// Longest time by which a wait of [`HEDGE_DELAY`] ended late because this process did not run.
     own_delay_ms: u64,
     known_hosts: usize,
     hosts_sent_to: usize,
@@ -255,12 +255,12 @@
 #[derive(Serialize)]
 struct HostCallLine<'a> {
     host: &'a str,
-    /// How the last call that ended did so; `None` if the host has not responded yet.
+    /// Result of the last call that ended; `None` if none has.
     last_result: Option<&'static str>,
     calls: u32,
     /// Time since the last call was sent.
     sent_ms_ago: u64,
-    /// Time since the first of the host's consecutive failures; absent if its last response was good.
+    /// Time since the first of the host's consecutive failures; absent if its last call succeeded.
     #[serde(skip_serializing_if = "Option::is_none")]
     silent_ms: Option<u64>,
     lost: bool,
--- a/crates/burdockroad-gateway/src/unreturned_tokens.rs
+++ b/crates/burdockroad-gateway/src/unreturned_tokens.rs
@@ -1,11 +1,11 @@
-//! Log of the tokens for lack of which programs end although they are not spent.
+//! Logs the reserved tokens because of which a program gets 402 although its budget is not spent.
 
 use burdockroad::{HostId, Incarnation, ProgramId};
 use serde::Serialize;
 
 use crate::shared::Shared;
 
-/// Logs which hosts have not returned tokens of a program that ends for lack of them.
+/// Logs the hosts whose reserved tokens a program that gets 402 could not use.
 pub(crate) fn log_unreturned(shared: &Shared, program: &ProgramId) {
     let Some(budget) = shared.tables().ledger.stored_budget(program).cloned() else {
         return;
--- a/crates/burdockroad-gateway/src/unseen_versions.rs
+++ b/crates/burdockroad-gateway/src/unseen_versions.rs
@@ -8,7 +8,8 @@
 use burdockroad::SoftwareVersion;
 use tokio::sync::Mutex;
 
-/// Result of the last read of changes, which all calls use that arrived before it began.
+/// Result of the last read of the changes of endpoints. A call uses it if the read began after the call asked;
+/// otherwise, it makes a new read.
 #[derive(Debug, Default)]
 pub(crate) struct LastRead(pub(crate) Mutex<Option<UnseenVersions>>);
 
--- a/crates/burdockroad-gateway/src/version_check.rs
+++ b/crates/burdockroad-gateway/src/version_check.rs
@@ -1,7 +1,7 @@
 //! Checks with the store whether a service has software versions that this host does not know of yet.
 //!
-//! Failure: a host that is cut off or stands still while endpoints of another version register. The only version
-//! that it knows need not have begun a stream that a caller takes up.
+//! Failure: a host is cut off or suspended while endpoints of another version register, and a caller takes up a
+//! stream there that the other version began.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -22,12 +22,15 @@
 pub(crate) enum VersionCheck {
     /// The store has no endpoint of another version.
     Confirmed,
-    /// The store responds to no host, so no endpoint of another version can have registered.
+    /// The store did not respond, and by the reports that this host receives it has responded to no host for as long
+    /// as an outage takes.
     StoreOutage,
-    /// The store did not respond. Most hosts are heard, and announce no change that this host has not applied.
-    InTouch,
-    /// The store did not respond, and too little is heard of the other hosts.
-    OutOfTouch,
+    /// The store did not respond. This host receives the reports of most hosts, and has applied every change that was
+    /// announced to it.
+    ReportsCurrent,
+    /// The store did not respond. This host receives the reports of too few hosts, or one of them announced a change
+    /// that it has not applied.
+    ReportsIncomplete,
     /// Endpoints of another version have registered.
     OtherVersion,
 }
@@ -38,19 +41,20 @@
         match self {
             Self::Confirmed => "confirmed",
             Self::StoreOutage => "store_outage",
-            Self::InTouch => "in_touch",
-            Self::OutOfTouch => "out_of_touch",
+            Self::ReportsCurrent => "reports_current",
+            Self::ReportsIncomplete => "reports_incomplete",
             Self::OtherVersion => "other_version",
         }
     }
 
     /// Returns whether the version that this host knows is the only one. `all_holders_answered` tells whether all
-    /// holders of the stream answered that they do not hold its version: while several versions serve, they do.
+    /// holders of the stream answered that they hold no version of it. Hosts that know several versions send the
+    /// version of each stream to its holders.
     pub(crate) fn is_only_version(self, all_holders_answered: bool) -> bool {
         match self {
             Self::Confirmed | Self::StoreOutage => true,
-            Self::InTouch => all_holders_answered,
-            Self::OutOfTouch | Self::OtherVersion => false,
+            Self::ReportsCurrent => all_holders_answered,
+            Self::ReportsIncomplete | Self::OtherVersion => false,
         }
     }
 }
@@ -138,10 +142,10 @@
     let announced = tables.announced_ranges.get(prefix);
     let has_applied_all = announced.is_none_or(|range| range.last_change <= applied);
     if !hears_most || !has_applied_all {
-        VersionCheck::OutOfTouch
+        VersionCheck::ReportsIncomplete
     } else if tables.departures.is_store_outage(now) {
         VersionCheck::StoreOutage
     } else {
-        VersionCheck::InTouch
+        VersionCheck::ReportsCurrent
     }
 }
--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -316,7 +316,7 @@
     }
 
     /// Records that the host is stopping. From then on, [`settle_due`](Self::settle_due) returns the tokens of all
-    /// programs that no running call uses, because nobody can ask a host that is gone for them.
+    /// programs that no running call uses, because other hosts cannot request them after the process has ended.
     pub fn stop(&mut self) {
         self.stopping = true;
         for row in self.rows.values_mut() {
--- a/crates/burdockroad/src/gateway/budget/program_budget.rs
+++ b/crates/burdockroad/src/gateway/budget/program_budget.rs
@@ -178,7 +178,8 @@
             .map(|stored| stored.budget.clone())
             .unwrap_or_default();
         budget.spent_tokens = budget.spent_tokens.saturating_add(self.used_tokens);
-        // Without its earlier reservation, the write is recognized by a reservation of no tokens.
+        // `on_found` recognizes an applied write by the reservation of this host. If the host had none and reserves no
+        // tokens, a reservation of 0 tokens marks the write.
         let has_reservation = budget.reservation_of(incarnation).is_some();
         budget
             .reservations
--- a/crates/burdockroad/src/gateway/turns/replication.rs
+++ b/crates/burdockroad/src/gateway/turns/replication.rs
@@ -100,9 +100,9 @@
 /// replica less is enough for each lost host, because that many fewer hosts may still be lost. A host that
 /// fails without being lost is tried again.
 ///
-/// That a host is lost is only the view of the host that stores the turn, whose own link may be full. So hosts that
-/// count as lost are not waited for as long as the turn can be durable without them; when it cannot, they are tried
-/// again and again, and their responses count. The replication does not give a turn up: the time of its caller ends it.
+/// A host counts as lost at the gateway host that sends the turn, whose own link may be the cause. Lost hosts are not
+/// waited for while the turn can be durable without them. Otherwise they are tried repeatedly, and their responses
+/// count. The replication has no time limit of its own; the caller's deadline ends it.
 ///
 /// When fewer hosts are registered than should store a turn, because the operator has removed others, all of them
 /// store it.
--- a/crates/burdockroad/tests/gateway_turn_losses.rs
+++ b/crates/burdockroad/tests/gateway_turn_losses.rs
@@ -57,7 +57,7 @@
     /// Whether hosts copy turns from each other.
     copies: bool,
     /// Whether a sound host may seem lost to the host that stores the turn.
-    errs: bool,
+    misjudges_hosts: bool,
 }
 
 impl Model {
@@ -84,14 +84,14 @@
                 output: Bytes::new(),
             },
             copies: true,
-            errs: false,
+            misjudges_hosts: false,
         }
     }
 
     /// Returns whether a host may seem lost to the host that stores the turn, for each way that it may seem.
     fn views_of(&self, host: &Host) -> Vec<bool> {
         let is_lost = host.is_lost();
-        if self.errs && !is_lost {
+        if self.misjudges_hosts && !is_lost {
             vec![false, true]
         } else {
             vec![is_lost]
@@ -337,12 +337,12 @@
     assert!(states > 2000, "{states} states");
 }
 
-/// The host that stores the turn may take sound hosts for lost, because its own link is full. With more than twice as many
+/// The host that stores the turn may count running hosts as lost. With more than twice as many
 /// hosts as may be lost, no replica is spared for these.
 #[test]
 fn durable_turn_survives_one_lost_host_of_three_when_sound_hosts_seem_lost() {
     let model = Model {
-        errs: true,
+        misjudges_hosts: true,
         ..Model::new(3, 1)
     };
     let states = model.explore().expect("no violation");
@@ -354,7 +354,7 @@
 fn replication_is_not_given_up_because_hosts_seem_lost() {
     for (hosts, tolerated_losses) in [(3, 1), (3, 2)] {
         let model = Model {
-            errs: true,
+            misjudges_hosts: true,
             ..Model::new(hosts, tolerated_losses)
         };
         let start = model.start();
