Refuse calls whose bodies still arrive when a stop ends

Callers that were still sending the body of a call at the end of the grace period of a planned stop got no response: the connection closed, although the call had not run and another host could have served it.

Cause: the body was read outside `run_until_responses_are_due`, up to the call's timeout, and `may_serve` comes only after it. The class: a wait of a call that the stop does not bound. The waits for the history, for an endpoint and for the parts of a stream are bounded already (by reading).

The body is now read at most until the last responses are due; then the call is refused as `stopping` (503, not run), while the process still has the time in which it sends the last responses.

--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -49,7 +49,7 @@
         Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
     };
     let call_time = call_timeout(&head, &context.route);
-    let body = match read_body(body, &context.limits, call_time).await {
+    let body = match read_body_until_stop(&shared, body, &context.limits, call_time).await {
         Ok(body) => body,
         Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
     };
@@ -245,6 +245,18 @@
     None
 }
 
+/// Reads the body of a call, at most until the last responses must be sent before the process ends.
+async fn read_body_until_stop(
+    shared: &Shared,
+    body: Incoming,
+    limits: &CallerLimits,
+    body_timeout: Duration,
+) -> Result<Bytes, Refusal> {
+    let reading = read_body(body, limits, body_timeout);
+    let body = shared.shutdown.run_until_responses_are_due(reading).await;
+    body.unwrap_or(Err(Refusal::Stopping))
+}
+
 /// Reads the history that a call continues, at most until the last responses must be sent before the process ends. Returns
 /// `None` on routes whose turns the system does not keep.
 async fn begin_turn(
