Log streams that the stop cuts while their turns are stored as cut

Operators saw outcome `stopping`, which means not run, in the `call` line of a stream whose events the caller had all received, when the stop cut it while its turn was being stored. The caller saw the stream break off, as it should.

Cause: `finish` clears the current endpoint when the last event has arrived, and `stop_refusal` takes a call without one for a call that has not run. The class: whether a call has run is inferred from whether an attempt is in progress.

A stream that is relayed has run, whatever its progress, so its relay now states `cut_by_stop` itself. `stop_refusal` remains for calls before their response, where nothing waits after `finish` (by reading).

Evidence: `stream_whose_turn_is_stored_at_the_end_of_the_grace_period_is_cut` stops the hosts with disks while the stream runs. Without the fix it failed:

panicked at platform/tests/planned_stop.rs:318:5: assertion `left == right` failed left: String("stopping") right: "cut_by_stop"

--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -123,8 +123,8 @@
         if let Some(chunk) = shared.shutdown.run_until_responses_are_due(next_chunk).await {
             return chunk;
         }
-        let refusal = self.call.stop_refusal();
-        Some(Err(self.break_off(refusal).await))
+        // The call has run: an endpoint began the stream, even if no attempt is in progress any more.
+        Some(Err(self.break_off(Refusal::CutByStop).await))
     }
 
     /// Returns the next complete events for the caller; `None` at the end of the stream.
