Claim overdrafts only while the store is known to take no writes

Callers of a program whose first call had a deadline of 1 ms got 503 (`no_reservation`) in a later outage of the store, through another host than the one that had that call, although the program had never run: its overdraft was claimed already, while the store was sound.

Cause: `reserve` claimed the overdraft on each `StoreTimeout`, and a reservation returns that also if the call's own time is over, after 1 ms too. The class: the end of a caller's own time is taken for evidence about another party.

Now `StoreTimeout` claims nothing. `StoreUnavailable` does, which hosts and budget owners return if writes have failed for 0.4 s, as before, or if the wait has ended and no write has succeeded for 0.4 s since one was sent (new; a silent store ends no write in that time). A call with no more time left than a claim may take claims nothing either. So a claim needs a write of the reserving host that the store has left without success for 0.4 s, which a caller's deadline cannot produce.

Evidence: `overdraft_is_not_claimed_by_a_call_whose_own_time_is_over`. On the code before:

panicked at platform/tests/programs_in_store_outages.rs:134:5: assertion `left == right` failed: [503, 503, 503, 503, 503, 503] left: String("taken") right: "granted"

`program_that_begins_while_the_store_is_silent_is_served` passed before, too; it guards the new evidence, and without it failed with 503 for p0.

--- a/crates/burdockroad-gateway/src/budget_messages.rs
+++ b/crates/burdockroad-gateway/src/budget_messages.rs
@@ -52,10 +52,10 @@
     /// Reservations of running calls take all remaining tokens.
     #[serde(rename = "NoRoom")]
     FullyReserved,
-    /// The store did not respond in time.
+    /// The store did not respond in the time of the request, which may have been short.
     #[serde(rename = "NoStore")]
     StoreTimeout,
-    /// Store writes have failed for some time, so the request is refused without waiting.
+    /// Store writes have failed or were not answered for some time, so the store takes none.
     #[serde(rename = "StoreLost")]
     StoreUnavailable,
 }
--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     budget_messages::{ReservationRequest, ReservationResponse},
-    overdrafts::take_overdraft,
+    overdrafts::{CLAIM_TIMEOUT, take_overdraft},
     peer_messages::{PeerCall, PeerResponse},
     reservations::refresh_budget,
     shared::Shared,
@@ -62,6 +62,10 @@
 /// Duration of store write failures after which calls that need a write are refused without waiting.
 const STORE_FAILING_MIN: Duration = Duration::from_millis(400);
 
+/// Time without a successful store write after which a call that waited for one until its end takes the store for
+/// unavailable. It is shorter than the wait that is left when the budget owner does not respond.
+const STORE_SILENT_MIN: Duration = Duration::from_millis(400);
+
 /// Time after the process start in which programs missing from the ledger may already be running.
 const PROGRAM_DISCOVERY_TIME: Duration = Duration::from_secs(3);
 
@@ -118,6 +122,7 @@
     request: ReservationRequest,
 ) -> Result<Reservation, ReservationError> {
     let remote_owner = remote_budget_owner(shared, &request.program);
+    let call_deadline = Instant::now() + request.time_left;
     let (response, source) = reserve_stored(shared, &request, remote_owner).await;
     match response {
         ReservationResponse::Reserved { starts_program } => {
@@ -127,8 +132,13 @@
         ReservationResponse::OverRate(retry_after) => Err(ReservationError::OverRate { retry_after }),
         ReservationResponse::BudgetExhausted => Err(ReservationError::BudgetExhausted),
         ReservationResponse::FullyReserved => Err(ReservationError::FullyReserved),
-        ReservationResponse::StoreTimeout | ReservationResponse::StoreUnavailable => {
-            if take_overdraft(shared, &request).await {
+        ReservationResponse::StoreTimeout => Err(ReservationError::StoreUnavailable {
+            retry_after: STORE_RETRY_AFTER,
+        }),
+        ReservationResponse::StoreUnavailable => {
+            // A claim lasts, so a call that may end before it is granted must not send one.
+            let has_time_left = Instant::now() + CLAIM_TIMEOUT < call_deadline;
+            if has_time_left && take_overdraft(shared, &request).await {
                 return Ok(request.into_reservation(false, ReservationSource::Overdraft));
             }
             Err(ReservationError::StoreUnavailable {
@@ -291,6 +301,13 @@
     failing_since.is_some_and(|at| at.elapsed() >= STORE_FAILING_MIN)
 }
 
+/// Returns whether no store write has succeeded for [`STORE_SILENT_MIN`] although one was sent. Without it, a call
+/// that ends its wait for a write has only run out of its own time.
+fn store_is_silent(shared: &Shared) -> bool {
+    let unanswered_since = shared.tables().writes_unanswered_since;
+    unanswered_since.is_some_and(|at| at.elapsed() >= STORE_SILENT_MIN)
+}
+
 /// Returns the refusal of a request that would start a program which must not start now; `None` when the
 /// program has started or may start.
 fn check_program_start(shared: &Shared, request: &ReservationRequest) -> Option<ReservationResponse> {
@@ -382,6 +399,9 @@
             Readiness::AwaitWrite if store_writes_are_failing(shared) => {
                 return ReservationResponse::StoreUnavailable;
             }
+            Readiness::AwaitWrite if time_left.is_zero() && store_is_silent(shared) => {
+                return ReservationResponse::StoreUnavailable;
+            }
             Readiness::AwaitWrite if time_left.is_zero() => return ReservationResponse::StoreTimeout,
             Readiness::AwaitTokens => {
                 shared.tables().ledger.record_shortage(program, Instant::now());
--- a/crates/burdockroad-gateway/src/overdrafts.rs
+++ b/crates/burdockroad-gateway/src/overdrafts.rs
@@ -23,7 +23,7 @@
 };
 
 /// Timeout of a claim at one host.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Age after which the replies to a claim do not count. It is shorter than the time after which a host that has
 /// lost its disk is complete again, so that the reply of such a host never counts beside the loss of another.
--- a/crates/burdockroad-gateway/src/reservations.rs
+++ b/crates/burdockroad-gateway/src/reservations.rs
@@ -125,6 +125,7 @@
                 return;
             }
             let sent_at = Instant::now();
+            self.record_write_start(sent_at);
             let result = self.write(&writes).await;
             let succeeded = result.is_ok();
             self.record_write_result(succeeded);
@@ -140,11 +141,18 @@
         }
     }
 
+    /// Records the start of a write, in the current series of writes without success.
+    fn record_write_start(&self, sent_at: Instant) {
+        let mut tables = self.shared.tables();
+        tables.writes_unanswered_since.get_or_insert(sent_at);
+    }
+
     /// Updates the start of the current series of failed writes.
     fn record_write_result(&self, succeeded: bool) {
         let mut tables = self.shared.tables();
         if succeeded {
             tables.writes_failing_since = None;
+            tables.writes_unanswered_since = None;
         } else if tables.writes_failing_since.is_none() {
             tables.writes_failing_since = Some(Instant::now());
         }
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -104,6 +104,8 @@
     pub(crate) overdrafts: Overdrafts,
     /// Time of the first failed budget write since the last successful one; `None` if there is none.
     pub(crate) writes_failing_since: Option<Instant>,
+    /// Time at which the first budget write since the last successful one was sent; `None` if there is none.
+    pub(crate) writes_unanswered_since: Option<Instant>,
     /// Reservations for calls of other hosts, by call id.
     pub(crate) remote_reservations: HashMap<String, RemoteReservation>,
     /// Contents of the followed ranges, by prefix.
@@ -186,6 +188,7 @@
                 host_count: 0,
                 failed_polls: None,
                 writes_failing_since: None,
+                writes_unanswered_since: None,
                 remote_reservations: HashMap::new(),
                 range_logs: HashMap::new(),
                 range_responded_at: HashMap::new(),
