Refuse forwarded calls as misdirected before the endpoints are read

Callers of a route whose calls may run once, and of streams, got 502 (unknown outcome) although the call had not run: an entry among those of the servers had the address of a gateway host that had just started, and another host forwarded the call to it.

Cause: `forwarded_to` looks for the endpoint that the request names. Before the host has read the endpoints it finds none, so the request was served as a caller's and refused with 503 (`not_ready`), which does not state that the call did not run.

Now each forwarded request is refused with 421 until the endpoints are read. The sender takes another endpoint then, as it does once they are read. The host serves no call before that, so nobody loses an answer: a caller without a key that names an endpoint gets 421 instead of 503 in this time, and both are true, because the call did not run.

Evidence: `entry_with_the_address_of_a_host_without_endpoints_gets_no_answer_to_calls` holds back the read of the endpoints of a starting host. Without the fix:

and the same for the first call of `stream`.

--- a/crates/burdockroad-gateway/src/server.rs
+++ b/crates/burdockroad-gateway/src/server.rs
@@ -117,9 +117,15 @@
 
 /// Returns the head of a request that was forwarded to an endpoint which is registered with `address`, at which the
 /// request arrived. Callers may name any endpoint, so a name alone says nothing.
+///
+/// Before the endpoints were read, it is not known which of them are registered with `address`. Each forwarded request
+/// then counts as one to such an endpoint, because the host cannot serve it anyway.
 fn forwarded_to(shared: &Shared, address: Option<SocketAddr>, headers: &HeaderMap) -> Option<ForwardedHead> {
     let head = shared.dialect.read_forwarded(headers)?;
     let tables = shared.tables();
+    if !tables.has_read_endpoints {
+        return Some(head);
+    }
     let endpoint = tables.endpoints.get(&head.endpoint)?;
     is_registered_at(endpoint, address?).then_some(head)
 }
