Take the failure domain of a relay from its last report

A host that relays turn calls was recorded under its address with the failure domain of its first report. When another host in another domain takes the address over, turns that are bound to regions could have gone through it, outside of them. Found by a reviewer by reading; no test, as it takes a reused address and a cut. Each report now replaces the record.

--- a/crates/burdockroad-gateway/src/turn_store/links.rs
+++ b/crates/burdockroad-gateway/src/turn_store/links.rs
@@ -148,11 +148,11 @@
             state.relays.remove(&address);
             return;
         }
-        let relay = state.relays.entry(address).or_insert_with(|| Relay {
+        let relay = Relay {
             failure_domain: failure_domain.to_owned(),
             reported_at: now,
-        });
-        relay.reported_at = now;
+        };
+        state.relays.insert(address, relay);
     }
 
     /// Returns whether this host's own link to a host is cut.
