--- a/crates/burdockroad-daemon/tests/fleet.rs
+++ b/crates/burdockroad-daemon/tests/fleet.rs
@@ -6,6 +6,8 @@
 mod journals;
 #[path = "fleet/model.rs"]
 mod model;
+#[path = "fleet/model_cluster.rs"]
+mod model_cluster;
 #[path = "fleet/model_store.rs"]
 mod model_store;
 #[path = "fleet/peer_handlers.rs"]
