--- a/crates/burdockroad-gateway/src/attempt/second_head.rs
+++ b/crates/burdockroad-gateway/src/attempt/second_head.rs
@@ -1,4 +1,4 @@
-//! Detection of responses whose head was cut in a header and goes on as the head of another response.
+//! Detection of responses with the status line of a second response inside a header value.
 //!
 //! An endpoint that fails while it writes a head may write its answer to the failure right behind. The two heads then read
 //! as one, with the status of the first and the framing of the second.
--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -148,8 +148,8 @@
     }
 }
 
-/// Reserves tokens at the budget owner, or at this host if the owner does not respond or times out. Returns
-/// where they are reserved, too.
+/// Reserves tokens at the budget owner, or at this host if the owner does not respond or times out. Returns the
+/// response and where the tokens are counted.
 async fn reserve_stored(
     shared: &Shared,
     request: &ReservationRequest,
--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -245,7 +245,7 @@
     None
 }
 
-/// Reads the body of a call, at most until the last responses must be sent before the process ends.
+/// Reads the body of a call, at most until the stop plan's [`responses_due`](crate::shutdown::StopPlan::responses_due).
 async fn read_body_until_stop(
     shared: &Shared,
     body: Incoming,
@@ -257,7 +257,7 @@
     body.unwrap_or(Err(Refusal::Stopping))
 }
 
-/// Reads the history that a call continues, at most until the last responses must be sent before the process ends. Returns
+/// Reads the history that a call continues, at most until the stop plan's [`responses_due`](crate::shutdown::StopPlan::responses_due). Returns
 /// `None` on routes whose turns the system does not keep.
 async fn begin_turn(
     shared: &Shared,
@@ -298,7 +298,7 @@
     }
 }
 
-/// Runs the call, at most until the last responses must be sent before the process ends.
+/// Runs the call, at most until the stop plan's [`responses_due`](crate::shutdown::StopPlan::responses_due).
 async fn run_until_stop(call: &mut Call, rate_status: RateStatus) -> Result<ServedResponse, Refusal> {
     let shared = Arc::clone(&call.shared);
     let result = shared
--- a/crates/burdockroad-gateway/src/server.rs
+++ b/crates/burdockroad-gateway/src/server.rs
@@ -46,7 +46,7 @@
     }
 }
 
-/// Serves callers, until the process ends. Callers that come late in its stop are answered, too.
+/// Serves callers until the process ends, also during a stop.
 pub(crate) async fn serve_callers(shared: Arc<Shared>, listener: TcpListener, open: Arc<OpenConnections>) {
     loop {
         let stream = accept(&listener).await;
@@ -60,8 +60,8 @@
     }
 }
 
-/// Serves a caller's connection. Late in the stop of the host, it is closed while it waits for another call. Its first
-/// call is answered, because the caller cannot know that the host stops.
+/// Serves a caller's connection. After the notice time of a stop, an idle connection is closed, unless it has carried
+/// no call yet: the caller may just have sent its first one.
 async fn serve_caller(shared: Arc<Shared>, stream: TcpStream) {
     let limits = shared
         .tables()
