--- a/crates/burdockroad-gateway/src/reports/wire.rs
+++ b/crates/burdockroad-gateway/src/reports/wire.rs
@@ -155,11 +155,6 @@
     let is_cut_off = tables.reach.is_cut_off();
     let quarantine = WireQuarantine::encode(tables.quarantine.next_report(), now);
     drop(tables);
-    let usage = report.accounts.iter().filter(|usage| usage.demand_per_s > 0.01);
-    let usage: Vec<WireUsage> = usage.map(wire_usage).collect();
-    let mut account_chunks = split(usage, ACCOUNTS_MAX);
-    let mut rate_chunks = split(rates.iter().map(WireRate::from).collect(), RATES_MAX);
-    let mut pace_chunks = split(paces.iter().map(WirePace::from).collect(), PACES_MAX);
     let empty = || WireReport {
         is_served_directly,
         is_cut_off,
@@ -170,31 +165,59 @@
         in_flight: Some(in_flight.into_iter().map(WireCalls::from).collect()),
         ranges: ranges.collect(),
         store_response_age_ms: store_response_age.map(as_ms),
-        accounts: account_chunks.pop().unwrap_or_default(),
-        rates: rate_chunks.pop().unwrap_or_default(),
-        paces: pace_chunks.pop().unwrap_or_default(),
         ..empty()
     };
-    let more_accounts = account_chunks
-        .into_iter()
-        .map(|accounts| WireReport { accounts, ..empty() });
-    let more_rates = rate_chunks
-        .into_iter()
-        .map(|rates| WireReport { rates, ..empty() });
-    let more_paces = pace_chunks
-        .into_iter()
-        .map(|paces| WireReport { paces, ..empty() });
-    let quarantines = quarantine.into_iter().map(|quarantine| WireReport {
+    let usage = report.accounts.iter().filter(|usage| usage.demand_per_s > 0.01);
+    let chunks = ReportChunks {
+        accounts: split(usage.map(wire_usage).collect(), ACCOUNTS_MAX),
+        rates: split(rates.iter().map(WireRate::from).collect(), RATES_MAX),
+        paces: split(paces.iter().map(WirePace::from).collect(), PACES_MAX),
         quarantine,
-        ..empty()
-    });
-    std::iter::once(first)
-        .chain(more_accounts)
-        .chain(more_rates)
-        .chain(more_paces)
-        .chain(quarantines)
-        .filter_map(|report| encode(&report))
-        .collect()
+    };
+    let reports = chunks.into_reports(first, empty);
+    reports.iter().filter_map(encode).collect()
+}
+
+/// Entries of a report, in chunks that fit into one datagram each.
+struct ReportChunks {
+    accounts: Vec<Vec<WireUsage>>,
+    rates: Vec<Vec<WireRate>>,
+    paces: Vec<Vec<WirePace>>,
+    quarantine: Vec<WireQuarantine>,
+}
+
+impl ReportChunks {
+    /// Returns `first` with the first chunk of each kind, and an `empty` report for each further chunk.
+    fn into_reports(mut self, first: WireReport, empty: impl Fn() -> WireReport) -> Vec<WireReport> {
+        let first = WireReport {
+            accounts: self.accounts.pop().unwrap_or_default(),
+            rates: self.rates.pop().unwrap_or_default(),
+            paces: self.paces.pop().unwrap_or_default(),
+            ..first
+        };
+        let more_accounts = self
+            .accounts
+            .into_iter()
+            .map(|accounts| WireReport { accounts, ..empty() });
+        let more_rates = self
+            .rates
+            .into_iter()
+            .map(|rates| WireReport { rates, ..empty() });
+        let more_paces = self
+            .paces
+            .into_iter()
+            .map(|paces| WireReport { paces, ..empty() });
+        let quarantines = self.quarantine.into_iter().map(|quarantine| WireReport {
+            quarantine,
+            ..empty()
+        });
+        std::iter::once(first)
+            .chain(more_accounts)
+            .chain(more_rates)
+            .chain(more_paces)
+            .chain(quarantines)
+            .collect()
+    }
 }
 
 /// Splits entries of a report into chunks of at most `chunk_max`.
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -172,34 +172,7 @@
             last_version_read: LastRead::default(),
             endpoint_checked: Notify::new(),
             shutdown: Shutdown::default(),
-            tables: Mutex::new(Tables {
-                directory: None,
-                directory_applied_at: None,
-                endpoints,
-                has_read_endpoints: false,
-                reach: EndpointReach::default(),
-                version_history: VersionHistory::default(),
-                record_revisions: HashMap::new(),
-                stream_origins: StreamOrigins::default(),
-                unsent_origins: UnsentOrigins::default(),
-                rate_limiter: RateLimiter::new(now),
-                ledger: Ledger::new(LedgerOptions::default(), options.incarnation),
-                overdrafts: Overdrafts::default(),
-                host_count: 0,
-                failed_polls: None,
-                writes_failing_since: None,
-                writes_unanswered_since: None,
-                remote_reservations: HashMap::new(),
-                range_logs: HashMap::new(),
-                range_responded_at: HashMap::new(),
-                range_views: HashMap::new(),
-                announced_ranges: HashMap::new(),
-                start_gate: ProgramStartGate::default(),
-                running_programs: RunningPrograms::default(),
-                quarantine: Quarantine::default(),
-                crash_checks: CrashChecks::default(),
-                departures: Departures::new(options.heartbeat_interval),
-            }),
+            tables: Mutex::new(Tables::new(options, endpoints, now)),
         }
     }
 
@@ -241,6 +214,38 @@
 }
 
 impl Tables {
+    /// Returns the tables of a host that has read nothing yet.
+    fn new(options: &HostOptions, endpoints: EndpointTable, now: Instant) -> Self {
+        Self {
+            directory: None,
+            directory_applied_at: None,
+            endpoints,
+            has_read_endpoints: false,
+            reach: EndpointReach::default(),
+            version_history: VersionHistory::default(),
+            record_revisions: HashMap::new(),
+            stream_origins: StreamOrigins::default(),
+            unsent_origins: UnsentOrigins::default(),
+            rate_limiter: RateLimiter::new(now),
+            ledger: Ledger::new(LedgerOptions::default(), options.incarnation),
+            overdrafts: Overdrafts::default(),
+            host_count: 0,
+            failed_polls: None,
+            writes_failing_since: None,
+            writes_unanswered_since: None,
+            remote_reservations: HashMap::new(),
+            range_logs: HashMap::new(),
+            range_responded_at: HashMap::new(),
+            range_views: HashMap::new(),
+            announced_ranges: HashMap::new(),
+            start_gate: ProgramStartGate::default(),
+            running_programs: RunningPrograms::default(),
+            quarantine: Quarantine::default(),
+            crash_checks: CrashChecks::default(),
+            departures: Departures::new(options.heartbeat_interval),
+        }
+    }
+
     /// Returns the configuration in force once the host can route calls: it has also read the registered hosts and
     /// the endpoints. Without the endpoints, it would refuse calls as if there were none.
     pub(crate) fn routing_directory(&self) -> Option<&Arc<Directory>> {
