Keep a silent stream open until another response has its next event

Cause: after 1.4 s without data the stream was given up for good before it was known whether another one would go on. If that was refused as not executed, or there was no other endpoint of the stream's software version, the answer was cut; if it was silent too, nobody read what the first server sent.

Now a silent response is held beside the further attempts, which run as before (`RetryState`, placement, crash check and `maxAttempts` count a silence as they did), and is read on:

* At the same endpoint, the response that has the next event first goes on, the other one is closed at once.
* Nothing is sent to another endpoint without a bound.
From the moment at which the request is written there, the silent stream is not read any more, so it cannot go on beside a run that has begun elsewhere; it goes on only if the other endpoint did not run the call or broke off.
* If the second server then refuses late, after the first was closed, the call is sent again every 250 ms, as only silence has ended the stream; the retries end with the caller's deadline.
`maxAttempts` holds: the call goes only to an endpoint that already counts once they are used up.
* When no further attempt may be made, silence ends nothing: the response is read until the deadline.

A held run is counted at its endpoint until it ends (`SilentRun` ends it when dropped, also when the caller leaves or the host stops). A stream that breaks off for another cause now closes its connection before the next attempt.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -4,7 +4,9 @@
 mod constraints;
 mod crash_suspect;
 mod exchange;
+mod failed_attempts;
 mod second_head;
+mod silent_run;
 mod stream_version;
 
 use std::{
@@ -23,8 +25,8 @@
 use hyper::body::Incoming;
 use tokio::time::sleep;
 
-use self::crash_suspect::Run;
-pub(crate) use self::crash_suspect::identify;
+use self::{crash_suspect::Run, silent_run::SilentEndpoint};
+pub(crate) use self::{crash_suspect::identify, silent_run::SilentRun};
 use crate::{
     CallHead, ResponseHead,
     admitted_call::{AdmittedCall, CallerRequest},
@@ -90,6 +92,8 @@
     next_endpoint: Option<Endpoint>,
     /// Whether an endpoint was chosen for the call before.
     was_placed: bool,
+    /// Endpoint at which the call's stream was silent last; `None` if it went on.
+    silent_endpoint: Option<SilentEndpoint>,
 }
 
 /// A response whose head has arrived.
@@ -125,6 +129,7 @@
             reservation: None,
             next_endpoint: None,
             was_placed: false,
+            silent_endpoint: None,
         }
     }
 
@@ -153,29 +158,11 @@
                 NextStep::OtherEndpoint => {}
                 NextStep::SameEndpoint => self.next_endpoint = Some(placement.endpoint),
                 NextStep::Refuse => return Err(Refusal::NoEndpoint(FULL_RETRY_AFTER)),
-                NextStep::GiveUp => return Err(self.give_up_refusal()),
+                NextStep::GiveUp => self.wait_after_refusal(failure, &placement.endpoint).await?,
             }
         }
     }
 
-    /// Records that the current endpoint's response broke off. Returns whether the call may be attempted
-    /// again.
-    pub(crate) fn record_broken_response(&mut self) -> bool {
-        let Some(endpoint) = self.end_attempt(Outcome::Failed) else {
-            return false;
-        };
-        self.count(Failure::Unknown, &endpoint);
-        let kind = self.route.kind;
-        match next_step(kind, self.route.endpoints_max, Failure::Unknown, self.retries) {
-            NextStep::SameEndpoint => {
-                self.next_endpoint = Some(endpoint);
-                true
-            }
-            NextStep::OtherEndpoint => true,
-            NextStep::Refuse | NextStep::GiveUp => false,
-        }
-    }
-
     /// Ends the current attempt after a complete response, and returns the connection to the pool.
     pub(crate) fn finish(&mut self, connection: Connection, keep_alive: Option<Duration>) {
         // The outcome was recorded when the response head arrived; `Abandoned` records nothing further.
@@ -199,6 +186,7 @@
     fn end_attempt(&mut self, outcome: Outcome) -> Option<Endpoint> {
         let endpoint = self.current_endpoint.take()?;
         self.end_run(&endpoint.id);
+        self.record_sent(&endpoint.id, false);
         let mut tables = self.shared.tables();
         tables.endpoints.end_call(&endpoint.id);
         tables
@@ -244,7 +232,7 @@
     /// a quarter of the route's latency objective or half of the time left.
     async fn wait_for_capacity(&mut self) -> Result<(), Refusal> {
         if self.retries.unknown > 0 {
-            return Err(self.give_up_refusal());
+            return self.wait_after_silence().await;
         }
         let (is_usable, rate_wait) = {
             let version = self.stream_version.as_ref();
@@ -348,56 +336,6 @@
         (allowed / tables.host_count.max(1)).max(CONNECTIONS_MIN)
     }
 
-    /// Counts a failed attempt in the retry state and logs the attempt. Closes the idle connections to the
-    /// endpoint unless it was full, and has it checked whether it crashed.
-    fn count(&mut self, failure: Failure, endpoint: &Endpoint) {
-        if failure != Failure::Full {
-            self.shared.pool.close_idle(&endpoint.id);
-        }
-        if failure == Failure::NotListening {
-            let mut tables = self.shared.tables();
-            tables
-                .endpoints
-                .record_refused_connection(&endpoint.id, Instant::now());
-        }
-        let may_have_run_here = self.possibly_ran_on.contains(&endpoint.id);
-        match failure {
-            Failure::Unknown => {
-                self.check_for_crash(endpoint);
-                self.retries.unknown += 1;
-                self.retries.last_endpoint_removed = false;
-                self.retries.unreachable_attempts = 0;
-                if !may_have_run_here {
-                    self.possibly_ran_on.push(endpoint.id.clone());
-                    self.retries.endpoints_run += 1;
-                }
-            }
-            Failure::NotListening
-            | Failure::WrongEndpoint
-            | Failure::Unreachable
-            | Failure::Full
-            | Failure::Evacuated => {
-                if failure == Failure::NotListening {
-                    self.retries.refused += 1;
-                } else {
-                    self.retries.unstarted += 1;
-                }
-                if may_have_run_here && failure == Failure::Unreachable {
-                    self.retries.unreachable_attempts += 1;
-                }
-                if may_have_run_here && matches!(failure, Failure::NotListening | Failure::WrongEndpoint) {
-                    self.retries.last_endpoint_removed = true;
-                    self.retries.endpoints_run = self.retries.endpoints_run.saturating_sub(1);
-                }
-            }
-        }
-        if !self.attempted.contains(&endpoint.id) {
-            self.attempted.push(endpoint.id.clone());
-        }
-        self.record
-            .record_failure(&self.shared, &self.head, endpoint, failure);
-    }
-
     /// Returns the refusal of a call that may have run.
     fn give_up_refusal(&self) -> Refusal {
         if self.time_left().is_zero() {
--- a/crates/burdockroad-gateway/src/attempt/crash_suspect.rs
+++ b/crates/burdockroad-gateway/src/attempt/crash_suspect.rs
@@ -21,7 +21,7 @@
     pub(super) sent_at: Instant,
     pub(super) has_output: bool,
     /// Whether the run is counted as one of a request that should run apart from others.
-    runs_apart: bool,
+    pub(super) runs_apart: bool,
 }
 
 impl Run {
--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -43,7 +43,7 @@
             .take(&endpoint.id, endpoint.address, Instant::now())
             .filter(|connection| self.may_use(connection));
         if let Some(connection) = pooled {
-            match self.send(connection, request).await? {
+            match self.send(endpoint, connection, request).await? {
                 SendOutcome::Responded(opened) => {
                     return self.classify(endpoint, opened, ConnectionUse::Kept);
                 }
@@ -57,7 +57,7 @@
         if self.shared.tables().endpoints.is_evacuated(endpoint) {
             return Err(Failure::Evacuated);
         }
-        match self.send(connection, request).await? {
+        match self.send(endpoint, connection, request).await? {
             SendOutcome::Responded(opened) => self.classify(endpoint, opened, ConnectionUse::New),
             SendOutcome::Unsent(_) => Err(Failure::Unreachable),
         }
@@ -65,6 +65,7 @@
 
     async fn send(
         &self,
+        endpoint: &Endpoint,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<SendOutcome, Failure> {
@@ -73,6 +74,7 @@
         } else {
             self.time_left()
         };
+        self.record_sent(&endpoint.id, true);
         let result = timeout(head_timeout, connection.sender.try_send_request(request)).await;
         match result {
             Err(_elapsed) => Err(Failure::Unknown),
@@ -88,10 +90,11 @@
                     connection,
                 }))
             }
-            Ok(Err(mut unsent)) => unsent
-                .take_message()
-                .map(SendOutcome::Unsent)
-                .ok_or(Failure::Unknown),
+            Ok(Err(mut unsent)) => {
+                let request = unsent.take_message().ok_or(Failure::Unknown)?;
+                self.record_sent(&endpoint.id, false);
+                Ok(SendOutcome::Unsent(request))
+            }
         }
     }
 
--- /dev/null
+++ b/crates/burdockroad-gateway/src/attempt/silent_run.rs
@@ -0,0 +1,161 @@
+//! Runs whose streams are silent while the call is attempted again.
+//!
+//! Their connections stay open, because the endpoint may go on.
+
+use std::{
+    mem,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use burdockroad::{
+    EndpointId,
+    gateway::{Endpoint, Failure, Outcome},
+};
+use serde::Serialize;
+use tokio::{sync::watch, time::sleep};
+
+use super::{Call, Run};
+use crate::{call_record::CallRecord, refusal::Refusal, shared::Shared};
+
+/// Pause before a stream that its caller waits for is attempted again, after all endpoints have refused it.
+const REFUSED_PAUSE: Duration = Duration::from_millis(250);
+
+/// A run whose stream is silent. Dropping it ends the run; its connection is closed together with it.
+#[derive(Debug)]
+pub(crate) struct SilentRun {
+    shared: Arc<Shared>,
+    endpoint: Endpoint,
+    run: Run,
+    /// The call's record as it was when the stream fell silent.
+    record: Box<CallRecord>,
+    is_ended: bool,
+    /// Time at which the call was sent to another endpoint; `None` while it is at no other one.
+    pub(crate) sent_elsewhere_at: watch::Receiver<Option<Instant>>,
+}
+
+/// What a call knows of its last silent run.
+#[derive(Debug)]
+pub(super) struct SilentEndpoint {
+    id: EndpointId,
+    /// Closed when the run has ended.
+    sent_elsewhere_at: watch::Sender<Option<Instant>>,
+}
+
+impl Call {
+    /// Begins attempts beside the current run, whose stream is silent. Fails when the call may not be attempted
+    /// again.
+    pub(crate) fn hold_silent_run(&mut self) -> Result<SilentRun, Refusal> {
+        let endpoint = self.current_endpoint.take().ok_or(Refusal::UnknownOutcome)?;
+        let record = Box::new(self.record.clone());
+        let now = Instant::now();
+        let mut tables = self.shared.tables();
+        tables
+            .endpoints
+            .record_outcome(&endpoint.id, Outcome::Failed, now);
+        drop(tables);
+        let may_attempt_again = self.count_unknown(endpoint.clone());
+        let (sender, receiver) = watch::channel(None);
+        self.silent_endpoint = Some(SilentEndpoint {
+            id: endpoint.id.clone(),
+            sent_elsewhere_at: sender,
+        });
+        let silent_run = SilentRun {
+            shared: Arc::clone(&self.shared),
+            endpoint,
+            run: mem::replace(&mut self.run, Run::none(now)),
+            record,
+            is_ended: false,
+            sent_elsewhere_at: receiver,
+        };
+        if may_attempt_again {
+            Ok(silent_run)
+        } else {
+            Err(Refusal::UnknownOutcome)
+        }
+    }
+
+    /// Goes on with a silent run in place of the attempts beside it.
+    pub(crate) fn return_to(&mut self, mut silent_run: SilentRun) {
+        self.end_attempt(Outcome::Abandoned);
+        self.next_endpoint = None;
+        self.silent_endpoint = None;
+        silent_run.is_ended = true;
+        self.run = silent_run.run;
+        self.current_endpoint = Some(silent_run.endpoint.clone());
+        self.record.return_to(*mem::take(&mut silent_run.record));
+        metrics::counter!("burdockroad_silent_streams_kept_total").increment(1);
+        let line = SilentStreamKeptLine {
+            id: &self.head.call_id,
+            endpoint: &silent_run.endpoint.id,
+            events: self.record.events,
+        };
+        self.shared.log.line("silent_stream_kept", &line);
+    }
+
+    /// Records that the stream went on at another response than that of a silent run.
+    pub(crate) fn leave_silent_run(&mut self) {
+        self.silent_endpoint = None;
+    }
+
+    /// Records whether the call is being sent to an endpoint or is at the endpoint already.
+    pub(super) fn record_sent(&self, endpoint: &EndpointId, is_sent: bool) {
+        let silent_endpoint = self.silent_endpoint.as_ref();
+        if let Some(silent) = silent_endpoint.filter(|silent| silent.id != *endpoint) {
+            let sent_at = is_sent.then(Instant::now);
+            silent.sent_elsewhere_at.send_replace(sent_at);
+        }
+    }
+
+    /// Waits before the next attempt of a call that no endpoint takes. Fails unless the call has left an endpoint only
+    /// because that was silent: otherwise its caller would learn nothing better by waiting.
+    pub(super) async fn wait_after_silence(&mut self) -> Result<(), Refusal> {
+        let silent_endpoint = self.silent_endpoint.as_ref();
+        if !silent_endpoint.is_some_and(|silent| silent.sent_elsewhere_at.is_closed()) {
+            return Err(self.give_up_refusal());
+        }
+        self.attempted.clear();
+        sleep(REFUSED_PAUSE.min(self.time_left())).await;
+        Ok(())
+    }
+
+    /// Waits before a call is sent again to an endpoint that has refused it, or to another one. Fails when the call may
+    /// not be sent again.
+    pub(super) async fn wait_after_refusal(
+        &mut self,
+        failure: Failure,
+        endpoint: &Endpoint,
+    ) -> Result<(), Refusal> {
+        let is_last_endpoint = self.retries.endpoints_run >= self.route.endpoints_max;
+        if failure != Failure::Full || is_last_endpoint && !self.possibly_ran_on.contains(&endpoint.id) {
+            return Err(self.give_up_refusal());
+        }
+        self.wait_after_silence().await?;
+        if is_last_endpoint {
+            self.next_endpoint = Some(endpoint.clone());
+        }
+        Ok(())
+    }
+}
+
+impl Drop for SilentRun {
+    fn drop(&mut self) {
+        if self.is_ended {
+            return;
+        }
+        let mut tables = self.shared.tables();
+        tables.endpoints.end_call(&self.endpoint.id);
+        if self.run.runs_apart {
+            tables.quarantine.end_run(&self.endpoint.id);
+        }
+    }
+}
+
+/// Log line of a silent stream that was kept, because it went on first or no other endpoint took the call.
+#[derive(Serialize)]
+struct SilentStreamKeptLine<'a> {
+    id: &'a str,
+    endpoint: &'a str,
+    /// Events sent to the caller before the silence.
+    events: u64,
+}
--- a/crates/burdockroad-gateway/src/call_record.rs
+++ b/crates/burdockroad-gateway/src/call_record.rs
@@ -18,7 +18,7 @@
 };
 
 /// Data for a call's log line.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct CallRecord {
     /// Version of the configuration that was in force when the call was admitted.
     pub(crate) directory_version: u64,
@@ -121,6 +121,14 @@
         self.pace_percent = placement.pace_percent;
     }
 
+    /// Goes back to an earlier attempt, of which this was the record.
+    pub(crate) fn return_to(&mut self, earlier: Self) {
+        *self = Self {
+            attempts: self.attempts,
+            ..earlier
+        };
+    }
+
     pub(crate) fn record_first_byte(&mut self) {
         self.time_to_first_byte = self.started_at.map(|at| at.elapsed());
     }
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -1,10 +1,9 @@
 //! Relays responses to callers, either complete or event by event.
 
-use std::{
-    io,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+mod continuation;
+mod source;
+
+use std::{io, sync::Arc, time::Instant};
 
 use burdockroad::gateway::EventBuffer;
 use bytes::{Bytes, BytesMut};
@@ -13,22 +12,19 @@
 use hyper::body::Incoming;
 use tokio::{task::yield_now, time::timeout};
 
+use self::{
+    continuation::{go_on, go_on_beside, record_break},
+    source::{Content, Source},
+};
 use crate::{
     attempt::{Call, OpenedResponse},
-    framing::{Framing, MediaType, StreamBreak},
+    framing::{MediaType, StreamBreak},
     kept_turn::KeptTurn,
-    pool::Connection,
     refusal::Refusal,
     response_body::ResponseBody,
     response_space::ResponseSpace,
 };
 
-/// Longest event, in bytes. A longer one is not what an endpoint sends, and may have no end.
-const EVENT_MAX_BYTES: usize = 256 << 10;
-
-/// Time without data after which a stream that may be repeated counts as broken.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(1400);
-
 /// Longest response that is read as a whole, in bytes.
 pub(crate) const RESPONSE_MAX_BYTES: usize = 8 << 20;
 
@@ -59,15 +55,10 @@
 /// An event stream that is being relayed.
 struct Relay {
     call: Call,
-    body: Incoming,
-    framing: Framing,
+    /// Response that is being read; `None` between two of them, and when the stream has ended.
+    source: Option<Source>,
     /// Media type of the stream, by its first response.
     stream_type: MediaType,
-    /// Media type of the response that is being read.
-    response_type: MediaType,
-    connection: Option<Connection>,
-    keep_alive: Option<Duration>,
-    events: EventBuffer,
     /// Turn of the call, on a route whose turns the system keeps.
     kept_turn: Option<KeptTurn>,
     progress: Progress,
@@ -84,21 +75,16 @@
     Ended,
 }
 
-/// Relays an event stream to the caller. If the endpoint's stream breaks off and the route allows repeats,
-/// the relay continues with a new stream, possibly from another endpoint.
+/// Relays an event stream to the caller. If the endpoint's stream breaks off or falls silent and the route allows
+/// repeats, the relay continues with a new stream, possibly from another endpoint.
 pub(crate) fn relay_events(mut call: Call, opened: OpenedResponse) -> ResponseBody {
-    let stream_type = MediaType::of(opened.response.headers());
-    call.record.framing = Some(opened.framing);
+    let source = Source::new(opened, EventBuffer::after(call.head.last_event));
+    call.record.framing = Some(source.framing());
     let relay = Relay {
-        events: EventBuffer::after(call.head.last_event),
         kept_turn: call.kept_turn.take(),
         call,
-        keep_alive: opened.head.keep_alive,
-        connection: Some(opened.connection),
-        framing: opened.framing,
-        response_type: stream_type.clone(),
-        stream_type,
-        body: opened.response.into_body(),
+        stream_type: source.media_type().clone(),
+        source: Some(source),
         progress: Progress::Relaying,
     };
     ResponseBody::Events(Box::pin(stream::unfold(relay, |mut relay| async move {
@@ -107,13 +93,6 @@
     })))
 }
 
-/// Result of reading from the endpoint.
-enum ReadResult {
-    Data(Bytes),
-    End,
-    Broken(StreamBreak),
-}
-
 impl Relay {
     /// Returns the next complete events for the caller; `None` at the end of the stream. Breaks the stream off before
     /// the process ends.
@@ -135,21 +114,14 @@
                 Progress::AllRelayed => return self.store_turn().await,
                 Progress::Ended => return None,
             }
-            let ready = match self.read_events().await {
-                ReadResult::Data(ready) => ready,
-                ReadResult::End => {
+            let ready = match self.read().await {
+                Ok(Content::Events(ready)) => ready,
+                Ok(Content::End) => {
                     self.end();
                     continue;
                 }
-                ReadResult::Broken(cause) => {
-                    self.record_break(cause);
-                    match self.resume().await {
-                        Ok(()) => continue,
-                        Err(refusal) => return Some(Err(self.break_off(refusal).await)),
-                    }
-                }
+                Err(refusal) => return Some(Err(self.break_off(refusal).await)),
             };
-            self.call.record.events = self.events.released();
             if !ready.is_empty() {
                 self.call.begin_stream();
                 if let Some(kept_turn) = &mut self.kept_turn {
@@ -160,6 +132,46 @@
         }
     }
 
+    /// Reads what comes next, at the response that has it.
+    async fn read(&mut self) -> Result<Content, Refusal> {
+        let mut source = self.source.take().ok_or(Refusal::UnknownOutcome)?;
+        let content = match source.read_events(&mut self.call, &self.stream_type).await {
+            Ok(content) => content,
+            Err(cause) => {
+                let content;
+                (source, content) = self.go_on_after(source, cause).await?;
+                content
+            }
+        };
+        if source.has_output {
+            self.call.record_output();
+        }
+        self.call.record.events = source.events.released();
+        self.source = Some(source);
+        Ok(content)
+    }
+
+    /// Goes on with the stream after a response that broke off, or beside one that is silent.
+    async fn go_on_after(
+        &mut self,
+        source: Source,
+        cause: StreamBreak,
+    ) -> Result<(Source, Content), Refusal> {
+        record_break(&self.call, cause, source.events.partial_bytes());
+        if self.call.time_left().is_zero() {
+            return Err(Refusal::DeadlineExceeded);
+        }
+        if cause == StreamBreak::NoData {
+            return go_on_beside(&mut self.call, source, &self.stream_type).await;
+        }
+        let events = source.events.clone();
+        drop(source);
+        if !self.call.record_broken_response() {
+            return Err(Refusal::UnknownOutcome);
+        }
+        go_on(&mut self.call, &events, &self.stream_type).await
+    }
+
     /// Stores the turn of the call before the caller sees the end of the stream, because a caller that has
     /// seen the end may continue the turn. Its events are not delayed.
     async fn store_turn(&mut self) -> Option<io::Result<Bytes>> {
@@ -186,89 +198,11 @@
         io::Error::from(io::ErrorKind::ConnectionAborted)
     }
 
-    /// Reads from the endpoint and returns the events that are complete then.
-    async fn read_events(&mut self) -> ReadResult {
-        if let Err(foreign) = self.events.check_bytes() {
-            return ReadResult::Broken(StreamBreak::ForeignBytes(foreign));
-        }
-        if !self.stream_type.may_go_on_as(&self.response_type) {
-            return ReadResult::Broken(StreamBreak::OtherMediaType);
-        }
-        match self.read_frame().await {
-            ReadResult::Data(data) => {
-                if !data.is_empty() {
-                    self.call.record_output();
-                }
-                let ready = self.events.push(&data);
-                if self.events.partial_bytes() > EVENT_MAX_BYTES {
-                    return ReadResult::Broken(StreamBreak::EventTooLong);
-                }
-                ReadResult::Data(ready)
-            }
-            result => result,
-        }
-    }
-
-    async fn read_frame(&mut self) -> ReadResult {
-        let time_left = self.call.time_left();
-        let frame_timeout = if self.call.route.kind.may_retry() {
-            time_left.min(EVENT_TIMEOUT)
-        } else {
-            time_left
-        };
-        match timeout(frame_timeout, self.body.frame()).await {
-            Ok(Some(Ok(frame))) => ReadResult::Data(frame.into_data().unwrap_or_default()),
-            Ok(None) => self.check_end(),
-            Ok(Some(Err(_))) => ReadResult::Broken(StreamBreak::ConnectionFailed),
-            Err(_elapsed) => ReadResult::Broken(StreamBreak::NoData),
-        }
-    }
-
-    /// Logs how the endpoint's stream broke off.
-    fn record_break(&self, cause: StreamBreak) {
-        let partial_bytes = self.events.partial_bytes();
-        self.call
-            .record
-            .record_break(&self.call.shared, &self.call.head, cause, partial_bytes);
-    }
-
-    /// Returns whether the stream was complete when its response ended.
-    fn check_end(&self) -> ReadResult {
-        match self.events.check_end(self.framing.is_delimited()) {
-            Ok(()) => ReadResult::End,
-            Err(truncation) => ReadResult::Broken(StreamBreak::Truncated(truncation)),
-        }
-    }
-
     /// Ends a complete stream.
     fn end(&mut self) {
         self.progress = Progress::AllRelayed;
-        if let Some(connection) = self.connection.take() {
-            self.call.finish(connection, self.keep_alive);
-        }
-    }
-
-    /// Opens a new stream that continues after the last event sent to the caller.
-    async fn resume(&mut self) -> Result<(), Refusal> {
-        self.connection = None;
-        if self.call.time_left().is_zero() {
-            return Err(Refusal::DeadlineExceeded);
-        }
-        if !self.call.record_broken_response() {
-            return Err(Refusal::UnknownOutcome);
-        }
-        self.events.begin_response();
-        let opened = self.call.open(self.events.last_id()).await?;
-        if !opened.response.status().is_success() {
-            return Err(Refusal::UnknownOutcome);
+        if let Some(source) = self.source.take() {
+            source.finish(&mut self.call);
         }
-        self.call.record.resumed += 1;
-        self.call.record.framing = Some(opened.framing);
-        self.framing = opened.framing;
-        self.response_type = MediaType::of(opened.response.headers());
-        self.keep_alive = opened.head.keep_alive;
-        self.connection = Some(opened.connection);
-        self.body = opened.response.into_body();
-        Ok(())
     }
 }
--- a/crates/burdockroad/src/gateway/events.rs
+++ b/crates/burdockroad/src/gateway/events.rs
@@ -35,7 +35,7 @@
 /// resumes at another endpoint continues at an event boundary. After a resumption, events that were already
 /// returned are dropped. From the first bytes that are not the stream's next event, nothing is returned until
 /// the stream resumes.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct EventBuffer {
     pending: BytesMut,
     /// Number of leading bytes of `pending` already searched for the end of an event.
