Give the last attempt of a call until the deadline

A call that may be repeated got 502 before its deadline, or its stream was cut, when its last attempt was silent: each attempt waited 1.5 s for the head of the response (`HEAD_TIMEOUT`), also the one after which no other could follow, so a call whose first two attempts were silent ended 4.5 s after its beginning though the third server answered at 5.0 s.

Now the head timeout applies only when another attempt may follow it (`step_after_unknown`, the same decision as after the timeout). The last attempt waits as long as the caller does, as a call that may not be repeated always did.

Evidence: `last_attempt_of_a_call_may_be_silent_until_the_deadline` failed without the change (502 in place of 200) and passes with it, on an idempotent route and on one whose streams may resume.

--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use burdockroad::gateway::{Endpoint, Failure, LoadReading, RateStatement};
+use burdockroad::gateway::{Endpoint, Failure, LoadReading, NextStep, RateStatement};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -17,7 +17,8 @@
     EndpointPhase, ForwardHead, endpoint_path::connect_to_endpoint, framing::Framing, pool::Connection,
 };
 
-/// Timeout for the response head of a call that may be repeated. After it, the call is sent again.
+/// Timeout for the response head of a call that may be repeated. After it, the call is sent again. The last attempt has
+/// until the caller's deadline.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Result of sending a request on a connection.
@@ -69,10 +70,10 @@
         mut connection: Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<SendOutcome, Failure> {
-        let head_timeout = if self.route.kind.may_retry() {
-            HEAD_TIMEOUT.min(self.time_left())
-        } else {
+        let head_timeout = if self.step_after_unknown(endpoint) == NextStep::GiveUp {
             self.time_left()
+        } else {
+            HEAD_TIMEOUT.min(self.time_left())
         };
         self.record_sent(&endpoint.id, true);
         let result = timeout(head_timeout, connection.sender.try_send_request(request)).await;
