--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use burdockroad::gateway::{Endpoint, Failure, LoadReading, RateStatement};
+use burdockroad::gateway::{Endpoint, Failure, LoadReading, NextStep, RateStatement};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -17,7 +17,8 @@
     EndpointPhase, ForwardHead, endpoint_path::connect_to_endpoint, framing::Framing, pool::Connection,
 };
 
-/// Timeout for the response head of a call that may be repeated. After it, the call is sent again.
+/// Timeout for the response head of a call that may be repeated. After it, the call is sent again. The last attempt has
+/// until the caller's deadline.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Result of sending a request on a connection.
@@ -43,7 +44,7 @@
             .take(&endpoint.id, endpoint.address, Instant::now())
             .filter(|connection| self.may_use(connection));
         if let Some(connection) = pooled {
-            match self.send(connection, request).await? {
+            match self.send(endpoint, connection, request).await? {
                 SendOutcome::Responded(opened) => {
                     return self.classify(endpoint, opened, ConnectionUse::Kept);
                 }
@@ -57,7 +58,7 @@
         if self.shared.tables().endpoints.is_evacuated(endpoint) {
             return Err(Failure::Evacuated);
         }
-        match self.send(connection, request).await? {
+        match self.send(endpoint, connection, request).await? {
             SendOutcome::Responded(opened) => self.classify(endpoint, opened, ConnectionUse::New),
             SendOutcome::Unsent(_) => Err(Failure::Unreachable),
         }
@@ -65,14 +66,16 @@
 
     async fn send(
         &self,
+        endpoint: &Endpoint,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<SendOutcome, Failure> {
-        let head_timeout = if self.route.kind.may_retry() {
-            HEAD_TIMEOUT.min(self.time_left())
-        } else {
+        let head_timeout = if self.step_after_unknown(endpoint) == NextStep::GiveUp {
             self.time_left()
+        } else {
+            HEAD_TIMEOUT.min(self.time_left())
         };
+        self.record_sent(&endpoint.id, true);
         let result = timeout(head_timeout, connection.sender.try_send_request(request)).await;
         match result {
             Err(_elapsed) => Err(Failure::Unknown),
@@ -88,10 +91,11 @@
                     connection,
                 }))
             }
-            Ok(Err(mut unsent)) => unsent
-                .take_message()
-                .map(SendOutcome::Unsent)
-                .ok_or(Failure::Unknown),
+            Ok(Err(mut unsent)) => {
+                let request = unsent.take_message().ok_or(Failure::Unknown)?;
+                self.record_sent(&endpoint.id, false);
+                Ok(SendOutcome::Unsent(request))
+            }
         }
     }
 
