Log why a turn was not stored and what time its caller had left

Callers of turns that were not stored saw a 200 that was cut in the middle. In three of the cases on record the write ended after 1, 2 and 4 ms, and the line `turn_not_stored` could not tell a caller whose time was over from a write that gave up: it had neither the time that the caller had left nor what ended the write.

--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -165,10 +165,12 @@
     async fn store_turn(&mut self) -> Option<io::Result<Bytes>> {
         if let Some(kept_turn) = self.kept_turn.take() {
             let started_at = Instant::now();
-            let storing = kept_turn.store(&self.call.shared, self.call.time_left());
+            let time_left = self.call.time_left();
+            let storing = kept_turn.store(&self.call.shared, time_left);
             let replicas = storing.await;
             self.call.record.store_time = Some(started_at.elapsed());
             if replicas.is_none() {
+                self.call.record.cut_turn_time_left = Some(time_left);
                 return Some(Err(self.break_off(Refusal::TurnNotStored).await));
             }
         }
@@ -182,6 +184,9 @@
         // An error discards the events that are not written yet; the server writes them while this yields.
         yield_now().await;
         self.progress = Progress::Ended;
+        if self.kept_turn.is_some() {
+            self.call.record.cut_turn_time_left = Some(self.call.time_left());
+        }
         self.call.record.refusal = Some(refusal);
         io::Error::from(io::ErrorKind::ConnectionAborted)
     }
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -24,7 +24,7 @@
         links::{Destination, EncodedCall, TurnHostLinks},
         members::{TurnMember, TurnMembers, readable, writable},
         messages::{TurnCall, TurnResponse},
-        write::TurnWrite,
+        write::{TurnWrite, WriteEnd},
     },
 };
 
@@ -224,14 +224,22 @@
         let call = Arc::new(EncodedCall::new(TurnCall::Store(turns)).ok()?);
         let mut write = self.begin_write(&turn);
         let running = timeout(time_left.min(STORE_TIMEOUT), write.run(&self.disk_hosts, &call));
-        let replicas = running.await.ok().flatten();
-        if replicas.is_some() {
-            self.lock().cache.insert(Arc::new(turn));
+        let time_over = if time_left < STORE_TIMEOUT {
+            WriteEnd::CallerTimeOver
         } else {
-            let line = write.line(&self.disk_hosts, &turn.key.turn);
-            self.log.line("turn_not_stored", &line);
+            WriteEnd::StoreTimeout
+        };
+        match running.await.unwrap_or(Err(time_over)) {
+            Ok(replicas) => {
+                self.lock().cache.insert(Arc::new(turn));
+                Some(replicas)
+            }
+            Err(end) => {
+                let line = write.line(&self.disk_hosts, &turn.key.turn, time_left, end);
+                self.log.line("turn_not_stored", &line);
+                None
+            }
         }
-        replicas
     }
 
     /// Starts the write of a turn to those hosts in allowed regions that store turns.
--- a/crates/burdockroad-gateway/src/turn_store/write.rs
+++ b/crates/burdockroad-gateway/src/turn_store/write.rs
@@ -54,6 +54,23 @@
     longest_delay: Duration,
 }
 
+/// Why a write ended before the turn was durable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum WriteEnd {
+    /// The caller's time was over.
+    CallerTimeOver,
+    /// [`STORE_TIMEOUT`](super::disk_hosts::STORE_TIMEOUT) was over.
+    StoreTimeout,
+    /// There is no host that could store the turn.
+    NoHosts,
+    /// No call was in flight.
+    NoCallsInFlight,
+    /// The task of a call ended without a result.
+    TaskFailed,
+}
+
 /// State of the calls that send the turn to one host.
 #[derive(Debug)]
 struct HostCall {
@@ -95,13 +112,16 @@
         }
     }
 
-    /// Sends an encoded call to as many hosts as must store the turn. Returns the number of replicas, or `None` if
-    /// there is no host that could store the turn.
+    /// Sends an encoded call to as many hosts as must store the turn. Returns the number of replicas.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the turn cannot become durable.
     pub(super) async fn run(
         &mut self,
         disk_hosts: &Arc<DiskHosts>,
         call: &Arc<EncodedCall>,
-    ) -> Option<usize> {
+    ) -> Result<usize, WriteEnd> {
         loop {
             self.record_slow_hosts(disk_hosts, call);
             while let Some(host) = self.replication.next_host() {
@@ -113,9 +133,9 @@
             match self.replication.progress() {
                 ReplicationProgress::Durable => {
                     self.replies.detach_all();
-                    return Some(self.replication.replicas());
+                    return Ok(self.replication.replicas());
                 }
-                ReplicationProgress::Failed => return None,
+                ReplicationProgress::Failed => return Err(WriteEnd::NoHosts),
                 ReplicationProgress::Pending => {}
             }
             let waiting_since = Instant::now();
@@ -123,7 +143,9 @@
             let delay = waiting_since.elapsed().saturating_sub(HEDGE_DELAY);
             self.longest_delay = self.longest_delay.max(delay);
             if let Ok(reply) = ended {
-                self.record_reply(disk_hosts, reply?.ok()?);
+                let reply = reply.ok_or(WriteEnd::NoCallsInFlight)?;
+                let reply = reply.map_err(|_task_failed| WriteEnd::TaskFailed)?;
+                self.record_reply(disk_hosts, reply);
             }
         }
     }
@@ -207,11 +229,20 @@
         }
     }
 
-    /// Returns the log line of a turn that was not stored.
-    pub(super) fn line<'a>(&'a self, disk_hosts: &DiskHosts, id: &'a str) -> TurnNotStoredLine<'a> {
+    /// Returns the log line of a turn that was not stored. `caller_time_left` is the time that the caller had left when
+    /// the write began.
+    pub(super) fn line<'a>(
+        &'a self,
+        disk_hosts: &DiskHosts,
+        id: &'a str,
+        caller_time_left: Duration,
+        end: WriteEnd,
+    ) -> TurnNotStoredLine<'a> {
         let hosts = self.sent.iter().take(LOGGED_HOSTS_MAX);
         TurnNotStoredLine {
             id,
+            ended_by: end,
+            caller_left_ms: as_ms(caller_time_left),
             waited_ms: as_ms(self.started_at.elapsed()),
             replicas: self.replication.replicas(),
             own_delay_ms: as_ms(self.longest_delay),
@@ -240,6 +271,9 @@
 #[derive(Serialize)]
 pub(super) struct TurnNotStoredLine<'a> {
     id: &'a str,
+    ended_by: WriteEnd,
+    /// Time that the caller had left when the write began.
+    caller_left_ms: u64,
     /// Duration of the write.
     waited_ms: u64,
     replicas: usize,
