Let only the caller's time or the store timeout end the write of a turn

The store may lose the entries of all hosts with disks, which register again as soon as they see it; so the turn could have been stored.

A write now waits until as many hosts are registered as a turn needed when its call began, so that the first one to register again is not taken for the only one, and tries them until the caller's time or STORE_TIMEOUT is over; both are the only ends that the types allow. A call whose task failed counts as a call without a response and is tried again, instead of ending the write. That no call is in flight while hosts are left cannot come otherwise: the model `replication_is_not_given_up_because_hosts_seem_lost` visits all states, now also of one and two hosts. The failed task has no test of its own.

--- a/crates/burdockroad-gateway/src/kept_turn.rs
+++ b/crates/burdockroad-gateway/src/kept_turn.rs
@@ -36,6 +36,8 @@
     input: Bytes,
     output: OutputCollector,
     retention: Duration,
+    /// Number of hosts that must be registered when the turn is stored.
+    replicas_min: usize,
 }
 
 impl KeptTurn {
@@ -95,6 +97,7 @@
             input,
             output: OutputCollector::default(),
             retention: route.retention,
+            replicas_min: shared.turns.replicas_min(),
         })
     }
 
@@ -145,7 +148,13 @@
         };
         let turns = &shared.turns;
         turns
-            .store(turn, &self.history.turns, storage_time, time_left)
+            .store(
+                turn,
+                &self.history.turns,
+                storage_time,
+                self.replicas_min,
+                time_left,
+            )
             .await
     }
 }
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -34,6 +34,9 @@
 /// Interval at which failing hosts are looked for.
 const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which a turn that too few hosts could store looks for registered hosts.
+const MEMBERS_CHECK_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Longest chain that is read. The limit ends a cycle of turns whose callers used an id twice.
 const HISTORY_MAX_TURNS: usize = 4096;
 
@@ -133,11 +136,18 @@
         members.map(|member| member.address).collect()
     }
 
+    /// Returns the number of hosts that must be registered for a turn to be durable. A turn that is being served needs as
+    /// many at its end as at its beginning, because the store may have lost the entries of hosts meanwhile.
+    pub(crate) fn replicas_min(&self) -> usize {
+        let hosts = writable(&self.lock().members);
+        hosts.len().clamp(1, self.tolerated_losses + 1)
+    }
+
     /// Returns whether enough hosts in allowed regions are left for a turn to be durable. A turn that is bound to
     /// regions needs as many hosts there as any other turn.
     pub(crate) fn can_store(&self, allowed_regions: Option<&[RegionId]>) -> bool {
+        let replicas = self.replicas_min();
         let hosts = writable(&self.lock().members);
-        let replicas = hosts.len().min(self.tolerated_losses + 1);
         let hosts = self.regions.allowed_hosts(hosts, allowed_regions);
         if hosts.len() < replicas {
             return false;
@@ -209,27 +219,37 @@
         })
     }
 
-    /// Stores a turn that continues `history` within the time that its caller has left. Returns the number of replicas,
-    /// or `None` when the turn is not durable.
+    /// Stores a turn that continues `history` within the time that its caller has left. Waits until at least `replicas_min`
+    /// hosts are registered. Returns the number of replicas, or `None` when the turn is not durable.
     pub(crate) async fn store(
         &self,
         turn: Turn,
         history: &[Arc<Turn>],
         storage_time: Duration,
+        replicas_min: usize,
         time_left: Duration,
     ) -> Option<usize> {
         let storage_time_ms = u64::try_from(storage_time.as_millis()).unwrap_or(u64::MAX);
         let mut turns = renewals(history, &turn, unix_ms(), storage_time_ms);
         turns.push(turn.clone());
         let call = Arc::new(EncodedCall::new(TurnCall::Store(turns)).ok()?);
-        let mut write = self.begin_write(&turn);
-        let running = timeout(time_left.min(STORE_TIMEOUT), write.run(&self.disk_hosts, &call));
+        let (replication, members) = self.begin_replication(&turn);
+        let mut write = TurnWrite::new(replication, members, turn.allowed_regions.clone());
+        let running = timeout(time_left.min(STORE_TIMEOUT), async {
+            while write.hosts() < replicas_min {
+                // Hosts register again when the store has lost their entries.
+                sleep(MEMBERS_CHECK_INTERVAL).await;
+                let (replication, members) = self.begin_replication(&turn);
+                write.replace_hosts(replication, members);
+            }
+            write.run(&self.disk_hosts, &call).await
+        });
         let time_over = if time_left < STORE_TIMEOUT {
             WriteEnd::CallerTimeOver
         } else {
             WriteEnd::StoreTimeout
         };
-        match running.await.unwrap_or(Err(time_over)) {
+        match running.await.map_err(|_elapsed| time_over) {
             Ok(replicas) => {
                 self.lock().cache.insert(Arc::new(turn));
                 Some(replicas)
@@ -242,14 +262,14 @@
         }
     }
 
-    /// Starts the write of a turn to those hosts in allowed regions that store turns.
-    fn begin_write(&self, turn: &Turn) -> TurnWrite {
+    /// Starts the replication of a turn to those hosts in allowed regions that store turns. Returns it with all hosts.
+    fn begin_replication(&self, turn: &Turn) -> (Replication, TurnMembers) {
         let members = self.lock().members.clone();
         let hosts = writable(&members);
         let hosts = self.regions.allowed_hosts(hosts, turn.allowed_regions.as_deref());
         let health = self.disk_hosts.health();
         let replication = Replication::new(turn, &hosts, self.tolerated_losses, &health);
-        TurnWrite::new(replication, members, turn.allowed_regions.clone())
+        (replication, members)
     }
 
     /// Reads the newest turns of a chain, newest turn first.
--- a/crates/burdockroad-gateway/src/turn_store/write.rs
+++ b/crates/burdockroad-gateway/src/turn_store/write.rs
@@ -1,6 +1,8 @@
 //! Writes one turn to the hosts that store it.
 
 use std::{
+    future::pending,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -11,7 +13,7 @@
 };
 use serde::Serialize;
 use tokio::{
-    task::JoinSet,
+    task::{Id, JoinSet},
     time::{sleep, timeout},
 };
 
@@ -63,18 +65,14 @@
     CallerTimeOver,
     /// [`STORE_TIMEOUT`](super::disk_hosts::STORE_TIMEOUT) was over.
     StoreTimeout,
-    /// There is no host that could store the turn.
-    NoHosts,
-    /// No call was in flight.
-    NoCallsInFlight,
-    /// The task of a call ended without a result.
-    TaskFailed,
 }
 
 /// State of the calls that send the turn to one host.
 #[derive(Debug)]
 struct HostCall {
     host: HostId,
+    /// Task of the current call.
+    task: Id,
     sent_at: Instant,
     /// Number of calls to the host, including the current one.
     calls: u32,
@@ -112,16 +110,20 @@
         }
     }
 
-    /// Sends an encoded call to as many hosts as must store the turn. Returns the number of replicas.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the turn cannot become durable.
-    pub(super) async fn run(
-        &mut self,
-        disk_hosts: &Arc<DiskHosts>,
-        call: &Arc<EncodedCall>,
-    ) -> Result<usize, WriteEnd> {
+    /// Returns the number of hosts that could store the turn.
+    pub(super) fn hosts(&self) -> usize {
+        self.replication.hosts()
+    }
+
+    /// Goes on with other hosts. The turn was not sent to any host before.
+    pub(super) fn replace_hosts(&mut self, replication: Replication, members: TurnMembers) {
+        self.replication = replication;
+        self.members = members;
+    }
+
+    /// Sends an encoded call to as many hosts as must store the turn, and tries them again until the turn is durable.
+    /// Returns the number of replicas.
+    pub(super) async fn run(&mut self, disk_hosts: &Arc<DiskHosts>, call: &Arc<EncodedCall>) -> usize {
         loop {
             self.record_slow_hosts(disk_hosts, call);
             while let Some(host) = self.replication.next_host() {
@@ -130,33 +132,57 @@
             while let Some(host) = self.replication.next_lost_host() {
                 self.send(disk_hosts, host, true, call);
             }
-            match self.replication.progress() {
-                ReplicationProgress::Durable => {
-                    self.replies.detach_all();
-                    return Ok(self.replication.replicas());
-                }
-                ReplicationProgress::Failed => return Err(WriteEnd::NoHosts),
-                ReplicationProgress::Pending => {}
+            if self.replication.progress() == ReplicationProgress::Durable {
+                self.replies.detach_all();
+                return self.replication.replicas();
             }
             let waiting_since = Instant::now();
-            let ended = timeout(HEDGE_DELAY, self.replies.join_next()).await;
+            let ended = timeout(HEDGE_DELAY, self.next_reply()).await;
             let delay = waiting_since.elapsed().saturating_sub(HEDGE_DELAY);
             self.longest_delay = self.longest_delay.max(delay);
             if let Ok(reply) = ended {
-                let reply = reply.ok_or(WriteEnd::NoCallsInFlight)?;
-                let reply = reply.map_err(|_task_failed| WriteEnd::TaskFailed)?;
                 self.record_reply(disk_hosts, reply);
             }
         }
     }
 
+    /// Waits for the end of a call. A call whose task failed counts as one without a response.
+    async fn next_reply(&mut self) -> StoreReply {
+        loop {
+            match self.replies.join_next().await {
+                Some(Ok(reply)) => return reply,
+                Some(Err(error)) => self.replace_task(error.id()),
+                None => pending().await,
+            }
+        }
+    }
+
+    /// Ends the call of a task that failed after [`RETRY_INTERVAL`].
+    fn replace_task(&mut self, failed: Id) {
+        let Some(call) = self.sent.iter_mut().find(|call| call.task == failed) else {
+            return;
+        };
+        let host = call.host.clone();
+        let replacement = self.replies.spawn(async move {
+            sleep(RETRY_INTERVAL).await;
+            StoreReply {
+                host,
+                result: StoreResult::NoResponse,
+            }
+        });
+        call.task = replacement.id();
+    }
+
     /// Sends the turn to a host. The call goes on when the turn is durable without it, so that its response shows that
     /// the host is not lost, and its connection is kept.
     fn send(&mut self, disk_hosts: &Arc<DiskHosts>, host: HostId, is_lost: bool, call: &Arc<EncodedCall>) {
+        let address = self.members.get(&host).map(|member| member.address);
         let position = self.sent.iter().position(|call| call.host == host);
         let previous = position.map(|position| self.sent.swap_remove(position));
+        let task = self.spawn_call(disk_hosts, host.clone(), address, call);
         self.sent.push(HostCall {
-            host: host.clone(),
+            host,
+            task,
             sent_at: Instant::now(),
             calls: previous.as_ref().map_or(0, |call| call.calls) + 1,
             previous_result: previous.and_then(|call| call.result),
@@ -164,11 +190,20 @@
             hedged: false,
             silent: is_lost,
         });
-        let address = self.members.get(&host).map(|member| member.address);
+    }
+
+    /// Starts the task of a call to a host.
+    fn spawn_call(
+        &mut self,
+        disk_hosts: &Arc<DiskHosts>,
+        host: HostId,
+        address: Option<SocketAddr>,
+        call: &Arc<EncodedCall>,
+    ) -> Id {
         let disk_hosts = Arc::clone(disk_hosts);
         let call = Arc::clone(call);
         let allowed_regions = self.allowed_regions.clone();
-        self.replies.spawn(async move {
+        let task = self.replies.spawn(async move {
             let result = match address {
                 Some(address) => {
                     let destination = Destination::new(&host, address, allowed_regions.as_deref());
@@ -183,6 +218,7 @@
             }
             StoreReply { host, result }
         });
+        task.id()
     }
 
     /// Records the hosts that do not respond in time, and sends the turn to others.
--- a/crates/burdockroad/src/gateway/turns/replication.rs
+++ b/crates/burdockroad/src/gateway/turns/replication.rs
@@ -227,6 +227,11 @@
         self.lost.len() + self.silent
     }
 
+    /// Returns the number of hosts that could store the turn.
+    pub fn hosts(&self) -> usize {
+        self.untried.len() + self.lost_hosts() + self.in_flight + self.stored
+    }
+
     /// Returns the number of hosts that have stored the turn.
     pub fn replicas(&self) -> usize {
         self.stored
--- a/crates/burdockroad/tests/gateway_turn_losses.rs
+++ b/crates/burdockroad/tests/gateway_turn_losses.rs
@@ -352,7 +352,7 @@
 /// However hosts seem, the replication of a turn goes on while there are hosts that may store it.
 #[test]
 fn replication_is_not_given_up_because_hosts_seem_lost() {
-    for (hosts, tolerated_losses) in [(3, 1), (3, 2)] {
+    for (hosts, tolerated_losses) in [(1, 1), (2, 1), (2, 2), (3, 1), (3, 2)] {
         let model = Model {
             misjudges_hosts: true,
             ..Model::new(hosts, tolerated_losses)
