Refuse a turn that cannot end in its caller's time before it is sent

A caller with little time left, as after an outage, had its turn sent to an endpoint and saw a 504 or a 200 cut in the middle, because the turn could not be generated and stored in that time. In the test on the code before, a caller with 600 ms at a route whose turns take 1,200 ms got 504 after an endpoint had worked on the call.

A gateway host now keeps the shortest time in which turns of a route were served and stored in the last 10 to 20 s. A caller with less time than that is refused at arrival, before its history is read, and again before each send that may be refused, both with 503 and without having run. One faster turn lowers the time at once, so the host does not refuse for long after endpoints were slow; with fewer than 8 turns nothing is refused. Before each send it also checks again that the turn could be stored, because hosts may be lost while a call waits for its reservation; that second check has no test of its own.

Test: `turn_that_cannot_end_in_the_time_of_its_caller_is_refused_before_it_is_sent`, which failed before with 504 in place of 503.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod second_head;
 mod stream_version;
+mod turn_check;
 
 use std::{
     sync::Arc,
@@ -140,6 +141,7 @@
             }
             self.wait_for_run_decision().await?;
             self.wait_for_rate_of_next_endpoint().await?;
+            self.check_turn()?;
             let Some(placement) = self.choose_endpoint() else {
                 self.wait_for_capacity().await?;
                 continue;
--- a/crates/burdockroad-gateway/src/call_record.rs
+++ b/crates/burdockroad-gateway/src/call_record.rs
@@ -124,6 +124,11 @@
         self.pace_percent = placement.pace_percent;
     }
 
+    /// Returns the time since the start of the last attempt; `None` before the first one.
+    pub(crate) fn attempt_time(&self) -> Option<Duration> {
+        self.attempt_started_at.map(|at| at.elapsed())
+    }
+
     pub(crate) fn record_first_byte(&mut self) {
         self.time_to_first_byte = self.started_at.map(|at| at.elapsed());
     }
--- a/crates/burdockroad-gateway/src/kept_turn.rs
+++ b/crates/burdockroad-gateway/src/kept_turn.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     CallHead,
+    attempt::call_timeout,
     clock::unix_ms,
     refusal::{Refusal, TurnObstacle},
     shared::Shared,
@@ -45,8 +46,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the previous turn does not exist or cannot be read, when the call's own turn could not be stored,
-    /// and when the call and its history have no allowed region in common.
+    /// Fails when the previous turn does not exist or cannot be read, when the call's own turn could not be stored, or
+    /// not within the caller's time, and when the call and its history have no allowed region in common.
     pub(crate) async fn begin(
         shared: &Shared,
         head: &CallHead,
@@ -61,6 +62,12 @@
         if !shared.turns.can_store(allowed_regions) {
             return Err(Refusal::TurnUnavailable(TurnObstacle::DiskHostsLost));
         }
+        if !shared
+            .turns
+            .may_be_served_in(&route.name, call_timeout(head, route))
+        {
+            return Err(Refusal::DeadlineExceededUnsent);
+        }
         let key = |turn: &str| TurnKey {
             account: account.map_or_else(String::new, |account| account.name.clone()),
             turn: turn.to_owned(),
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -173,6 +173,15 @@
                 self.call.record.cut_turn_time_left = Some(time_left);
                 return Some(Err(self.break_off(Refusal::TurnNotStored).await));
             }
+            if let Some(time) = self
+                .call
+                .record
+                .attempt_time()
+                .filter(|_| self.call.record.resumed == 0)
+            {
+                let turns = &self.call.shared.turns;
+                turns.record_turn_time(&self.call.route.name, time);
+            }
         }
         self.progress = Progress::Ended;
         self.call.record.complete = true;
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -9,8 +9,8 @@
 use burdockroad::{
     HostId, RegionId,
     gateway::{
-        Lookup, LookupOutcome, LookupReply, RegionMap, Replication, Turn, TurnCache, TurnKey, renewals,
-        stream_holders,
+        Lookup, LookupOutcome, LookupReply, RegionMap, Replication, Turn, TurnCache, TurnKey, TurnTimes,
+        renewals, stream_holders,
     },
 };
 use tokio::time::{sleep, timeout};
@@ -59,6 +59,7 @@
 struct ClientState {
     members: TurnMembers,
     cache: TurnCache,
+    times: TurnTimes,
 }
 
 /// Chain of turns that a call continues.
@@ -102,6 +103,7 @@
             state: Mutex::new(ClientState {
                 members: TurnMembers::new(),
                 cache: TurnCache::new(CACHE_BYTES),
+                times: TurnTimes::default(),
             }),
         }
     }
@@ -157,6 +159,16 @@
         lost < hosts.len() && lost <= self.tolerated_losses
     }
 
+    /// Records the time from the send of a call to an endpoint until its turn was stored.
+    pub(crate) fn record_turn_time(&self, route: &str, time: Duration) {
+        self.lock().times.record(route, time, Instant::now());
+    }
+
+    /// Returns whether a turn could be served and stored in a time, as far as turns of late tell.
+    pub(crate) fn may_be_served_in(&self, route: &str, time: Duration) -> bool {
+        self.lock().times.may_be_served_in(route, time, Instant::now())
+    }
+
     /// Returns the links to the hosts that store turns.
     pub(crate) fn links(&self) -> &TurnHostLinks {
         self.disk_hosts.links()
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -75,8 +75,8 @@
     stream_origin::{StreamId, StreamOrigins, UnsentOrigin, UnsentOrigins, stream_holders},
     turns::{
         IndexPage, IndexedTurn, Lookup, LookupOutcome, LookupReply, OutputCollector, Replication,
-        ReplicationProgress, Turn, TurnCache, TurnHostHealth, TurnId, TurnIndex, TurnKey, is_allowed_replica,
-        is_replica, missing_replicas, prompt, renewals, replica_order,
+        ReplicationProgress, Turn, TurnCache, TurnHostHealth, TurnId, TurnIndex, TurnKey, TurnTimes,
+        is_allowed_replica, is_replica, missing_replicas, prompt, renewals, replica_order,
     },
     version_history::VersionHistory,
 };
--- a/crates/burdockroad/src/gateway/turns.rs
+++ b/crates/burdockroad/src/gateway/turns.rs
@@ -7,6 +7,7 @@
 //! * [`replica_order`] ranks the hosts that store a turn, and [`Replication`] decides when it is durable.
 //!   [`TurnHostHealth`] tells which of these hosts are lost.
 //! * [`Lookup`] decides whether a turn that was not found does not exist.
+//! * [`TurnTimes`] decides whether a turn could be served in the time that its caller has left.
 //! * [`TurnCache`] holds recent turns in memory, and [`prompt`] joins a chain of turns with the new input.
 //! * [`OutputCollector`] extracts a turn's output from its event stream.
 //! * [`TurnIndex`] lists the turns on a host's disk, and [`missing_replicas`] selects those to copy from
@@ -19,6 +20,7 @@
 mod output;
 mod replication;
 mod turn;
+mod turn_times;
 
 pub use self::{
     cache::TurnCache,
@@ -30,4 +32,5 @@
         Replication, ReplicationProgress, is_allowed_replica, is_replica, missing_replicas, replica_order,
     },
     turn::{Turn, TurnId, TurnKey, prompt, renewals},
+    turn_times::TurnTimes,
 };
