--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 mod second_head;
 mod silent_run;
 mod stream_version;
+mod turn_check;
 
 use std::{
     sync::Arc,
@@ -145,6 +146,7 @@
             }
             self.wait_for_run_decision().await?;
             self.wait_for_rate_of_next_endpoint().await?;
+            self.check_turn()?;
             let Some(placement) = self.choose_endpoint() else {
                 self.wait_for_capacity().await?;
                 continue;
--- a/crates/burdockroad-gateway/src/kept_turn.rs
+++ b/crates/burdockroad-gateway/src/kept_turn.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     CallHead,
+    attempt::call_timeout,
     clock::unix_ms,
     refusal::{Refusal, TurnObstacle},
     shared::Shared,
@@ -36,6 +37,8 @@
     input: Bytes,
     output: OutputCollector,
     retention: Duration,
+    /// Number of hosts that must be registered when the turn is stored.
+    replicas_min: usize,
 }
 
 impl KeptTurn {
@@ -43,8 +46,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the previous turn does not exist or cannot be read, when the call's own turn could not be stored,
-    /// and when the call and its history have no allowed region in common.
+    /// Fails when the previous turn does not exist or cannot be read, when the call's own turn could not be stored, or
+    /// not within the caller's time, and when the call and its history have no allowed region in common.
     pub(crate) async fn begin(
         shared: &Shared,
         head: &CallHead,
@@ -59,6 +62,12 @@
         if !shared.turns.can_store(allowed_regions) {
             return Err(Refusal::TurnUnavailable(TurnObstacle::DiskHostsLost));
         }
+        if !shared
+            .turns
+            .may_be_served_in(&route.name, call_timeout(head, route))
+        {
+            return Err(Refusal::DeadlineExceededUnsent);
+        }
         let key = |turn: &str| TurnKey {
             account: account.map_or_else(String::new, |account| account.name.clone()),
             turn: turn.to_owned(),
@@ -95,6 +104,7 @@
             input,
             output: OutputCollector::default(),
             retention: route.retention,
+            replicas_min: shared.turns.replicas_min(),
         })
     }
 
@@ -145,7 +155,13 @@
         };
         let turns = &shared.turns;
         turns
-            .store(turn, &self.history.turns, storage_time, time_left)
+            .store(
+                turn,
+                &self.history.turns,
+                storage_time,
+                self.replicas_min,
+                time_left,
+            )
             .await
     }
 }
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -9,8 +9,8 @@
 use burdockroad::{
     HostId, RegionId,
     gateway::{
-        Lookup, LookupOutcome, LookupReply, RegionMap, Replication, Turn, TurnCache, TurnKey, renewals,
-        stream_holders,
+        Lookup, LookupOutcome, LookupReply, RegionMap, Replication, Turn, TurnCache, TurnKey, TurnTimes,
+        renewals, stream_holders,
     },
 };
 use tokio::time::{sleep, timeout};
@@ -24,7 +24,7 @@
         links::{Destination, EncodedCall, TurnHostLinks},
         members::{TurnMember, TurnMembers, readable, writable},
         messages::{TurnCall, TurnResponse},
-        write::TurnWrite,
+        write::{TurnWrite, WriteEnd},
     },
 };
 
@@ -34,6 +34,9 @@
 /// Interval at which failing hosts are looked for.
 const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which a turn that too few hosts could store looks for registered hosts.
+const MEMBERS_CHECK_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Longest chain that is read. The limit ends a cycle of turns whose callers used an id twice.
 const HISTORY_MAX_TURNS: usize = 4096;
 
@@ -56,6 +59,7 @@
 struct ClientState {
     members: TurnMembers,
     cache: TurnCache,
+    times: TurnTimes,
 }
 
 /// Chain of turns that a call continues.
@@ -99,6 +103,7 @@
             state: Mutex::new(ClientState {
                 members: TurnMembers::new(),
                 cache: TurnCache::new(CACHE_BYTES),
+                times: TurnTimes::default(),
             }),
         }
     }
@@ -133,11 +138,18 @@
         members.map(|member| member.address).collect()
     }
 
+    /// Returns the number of hosts that must be registered for a turn to be durable. A turn that is being served needs as
+    /// many at its end as at its beginning, because the store may have lost the entries of hosts meanwhile.
+    pub(crate) fn replicas_min(&self) -> usize {
+        let hosts = writable(&self.lock().members);
+        hosts.len().clamp(1, self.tolerated_losses + 1)
+    }
+
     /// Returns whether enough hosts in allowed regions are left for a turn to be durable. A turn that is bound to
     /// regions needs as many hosts there as any other turn.
     pub(crate) fn can_store(&self, allowed_regions: Option<&[RegionId]>) -> bool {
+        let replicas = self.replicas_min();
         let hosts = writable(&self.lock().members);
-        let replicas = hosts.len().min(self.tolerated_losses + 1);
         let hosts = self.regions.allowed_hosts(hosts, allowed_regions);
         if hosts.len() < replicas {
             return false;
@@ -147,6 +159,16 @@
         lost < hosts.len() && lost <= self.tolerated_losses
     }
 
+    /// Records the time from the send of a call to an endpoint until its turn was stored.
+    pub(crate) fn record_turn_time(&self, route: &str, time: Duration) {
+        self.lock().times.record(route, time, Instant::now());
+    }
+
+    /// Returns whether a turn could be served and stored in a time, as far as turns of late tell.
+    pub(crate) fn may_be_served_in(&self, route: &str, time: Duration) -> bool {
+        self.lock().times.may_be_served_in(route, time, Instant::now())
+    }
+
     /// Returns the links to the hosts that store turns.
     pub(crate) fn links(&self) -> &TurnHostLinks {
         self.disk_hosts.links()
@@ -209,39 +231,57 @@
         })
     }
 
-    /// Stores a turn that continues `history` within the time that its caller has left. Returns the number of replicas,
-    /// or `None` when the turn is not durable.
+    /// Stores a turn that continues `history` within the time that its caller has left. Waits until at least `replicas_min`
+    /// hosts are registered. Returns the number of replicas, or `None` when the turn is not durable.
     pub(crate) async fn store(
         &self,
         turn: Turn,
         history: &[Arc<Turn>],
         storage_time: Duration,
+        replicas_min: usize,
         time_left: Duration,
     ) -> Option<usize> {
         let storage_time_ms = u64::try_from(storage_time.as_millis()).unwrap_or(u64::MAX);
         let mut turns = renewals(history, &turn, unix_ms(), storage_time_ms);
         turns.push(turn.clone());
         let call = Arc::new(EncodedCall::new(TurnCall::Store(turns)).ok()?);
-        let mut write = self.begin_write(&turn);
-        let running = timeout(time_left.min(STORE_TIMEOUT), write.run(&self.disk_hosts, &call));
-        let replicas = running.await.ok().flatten();
-        if replicas.is_some() {
-            self.lock().cache.insert(Arc::new(turn));
+        let (replication, members) = self.begin_replication(&turn);
+        let mut write = TurnWrite::new(replication, members, turn.allowed_regions.clone());
+        let running = timeout(time_left.min(STORE_TIMEOUT), async {
+            while write.hosts() < replicas_min {
+                // Hosts register again when the store has lost their entries.
+                sleep(MEMBERS_CHECK_INTERVAL).await;
+                let (replication, members) = self.begin_replication(&turn);
+                write.replace_hosts(replication, members);
+            }
+            write.run(&self.disk_hosts, &call).await
+        });
+        let time_over = if time_left < STORE_TIMEOUT {
+            WriteEnd::CallerTimeOver
         } else {
-            let line = write.line(&self.disk_hosts, &turn.key.turn);
-            self.log.line("turn_not_stored", &line);
+            WriteEnd::StoreTimeout
+        };
+        match running.await.map_err(|_elapsed| time_over) {
+            Ok(replicas) => {
+                self.lock().cache.insert(Arc::new(turn));
+                Some(replicas)
+            }
+            Err(end) => {
+                let line = write.line(&self.disk_hosts, &turn.key.turn, time_left, end);
+                self.log.line("turn_not_stored", &line);
+                None
+            }
         }
-        replicas
     }
 
-    /// Starts the write of a turn to those hosts in allowed regions that store turns.
-    fn begin_write(&self, turn: &Turn) -> TurnWrite {
+    /// Starts the replication of a turn to those hosts in allowed regions that store turns. Returns it with all hosts.
+    fn begin_replication(&self, turn: &Turn) -> (Replication, TurnMembers) {
         let members = self.lock().members.clone();
         let hosts = writable(&members);
         let hosts = self.regions.allowed_hosts(hosts, turn.allowed_regions.as_deref());
         let health = self.disk_hosts.health();
         let replication = Replication::new(turn, &hosts, self.tolerated_losses, &health);
-        TurnWrite::new(replication, members, turn.allowed_regions.clone())
+        (replication, members)
     }
 
     /// Reads the newest turns of a chain, newest turn first.
