Check a turn's time, not the health of the hosts with disks, before each send

The merged check also refused, before each send, a call for which too many hosts with disks seemed lost at that moment. Names and comments say 'recent' in place of 'of late'.

--- a/crates/burdockroad-gateway/src/attempt/turn_check.rs
+++ b/crates/burdockroad-gateway/src/attempt/turn_check.rs
@@ -1,21 +1,19 @@
-//! Check before a call is sent that its turn can be stored.
+//! Check before a call is sent that its turn can end within the caller's time.
 
 use super::Call;
-use crate::refusal::{Refusal, TurnObstacle};
+use crate::refusal::Refusal;
 
 impl Call {
-    /// Refuses a call that has not run and whose turn could not be stored now, or not within the time left.
+    /// Refuses a call that has not run and whose turn could not be served and stored within the time left.
     pub(super) fn check_turn(&self) -> Result<(), Refusal> {
         if self.kept_turn.is_none() || self.retries.unknown > 0 {
             return Ok(());
         }
         let turns = &self.shared.turns;
-        if !turns.can_store(self.allowed_regions()) {
-            return Err(Refusal::TurnUnavailable(TurnObstacle::DiskHostsLost));
+        if turns.may_be_served_in(&self.route.name, self.time_left()) {
+            Ok(())
+        } else {
+            Err(Refusal::DeadlineExceededUnsent)
         }
-        if !turns.may_be_served_in(&self.route.name, self.time_left()) {
-            return Err(Refusal::DeadlineExceededUnsent);
-        }
-        Ok(())
     }
 }
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -164,7 +164,7 @@
         self.lock().times.record(route, time, Instant::now());
     }
 
-    /// Returns whether a turn could be served and stored in a time, as far as turns of late tell.
+    /// Returns whether a turn could be served and stored in a time, as far as recent turns tell.
     pub(crate) fn may_be_served_in(&self, route: &str, time: Duration) -> bool {
         self.lock().times.may_be_served_in(route, time, Instant::now())
     }
--- a/crates/burdockroad/src/gateway/turns/turn_times.rs
+++ b/crates/burdockroad/src/gateway/turns/turn_times.rs
@@ -1,4 +1,4 @@
-//! Shortest time in which turns were served of late.
+//! Shortest time in which turns were served recently.
 //!
 //! Load pattern: callers that come back after an outage with little of their time left. A turn that cannot end within
 //! that time would be cut after an endpoint has worked on it, so it is refused before.
@@ -45,8 +45,8 @@
         times.or_insert_with(|| RouteTimes::new(now)).record(time, now);
     }
 
-    /// Returns whether a turn could be served in a time: `false` if it is shorter than that of each turn of the route
-    /// of late.
+    /// Returns whether a turn could be served in a time: `false` if it is shorter than that of each recent
+    /// turn of the route.
     pub fn may_be_served_in(&self, route: &str, time: Duration, now: Instant) -> bool {
         let times = self.routes.get(route).filter(|times| !times.is_outdated(now));
         times
