Log large updates of ranges that a host hands on, and those that were given up

What a watcher sent to the other hosts was not in its log, and a host that gave a watcher's update up read the whole range from the store without a line, so a link that is full of configurations looked like any other cause of late calls.

A follower writes range_update_given_up with the phase in which it gave up, the bytes that arrived and the time.

--- a/crates/burdockroad-gateway/src/follow.rs
+++ b/crates/burdockroad-gateway/src/follow.rs
@@ -19,7 +19,9 @@
 
 use crate::{
     Change, Changes, RangeSnapshot, RangeUpdate, SharedStore,
-    peer_messages::{PeerCall, PeerResponse, RangeUpdateResponse},
+    clock::as_ms,
+    peer_client::FetchPhase,
+    peer_messages::{PeerCall, PeerResponse},
     range_view::{RangeView, UpdateSource},
     shared::Shared,
     store_outage::{record_failed_poll, record_own_response},
@@ -182,9 +184,22 @@
         prefix: subscriber.prefix().to_owned(),
         after,
     };
-    let result = shared.peer_client.call(address, &call, UPDATE_TIMEOUT).await;
-    let Ok(PeerResponse::RangeUpdate(Some(response))) = result else {
-        return None;
+    let asked_at = Instant::now();
+    let fetched = shared.peer_client.fetch(address, &call, UPDATE_TIMEOUT).await;
+    let response = match fetched {
+        Ok(PeerResponse::RangeUpdate(response)) => response?,
+        Ok(_other) => return None,
+        Err(failed) => {
+            let line = UpdateGivenUpLine {
+                prefix: subscriber.prefix(),
+                watcher: address,
+                phase: failed.phase,
+                received_bytes: failed.received_bytes,
+                waited_ms: as_ms(asked_at.elapsed()),
+            };
+            shared.log.line("range_update_given_up", &line);
+            return None;
+        }
     };
     let source = UpdateSource::Watcher(address);
     match response.update {
@@ -202,17 +217,6 @@
     }
 }
 
-/// Returns the updates of a range after a revision, for another host; `None` before this host has read the
-/// range.
-pub(crate) fn range_update(shared: &Shared, prefix: &str, after: Revision) -> Option<RangeUpdateResponse> {
-    let tables = shared.tables();
-    let update = tables.range_logs.get(prefix)?.changes_since(after)?;
-    Some(RangeUpdateResponse {
-        update,
-        reregistration_time: tables.departures.reregistration_time(Instant::now()),
-    })
-}
-
 fn record_range_response(shared: &Shared, prefix: &str) {
     let now = Instant::now();
     shared.tables().range_responded_at.insert(prefix.to_owned(), now);
@@ -284,6 +288,15 @@
     }
 }
 
+#[derive(Serialize)]
+struct UpdateGivenUpLine<'a> {
+    prefix: &'a str,
+    watcher: SocketAddr,
+    phase: FetchPhase,
+    received_bytes: usize,
+    waited_ms: u64,
+}
+
 #[derive(Serialize)]
 struct ReadFailedLine<'a> {
     prefix: &'a str,
--- a/crates/burdockroad-gateway/src/message_server.rs
+++ b/crates/burdockroad-gateway/src/message_server.rs
@@ -30,7 +30,14 @@
     F: Future<Output = R> + Send + 'static,
 {
     serve_requests(listener, dialect, move |request| {
-        respond_to_message(handler.clone(), request)
+        let handler = handler.clone();
+        async move {
+            let respond = move |call| {
+                let reply = handler(call);
+                async move { message_response(&reply.await) }
+            };
+            respond_to_message(respond, request).await
+        }
     })
     .await;
 }
@@ -70,15 +77,14 @@
     }
 }
 
-/// Decodes the call of a request, and encodes the response of `handler` to it.
-pub(crate) async fn respond_to_message<Q, R, F>(
+/// Decodes the call of a request, and returns the response of `handler` to it.
+pub(crate) async fn respond_to_message<Q, F>(
     handler: impl Fn(Q) -> F,
     request: Request<Incoming>,
 ) -> Response<ResponseBody>
 where
     Q: DeserializeOwned,
-    R: Serialize,
-    F: Future<Output = R>,
+    F: Future<Output = Response<ResponseBody>>,
 {
     let limited = Limited::new(request.into_body(), MESSAGE_MAX_BYTES);
     let call = match limited.collect().await {
@@ -91,9 +97,13 @@
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return response;
     };
-    let reply = handler(call).await;
+    handler(call).await
+}
+
+/// Encodes the response to a call.
+pub(crate) fn message_response(reply: &impl Serialize) -> Response<ResponseBody> {
     let mut bytes = Vec::new();
-    let encoded = ciborium::into_writer(&reply, &mut bytes);
+    let encoded = ciborium::into_writer(reply, &mut bytes);
     let mut response = Response::new(ResponseBody::full(Bytes::from(bytes)));
     if encoded.is_err() {
         *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -2,17 +2,19 @@
 
 use std::sync::Arc;
 
+use http::Response;
 use tokio::net::TcpListener;
 
 use crate::{
     budget_owner::{handle_release, handle_reserve, handle_return_tokens},
-    follow::range_update,
-    message_server::{respond_to_message, serve_requests},
+    message_server::{message_response, respond_to_message, serve_requests},
     peer_messages::{PeerCall, PeerResponse},
     relay::handle_store_call,
+    response_body::ResponseBody,
     shared::Shared,
     stream_origins::known_version,
     tunnel, tunnel_server,
+    update_server::serve_update,
 };
 
 /// Serves the calls of other hosts to a gateway host.
@@ -30,12 +32,12 @@
     .await;
 }
 
-async fn respond(shared: Arc<Shared>, call: PeerCall) -> PeerResponse {
-    match call {
+async fn respond(shared: Arc<Shared>, call: PeerCall) -> Response<ResponseBody> {
+    let response = match call {
         PeerCall::Store(call) => PeerResponse::Store(handle_store_call(shared.store.direct(), call).await),
         PeerCall::Turns { host, call } => PeerResponse::Turns(shared.turns.relay(&host, &call).await),
         PeerCall::RangeUpdate { prefix, after } => {
-            PeerResponse::RangeUpdate(range_update(&shared, &prefix, after))
+            return serve_update(&shared, &prefix, after);
         }
         PeerCall::Reserve(request) => PeerResponse::Reservation(handle_reserve(&shared, request).await),
         PeerCall::StreamVersion { stream } => PeerResponse::StreamVersion(known_version(&shared, &stream)),
@@ -47,5 +49,6 @@
             handle_release(&shared, &call_id, used_tokens);
             PeerResponse::Released
         }
-    }
+    };
+    message_response(&response)
 }
--- a/crates/burdockroad-gateway/src/peer_client.rs
+++ b/crates/burdockroad-gateway/src/peer_client.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Method, Request, Response, Uri, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -26,6 +26,28 @@
     NoResponse,
 }
 
+/// How far a response came that did not arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct FailedFetch {
+    /// What was waited for.
+    pub(crate) phase: FetchPhase,
+    /// Bytes of the body that arrived.
+    pub(crate) received_bytes: usize,
+}
+
+/// Part of a call to another host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum FetchPhase {
+    /// Connecting, and receiving the head of the response.
+    Head,
+    /// Receiving the body.
+    Body,
+    /// Reading a body that arrived.
+    Decoding,
+}
+
 /// Client for calls to other hosts.
 #[derive(Debug, Default)]
 pub(crate) struct PeerClient {
@@ -52,12 +74,52 @@
         call: Bytes,
         response_timeout: Duration,
     ) -> Result<R, PeerError> {
+        let (connection, response) = self.send(address, call, response_timeout).await?;
+        let read = timeout(response_timeout, response.into_body().collect()).await;
+        let Ok(Ok(body)) = read else {
+            return Err(PeerError::NoResponse);
+        };
+        self.keep(address, connection);
+        ciborium::from_reader(&*body.to_bytes()).map_err(|_malformed| PeerError::NoResponse)
+    }
+
+    /// Like [`call`](Self::call), for a response that may be large. Returns how far it came when it does not arrive.
+    pub(crate) async fn fetch<R: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        call: &impl Serialize,
+        response_timeout: Duration,
+    ) -> Result<R, FailedFetch> {
+        let failed = |phase, received_bytes| FailedFetch {
+            phase,
+            received_bytes,
+        };
+        let call = encode_message(call).map_err(|_unencodable| failed(FetchPhase::Head, 0))?;
+        let sent = self.send(address, call, response_timeout).await;
+        let (connection, response) = sent.map_err(|_no_head| failed(FetchPhase::Head, 0))?;
+        let mut received = BytesMut::new();
+        let read = timeout(response_timeout, read_into(&mut received, response.into_body())).await;
+        let bytes = received.len();
+        if !matches!(read, Ok(Ok(()))) {
+            return Err(failed(FetchPhase::Body, bytes));
+        }
+        self.keep(address, connection);
+        ciborium::from_reader(&*received).map_err(|_malformed| failed(FetchPhase::Decoding, bytes))
+    }
+
+    /// Sends a call, and returns the connection and the head of the response.
+    async fn send(
+        &self,
+        address: SocketAddr,
+        call: Bytes,
+        response_timeout: Duration,
+    ) -> Result<(Connection, Response<Incoming>), PeerError> {
         let key = address.to_string();
         let mut request = message_request(call);
         if let Some(mut connection) = self.pool.take(&key, address, Instant::now()) {
             let result = timeout(response_timeout, connection.sender.try_send_request(request)).await;
             match result {
-                Ok(Ok(response)) => return self.read(&key, connection, response, response_timeout).await,
+                Ok(Ok(response)) => return Ok((connection, response)),
                 Ok(Err(mut unsent)) => {
                     request = unsent.take_message().ok_or(PeerError::NoResponse)?;
                 }
@@ -71,26 +133,27 @@
         let mut connection = connecting.map_err(|_unreachable| PeerError::Unreachable)?;
         let result = timeout(response_timeout, connection.sender.send_request(request)).await;
         match result {
-            Ok(Ok(response)) => self.read(&key, connection, response, response_timeout).await,
+            Ok(Ok(response)) => Ok((connection, response)),
             Ok(Err(_)) | Err(_) => Err(PeerError::NoResponse),
         }
     }
 
-    async fn read<R: DeserializeOwned>(
-        &self,
-        key: &str,
-        connection: Connection,
-        response: Response<Incoming>,
-        response_timeout: Duration,
-    ) -> Result<R, PeerError> {
-        let read = timeout(response_timeout, response.into_body().collect()).await;
-        let Ok(Ok(body)) = read else {
-            return Err(PeerError::NoResponse);
-        };
-        let now = Instant::now();
-        self.pool.put(key, connection, None, IDLE_CONNECTIONS_MAX, now);
-        ciborium::from_reader(&*body.to_bytes()).map_err(|_malformed| PeerError::NoResponse)
+    /// Keeps a connection whose response was read completely.
+    fn keep(&self, address: SocketAddr, connection: Connection) {
+        let key = address.to_string();
+        self.pool
+            .put(&key, connection, None, IDLE_CONNECTIONS_MAX, Instant::now());
+    }
+}
+
+/// Appends the data of a body to `received` until the body ends.
+async fn read_into(received: &mut BytesMut, mut body: Incoming) -> Result<(), hyper::Error> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            received.extend_from_slice(&data);
+        }
     }
+    Ok(())
 }
 
 /// Encodes a call to another host.
--- a/crates/burdockroad-gateway/src/range_log.rs
+++ b/crates/burdockroad-gateway/src/range_log.rs
@@ -45,6 +45,16 @@
     Snapshot(RangeSnapshot),
 }
 
+impl RangeUpdate {
+    /// Returns the size of the keys and values.
+    pub fn size_bytes(&self) -> usize {
+        match self {
+            Self::Changes { changes, .. } => changes.iter().map(size_bytes).sum(),
+            Self::Snapshot(snapshot) => snapshot.entries.iter().map(entry_bytes).sum(),
+        }
+    }
+}
+
 impl RangeLog {
     /// Replaces all entries and discards the recent changes.
     pub fn replace(&mut self, snapshot: &RangeSnapshot) {
@@ -117,7 +127,11 @@
 /// Returns the size of a change's key and value.
 fn size_bytes(change: &Change) -> usize {
     match change {
-        Change::Put(entry) => entry.key.len() + entry.value.len(),
+        Change::Put(entry) => entry_bytes(entry),
         Change::Removed { key, .. } => key.len(),
     }
 }
+
+fn entry_bytes(entry: &Entry) -> usize {
+    entry.key.len() + entry.value.len()
+}
--- a/crates/burdockroad-gateway/src/response_body.rs
+++ b/crates/burdockroad-gateway/src/response_body.rs
@@ -7,15 +7,18 @@
 };
 
 use bytes::Bytes;
-use futures_util::Stream;
+use futures_util::{Stream, stream};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
 
+/// Length of a chunk of a body that is sent in chunks.
+const CHUNK_BYTES: usize = 16 << 10;
+
 /// Body of a response to a caller.
 pub(crate) enum ResponseBody {
     /// A complete body.
     Full(Full<Bytes>),
-    /// Events as they arrive.
+    /// Events as they arrive, or chunks.
     Events(Pin<Box<dyn Stream<Item = io::Result<Bytes>> + Send>>),
 }
 
@@ -23,6 +26,20 @@
     pub(crate) fn full(bytes: Bytes) -> Self {
         Self::Full(Full::new(bytes))
     }
+
+    /// Returns a body that is sent in chunks. `on_chunk` is called with the length of each chunk when the connection
+    /// takes it, and dropped with the body.
+    pub(crate) fn chunks(bytes: Bytes, on_chunk: impl FnMut(usize) + Send + 'static) -> Self {
+        let chunks = stream::unfold((bytes, on_chunk), |(mut rest, mut on_chunk)| async move {
+            let chunk = rest.split_to(rest.len().min(CHUNK_BYTES));
+            if chunk.is_empty() {
+                return None;
+            }
+            on_chunk(chunk.len());
+            Some((Ok(chunk), (rest, on_chunk)))
+        });
+        Self::Events(Box::pin(chunks))
+    }
 }
 
 impl fmt::Debug for ResponseBody {
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
     time::Instant,
 };
 
@@ -63,6 +63,8 @@
     pub(crate) report_now: Notify,
     /// Notified when a watcher announces a newer change of a range.
     pub(crate) range_announced: Notify,
+    /// Number of large updates of ranges that are being sent to other hosts.
+    pub(crate) updates_under_way: AtomicUsize,
     /// Notified when the versions of a service may have changed.
     pub(crate) versions_changed: Notify,
     /// Versions of endpoints that the last check read from the store.
@@ -168,6 +170,7 @@
             reservations_changed: Notify::new(),
             report_now: Notify::new(),
             range_announced: Notify::new(),
+            updates_under_way: AtomicUsize::new(0),
             versions_changed: Notify::new(),
             last_version_read: LastRead::default(),
             endpoint_checked: Notify::new(),
