--- a/crates/burdockroad-gateway/src/range_log.rs
+++ b/crates/burdockroad-gateway/src/range_log.rs
@@ -1,6 +1,6 @@
 //! Entries and recent changes of one range of the store, for hosts that do not watch it.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 use burdockroad_daemon::platform::{Entry, Revision};
 use serde::{Deserialize, Serialize};
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub enum RangeUpdate {
-    /// Changes that the host has not seen.
+    /// Changes that the host has not seen, at most one of each key.
     Changes {
         /// Changes in the order of their revisions; empty when the host is up to date.
         changes: Vec<Change>,
@@ -46,6 +46,14 @@
 }
 
 impl RangeUpdate {
+    /// Returns the revision up to which the update is complete.
+    pub fn as_of(&self) -> Revision {
+        match self {
+            Self::Changes { as_of, .. } => *as_of,
+            Self::Snapshot(snapshot) => snapshot.as_of,
+        }
+    }
+
     /// Returns the size of the keys and values.
     pub fn size_bytes(&self) -> usize {
         match self {
@@ -104,7 +112,7 @@
     }
 
     /// Returns the update for a host that has seen the range up to `after`; `None` before the range was
-    /// read.
+    /// read. It contains the newest change of each key, as later ones supersede the others.
     pub fn changes_since(&self, after: Revision) -> Option<RangeUpdate> {
         if self.as_of == 0 {
             return None;
@@ -116,9 +124,16 @@
                 as_of: self.as_of,
             }));
         }
+        let mut keys = HashSet::new();
         let unseen = self.recent.iter().filter(|change| change.revision() > after);
+        let mut newest: Vec<Change> = unseen
+            .rev()
+            .filter(|change| keys.insert(change.key()))
+            .cloned()
+            .collect();
+        newest.reverse();
         Some(RangeUpdate::Changes {
-            changes: unseen.cloned().collect(),
+            changes: newest,
             as_of: self.as_of.max(after),
         })
     }
--- a/crates/burdockroad-gateway/src/store.rs
+++ b/crates/burdockroad-gateway/src/store.rs
@@ -111,6 +111,14 @@
 }
 
 impl Change {
+    /// Returns the changed key.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(entry) => &entry.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+
     /// Returns the revision of the change.
     pub fn revision(&self) -> Revision {
         match self {
--- a/crates/burdockroad-gateway/tests/range_log.rs
+++ b/crates/burdockroad-gateway/tests/range_log.rs
@@ -46,6 +46,26 @@
     assert_eq!(update, expected);
 }
 
+/// Guards against a link that is full of values which no host applies any more.
+#[test]
+fn changes_since_contains_only_the_newest_change_of_each_key() {
+    let mut log = log_as_of_ten();
+    let changes = [
+        Change::Put(entry("large", 11)),
+        removed("a", 12),
+        Change::Put(entry("c", 13)),
+        Change::Put(entry("large", 14)),
+        Change::Put(entry("a", 15)),
+        removed("c", 16),
+    ];
+    log.extend(&changes, 16);
+    let expected = RangeUpdate::Changes {
+        changes: changes[3..].to_vec(),
+        as_of: 16,
+    };
+    assert_eq!(log.changes_since(10), Some(expected));
+}
+
 /// Guards against a host that keeps a removed key. A log contains only the changes after the watcher's own
 /// read of the range, so a host that read the range earlier may have missed a removal that the log lacks.
 #[test]
