Hand large updates on compressed, at a pace, and from host to host

Callers of the hosts that pass configurations on waited up to 1.8 s when a large configuration was written: each host that was behind fetched it at once from the watcher that announced it first, uncompressed and encoded anew, on the link that also carries turns, calls to the store, endpoints and callers. A host that had no whole body after 400 ms dropped it, read the range from the store, and the link stayed full.

A host now encodes a large update (16 KiB of keys and values or more) once, compresses it (deflate; the encoded ones that it keeps are bounded), and begins the transfers one after the other at 10 Mbit/s, a third of the slowest link that operators have. A request whose turn comes within 150 ms waits for it. Any other is told when to ask again, and which host that was sent the update it asks then; this one paces the same way. Smaller updates are sent at once as before.

A request names the host if it reads this form. Hosts of the version before do not, and get the form that they know at once; a host of this version reads theirs.

--- a/crates/burdockroad-gateway/src/follow.rs
+++ b/crates/burdockroad-gateway/src/follow.rs
@@ -19,12 +19,10 @@
 
 use crate::{
     Change, Changes, RangeSnapshot, RangeUpdate, SharedStore,
-    clock::as_ms,
-    peer_client::FetchPhase,
-    peer_messages::{PeerCall, PeerResponse},
     range_view::{RangeView, UpdateSource},
     shared::Shared,
     store_outage::{record_failed_poll, record_own_response},
+    update_client::fetch_update,
 };
 
 /// Longest time of one watch request. If the store truncates the history during a watch, it may report this
@@ -50,9 +48,6 @@
 /// Interval at which a host checks whether it should become a watcher.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Timeout of a request for updates to a watcher.
-const UPDATE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Receives the entries and changes of a range of the store.
 ///
 /// A range may hold keys of several kinds, as the operator's range does. They arrive together: the first snapshot has
@@ -173,36 +168,16 @@
     }
 }
 
-/// Fetches the updates of a range from a watcher and applies them.
+/// Fetches the updates of a range from a watcher, or from a host that it names, and applies them.
 async fn fetch_updates(
     shared: &Shared,
     subscriber: &mut dyn RangeSubscriber,
     address: SocketAddr,
     after: Revision,
 ) -> Option<Revision> {
-    let call = PeerCall::RangeUpdate {
-        prefix: subscriber.prefix().to_owned(),
-        after,
-    };
-    let asked_at = Instant::now();
-    let fetched = shared.peer_client.fetch(address, &call, UPDATE_TIMEOUT).await;
-    let response = match fetched {
-        Ok(PeerResponse::RangeUpdate(response)) => response?,
-        Ok(_other) => return None,
-        Err(failed) => {
-            let line = UpdateGivenUpLine {
-                prefix: subscriber.prefix(),
-                watcher: address,
-                phase: failed.phase,
-                received_bytes: failed.received_bytes,
-                waited_ms: as_ms(asked_at.elapsed()),
-            };
-            shared.log.line("range_update_given_up", &line);
-            return None;
-        }
-    };
-    let source = UpdateSource::Watcher(address);
-    match response.update {
+    let fetched = fetch_update(shared, subscriber.prefix(), address, after).await?;
+    let source = UpdateSource::Host(fetched.sender);
+    match fetched.update {
         RangeUpdate::Changes { changes, as_of } => {
             record_update(shared, subscriber.prefix(), source, as_of);
             apply_changes(shared, subscriber, &changes, as_of);
@@ -288,15 +263,6 @@
     }
 }
 
-#[derive(Serialize)]
-struct UpdateGivenUpLine<'a> {
-    prefix: &'a str,
-    watcher: SocketAddr,
-    phase: FetchPhase,
-    received_bytes: usize,
-    waited_ms: u64,
-}
-
 #[derive(Serialize)]
 struct ReadFailedLine<'a> {
     prefix: &'a str,
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -77,6 +77,8 @@
 mod unreadable_keys;
 mod unreturned_tokens;
 mod unseen_versions;
+mod update_client;
+mod update_message;
 mod update_server;
 mod version_check;
 mod version_records;
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -36,9 +36,11 @@
     let response = match call {
         PeerCall::Store(call) => PeerResponse::Store(handle_store_call(shared.store.direct(), call).await),
         PeerCall::Turns { host, call } => PeerResponse::Turns(shared.turns.relay(&host, &call).await),
-        PeerCall::RangeUpdate { prefix, after } => {
-            return serve_update(&shared, &prefix, after);
-        }
+        PeerCall::RangeUpdate {
+            prefix,
+            after,
+            packed_for,
+        } => return serve_update(&shared, &prefix, after, packed_for).await,
         PeerCall::Reserve(request) => PeerResponse::Reservation(handle_reserve(&shared, request).await),
         PeerCall::StreamVersion { stream } => PeerResponse::StreamVersion(known_version(&shared, &stream)),
         PeerCall::ReturnTokens { program } => {
--- a/crates/burdockroad-gateway/src/peer_client.rs
+++ b/crates/burdockroad-gateway/src/peer_client.rs
@@ -17,6 +17,9 @@
 /// Maximum number of idle connections to one host.
 const IDLE_CONNECTIONS_MAX: usize = 4;
 
+/// Longest time for which the body of a large response is received.
+const FETCH_TIME_MAX: Duration = Duration::from_secs(2);
+
 /// Reason why a call to another host failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PeerError {
@@ -40,6 +43,8 @@
 #[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum FetchPhase {
+    /// Being told to ask again.
+    Turn,
     /// Connecting, and receiving the head of the response.
     Head,
     /// Receiving the body.
@@ -83,24 +88,26 @@
         ciborium::from_reader(&*body.to_bytes()).map_err(|_malformed| PeerError::NoResponse)
     }
 
-    /// Like [`call`](Self::call), for a response that may be large. Returns how far it came when it does not arrive.
+    /// Like [`call`](Self::call), for a response that may be large: its body may take longer while data arrives, up to
+    /// [`FETCH_TIME_MAX`]. Returns how far it came when it does not arrive.
     pub(crate) async fn fetch<R: DeserializeOwned>(
         &self,
         address: SocketAddr,
         call: &impl Serialize,
-        response_timeout: Duration,
+        progress_timeout: Duration,
     ) -> Result<R, FailedFetch> {
         let failed = |phase, received_bytes| FailedFetch {
             phase,
             received_bytes,
         };
         let call = encode_message(call).map_err(|_unencodable| failed(FetchPhase::Head, 0))?;
-        let sent = self.send(address, call, response_timeout).await;
+        let sent = self.send(address, call, progress_timeout).await;
         let (connection, response) = sent.map_err(|_no_head| failed(FetchPhase::Head, 0))?;
         let mut received = BytesMut::new();
-        let read = timeout(response_timeout, read_into(&mut received, response.into_body())).await;
+        let reading = read_into(&mut received, response.into_body(), progress_timeout);
+        let read = timeout(FETCH_TIME_MAX, reading).await;
         let bytes = received.len();
-        if !matches!(read, Ok(Ok(()))) {
+        if !matches!(read, Ok(Some(()))) {
             return Err(failed(FetchPhase::Body, bytes));
         }
         self.keep(address, connection);
@@ -146,14 +153,14 @@
     }
 }
 
-/// Appends the data of a body to `received` until the body ends.
-async fn read_into(received: &mut BytesMut, mut body: Incoming) -> Result<(), hyper::Error> {
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
+/// Appends the data of a body to `received` until the body ends; `None` if it breaks off or no data arrives in time.
+async fn read_into(received: &mut BytesMut, mut body: Incoming, progress_timeout: Duration) -> Option<()> {
+    while let Some(frame) = timeout(progress_timeout, body.frame()).await.ok()? {
+        if let Ok(data) = frame.ok()?.into_data() {
             received.extend_from_slice(&data);
         }
     }
-    Ok(())
+    Some(())
 }
 
 /// Encodes a call to another host.
--- a/crates/burdockroad-gateway/src/peer_messages.rs
+++ b/crates/burdockroad-gateway/src/peer_messages.rs
@@ -1,9 +1,10 @@
 //! Calls between gateway hosts.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use burdockroad::{HostId, ProgramId, SoftwareVersion, gateway::StreamId};
 use burdockroad_daemon::platform::Revision;
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -33,6 +34,10 @@
         prefix: String,
         /// Revision up to which the requesting host has seen the range.
         after: Revision,
+        /// Requesting host, if it reads packed updates and asks again when it is told to; hosts of earlier
+        /// versions do not.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        packed_for: Option<HostId>,
     },
     /// Reserves tokens of a program's budget.
     #[serde(rename = "Hold")]
@@ -67,6 +72,18 @@
     /// Updates of the range; `None` when the responding host has not read it.
     #[serde(rename = "RangeNews")]
     RangeUpdate(Option<RangeUpdateResponse>),
+    /// Large update of the range.
+    PackedRangeUpdate {
+        /// [`RangeUpdate`] in compressed form.
+        deflated: Bytes,
+    },
+    /// The responding host sends other large updates first.
+    RangeUpdateLater {
+        /// Time after which the requesting host asks again.
+        wait: Duration,
+        /// Host that was sent the update, which the requesting host asks then.
+        holder: Option<SocketAddr>,
+    },
     /// Result of the reservation request.
     #[serde(rename = "Hold")]
     Reservation(ReservationResponse),
--- a/crates/burdockroad-gateway/src/range_view.rs
+++ b/crates/burdockroad-gateway/src/range_view.rs
@@ -13,15 +13,15 @@
 pub(crate) enum UpdateSource {
     /// The store, directly or relayed by another host.
     Store,
-    /// The watcher at this address.
-    Watcher(SocketAddr),
+    /// The host at this address, a watcher or one that had the update from it.
+    Host(SocketAddr),
 }
 
 impl fmt::Display for UpdateSource {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Store => f.write_str("store"),
-            Self::Watcher(address) => write!(f, "watcher {address}"),
+            Self::Host(address) => write!(f, "host {address}"),
         }
     }
 }
--- a/crates/burdockroad-gateway/src/relay.rs
+++ b/crates/burdockroad-gateway/src/relay.rs
@@ -148,6 +148,8 @@
             Ok(
                 PeerResponse::Turns(_)
                 | PeerResponse::RangeUpdate(_)
+                | PeerResponse::PackedRangeUpdate { .. }
+                | PeerResponse::RangeUpdateLater { .. }
                 | PeerResponse::Reservation(_)
                 | PeerResponse::StreamVersion(_)
                 | PeerResponse::Released,
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -12,7 +12,7 @@
     gateway::{
         Departures, Directory, EndpointReach, EndpointTable, Ledger, LedgerOptions, Overdrafts,
         ProgramStartGate, Quarantine, RateLimiter, RegionMap, RunningPrograms, StreamOrigins, UnsentOrigins,
-        VersionHistory,
+        UpdatePacer, VersionHistory,
     },
 };
 use burdockroad_daemon::platform::Revision;
@@ -26,7 +26,7 @@
     collected_reports::CollectedReports, crash_checks::CrashChecks, failed_polls::FailedPolls,
     peer_client::PeerClient, peers::Peers, pool::ConnectionPool, range_view::RangeView, relay::RelayedStore,
     remote_reservation::RemoteReservation, response_space::ResponseSpace, shutdown::Shutdown,
-    turn_store::client::TurnClient, unseen_versions::LastRead,
+    turn_store::client::TurnClient, unseen_versions::LastRead, update_message::EncodedUpdates,
 };
 
 /// State of one host.
@@ -65,6 +65,8 @@
     pub(crate) range_announced: Notify,
     /// Number of large updates of ranges that are being sent to other hosts.
     pub(crate) updates_under_way: AtomicUsize,
+    pub(crate) update_pacer: Mutex<UpdatePacer>,
+    pub(crate) encoded_updates: Mutex<EncodedUpdates>,
     /// Notified when the versions of a service may have changed.
     pub(crate) versions_changed: Notify,
     /// Versions of endpoints that the last check read from the store.
@@ -171,6 +173,8 @@
             report_now: Notify::new(),
             range_announced: Notify::new(),
             updates_under_way: AtomicUsize::new(0),
+            update_pacer: Mutex::default(),
+            encoded_updates: Mutex::default(),
             versions_changed: Notify::new(),
             last_version_read: LastRead::default(),
             endpoint_checked: Notify::new(),
--- /dev/null
+++ b/crates/burdockroad-gateway/src/update_message.rs
@@ -0,0 +1,78 @@
+//! Compressed form of large updates of ranges, and those that a host has encoded lately.
+
+use std::collections::VecDeque;
+
+use burdockroad_daemon::platform::Revision;
+use bytes::Bytes;
+use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
+
+use crate::{
+    RangeUpdate,
+    peer_client::{PeerError, encode_message},
+    peer_messages::PeerResponse,
+};
+
+/// Level of the compression, the fastest one: a configuration shrinks to a tenth of its size.
+const COMPRESSION_LEVEL: u8 = 1;
+
+/// Largest update that a host unpacks.
+const UNPACKED_MAX_BYTES: usize = 32 << 20;
+
+/// Number of encoded updates that are kept. Hosts that are behind have seen one of the last few changes.
+const KEPT_MAX: usize = 4;
+
+/// Size of the encoded updates that are kept.
+const KEPT_MAX_BYTES: usize = 1 << 20;
+
+/// Encodes the response that contains an update in compressed form.
+pub(crate) fn packed_response(update: &RangeUpdate) -> Result<Bytes, PeerError> {
+    let packed = compress_to_vec(&encode_message(update)?, COMPRESSION_LEVEL);
+    encode_message(&PeerResponse::PackedRangeUpdate {
+        deflated: Bytes::from(packed),
+    })
+}
+
+/// Decodes an update in compressed form; `None` if it is malformed.
+pub(crate) fn unpack(deflated: &[u8]) -> Option<RangeUpdate> {
+    let update = decompress_to_vec_with_limit(deflated, UNPACKED_MAX_BYTES).ok()?;
+    ciborium::from_reader(&*update).ok()
+}
+
+/// What an update contains. Updates with the same content bring a host up to date as well as each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct UpdateContent {
+    pub(crate) prefix: String,
+    /// Revision of the first change; `None` for a snapshot.
+    pub(crate) first_change: Option<Revision>,
+    /// Revision of the last change.
+    pub(crate) last_change: Revision,
+}
+
+/// Updates that a host has encoded lately.
+#[derive(Debug, Default)]
+pub(crate) struct EncodedUpdates {
+    /// Oldest first.
+    kept: VecDeque<(UpdateContent, Bytes)>,
+}
+
+impl EncodedUpdates {
+    pub(crate) fn get(&self, content: &UpdateContent) -> Option<Bytes> {
+        let mut kept = self.kept.iter();
+        let (_, bytes) = kept.find(|(known, _)| known == content)?;
+        Some(bytes.clone())
+    }
+
+    pub(crate) fn insert(&mut self, content: UpdateContent, bytes: Bytes) {
+        if bytes.len() > KEPT_MAX_BYTES {
+            return;
+        }
+        self.kept.push_back((content, bytes));
+        while self.kept.len() > KEPT_MAX || self.size_bytes() > KEPT_MAX_BYTES {
+            self.kept.pop_front();
+        }
+    }
+
+    fn size_bytes(&self) -> usize {
+        self.kept.iter().map(|(_, bytes)| bytes.len()).sum()
+    }
+}
--- a/crates/burdockroad-gateway/src/update_server.rs
+++ b/crates/burdockroad-gateway/src/update_server.rs
@@ -1,82 +1,173 @@
 //! Hands updates of ranges on to other hosts.
 
 use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Instant,
+    net::SocketAddr,
+    sync::{Arc, PoisonError, atomic::Ordering},
+    time::{Duration, Instant},
 };
 
+use burdockroad::{HostId, gateway::UpdateTurn};
 use burdockroad_daemon::platform::Revision;
+use bytes::Bytes;
 use http::Response;
 use serde::Serialize;
+use tokio::time::sleep;
 
 use crate::{
-    RangeUpdate,
+    Change, RangeUpdate,
     clock::as_ms,
     message_server::message_response,
     peer_client::encode_message,
     peer_messages::{PeerResponse, RangeUpdateResponse},
     response_body::ResponseBody,
     shared::Shared,
+    update_message::{UpdateContent, packed_response},
 };
 
-/// Size of the keys and values from which an update counts as large.
+/// Size of the keys and values from which an update counts as large. Smaller ones are sent at once.
 const LARGE_UPDATE_BYTES: usize = 16 << 10;
 
-/// Responds to another host that has seen a range up to `after`.
-pub(crate) fn serve_update(shared: &Arc<Shared>, prefix: &str, after: Revision) -> Response<ResponseBody> {
-    let response = range_update(shared, prefix, after);
-    let large = response.as_ref().map(|response| &response.update);
-    let Some(large) = large.filter(|update| update.size_bytes() >= LARGE_UPDATE_BYTES) else {
-        return message_response(&PeerResponse::RangeUpdate(response));
+/// Responds to another host that has seen a range up to `after`. A requester that is named by
+/// `packed_for` gets a large update in compressed form when it is its turn, or is told when and where to ask again.
+pub(crate) async fn serve_update(
+    shared: &Arc<Shared>,
+    prefix: &str,
+    after: Revision,
+    packed_for: Option<HostId>,
+) -> Response<ResponseBody> {
+    let Some((response, last_change)) = range_update(shared, prefix, after) else {
+        return message_response(&PeerResponse::RangeUpdate(None));
     };
-    let changes = match large {
-        RangeUpdate::Changes { changes, .. } => Some(changes.len()),
-        RangeUpdate::Snapshot(_) => None,
+    if response.update.size_bytes() < LARGE_UPDATE_BYTES {
+        return message_response(&PeerResponse::RangeUpdate(Some(response)));
+    }
+    let sent = SentUpdate::of(prefix, last_change, &response.update);
+    let Some(requester) = packed_for else {
+        let encoded = encode_message(&PeerResponse::RangeUpdate(Some(response)));
+        return match encoded {
+            Ok(bytes) => send(shared, sent, bytes, Duration::ZERO),
+            Err(_unencodable) => message_response(&PeerResponse::RangeUpdate(None)),
+        };
     };
-    let Ok(bytes) = encode_message(&PeerResponse::RangeUpdate(response)) else {
+    let Some(bytes) = packed_bytes(shared, &sent.content, &response.update) else {
         return message_response(&PeerResponse::RangeUpdate(None));
     };
-    let mut transfer = Transfer::begin(shared, prefix, changes, bytes.len());
+    match decide_turn(shared, &sent.content, bytes.len(), &requester) {
+        UpdateTurn::Send { wait } => {
+            if !wait.is_zero() {
+                sleep(wait).await;
+            }
+            send(shared, sent, bytes, wait)
+        }
+        UpdateTurn::Later { wait, holder } => {
+            metrics::counter!("burdockroad_large_range_updates_deferred_total").increment(1);
+            message_response(&PeerResponse::RangeUpdateLater { wait, holder })
+        }
+    }
+}
+
+/// Returns the updates of a range after a revision, and the revision of the range's last change; `None` before this
+/// host has read the range.
+fn range_update(shared: &Shared, prefix: &str, after: Revision) -> Option<(RangeUpdateResponse, Revision)> {
+    let tables = shared.tables();
+    let log = tables.range_logs.get(prefix)?;
+    let response = RangeUpdateResponse {
+        update: log.changes_since(after)?,
+        reregistration_time: tables.departures.reregistration_time(Instant::now()),
+    };
+    Some((response, log.last_change()))
+}
+
+/// Returns the response with an update, which is encoded once for all hosts.
+fn packed_bytes(shared: &Shared, content: &UpdateContent, update: &RangeUpdate) -> Option<Bytes> {
+    let mut encoded = shared
+        .encoded_updates
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    if let Some(bytes) = encoded.get(content) {
+        return Some(bytes);
+    }
+    let bytes = packed_response(update).ok()?;
+    encoded.insert(content.clone(), bytes.clone());
+    Some(bytes)
+}
+
+fn decide_turn(shared: &Shared, content: &UpdateContent, bytes: usize, requester: &HostId) -> UpdateTurn {
+    let address: Option<SocketAddr> = shared.peers.borrow().get(requester).map(|peer| peer.address);
+    let mut pacer = shared.update_pacer.lock().unwrap_or_else(PoisonError::into_inner);
+    pacer.decide(
+        &content.prefix,
+        content.last_change,
+        bytes,
+        address,
+        Instant::now(),
+    )
+}
+
+fn send(shared: &Arc<Shared>, sent: SentUpdate, bytes: Bytes, wait: Duration) -> Response<ResponseBody> {
+    let mut transfer = Transfer::begin(shared, sent, bytes.len(), wait);
     Response::new(ResponseBody::chunks(bytes, move |taken_bytes| {
         transfer.record_taken(taken_bytes);
     }))
 }
 
-/// Returns the updates of a range after a revision; `None` before this host has read the range.
-fn range_update(shared: &Shared, prefix: &str, after: Revision) -> Option<RangeUpdateResponse> {
-    let tables = shared.tables();
-    let update = tables.range_logs.get(prefix)?.changes_since(after)?;
-    Some(RangeUpdateResponse {
-        update,
-        reregistration_time: tables.departures.reregistration_time(Instant::now()),
-    })
+/// An update that is sent.
+#[derive(Debug)]
+struct SentUpdate {
+    content: UpdateContent,
+    /// Number of changes; `None` for a snapshot.
+    changes: Option<usize>,
+    /// Size of the keys and values.
+    size_bytes: usize,
+}
+
+impl SentUpdate {
+    fn of(prefix: &str, last_change: Revision, update: &RangeUpdate) -> Self {
+        let (first_change, changes) = match update {
+            RangeUpdate::Changes { changes, .. } => {
+                (changes.first().map(Change::revision), Some(changes.len()))
+            }
+            RangeUpdate::Snapshot(_) => (None, None),
+        };
+        Self {
+            content: UpdateContent {
+                prefix: prefix.to_owned(),
+                first_change,
+                last_change,
+            },
+            changes,
+            size_bytes: update.size_bytes(),
+        }
+    }
 }
 
 /// Transfer of a large update to another host. It is logged when it ends.
+#[derive(Debug)]
 struct Transfer {
     shared: Arc<Shared>,
-    prefix: String,
-    /// Number of changes; `None` for a snapshot.
-    changes: Option<usize>,
+    sent: SentUpdate,
+    /// Length of the message.
     bytes: usize,
     /// Bytes that the connection has taken. It may still hold some of them when the transfer ends.
     taken_bytes: usize,
     /// Number of transfers under way when this one began, with this one.
     under_way: usize,
+    /// Time for which the request waited for its turn.
+    wait: Duration,
     begun_at: Instant,
 }
 
 impl Transfer {
-    fn begin(shared: &Arc<Shared>, prefix: &str, changes: Option<usize>, bytes: usize) -> Self {
+    fn begin(shared: &Arc<Shared>, sent: SentUpdate, bytes: usize, wait: Duration) -> Self {
         metrics::counter!("burdockroad_large_range_updates_total").increment(1);
         metrics::counter!("burdockroad_large_range_update_bytes_total").increment(bytes as u64);
         Self {
             shared: Arc::clone(shared),
-            prefix: prefix.to_owned(),
-            changes,
+            sent,
             bytes,
             taken_bytes: 0,
             under_way: shared.updates_under_way.fetch_add(1, Ordering::Relaxed) + 1,
+            wait,
             begun_at: Instant::now(),
         }
     }
@@ -90,11 +181,13 @@
     fn drop(&mut self) {
         self.shared.updates_under_way.fetch_sub(1, Ordering::Relaxed);
         let line = UpdateSentLine {
-            prefix: &self.prefix,
-            changes: self.changes,
+            prefix: &self.sent.content.prefix,
+            changes: self.sent.changes,
+            size_bytes: self.sent.size_bytes,
             bytes: self.bytes,
             taken_bytes: self.taken_bytes,
             under_way: self.under_way,
+            waited_ms: as_ms(self.wait),
             lasted_ms: as_ms(self.begun_at.elapsed()),
         };
         self.shared.log.line("range_update_sent", &line);
@@ -105,8 +198,10 @@
 struct UpdateSentLine<'a> {
     prefix: &'a str,
     changes: Option<usize>,
+    size_bytes: usize,
     bytes: usize,
     taken_bytes: usize,
     under_way: usize,
+    waited_ms: u64,
     lasted_ms: u64,
 }
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -18,6 +18,7 @@
 //! * [`Quarantine`] finds requests that crash the endpoints that run them, and keeps them from endpoints.
 //! * [`EventBuffer`] splits an event stream into complete events.
 //! * [`StreamOrigins`] holds the software versions that streams began at, so that they go on at the same one.
+//! * [`UpdatePacer`] decides when a host hands a large update on, and which host a requester is sent on to.
 //! * [`Turn`] and the types around it keep the history of conversations on routes that ask for it.
 
 mod budget;
@@ -40,6 +41,7 @@
 mod store_contact;
 mod stream_origin;
 mod turns;
+mod update_pacer;
 mod version_history;
 
 pub use self::{
@@ -78,5 +80,6 @@
         ReplicationProgress, Turn, TurnCache, TurnHostHealth, TurnId, TurnIndex, TurnKey, is_allowed_replica,
         is_replica, missing_replicas, prompt, renewals, replica_order,
     },
+    update_pacer::{UpdatePacer, UpdateTurn},
     version_history::VersionHistory,
 };
--- /dev/null
+++ b/crates/burdockroad/src/gateway/update_pacer.rs
@@ -0,0 +1,128 @@
+//! Pace at which a host hands large updates on to other hosts.
+//!
+//! Load pattern: all hosts that are behind ask for the same large update at the same time, on a link that carries calls
+//! which must not wait. A host therefore sends such updates one after the other, at a rate far below that of its link.
+//! It sends a requester that would wait too long on to a host that was sent the update before, which does the same. The
+//! number of hosts that have the update multiplies with each such step, so the time until all have it grows with the
+//! logarithm of their number.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crate::ids::Revision;
+
+/// Rate at which a host sends large updates, 10 Mbit/s.
+const PACE_BYTES_PER_S: f64 = 1.25e6;
+
+/// Longest time for which a request waits for its turn. Requesters wait longer for the head of a response.
+const TURN_WAIT_MAX: Duration = Duration::from_millis(150);
+
+/// Time from the beginning of a transfer after which its receiver can usually hand the update on.
+const HANDOVER_TIME: Duration = Duration::from_millis(60);
+
+/// Number of receivers of an update that are remembered.
+const HOLDERS_MAX: usize = 32;
+
+/// When a host hands a large update on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpdateTurn {
+    /// The update is sent after a wait.
+    Send {
+        /// Time left until the transfer may begin.
+        wait: Duration,
+    },
+    /// The requester asks again after a wait.
+    Later {
+        /// Time after which the requester asks again.
+        wait: Duration,
+        /// Host that was sent the update, which the requester asks then; `None` if it asks the same host.
+        holder: Option<SocketAddr>,
+    },
+}
+
+/// Paces the large updates that a host hands on.
+#[derive(Clone, Debug, Default)]
+pub struct UpdatePacer {
+    /// Time at which the next transfer may begin; `None` before the first one.
+    free_at: Option<Instant>,
+    /// Receivers of the latest update of each range, by prefix.
+    receivers: HashMap<String, Receivers>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Receivers {
+    /// Revision of the last change in the update.
+    revision: Revision,
+    /// Addresses, each with the time at which it can hand the update on.
+    addresses: Vec<(SocketAddr, Instant)>,
+    next: usize,
+}
+
+impl UpdatePacer {
+    /// Decides when an update of `bytes` that ends with the change of `revision` is sent. `requester` is the address of
+    /// the requesting host, at which others can ask for the update later; `None` if it is not known.
+    pub fn decide(
+        &mut self,
+        prefix: &str,
+        revision: Revision,
+        bytes: usize,
+        requester: Option<SocketAddr>,
+        now: Instant,
+    ) -> UpdateTurn {
+        let free_at = self.free_at.map_or(now, |free_at| free_at.max(now));
+        let wait = free_at - now;
+        let receivers = self.receivers.entry(prefix.to_owned()).or_default();
+        if receivers.revision != revision {
+            *receivers = Receivers {
+                revision,
+                ..Receivers::default()
+            };
+        }
+        if wait <= TURN_WAIT_MAX {
+            self.free_at = Some(free_at + transfer_time(bytes));
+            if let Some(requester) = requester {
+                receivers.add(requester, free_at + HANDOVER_TIME);
+            }
+            return UpdateTurn::Send { wait };
+        }
+        match receivers.next_holder(requester) {
+            Some((holder, ready_at)) => UpdateTurn::Later {
+                wait: ready_at.saturating_duration_since(now),
+                holder: Some(holder),
+            },
+            // The requester comes back before the link is free, so that it is in use all the time.
+            None => UpdateTurn::Later {
+                wait: wait - TURN_WAIT_MAX / 2,
+                holder: None,
+            },
+        }
+    }
+}
+
+impl Receivers {
+    fn add(&mut self, address: SocketAddr, ready_at: Instant) {
+        if self.addresses.len() < HOLDERS_MAX && !self.addresses.iter().any(|(known, _)| *known == address) {
+            self.addresses.push((address, ready_at));
+        }
+    }
+
+    /// Returns the hosts that were sent the update in turn.
+    fn next_holder(&mut self, requester: Option<SocketAddr>) -> Option<(SocketAddr, Instant)> {
+        let others = self
+            .addresses
+            .iter()
+            .filter(|(address, _)| Some(*address) != requester);
+        let others: Vec<(SocketAddr, Instant)> = others.copied().collect();
+        let index = self.next.checked_rem(others.len())?;
+        self.next = self.next.wrapping_add(1);
+        others.get(index).copied()
+    }
+}
+
+fn transfer_time(bytes: usize) -> Duration {
+    let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+    Duration::from_secs_f64(f64::from(bytes) / PACE_BYTES_PER_S)
+}
