--- a/crates/burdockroad-gateway/src/follow.rs
+++ b/crates/burdockroad-gateway/src/follow.rs
@@ -19,10 +19,10 @@
 
 use crate::{
     Change, Changes, RangeSnapshot, RangeUpdate, SharedStore,
-    peer_messages::{PeerCall, PeerResponse, RangeUpdateResponse},
     range_view::{RangeView, UpdateSource},
     shared::Shared,
     store_outage::{record_failed_poll, record_own_response},
+    update_client::fetch_update,
 };
 
 /// Longest time of one watch request. If the store truncates the history during a watch, it may report this
@@ -48,9 +48,6 @@
 /// Interval at which a host checks whether it should become a watcher.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Timeout of a request for updates to a watcher.
-const UPDATE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Receives the entries and changes of a range of the store.
 ///
 /// A range may hold keys of several kinds, as the operator's range does. They arrive together: the first snapshot has
@@ -171,23 +168,16 @@
     }
 }
 
-/// Fetches the updates of a range from a watcher and applies them.
+/// Fetches the updates of a range from a watcher, or from a host that it names, and applies them.
 async fn fetch_updates(
     shared: &Shared,
     subscriber: &mut dyn RangeSubscriber,
     address: SocketAddr,
     after: Revision,
 ) -> Option<Revision> {
-    let call = PeerCall::RangeUpdate {
-        prefix: subscriber.prefix().to_owned(),
-        after,
-    };
-    let result = shared.peer_client.call(address, &call, UPDATE_TIMEOUT).await;
-    let Ok(PeerResponse::RangeUpdate(Some(response))) = result else {
-        return None;
-    };
-    let source = UpdateSource::Watcher(address);
-    match response.update {
+    let fetched = fetch_update(shared, subscriber.prefix(), address, after).await?;
+    let source = UpdateSource::Host(fetched.sender);
+    match fetched.update {
         RangeUpdate::Changes { changes, as_of } => {
             record_update(shared, subscriber.prefix(), source, as_of);
             apply_changes(shared, subscriber, &changes, as_of);
@@ -202,17 +192,6 @@
     }
 }
 
-/// Returns the updates of a range after a revision, for another host; `None` before this host has read the
-/// range.
-pub(crate) fn range_update(shared: &Shared, prefix: &str, after: Revision) -> Option<RangeUpdateResponse> {
-    let tables = shared.tables();
-    let update = tables.range_logs.get(prefix)?.changes_since(after)?;
-    Some(RangeUpdateResponse {
-        update,
-        reregistration_time: tables.departures.reregistration_time(Instant::now()),
-    })
-}
-
 fn record_range_response(shared: &Shared, prefix: &str) {
     let now = Instant::now();
     shared.tables().range_responded_at.insert(prefix.to_owned(), now);
