--- a/crates/burdockroad-gateway/src/update_message.rs
+++ b/crates/burdockroad-gateway/src/update_message.rs
@@ -1,4 +1,4 @@
-//! Compressed form of large updates of ranges, and those that a host has encoded lately.
+//! Compressed form of large updates of ranges, and those that a host has encoded recently.
 
 use std::collections::VecDeque;
 
@@ -48,7 +48,7 @@
     pub(crate) last_change: Revision,
 }
 
-/// Updates that a host has encoded lately.
+/// Updates that a host has encoded recently.
 #[derive(Debug, Default)]
 pub(crate) struct EncodedUpdates {
     /// Oldest first.
--- a/crates/burdockroad/tests/gateway_update_pacer.rs
+++ b/crates/burdockroad/tests/gateway_update_pacer.rs
@@ -22,7 +22,7 @@
 const APPLY_TIME: Duration = Duration::from_secs(2);
 
 /// Bytes that a link of 30 Mbit/s carries in a second.
-const LINK_BYTES_PER_S: usize = 3_750_000;
+const LINK_BYTES_PER_S: u32 = 3_750_000;
 
 fn address(number: usize) -> SocketAddr {
     let number = u32::try_from(number).expect("a small number");
@@ -91,9 +91,10 @@
         assert_eq!(fleet.has_update_at.len(), hosts);
         assert!(lasted < APPLY_TIME, "{hosts} hosts: {lasted:?}");
         let most_sent_bytes = fleet.sent.iter().max().expect("hosts") * UPDATE_BYTES;
-        let link_bytes = lasted.as_secs_f64() * LINK_BYTES_PER_S as f64;
+        let most_sent_bytes = u32::try_from(most_sent_bytes).expect("less than a link carries");
+        let link_bytes = lasted.as_secs_f64() * f64::from(LINK_BYTES_PER_S);
         assert!(
-            most_sent_bytes as f64 <= link_bytes / 2.0,
+            f64::from(most_sent_bytes) <= link_bytes / 2.0,
             "{hosts} hosts: {most_sent_bytes} bytes from one host in {lasted:?}"
         );
     }
