--- a/crates/burdockroad-gateway/src/follow.rs
+++ b/crates/burdockroad-gateway/src/follow.rs
@@ -2,8 +2,8 @@
 //! from them.
 //!
 //! A watcher's reports announce the revision of the last change that it has seen in each range. A host that
-//! is behind this revision fetches the changes from the watcher, or reads the store when the watcher does
-//! not respond. A host that receives no announcement watches the store itself.
+//! is behind this revision fetches the changes from the watcher, or from a host that the watcher names, or
+//! reads the store when none of them responds. A host that receives no announcement watches the store itself.
 
 use std::{
     net::SocketAddr,
--- a/crates/burdockroad/src/gateway/update_pacer.rs
+++ b/crates/burdockroad/src/gateway/update_pacer.rs
@@ -95,7 +95,7 @@
             },
             // The requester comes back before the link is free, so that it is in use all the time.
             None => UpdateTurn::Later {
-                wait: wait - TURN_WAIT_MAX / 2,
+                wait: wait.saturating_sub(TURN_WAIT_MAX / 2),
                 holder: None,
             },
         }
--- a/crates/burdockroad/tests/gateway_update_pacer.rs
+++ b/crates/burdockroad/tests/gateway_update_pacer.rs
@@ -12,7 +12,7 @@
 const PREFIX: &str = "range/";
 
 /// Compressed configuration of 1,400 routes.
-const UPDATE_BYTES: usize = 30 << 10;
+const UPDATE_BYTES: u32 = 30 << 10;
 
 /// Time from the beginning of a transfer until its receiver has applied the update: 8 ms on a link of 30 Mbit/s, and
 /// the work of a slow core.
@@ -22,7 +22,7 @@
 const APPLY_TIME: Duration = Duration::from_secs(2);
 
 /// Bytes that a link of 30 Mbit/s carries in a second.
-const LINK_BYTES_PER_S: usize = 3_750_000;
+const LINK_BYTES_PER_S: f64 = 3.75e6;
 
 fn address(number: usize) -> SocketAddr {
     let number = u32::try_from(number).expect("a small number");
@@ -35,7 +35,7 @@
     /// Time at which each host has the update.
     has_update_at: HashMap<usize, Instant>,
     /// Transfers of each host.
-    sent: Vec<usize>,
+    sent: Vec<u32>,
 }
 
 impl Fleet {
@@ -65,7 +65,7 @@
         if !has_update {
             return Some((now + Duration::from_millis(20), requester, 0));
         }
-        let turn = self.pacers[asked].decide(PREFIX, 7, UPDATE_BYTES, Some(address(requester)), now);
+        let turn = self.pacers[asked].decide(PREFIX, 7, UPDATE_BYTES as usize, Some(address(requester)), now);
         match turn {
             UpdateTurn::Send { wait } => {
                 self.sent[asked] += 1;
@@ -91,9 +91,9 @@
         assert_eq!(fleet.has_update_at.len(), hosts);
         assert!(lasted < APPLY_TIME, "{hosts} hosts: {lasted:?}");
         let most_sent_bytes = fleet.sent.iter().max().expect("hosts") * UPDATE_BYTES;
-        let link_bytes = lasted.as_secs_f64() * LINK_BYTES_PER_S as f64;
+        let link_bytes = lasted.as_secs_f64() * LINK_BYTES_PER_S;
         assert!(
-            most_sent_bytes as f64 <= link_bytes / 2.0,
+            f64::from(most_sent_bytes) <= link_bytes / 2.0,
             "{hosts} hosts: {most_sent_bytes} bytes from one host in {lasted:?}"
         );
     }
