Log what a call that waited for tokens of a program found

One line for each call that lacked tokens, or waited 150 ms or longer for a write: the spent tokens, those reserved here, running, waiting, reserved at live and at lost processes, the number of reads of the budget, and whether the host owns it.

--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -27,6 +27,8 @@
     peer_messages::{PeerCall, PeerResponse},
     reservations::refresh_budget,
     shared::Shared,
+    store_writes::{store_is_silent, store_writes_are_failing},
+    token_wait::TokenWait,
     unreturned_tokens::log_unreturned,
 };
 
@@ -59,13 +61,6 @@
 /// `Retry-After` of a call that is refused because the store did not respond.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(1200);
 
-/// Duration of store write failures after which calls that need a write are refused without waiting.
-const STORE_FAILING_MIN: Duration = Duration::from_millis(400);
-
-/// Time without a successful store write after which a call that waited for one until its end takes the store for
-/// unavailable. It is shorter than the wait that is left when the budget owner does not respond.
-const STORE_SILENT_MIN: Duration = Duration::from_millis(400);
-
 /// Time after the process start in which programs missing from the ledger may already be running.
 const PROGRAM_DISCOVERY_TIME: Duration = Duration::from_secs(3);
 
@@ -294,20 +289,6 @@
     }
 }
 
-/// Returns whether store writes have failed for at least [`STORE_FAILING_MIN`]. Calls then do not wait for a
-/// write, but the writer continues to retry.
-fn store_writes_are_failing(shared: &Shared) -> bool {
-    let failing_since = shared.tables().writes_failing_since;
-    failing_since.is_some_and(|at| at.elapsed() >= STORE_FAILING_MIN)
-}
-
-/// Returns whether no store write has succeeded for [`STORE_SILENT_MIN`] although one was sent. Without it, a call
-/// that ends its wait for a write has only run out of its own time.
-fn store_is_silent(shared: &Shared) -> bool {
-    let unanswered_since = shared.tables().writes_unanswered_since;
-    unanswered_since.is_some_and(|at| at.elapsed() >= STORE_SILENT_MIN)
-}
-
 /// Returns the refusal of a request that would start a program which must not start now; `None` when the
 /// program has started or may start.
 fn check_program_start(shared: &Shared, request: &ReservationRequest) -> Option<ReservationResponse> {
@@ -351,7 +332,7 @@
 }
 
 /// Returns the process incarnations of the other hosts that are live.
-fn live_incarnations(shared: &Shared) -> Vec<Incarnation> {
+pub(crate) fn live_incarnations(shared: &Shared) -> Vec<Incarnation> {
     let now = Instant::now();
     let peers = shared.peers.borrow();
     let tables = shared.tables();
@@ -388,6 +369,19 @@
     request: &ReservationRequest,
     owns_budget: bool,
     deadline: Instant,
+) -> ReservationResponse {
+    let mut wait = TokenWait::new();
+    let response = await_tokens(shared, request, owns_budget, deadline, &mut wait).await;
+    wait.log(shared, request, owns_budget, response);
+    response
+}
+
+async fn await_tokens(
+    shared: &Shared,
+    request: &ReservationRequest,
+    owns_budget: bool,
+    deadline: Instant,
+    wait: &mut TokenWait,
 ) -> ReservationResponse {
     let program = &request.program;
     if let Some(response) = check_program_start(shared, request) {
@@ -410,6 +404,7 @@
         let mut changed = pin!(shared.reservations_changed.notified());
         changed.as_mut().enable();
         let readiness = shared.tables().ledger.take(program, request.max_tokens);
+        wait.observe(readiness);
         let time_left = deadline.saturating_duration_since(Instant::now());
         match readiness {
             Readiness::Ready => return ReservationResponse::Reserved { starts_program },
@@ -429,6 +424,7 @@
                 let _ended = timeout(time_left.min(BUDGET_RECHECK_INTERVAL), changed).await;
                 let is_recheck_due = shared.tables().ledger.should_poll(program, Instant::now());
                 if is_recheck_due {
+                    wait.add_poll();
                     request_tokens(shared, program).await;
                     refresh_budget(shared, program).await;
                 }
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -45,8 +45,8 @@
 pub use self::{
     budget::{
         BudgetWrite, ClaimOutcome, ClaimReply, HostReservation, Ledger, LedgerOptions, OverdraftDecision,
-        Overdrafts, Readiness, StoreResponse, StoredBudget, VersionedBudget, claim_account, claim_record,
-        decide_claim,
+        Overdrafts, Readiness, StoreResponse, StoredBudget, TokenUse, VersionedBudget, claim_account,
+        claim_record, decide_claim,
     },
     departures::{Departure, Departures},
     directory::{AccountLookup, Directory},
--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -8,6 +8,7 @@
 
 mod overdraft;
 mod program_budget;
+mod token_use;
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -18,6 +19,7 @@
     ClaimOutcome, ClaimReply, OverdraftDecision, Overdrafts, claim_account, claim_record, decide_claim,
 };
 use self::program_budget::ProgramBudget;
+pub use self::token_use::TokenUse;
 use crate::ids::{Incarnation, ProgramId};
 
 /// Largest number of tokens that one waiting call counts for. Callers state it, and the sum must not overflow.
