Refuse the calls that a budget does not hold without waiting for those that run

Up to 14 calls waited for a budget of two or three.

Such a call is now refused with 402 when the budget has no room for it beside the running calls at their most, and holds fewer than all waiting calls even if the running ones generate nothing. So some of them cannot run whatever the running calls return. The second one keeps the calls of a program that only has to wait for its own running calls: these wait as before.

The test failed before: the waiting call was told to wait (AwaitTokens in place of Exhausted).

--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -86,7 +86,8 @@
     /// Too few of the remaining tokens are unreserved. The call must wait until running calls of this or
     /// another host return tokens, then retry.
     AwaitTokens,
-    /// The remaining budget is smaller than the call's maximum.
+    /// The remaining budget is smaller than the call's maximum, or than those of the waiting calls and of this call
+    /// with the running ones.
     Exhausted,
 }
 
@@ -222,7 +223,7 @@
             return Readiness::Exhausted;
         }
         if row.reservable_tokens() < max_tokens {
-            return Readiness::AwaitTokens;
+            return row.readiness_without_tokens(max_tokens);
         }
         self.queue_write(program);
         Readiness::AwaitWrite
--- a/crates/burdockroad/src/gateway/budget/program_budget.rs
+++ b/crates/burdockroad/src/gateway/budget/program_budget.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use crate::{
-    gateway::budget::{HostReservation, StoredBudget, VersionedBudget},
+    gateway::budget::{HostReservation, Readiness, StoredBudget, VersionedBudget},
     ids::Incarnation,
 };
 
@@ -134,6 +134,20 @@
         self.uncommitted_tokens().saturating_sub(self.running_tokens)
     }
 
+    /// Returns the readiness of a waiting call for which too few tokens are unreserved.
+    ///
+    /// The call need not wait for running calls if the budget holds neither the call, when the running ones generate
+    /// their maximums, nor all waiting calls, when the running ones generate nothing.
+    pub(super) fn readiness_without_tokens(&self, max_tokens: u64) -> Readiness {
+        let left_tokens = self.budget_tokens.saturating_sub(self.spent_tokens());
+        let lacks_room_beside_running = self.running_tokens.saturating_add(max_tokens) > left_tokens;
+        if lacks_room_beside_running && self.waiting_tokens > left_tokens {
+            Readiness::Exhausted
+        } else {
+            Readiness::AwaitTokens
+        }
+    }
+
     /// Returns the reserved tokens that no running call may use.
     pub(super) fn idle_tokens(&self) -> u64 {
         self.reserved_tokens.saturating_sub(self.running_tokens)
--- a/crates/burdockroad/tests/gateway_budget.rs
+++ b/crates/burdockroad/tests/gateway_budget.rs
@@ -265,6 +265,71 @@
     assert_eq!(stored.budget.reserved_tokens(), 0);
 }
 
+/// Reserves a budget of two calls and takes it for one call after the other.
+fn run_calls_of_small_program(count: usize, now: Instant) -> Ledger {
+    let program = PROGRAM.to_owned();
+    let mut store = Store::default();
+    let mut ledger = Ledger::new(LedgerOptions::default(), 1);
+    for _ in 0..count {
+        ledger.add_waiter(&program, 2 * MAX_TOKENS, MAX_TOKENS, true, now);
+        while ledger.take(&program, MAX_TOKENS) != Readiness::Ready {
+            for write in ledger.next_writes(16) {
+                let response = store.write(&write);
+                ledger.complete(&program, response);
+            }
+        }
+        ledger.remove_waiter(&program, MAX_TOKENS);
+    }
+    ledger
+}
+
+/// Guards against calls of a program without end that wait for tokens which its running calls hold, although the budget
+/// has no room for all of them.
+#[test]
+fn take_beside_running_calls_refuses_waiting_calls_that_the_budget_does_not_hold() {
+    let now = Instant::now();
+    let program = PROGRAM.to_owned();
+    let mut ledger = run_calls_of_small_program(1, now);
+    for _ in 0..3 {
+        ledger.add_waiter(&program, 2 * MAX_TOKENS, MAX_TOKENS, true, now);
+    }
+    // One of them still fits beside the call that runs.
+    assert_eq!(ledger.take(&program, MAX_TOKENS), Readiness::AwaitWrite);
+
+    let mut ledger = run_calls_of_small_program(2, now);
+    for _ in 0..3 {
+        ledger.add_waiter(&program, 2 * MAX_TOKENS, MAX_TOKENS, true, now);
+    }
+    assert_eq!(ledger.take(&program, MAX_TOKENS), Readiness::Exhausted);
+    // The running calls may generate nothing, and then the budget holds the two other calls.
+    ledger.remove_waiter(&program, MAX_TOKENS);
+    assert_eq!(ledger.take(&program, MAX_TOKENS), Readiness::AwaitTokens);
+    ledger.settle(&program, MAX_TOKENS, 0, now);
+    assert_eq!(ledger.take(&program, MAX_TOKENS), Readiness::Ready);
+}
+
+/// Guards against 402 for tokens that other hosts may return.
+#[test]
+fn take_beside_reservations_of_other_hosts_waits() {
+    let mut cluster = Cluster::new();
+    let program = PROGRAM.to_owned();
+    for _ in 0..4 {
+        assert!(start_call(&mut cluster, 0));
+    }
+    for _ in 0..6 {
+        cluster.apply(Step::AddWaiter {
+            host: 1,
+            owns_budget: false,
+        });
+    }
+    for _ in 0..2 {
+        let _readiness = cluster.hosts[1].ledger.take(&program, MAX_TOKENS);
+        cluster.write(1, WriteOutcome::Responded);
+    }
+    let readiness = cluster.hosts[1].ledger.take(&program, MAX_TOKENS);
+    assert_eq!(readiness, Readiness::AwaitTokens);
+}
+
 /// Guards against needless polls of the store. A program that never ends keeps requesting tokens while its own
 /// calls have reserved the whole remaining budget. A poll is useful only if other hosts have reservations, and
 /// one poll serves all waiting calls.
