--- a/crates/burdockroad-gateway/src/token_wait.rs
+++ b/crates/burdockroad-gateway/src/token_wait.rs
@@ -56,8 +56,8 @@
             return;
         }
         let program = &request.program;
-        let live = live_incarnations(shared);
-        let Some(tokens) = shared.tables().ledger.token_use(program, &live) else {
+        let incarnations = live_incarnations(shared);
+        let Some(tokens) = shared.tables().ledger.token_use(program, &incarnations) else {
             return;
         };
         let line = TokensAwaitedLine {
