--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -8,6 +8,7 @@
 
 mod overdraft;
 mod program_budget;
+mod token_use;
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -18,6 +19,7 @@
     ClaimOutcome, ClaimReply, OverdraftDecision, Overdrafts, claim_account, claim_record, decide_claim,
 };
 use self::program_budget::ProgramBudget;
+pub use self::token_use::TokenUse;
 use crate::ids::{Incarnation, ProgramId};
 
 /// Largest number of tokens that one waiting call counts for. Callers state it, and the sum must not overflow.
@@ -84,7 +86,8 @@
     /// Too few of the remaining tokens are unreserved. The call must wait until running calls of this or
     /// another host return tokens, then retry.
     AwaitTokens,
-    /// The remaining budget is smaller than the call's maximum.
+    /// The remaining budget is smaller than the call's maximum, or than those of the waiting calls and of this call
+    /// with the running ones.
     Exhausted,
 }
 
@@ -220,7 +223,7 @@
             return Readiness::Exhausted;
         }
         if row.reservable_tokens() < max_tokens {
-            return Readiness::AwaitTokens;
+            return row.readiness_without_tokens(max_tokens);
         }
         self.queue_write(program);
         Readiness::AwaitWrite
