Serve one turn of a program whose tokens were reserved by killed hosts

What a killed host had reserved counts as spent, because nobody knows whether it was generated. A program may exceed its budget by one turn, though, and the claim of the overdraft already makes sure that one turn does so in the life of a program, over hosts and restarts. A call that lacks tokens of processes which do not report for 80 ms now runs on the overdraft. The budget owner claims it, so that the turns of a program through several hosts share one claim. The call stays out of the ledger: its tokens are at most those of one turn, and the ledger stays within the budget. Counted there, the unused part of its reservation could be used twice, so an overdraft is used in one of the two ways for good.

402 comes only when the overdraft is used up, or without hosts with disks, as before. While a claim has no certain outcome, callers get 503 with Retry-After. A call whose tokens have been lost for 0.7 s does not wait for its end any more after it has read the budget. Messages between hosts are unchanged.

The model of budgets under kills has the calls beyond the budget; it fails when a second turn is granted.

--- a/crates/burdockroad-gateway/src/budget_owner.rs
+++ b/crates/burdockroad-gateway/src/budget_owner.rs
@@ -7,8 +7,8 @@
 use crate::{
     budget_messages::{ReservationRequest, ReservationResponse},
     budgets::{REMOTE_WAIT_MAX, reserve_locally},
-    remote_reservation::RemoteReservation,
-    shared::Shared,
+    remote_reservation::{LocalAccount, RemoteReservation},
+    shared::{Shared, Tables},
 };
 
 /// Time after a remote call's deadline at which its reserved tokens are counted as used.
@@ -22,11 +22,13 @@
             starts_program: false,
         };
     }
-    let response = reserve_locally(shared, &request, true, Instant::now() + REMOTE_WAIT_MAX).await;
+    let deadline = Instant::now() + REMOTE_WAIT_MAX;
+    let (response, account) = reserve_locally(shared, &request, true, deadline).await;
     if matches!(response, ReservationResponse::Reserved { .. }) {
         let reservation = RemoteReservation {
             program: request.program,
             max_tokens: request.max_tokens,
+            account,
             expires_at: Instant::now() + request.time_left + RESERVATION_EXPIRY_MARGIN,
         };
         shared
@@ -41,15 +43,22 @@
 pub(crate) fn handle_release(shared: &Shared, call_id: &str, used_tokens: u64) {
     let mut tables = shared.tables();
     if let Some(reservation) = tables.remote_reservations.remove(call_id) {
-        let now = Instant::now();
-        tables
-            .ledger
-            .settle(&reservation.program, reservation.max_tokens, used_tokens, now);
+        settle(&mut tables, &reservation, used_tokens, Instant::now());
         drop(tables);
         shared.reservations_changed.notify_waiters();
     }
 }
 
+fn settle(tables: &mut Tables, reservation: &RemoteReservation, used_tokens: u64, now: Instant) {
+    let program = &reservation.program;
+    match reservation.account {
+        LocalAccount::Ledger => tables
+            .ledger
+            .settle(program, reservation.max_tokens, used_tokens, now),
+        LocalAccount::BeyondBudget => tables.overdrafts.end_call(program, used_tokens),
+    }
+}
+
 /// Returns the tokens of a program that this host has reserved and does not use, because another host needs them.
 pub(crate) fn handle_return_tokens(shared: &Shared, program: &ProgramId) {
     shared.tables().ledger.return_idle(program);
@@ -64,11 +73,6 @@
         .extract_if(|_, reservation| reservation.expires_at <= now);
     let expired: Vec<RemoteReservation> = expired.map(|(_, reservation)| reservation).collect();
     for reservation in expired {
-        tables.ledger.settle(
-            &reservation.program,
-            reservation.max_tokens,
-            reservation.max_tokens,
-            now,
-        );
+        settle(&mut tables, &reservation, reservation.max_tokens, now);
     }
 }
--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -4,7 +4,8 @@
 //! budget. Tokens that calls release at the owner are available to the next call without a write to the
 //! store. When the owner does not respond, the host that serves the call reserves the tokens itself. The
 //! store records the reservations of each host separately, so the two hosts never reserve the same tokens.
-//! While the store takes no writes, one call of a program may run on its [overdraft](crate::overdrafts).
+//! While the store takes no writes, or when lost processes have reserved the rest of a budget, one call of a program may
+//! run on its [overdraft](crate::overdrafts).
 
 use std::{
     net::SocketAddr,
@@ -14,19 +15,20 @@
 };
 
 use burdockroad::{
-    HostId, Incarnation, ProgramId,
+    HostId, ProgramId,
     gateway::{Readiness, StartDecision},
     ownership::rendezvous_order,
 };
-use futures_util::future::join_all;
 use tokio::time::timeout;
 
 use crate::{
     budget_messages::{ReservationRequest, ReservationResponse},
-    overdrafts::{CLAIM_TIMEOUT, take_overdraft},
+    overdrafts::{CLAIM_TIMEOUT, LostTokensDecision, take_overdraft, take_overdraft_for_lost_tokens},
     peer_messages::{PeerCall, PeerResponse},
+    remote_reservation::LocalAccount,
     reservations::refresh_budget,
     shared::Shared,
+    tokens_elsewhere::{LOST_TOKENS_WAIT, RECLAIM_TIME, is_short, record_shortage, request_tokens},
     unreturned_tokens::log_unreturned,
 };
 
@@ -44,15 +46,9 @@
 /// Time added to [`REMOTE_WAIT_MAX`] to obtain the timeout of a request to the budget owner.
 const REMOTE_RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
-/// Timeout of a request for tokens that another host has reserved.
-const RETURN_TIMEOUT: Duration = Duration::from_millis(60);
-
 /// Interval at which a waiting call rechecks a budget whose tokens are all reserved.
 const BUDGET_RECHECK_INTERVAL: Duration = Duration::from_millis(80);
 
-/// Time for which a call waits for tokens that lost processes have reserved. After it, these count as spent.
-const RECLAIM_TIME: Duration = Duration::from_millis(700);
-
 /// `Retry-After` of a call of whose budget enough is left, but reserved for other calls.
 pub(crate) const FULLY_RESERVED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -111,6 +107,8 @@
     ThisHost,
     /// At this host, on the overdraft of the program.
     Overdraft,
+    /// On the overdraft of the program that this host has claimed, and not in its ledger.
+    BeyondBudget,
     /// At the budget owner with this address.
     Owner(SocketAddr),
 }
@@ -164,8 +162,12 @@
             return (response, ReservationSource::Owner(address));
         }
     }
-    let response = reserve_locally(shared, request, remote_owner.is_none(), deadline).await;
-    (response, ReservationSource::ThisHost)
+    let (response, account) = reserve_locally(shared, request, remote_owner.is_none(), deadline).await;
+    let source = match account {
+        LocalAccount::Ledger => ReservationSource::ThisHost,
+        LocalAccount::BeyondBudget => ReservationSource::BeyondBudget,
+    };
+    (response, source)
 }
 
 /// Settles a reservation: counts the used tokens as spent and returns the rest to the budget.
@@ -179,6 +181,12 @@
                 .overdrafts
                 .end_call(&reservation.program, used_tokens);
         }
+        ReservationSource::BeyondBudget => {
+            shared
+                .tables()
+                .overdrafts
+                .end_call(&reservation.program, used_tokens);
+        }
         ReservationSource::Owner(address) => {
             let shared = Arc::clone(shared);
             let call = PeerCall::Release {
@@ -211,32 +219,6 @@
     shared.reservations_changed.notify_waiters();
 }
 
-/// Asks the hosts that have reserved tokens of a program for those that they do not use.
-async fn request_tokens(shared: &Shared, program: &ProgramId) {
-    let incarnations = shared.tables().ledger.reserving_incarnations(program);
-    let addresses: Vec<SocketAddr> = {
-        let peers = shared.peers.borrow();
-        let reserving = peers
-            .values()
-            .filter(|peer| incarnations.contains(&peer.incarnation));
-        reserving.map(|peer| peer.address).collect()
-    };
-    let call = PeerCall::ReturnTokens {
-        program: program.clone(),
-    };
-    let requests = addresses.iter().map(|address| {
-        shared
-            .peer_client
-            .call::<PeerResponse>(*address, &call, RETURN_TIMEOUT)
-    });
-    for result in join_all(requests).await {
-        // Such a host may be gone. Its tokens count as reserved.
-        if result.is_err() {
-            metrics::counter!("burdockroad_tokens_not_returned_total").increment(1);
-        }
-    }
-}
-
 impl ReservationRequest {
     fn into_reservation(self, starts_program: bool, source: ReservationSource) -> Reservation {
         Reservation {
@@ -350,48 +332,59 @@
     }
 }
 
-/// Returns the process incarnations of the other hosts that are live.
-fn live_incarnations(shared: &Shared) -> Vec<Incarnation> {
-    let now = Instant::now();
-    let peers = shared.peers.borrow();
-    let tables = shared.tables();
-    let live = peers
-        .iter()
-        .filter(|(host, _)| tables.rate_limiter.is_live(host, now));
-    live.map(|(_, peer)| peer.incarnation).collect()
-}
+/// The tokens that a call lacks are reserved by lost processes and count as spent.
+struct TokensLost;
 
-/// Records whether a waiting call lacks tokens of lost processes.
-fn record_shortage(shared: &Shared, request: &ReservationRequest) {
-    let live = live_incarnations(shared);
-    let now = Instant::now();
-    let ledger = &mut shared.tables().ledger;
-    ledger.record_shortage(&request.program, request.max_tokens, &live, now);
+/// Reserves tokens in the ledger of this host, or on the program's overdraft if lost processes have reserved the rest of the
+/// budget. `owns_budget` says whether this host is the budget owner.
+pub(crate) async fn reserve_locally(
+    shared: &Shared,
+    request: &ReservationRequest,
+    owns_budget: bool,
+    deadline: Instant,
+) -> (ReservationResponse, LocalAccount) {
+    let waiting = reserve_in_ledger(shared, request, owns_budget, LOST_TOKENS_WAIT, deadline);
+    if let Ok(response) = waiting.await {
+        return (response, LocalAccount::Ledger);
+    }
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    let decision = take_overdraft_for_lost_tokens(shared, request, time_left).await;
+    if decision == LostTokensDecision::Granted {
+        let starts_program = false;
+        let response = ReservationResponse::Reserved { starts_program };
+        return (response, LocalAccount::BeyondBudget);
+    }
+    let waiting = reserve_in_ledger(shared, request, owns_budget, RECLAIM_TIME, deadline);
+    let response = waiting
+        .await
+        .unwrap_or_else(|TokensLost| without_lost_tokens(shared, request, decision));
+    (response, LocalAccount::Ledger)
 }
 
-/// Returns the response to a request that found all tokens reserved until its end. Tokens that lost processes have
-/// reserved count as spent after [`RECLAIM_TIME`].
-fn fully_reserved(shared: &Shared, program: &ProgramId) -> ReservationResponse {
-    let now = Instant::now();
-    let is_short = shared.tables().ledger.is_short(program, RECLAIM_TIME, now);
-    if is_short {
-        log_unreturned(shared, program);
-        ReservationResponse::BudgetExhausted
-    } else {
-        ReservationResponse::FullyReserved
+/// Returns the response to a call that gets neither the tokens of lost processes nor the overdraft.
+fn without_lost_tokens(
+    shared: &Shared,
+    request: &ReservationRequest,
+    decision: LostTokensDecision,
+) -> ReservationResponse {
+    if decision != LostTokensDecision::Refused {
+        return ReservationResponse::FullyReserved;
     }
+    log_unreturned(shared, &request.program);
+    ReservationResponse::BudgetExhausted
 }
 
-/// Reserves tokens in the ledger of this host. `owns_budget` says whether this host is the budget owner.
-pub(crate) async fn reserve_locally(
+/// Reserves tokens in the ledger of this host. Tokens of lost processes count as spent after `lost_after`.
+async fn reserve_in_ledger(
     shared: &Shared,
     request: &ReservationRequest,
     owns_budget: bool,
+    lost_after: Duration,
     deadline: Instant,
-) -> ReservationResponse {
+) -> Result<ReservationResponse, TokensLost> {
     let program = &request.program;
     if let Some(response) = check_program_start(shared, request) {
-        return response;
+        return Ok(response);
     }
     let starts_program = {
         let mut tables = shared.tables();
@@ -406,22 +399,29 @@
         starts_program
     };
     let _waiting_call = WaitingCall { shared, request };
+    // Whether the budget was read while the call waited.
+    let mut is_read = false;
     loop {
         let mut changed = pin!(shared.reservations_changed.notified());
         changed.as_mut().enable();
         let readiness = shared.tables().ledger.take(program, request.max_tokens);
         let time_left = deadline.saturating_duration_since(Instant::now());
         match readiness {
-            Readiness::Ready => return ReservationResponse::Reserved { starts_program },
-            Readiness::Exhausted => return ReservationResponse::BudgetExhausted,
-            Readiness::AwaitTokens if time_left.is_zero() => return fully_reserved(shared, program),
+            Readiness::Ready => return Ok(ReservationResponse::Reserved { starts_program }),
+            Readiness::Exhausted => return Ok(ReservationResponse::BudgetExhausted),
+            Readiness::AwaitTokens
+                if (is_read || time_left.is_zero()) && is_short(shared, program, lost_after) =>
+            {
+                return Err(TokensLost);
+            }
+            Readiness::AwaitTokens if time_left.is_zero() => return Ok(ReservationResponse::FullyReserved),
             Readiness::AwaitWrite if store_writes_are_failing(shared) => {
-                return ReservationResponse::StoreUnavailable;
+                return Ok(ReservationResponse::StoreUnavailable);
             }
             Readiness::AwaitWrite if time_left.is_zero() && store_is_silent(shared) => {
-                return ReservationResponse::StoreUnavailable;
+                return Ok(ReservationResponse::StoreUnavailable);
             }
-            Readiness::AwaitWrite if time_left.is_zero() => return ReservationResponse::StoreTimeout,
+            Readiness::AwaitWrite if time_left.is_zero() => return Ok(ReservationResponse::StoreTimeout),
             Readiness::AwaitTokens => {
                 record_shortage(shared, request);
                 // Calls that release tokens at this host send the notification. Tokens released by other
@@ -431,6 +431,8 @@
                 if is_recheck_due {
                     request_tokens(shared, program).await;
                     refresh_budget(shared, program).await;
+                    record_shortage(shared, request);
+                    is_read = true;
                 }
             }
             Readiness::AwaitWrite => {
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -70,6 +70,7 @@
 mod stream_origin_message;
 mod stream_origins;
 mod time_error;
+mod tokens_elsewhere;
 mod tunnel;
 mod tunnel_frames;
 mod tunnel_server;
--- a/crates/burdockroad-gateway/src/remote_reservation.rs
+++ b/crates/burdockroad-gateway/src/remote_reservation.rs
@@ -4,10 +4,20 @@
 
 use burdockroad::ProgramId;
 
+/// Where this host counts the tokens of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LocalAccount {
+    /// In its ledger.
+    Ledger,
+    /// On the overdraft of the program only.
+    BeyondBudget,
+}
+
 /// Tokens that this host has reserved for a call of another host.
 #[derive(Debug)]
 pub(crate) struct RemoteReservation {
     pub(crate) program: ProgramId,
     pub(crate) max_tokens: u64,
+    pub(crate) account: LocalAccount,
     pub(crate) expires_at: Instant,
 }
--- a/crates/burdockroad/src/gateway/budget/overdraft.rs
+++ b/crates/burdockroad/src/gateway/budget/overdraft.rs
@@ -111,6 +111,15 @@
     }
 }
 
+/// What the calls on an overdraft are counted against. It never changes, so that no token is left out of both counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OverdraftAccount {
+    /// The budget: the calls run before their reservation is stored.
+    Budget,
+    /// The turn by which a program may exceed its budget. The ledger does not contain the calls.
+    BeyondBudget,
+}
+
 /// Decision on a call that needs an overdraft.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OverdraftDecision {
@@ -134,6 +143,7 @@
 #[derive(Clone, Copy, Debug)]
 struct OverdraftRow {
     state: OverdraftState,
+    account: OverdraftAccount,
     /// Largest maximum of the calls that used the overdraft.
     limit_tokens: u64,
     /// Tokens that completed calls have generated on the overdraft.
@@ -154,10 +164,39 @@
 }
 
 impl Overdrafts {
-    /// Decides whether a call may use the overdraft of its program.
+    /// Decides whether a call may use the overdraft of its program before its reservation is stored.
     pub fn begin(&mut self, program: &ProgramId, max_tokens: u64, now: Instant) -> OverdraftDecision {
+        self.begin_in(OverdraftAccount::Budget, program, max_tokens, now)
+    }
+
+    /// Decides whether a call may use the overdraft of its program although the budget has too few tokens for it.
+    ///
+    /// A ledger must not count the call: tokens that it reserved for the call and that the call did not use could then be
+    /// used twice, by a call that takes them and by another one on the overdraft.
+    pub fn begin_beyond_budget(
+        &mut self,
+        program: &ProgramId,
+        max_tokens: u64,
+        now: Instant,
+    ) -> OverdraftDecision {
+        self.begin_in(OverdraftAccount::BeyondBudget, program, max_tokens, now)
+    }
+
+    /// Returns whether a call claims or uses the overdraft of a program now.
+    pub fn is_busy(&self, program: &str) -> bool {
+        let state = self.rows.get(program).map(|row| row.state);
+        matches!(state, Some(OverdraftState::Claiming | OverdraftState::InUse))
+    }
+
+    fn begin_in(
+        &mut self,
+        account: OverdraftAccount,
+        program: &ProgramId,
+        max_tokens: u64,
+        now: Instant,
+    ) -> OverdraftDecision {
         if let Some(row) = self.rows.get_mut(program) {
-            return row.begin(max_tokens);
+            return row.begin(account, max_tokens);
         }
         if self.rows.len() >= ROWS_MAX {
             self.rows.retain(|_, row| now < row.claimed_at + ROW_LIFETIME);
@@ -167,6 +206,7 @@
         }
         let row = OverdraftRow {
             state: OverdraftState::Claiming,
+            account,
             limit_tokens: max_tokens,
             used_tokens: 0,
             claimed_at: now,
@@ -199,10 +239,10 @@
 }
 
 impl OverdraftRow {
-    fn begin(&mut self, max_tokens: u64) -> OverdraftDecision {
+    fn begin(&mut self, account: OverdraftAccount, max_tokens: u64) -> OverdraftDecision {
         let limit_tokens = self.limit_tokens.max(max_tokens);
         let fits = self.used_tokens.saturating_add(max_tokens) <= limit_tokens;
-        if self.state != OverdraftState::Held || !fits {
+        if self.state != OverdraftState::Held || self.account != account || !fits {
             return OverdraftDecision::Refused;
         }
         self.state = OverdraftState::InUse;
--- a/crates/burdockroad/tests/gateway_budget.rs
+++ b/crates/burdockroad/tests/gateway_budget.rs
@@ -77,6 +77,30 @@
     }
 }
 
+fn steps_beyond_budget() -> impl Strategy<Value = Step> {
+    let host = 0..HOSTS;
+    prop_oneof![
+        20 => steps(),
+        2 => (host.clone(), 1..=MAX_TOKENS).prop_map(|(host, max_tokens)| Step::BeginBeyondBudget { host, max_tokens }),
+        2 => (host, 0..=MAX_TOKENS).prop_map(|(host, used_tokens)| Step::EndBeyondBudget { host, used_tokens }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 4000, rng_seed: RngSeed::Fixed(13), ..Config::default() })]
+
+    #[test]
+    fn begin_beyond_budget_under_faults_never_exceeds_budget_by_more_than_one_call(
+        steps in proptest::collection::vec(steps_beyond_budget(), 1..120)
+    ) {
+        let mut cluster = Cluster::new();
+        for step in steps {
+            cluster.apply(step);
+            prop_assert!(cluster.committed_tokens() <= BUDGET_TOKENS + MAX_TOKENS, "after {step:?}");
+        }
+    }
+}
+
 /// Guards against an overdraft that is never counted, because the write that reserves it has met a conflict.
 #[test]
 fn overdraw_is_counted_in_the_store_after_a_conflict() {
--- a/crates/burdockroad/tests/gateway_overdrafts.rs
+++ b/crates/burdockroad/tests/gateway_overdrafts.rs
@@ -329,3 +329,31 @@
     overdrafts.end_claim(&program, ClaimOutcome::Taken);
     assert_eq!(overdrafts.begin(&program, 100, now), OverdraftDecision::Refused);
 }
+
+/// Guards against tokens that are used twice: by a call that takes what the ledger has reserved for an overdraft, and by
+/// another call beyond the budget.
+#[test]
+fn begin_uses_an_overdraft_in_one_account_only() {
+    let now = Instant::now();
+    let program = PROGRAM.to_owned();
+    let mut overdrafts = Overdrafts::default();
+    assert_eq!(overdrafts.begin(&program, 100, now), OverdraftDecision::Claim);
+    assert!(overdrafts.is_busy(&program));
+    overdrafts.end_claim(&program, ClaimOutcome::Granted);
+    assert!(overdrafts.is_busy(&program));
+    overdrafts.end_call(&program, 0);
+    assert!(!overdrafts.is_busy(&program));
+    let refused = OverdraftDecision::Refused;
+    assert_eq!(overdrafts.begin_beyond_budget(&program, 40, now), refused);
+    assert_eq!(overdrafts.begin(&program, 40, now), OverdraftDecision::Granted);
+
+    let mut overdrafts = Overdrafts::default();
+    let decision = overdrafts.begin_beyond_budget(&program, 100, now);
+    assert_eq!(decision, OverdraftDecision::Claim);
+    overdrafts.end_claim(&program, ClaimOutcome::Granted);
+    overdrafts.end_call(&program, 60);
+    assert_eq!(overdrafts.begin(&program, 40, now), refused);
+    assert_eq!(overdrafts.begin_beyond_budget(&program, 41, now), refused);
+    let decision = overdrafts.begin_beyond_budget(&program, 40, now);
+    assert_eq!(decision, OverdraftDecision::Granted);
+}
