--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -2,9 +2,8 @@
 //!
 //! Load pattern: many short programs whose budgets are hardly larger than their need. Their calls arrive
 //! through several hosts, and several at once where a program has sub-agents. One host is the owner of a
-//! program's budget. It reserves half of the remaining budget ahead of need, but not more than some calls may
-//! generate, so a typical program costs one or two writes, and the loss of the owner costs at most half of the
-//! budget, and little of a large one. A call reserves the maximum
+//! program's budget. It reserves half of the remaining budget ahead of need, so a typical program costs one
+//! or two writes, and the loss of the owner costs at most half of the budget. A call reserves the maximum
 //! number of tokens that it may generate and returns the unused part.
 
 mod overdraft;
@@ -144,7 +143,7 @@
     /// Adds a waiting call that needs `max_tokens` of its program's budget;
     /// [`remove_waiter`](Self::remove_waiter) removes it.
     ///
-    /// `owns_budget` is true if this host owns the program's budget. It then reserves up to half of the remaining
+    /// `owns_budget` is true if this host owns the program's budget. It then reserves half of the remaining
     /// budget ahead of need, and keeps the unused tokens of its calls reserved for later calls. A host that is
     /// [stopping](Self::stop) does neither.
     pub fn add_waiter(
--- a/crates/burdockroad/src/gateway/budget/program_budget.rs
+++ b/crates/burdockroad/src/gateway/budget/program_budget.rs
@@ -11,9 +11,6 @@
 /// by a separate write.
 const SETTLE_THRESHOLD_CALLS: u64 = 5;
 
-/// Largest number of calls for which an owner reserves tokens ahead of need. A process that is killed loses them.
-const PREFETCH_MAX_CALLS: u64 = 4;
-
 /// Row of a ledger for one program.
 #[derive(Debug)]
 pub(super) struct ProgramBudget {
@@ -137,12 +134,6 @@
         self.uncommitted_tokens().saturating_sub(self.running_tokens)
     }
 
-    /// Returns the tokens that an owner reserves ahead of need.
-    fn prefetched_tokens(&self, available_tokens: u64) -> u64 {
-        let prefetch_max = self.last_call_tokens.saturating_mul(PREFETCH_MAX_CALLS);
-        (available_tokens / 2).min(prefetch_max)
-    }
-
     /// Returns the reserved tokens that no running call may use.
     pub(super) fn idle_tokens(&self) -> u64 {
         self.reserved_tokens.saturating_sub(self.running_tokens)
@@ -176,11 +167,7 @@
         }
         let available = self.reservable_tokens();
         let waiting = self.waiting_tokens.min(available);
-        let prefetched = if self.owns_budget {
-            self.prefetched_tokens(available)
-        } else {
-            0
-        };
+        let prefetched = if self.owns_budget { available / 2 } else { 0 };
         let reserved_tokens = self.running_tokens + waiting.max(prefetched);
         if reserved_tokens == self.reserved_tokens && self.used_tokens == 0 {
             return None;
