--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -72,6 +72,7 @@
 mod stream_origins;
 mod time_error;
 mod token_wait;
+mod tokens_elsewhere;
 mod tunnel;
 mod tunnel_frames;
 mod tunnel_server;
