Wait for no host with a disk that the operator removes

Hosts that are removed on order are now taken off the number that a write waits for; entries that vanish are still waited for.

--- a/crates/burdockroad-gateway/src/kept_turn.rs
+++ b/crates/burdockroad-gateway/src/kept_turn.rs
@@ -14,7 +14,7 @@
     clock::unix_ms,
     refusal::{Refusal, TurnObstacle},
     shared::Shared,
-    turn_store::client::{History, HistoryError},
+    turn_store::client::{History, HistoryError, HostsAtBegin},
 };
 
 /// Longest id of a turn that can exist.
@@ -37,8 +37,7 @@
     input: Bytes,
     output: OutputCollector,
     retention: Duration,
-    /// Number of hosts that must be registered when the turn is stored.
-    replicas_min: usize,
+    hosts_at_begin: HostsAtBegin,
 }
 
 impl KeptTurn {
@@ -104,7 +103,7 @@
             input,
             output: OutputCollector::default(),
             retention: route.retention,
-            replicas_min: shared.turns.replicas_min(),
+            hosts_at_begin: shared.turns.hosts_at_begin(),
         })
     }
 
@@ -159,7 +158,7 @@
                 turn,
                 &self.history.turns,
                 storage_time,
-                self.replicas_min,
+                self.hosts_at_begin,
                 time_left,
             )
             .await
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -1,6 +1,7 @@
 //! Writes and reads turns at the hosts that store them.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -58,10 +59,20 @@
 #[derive(Debug)]
 struct ClientState {
     members: TurnMembers,
+    /// Hosts that are or were being removed on the operator's order.
+    removed: BTreeSet<HostId>,
     cache: TurnCache,
     times: TurnTimes,
 }
 
+/// Hosts that could store the turn of a call when the call began.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HostsAtBegin {
+    writable: usize,
+    /// Hosts that were being removed by then.
+    removed: usize,
+}
+
 /// Chain of turns that a call continues.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct History {
@@ -102,6 +113,7 @@
             log,
             state: Mutex::new(ClientState {
                 members: TurnMembers::new(),
+                removed: BTreeSet::new(),
                 cache: TurnCache::new(CACHE_BYTES),
                 times: TurnTimes::default(),
             }),
@@ -126,7 +138,10 @@
 
     /// Changes the table of the hosts that store turns.
     pub(crate) fn update_members<T>(&self, change: impl FnOnce(&mut TurnMembers) -> T) -> T {
-        change(&mut self.lock().members)
+        let mut state = self.lock();
+        let result = change(&mut state.members);
+        state.record_removed();
+        result
     }
 
     /// Returns the addresses of the hosts that hold the version of a stream, out of those that store turns.
@@ -138,18 +153,28 @@
         members.map(|member| member.address).collect()
     }
 
-    /// Returns the number of hosts that must be registered for a turn to be durable. A turn that is being served needs as
-    /// many at its end as at its beginning, because the store may have lost the entries of hosts meanwhile.
-    pub(crate) fn replicas_min(&self) -> usize {
-        let hosts = writable(&self.lock().members);
-        hosts.len().clamp(1, self.tolerated_losses + 1)
+    /// Returns the hosts that could store a turn now.
+    pub(crate) fn hosts_at_begin(&self) -> HostsAtBegin {
+        let state = self.lock();
+        HostsAtBegin {
+            writable: writable(&state.members).len(),
+            removed: state.removed.len(),
+        }
+    }
+
+    /// Returns the number of hosts that must be registered for a turn to be durable whose call began with these. The store
+    /// may have lost the entries of hosts meanwhile, but those that the operator removes do not come back.
+    fn replicas_min(&self, at_begin: HostsAtBegin) -> usize {
+        let removed = self.lock().removed.len().saturating_sub(at_begin.removed);
+        let left = at_begin.writable.saturating_sub(removed);
+        left.clamp(1, self.tolerated_losses + 1)
     }
 
     /// Returns whether enough hosts in allowed regions are left for a turn to be durable. A turn that is bound to
     /// regions needs as many hosts there as any other turn.
     pub(crate) fn can_store(&self, allowed_regions: Option<&[RegionId]>) -> bool {
-        let replicas = self.replicas_min();
         let hosts = writable(&self.lock().members);
+        let replicas = hosts.len().clamp(1, self.tolerated_losses + 1);
         let hosts = self.regions.allowed_hosts(hosts, allowed_regions);
         if hosts.len() < replicas {
             return false;
@@ -231,14 +256,14 @@
         })
     }
 
-    /// Stores a turn that continues `history` within the time that its caller has left. Waits until at least `replicas_min`
-    /// hosts are registered. Returns the number of replicas, or `None` when the turn is not durable.
+    /// Stores a turn that continues `history` within the time that its caller has left. Waits until as many
+    /// hosts are registered as `at_begin`. Returns the number of replicas, or `None` when the turn is not durable.
     pub(crate) async fn store(
         &self,
         turn: Turn,
         history: &[Arc<Turn>],
         storage_time: Duration,
-        replicas_min: usize,
+        at_begin: HostsAtBegin,
         time_left: Duration,
     ) -> Option<usize> {
         let storage_time_ms = u64::try_from(storage_time.as_millis()).unwrap_or(u64::MAX);
@@ -248,7 +273,7 @@
         let (replication, members) = self.begin_replication(&turn);
         let mut write = TurnWrite::new(replication, members, turn.allowed_regions.clone());
         let running = timeout(time_left.min(STORE_TIMEOUT), async {
-            while write.hosts() < replicas_min {
+            while write.hosts() < self.replicas_min(at_begin) {
                 // Hosts register again when the store has lost their entries.
                 sleep(MEMBERS_CHECK_INTERVAL).await;
                 let (replication, members) = self.begin_replication(&turn);
@@ -387,3 +412,16 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl ClientState {
+    /// Records which hosts are being removed. A host that registers to store turns again is not.
+    fn record_removed(&mut self) {
+        for (host, member) in &self.members {
+            if !member.leaving {
+                self.removed.remove(host);
+            } else if !self.removed.contains(host) {
+                self.removed.insert(host.clone());
+            }
+        }
+    }
+}
