--- a/crates/burdockroad-gateway/src/update_client.rs
+++ b/crates/burdockroad-gateway/src/update_client.rs
@@ -2,12 +2,14 @@
 
 use std::{
     net::SocketAddr,
+    sync::PoisonError,
     time::{Duration, Instant},
 };
 
 use burdockroad_daemon::platform::Revision;
+use bytes::Bytes;
 use serde::Serialize;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     RangeUpdate,
@@ -15,15 +17,18 @@
     peer_client::{FailedFetch, FetchPhase},
     peer_messages::{PeerCall, PeerResponse},
     shared::Shared,
-    update_message::unpack,
+    update_message::{UpdateContent, encode_packed, unpack},
 };
 
 /// Time without any data after which a host counts as unresponsive.
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time after which an update that no host has sent is given up.
+/// Time after which a host no longer asks for an update that no host has sent.
 const TURN_TIME_MAX: Duration = Duration::from_millis(1500);
 
+/// Time after which an update is given up, also one that is being received.
+const UPDATE_TIME_MAX: Duration = Duration::from_secs(2);
+
 /// Time after which a host asks the watcher again when the host that it was sent on to lacks the update.
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -51,12 +56,27 @@
 }
 
 /// Fetches the update of a range after a revision from a watcher, or from a host that the watcher names; `None` if none
-/// of them sends one.
+/// of them sends one in time.
 pub(crate) async fn fetch_update(
     shared: &Shared,
     prefix: &str,
     watcher: SocketAddr,
     after: Revision,
+) -> Option<FetchedUpdate> {
+    let begun_at = Instant::now();
+    let asking = ask_until_sent(shared, prefix, watcher, after);
+    if let Ok(fetched) = timeout(UPDATE_TIME_MAX, asking).await {
+        return fetched;
+    }
+    log_no_turn(shared, prefix, watcher, begun_at);
+    None
+}
+
+async fn ask_until_sent(
+    shared: &Shared,
+    prefix: &str,
+    watcher: SocketAddr,
+    after: Revision,
 ) -> Option<FetchedUpdate> {
     let begun_at = Instant::now();
     let mut asked = watcher;
@@ -92,6 +112,12 @@
         asked = watcher;
         sleep(RETRY_INTERVAL).await;
     }
+    log_no_turn(shared, prefix, watcher, begun_at);
+    None
+}
+
+/// Logs that an update was not received until the end of the time for it.
+fn log_no_turn(shared: &Shared, prefix: &str, watcher: SocketAddr, begun_at: Instant) {
     let line = UpdateGivenUpLine {
         prefix,
         host: watcher,
@@ -100,7 +126,6 @@
         waited_ms: as_ms(begun_at.elapsed()),
     };
     shared.log.line("range_update_given_up", &line);
-    None
 }
 
 async fn ask(shared: &Shared, prefix: &str, address: SocketAddr, after: Revision) -> Answer {
@@ -112,7 +137,10 @@
     match shared.peer_client.fetch(address, &call, PROGRESS_TIMEOUT).await {
         Ok(PeerResponse::RangeUpdate(Some(response))) => Answer::Update(response.update),
         Ok(PeerResponse::PackedRangeUpdate { deflated }) => match unpack(&deflated) {
-            Some(update) => Answer::Update(update),
+            Some(update) => {
+                keep_received(shared, prefix, &update, deflated);
+                Answer::Update(update)
+            }
             None => Answer::Failed(FailedFetch {
                 phase: FetchPhase::Decoding,
                 received_bytes: deflated.len(),
@@ -124,6 +152,23 @@
     }
 }
 
+/// Keeps a received update in its compressed form, so that this host can hand it on without compressing it again.
+fn keep_received(shared: &Shared, prefix: &str, update: &RangeUpdate, deflated: Bytes) {
+    let RangeUpdate::Changes { changes, .. } = update else {
+        return;
+    };
+    let Some(last) = changes.last() else {
+        return;
+    };
+    let content = UpdateContent::of(prefix, last.revision(), update);
+    let Ok(encoded) = encode_packed(deflated) else {
+        return;
+    };
+    let kept = shared.encoded_updates.lock();
+    kept.unwrap_or_else(PoisonError::into_inner)
+        .insert(content, encoded);
+}
+
 #[derive(Serialize)]
 struct UpdateGivenUpLine<'a> {
     prefix: &'a str,
--- a/crates/burdockroad-gateway/src/update_message.rs
+++ b/crates/burdockroad-gateway/src/update_message.rs
@@ -7,7 +7,7 @@
 use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
 
 use crate::{
-    RangeUpdate,
+    Change, RangeUpdate,
     peer_client::{PeerError, encode_message},
     peer_messages::PeerResponse,
 };
@@ -27,9 +27,12 @@
 /// Encodes the response that contains an update in compressed form.
 pub(crate) fn packed_response(update: &RangeUpdate) -> Result<Bytes, PeerError> {
     let packed = compress_to_vec(&encode_message(update)?, COMPRESSION_LEVEL);
-    encode_message(&PeerResponse::PackedRangeUpdate {
-        deflated: Bytes::from(packed),
-    })
+    encode_packed(Bytes::from(packed))
+}
+
+/// Encodes the response that contains an update which is compressed already.
+pub(crate) fn encode_packed(deflated: Bytes) -> Result<Bytes, PeerError> {
+    encode_message(&PeerResponse::PackedRangeUpdate { deflated })
 }
 
 /// Decodes an update in compressed form; `None` if it is malformed.
@@ -48,7 +51,22 @@
     pub(crate) last_change: Revision,
 }
 
-/// Updates that a host has encoded recently.
+impl UpdateContent {
+    /// Returns the content of an update of a range whose last change has the revision `last_change`.
+    pub(crate) fn of(prefix: &str, last_change: Revision, update: &RangeUpdate) -> Self {
+        let first_change = match update {
+            RangeUpdate::Changes { changes, .. } => changes.first().map(Change::revision),
+            RangeUpdate::Snapshot(_) => None,
+        };
+        Self {
+            prefix: prefix.to_owned(),
+            first_change,
+            last_change,
+        }
+    }
+}
+
+/// Updates that a host has encoded or received recently.
 #[derive(Debug, Default)]
 pub(crate) struct EncodedUpdates {
     /// Oldest first.
@@ -63,7 +81,7 @@
     }
 
     pub(crate) fn insert(&mut self, content: UpdateContent, bytes: Bytes) {
-        if bytes.len() > KEPT_MAX_BYTES {
+        if bytes.len() > KEPT_MAX_BYTES || self.get(&content).is_some() {
             return;
         }
         self.kept.push_back((content, bytes));
--- a/crates/burdockroad-gateway/src/update_server.rs
+++ b/crates/burdockroad-gateway/src/update_server.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    Change, RangeUpdate,
+    RangeUpdate,
     clock::as_ms,
     message_server::message_response,
     peer_client::encode_message,
@@ -123,18 +123,12 @@
 
 impl SentUpdate {
     fn of(prefix: &str, last_change: Revision, update: &RangeUpdate) -> Self {
-        let (first_change, changes) = match update {
-            RangeUpdate::Changes { changes, .. } => {
-                (changes.first().map(Change::revision), Some(changes.len()))
-            }
-            RangeUpdate::Snapshot(_) => (None, None),
+        let changes = match update {
+            RangeUpdate::Changes { changes, .. } => Some(changes.len()),
+            RangeUpdate::Snapshot(_) => None,
         };
         Self {
-            content: UpdateContent {
-                prefix: prefix.to_owned(),
-                first_change,
-                last_change,
-            },
+            content: UpdateContent::of(prefix, last_change, update),
             changes,
             size_bytes: update.size_bytes(),
         }
