Remove the entry of a host with a disk that others have replaced

Callers that named a turn that never was got 404 until a host with a disk was replaced, then 503 (`history_unread`) until the lease of its entry ended, up to 10 minutes: the host that had ended for good still counted as one that may hold the turn. It counted among the losses, too, so the next loss met less tolerance than the settings promise.

No signal tells that a host will never respond again: one that ends for good gets the same SIGTERM as one that restarts, and its disk may hold the only replica. But the others can tell that they miss no turn without it. A host testifies so when the silent one has been silent for 4 s, no more are silent than may be lost, at least twice as many and one more are left (so no replica was spared, and without a successor the entry stays), it had read the turns of all hosts in this run or is new, no other host has restarted since (it may have lost its disk), and it has read all lists again without the silent host. When all that are left agree, and mean the same run of it, the first of them removes the entry if it is unchanged. A host that was removed in error registers again with its turns. Hosts of the version before do not answer the question, so nothing is removed beside them.

--- a/crates/burdockroad-gateway/src/turn_store.rs
+++ b/crates/burdockroad-gateway/src/turn_store.rs
@@ -6,6 +6,7 @@
 
 mod claims;
 pub(crate) mod client;
+mod departed;
 mod disk_hosts;
 pub(crate) mod host;
 pub(crate) mod links;
--- a/crates/burdockroad-gateway/src/turn_store/host.rs
+++ b/crates/burdockroad-gateway/src/turn_store/host.rs
@@ -57,6 +57,7 @@
         }));
         tokio::spawn(Arc::clone(self).keep_registered(Arc::clone(store)));
         tokio::spawn(Arc::clone(self).follow_others(Arc::clone(store)));
+        tokio::spawn(Arc::clone(self).remove_departed_hosts(Arc::clone(store)));
         tokio::spawn(Arc::clone(self).remove_expired());
         tokio::spawn(synchronize(Arc::clone(self)));
         Ok(())
@@ -108,6 +109,7 @@
                 TurnResponse::Missing(missing.collect())
             }
             TurnCall::StreamVersion { stream } => TurnResponse::StreamVersion(self.streams.version(&stream)),
+            TurnCall::GoneHosts => TurnResponse::GoneHosts(self.lock_gone().testimony()),
             TurnCall::Claim(claim) => self.store_claim(claim).await,
         }
     }
@@ -144,6 +146,7 @@
         store: &dyn SharedStore,
         lease: Option<LeaseId>,
     ) -> Result<Option<LeaseId>, StoreError> {
+        self.find_earlier_entry(store).await?;
         let has_left = *self.membership.borrow() == Membership::Left;
         let lease = self.renew_entry(store, lease).await?;
         if has_left {
@@ -153,6 +156,18 @@
         Ok(Some(lease))
     }
 
+    /// Finds out before the first registration whether the host has run before. A host whose entry is there may have
+    /// lost its disk since.
+    async fn find_earlier_entry(&self, store: &dyn SharedStore) -> Result<(), StoreError> {
+        if self.is_new.get().is_none() {
+            let key = member_key(&self.host);
+            let snapshot = store.read_range(&key).await?;
+            let is_new = snapshot.entries.iter().all(|entry| entry.key != key);
+            self.is_new.get_or_init(|| is_new);
+        }
+        Ok(())
+    }
+
     async fn renew_entry(
         &self,
         store: &dyn SharedStore,
--- a/crates/burdockroad-gateway/src/turn_store/messages.rs
+++ b/crates/burdockroad-gateway/src/turn_store/messages.rs
@@ -2,7 +2,7 @@
 
 use burdockroad::{
     Incarnation, SoftwareVersion,
-    gateway::{IndexPage, StreamId, Turn, TurnId, TurnKey},
+    gateway::{GoneTestimony, IndexPage, StreamId, Turn, TurnId, TurnKey},
 };
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +30,8 @@
         /// Id of the stream.
         stream: StreamId,
     },
+    /// Requests what the host tells of hosts that seem gone for good.
+    GoneHosts,
     /// Stores a claim, then lists all claims of its account.
     Claim(Turn),
 }
@@ -62,6 +64,8 @@
     Missing(Vec<TurnKey>),
     /// Version that began the stream; `None` if the host does not hold it.
     StreamVersion(Option<SoftwareVersion>),
+    /// What the host tells of hosts that seem gone for good.
+    GoneHosts(GoneTestimony),
     /// The claim is on the disk.
     Claims {
         /// Ids of all claims of the account.
--- a/crates/burdockroad-gateway/src/turn_store/state.rs
+++ b/crates/burdockroad-gateway/src/turn_store/state.rs
@@ -3,12 +3,12 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, atomic::AtomicBool},
 };
 
 use burdockroad::{
     HostId, Incarnation,
-    gateway::{HostLocation, RegionMap},
+    gateway::{GoneHosts, HostLocation, RegionMap},
 };
 use serde::Serialize;
 use tokio::sync::{Notify, watch};
@@ -41,6 +41,10 @@
     /// Notified when the store no longer has the entry of this host.
     pub(super) entry_removed: Notify,
     pub(super) members: Mutex<TurnMembers>,
+    /// Whether the host has never run before; unset until the store told.
+    pub(super) is_new: OnceLock<bool>,
+    /// Hosts without which this host misses no turn.
+    pub(super) gone: Mutex<GoneHosts>,
 }
 
 /// Whether a host takes part in storing turns.
@@ -84,6 +88,8 @@
             membership: watch::Sender::new(Membership::Active),
             entry_removed: Notify::new(),
             members: Mutex::new(TurnMembers::new()),
+            is_new: OnceLock::new(),
+            gone: Mutex::default(),
         }
     }
 
@@ -103,6 +109,15 @@
         self.lock_members().clone()
     }
 
+    /// Returns the hosts without which this host misses no turn.
+    pub(super) fn gone_hosts(&self) -> Vec<HostId> {
+        self.lock_gone().gone().to_vec()
+    }
+
+    pub(super) fn lock_gone(&self) -> MutexGuard<'_, GoneHosts> {
+        self.gone.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(super) fn log_disk_error(&self, error: &io::Error) {
         metrics::counter!("burdockroad_turn_disk_errors_total").increment(1);
         let reason = error.to_string();
--- a/crates/burdockroad-gateway/src/turn_store/sync.rs
+++ b/crates/burdockroad-gateway/src/turn_store/sync.rs
@@ -12,7 +12,7 @@
 
 use burdockroad::{
     HostId, Incarnation,
-    gateway::{HostLocation, IndexPage, TurnHostHealth, TurnKey, missing_replicas},
+    gateway::{GoneHosts, HostLocation, IndexPage, SyncRound, TurnHostHealth, TurnKey, missing_replicas},
 };
 use serde::Serialize;
 use tokio::time::sleep;
@@ -95,24 +95,59 @@
             .filter(|(host, _)| *host != self.state.host)
             .collect();
         self.update_live_hosts(&others);
-        let mut reached = 0;
+        let mut reached = Vec::new();
         for (host, member) in &others {
             match self.copy_from(host, member).await {
                 Ok(()) => {
-                    reached += 1;
+                    reached.push(host.clone());
                     self.health.record_response(host, Instant::now());
                 }
                 Err(SyncError::DiskFailed) => self.health.record_response(host, Instant::now()),
                 Err(SyncError::NoResponse) => self.health.record_failure(host, Instant::now()),
             }
         }
-        let unreached = others.len() - reached;
+        self.record_round(&others, &reached);
+        let unreached = others.len() - reached.len();
         let registered = self.state.registered.load(Ordering::Relaxed);
         if registered && unreached <= self.state.tolerated_losses {
             self.state.complete.store(true, Ordering::Relaxed);
         }
     }
 
+    /// Records without which hosts this one misses no turn, when it has read the turns of all others.
+    fn record_round(&self, others: &[(HostId, TurnMember)], reached: &[HostId]) {
+        let now = Instant::now();
+        let silent = others.iter().filter(|(host, _)| !reached.contains(host));
+        let silent = silent.map(|(host, _)| {
+            let silent_time = self.health.failing_time(host, now).unwrap_or_default();
+            // The turns are read again without the host after it counts as lost.
+            let is_left_out = self.live_hosts.iter().all(|live| live.host != *host);
+            (
+                host.clone(),
+                if is_left_out { silent_time } else { Duration::ZERO },
+            )
+        });
+        let silent: Vec<(HostId, Duration)> = silent.collect();
+        let is_writable = |(host, member): &&(HostId, TurnMember)| !member.leaving && reached.contains(host);
+        let runs = reached.iter().map(|host| {
+            let position = self.positions.get(host).copied().unwrap_or_default();
+            (host.clone(), position.incarnation)
+        });
+        let runs: Vec<(HostId, Incarnation)> = runs.collect();
+        let round = SyncRound {
+            reached: &runs,
+            silent: &silent,
+            writable: others.iter().filter(is_writable).count() + 1,
+        };
+        let is_new = self.state.is_new.get().is_some_and(|is_new| *is_new);
+        let mut gone = self.state.lock_gone();
+        if self.state.is_leaving() || !self.state.registered.load(Ordering::Relaxed) {
+            *gone = GoneHosts::default();
+        } else {
+            gone.record_round(round, self.state.tolerated_losses, is_new);
+        }
+    }
+
     /// Divides the replicas among the hosts that respond. When these change, all indexes are read again,
     /// because this host may have to store other turns.
     fn update_live_hosts(&mut self, others: &[(HostId, TurnMember)]) {
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -76,9 +76,10 @@
     store_contact::StoreOutage,
     stream_origin::{StreamId, StreamOrigins, UnsentOrigin, UnsentOrigins, stream_holders},
     turns::{
-        IndexPage, IndexedTurn, Lookup, LookupOutcome, LookupReply, OutputCollector, Replication,
-        ReplicationProgress, Turn, TurnCache, TurnHostHealth, TurnId, TurnIndex, TurnKey, TurnTimes,
-        is_allowed_replica, is_replica, missing_replicas, prompt, renewals, replica_order,
+        GoneHosts, GoneTestimony, IndexPage, IndexedTurn, Lookup, LookupOutcome, LookupReply,
+        OutputCollector, Replication, ReplicationProgress, SyncRound, Turn, TurnCache, TurnHostHealth,
+        TurnId, TurnIndex, TurnKey, TurnTimes, all_agree, is_allowed_replica, is_replica, missing_replicas,
+        prompt, renewals, replica_order,
     },
     update_pacer::{UpdatePacer, UpdateTurn},
     version_history::VersionHistory,
--- a/crates/burdockroad/src/gateway/turns.rs
+++ b/crates/burdockroad/src/gateway/turns.rs
@@ -7,6 +7,7 @@
 //! * [`replica_order`] ranks the hosts that store a turn, and [`Replication`] decides when it is durable.
 //!   [`TurnHostHealth`] tells which of these hosts are lost.
 //! * [`Lookup`] decides whether a turn that was not found does not exist.
+//! * [`GoneHosts`] decides that no turn is missed without a host that was replaced.
 //! * [`TurnTimes`] decides whether a turn could be served in the time that its caller has left.
 //! * [`TurnCache`] holds recent turns in memory, and [`prompt`] joins a chain of turns with the new input.
 //! * [`OutputCollector`] extracts a turn's output from its event stream.
@@ -14,6 +15,7 @@
 //!   another host.
 
 mod cache;
+mod gone_hosts;
 mod health;
 mod index;
 mod lookup;
@@ -24,6 +26,7 @@
 
 pub use self::{
     cache::TurnCache,
+    gone_hosts::{GoneHosts, GoneTestimony, SyncRound, all_agree},
     health::TurnHostHealth,
     index::{IndexPage, IndexedTurn, TurnIndex},
     lookup::{Lookup, LookupOutcome, LookupReply},
