--- a/crates/burdockroad-gateway/src/token_wait.rs
+++ b/crates/burdockroad-gateway/src/token_wait.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     budget_messages::{ReservationRequest, ReservationResponse},
-    budgets::live_incarnations,
     shared::Shared,
+    tokens_elsewhere::live_incarnations,
 };
 
 /// Shortest wait for a write that is logged.
--- a/crates/burdockroad-gateway/src/tokens_elsewhere.rs
+++ b/crates/burdockroad-gateway/src/tokens_elsewhere.rs
@@ -51,7 +51,7 @@
 }
 
 /// Returns the process incarnations of the other hosts that are live.
-fn live_incarnations(shared: &Shared) -> Vec<Incarnation> {
+pub(crate) fn live_incarnations(shared: &Shared) -> Vec<Incarnation> {
     let now = Instant::now();
     let peers = shared.peers.borrow();
     let tables = shared.tables();
