Name the pace of updates and the compressed form by one word each

The timeout of a call has a module of its own, as kept turns and attempts imported each other in a circle.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -33,6 +33,7 @@
     admitted_call::{AdmittedCall, CallerRequest},
     budgets::{Reservation, release},
     call_record::CallRecord,
+    call_timeout::call_timeout,
     framing::Framing,
     kept_turn::KeptTurn,
     pool::Connection,
@@ -41,9 +42,6 @@
     time_error::record_time_error,
 };
 
-/// Time reserved for sending the response to the caller before the caller's deadline.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
-
 /// Backoff before the next attempt when all endpoints were full.
 const FULL_BACKOFF: Duration = Duration::from_millis(15);
 
@@ -375,10 +373,3 @@
             .close(&self.shared, &self.head, &self.route, self.account.as_deref());
     }
 }
-
-/// Returns the time that a call may take in total: the caller's timeout minus [`RESPONSE_MARGIN`], but at
-/// most the route's timeout.
-pub(crate) fn call_timeout(head: &CallHead, route: &Route) -> Duration {
-    let caller_timeout = head.caller_timeout.unwrap_or(route.timeout);
-    caller_timeout.saturating_sub(RESPONSE_MARGIN).min(route.timeout)
-}
--- a/crates/burdockroad-gateway/src/attempt/silent_run.rs
+++ b/crates/burdockroad-gateway/src/attempt/silent_run.rs
@@ -29,7 +29,7 @@
     run: Run,
     /// The call's record as it was when the stream fell silent.
     record: Box<CallRecord>,
-    is_ended: bool,
+    is_handed_back: bool,
     /// Time at which the call was sent to another endpoint; `None` while it is at no other one.
     pub(crate) sent_elsewhere_at: watch::Receiver<Option<Instant>>,
 }
@@ -65,7 +65,7 @@
             endpoint,
             run: mem::replace(&mut self.run, Run::none(now)),
             record,
-            is_ended: false,
+            is_handed_back: false,
             sent_elsewhere_at: receiver,
         };
         if may_attempt_again {
@@ -80,7 +80,7 @@
         self.end_attempt(Outcome::Abandoned);
         self.next_endpoint = None;
         self.silent_endpoint = None;
-        silent_run.is_ended = true;
+        silent_run.is_handed_back = true;
         self.run = silent_run.run;
         self.current_endpoint = Some(silent_run.endpoint.clone());
         self.record.return_to(*mem::take(&mut silent_run.record));
@@ -140,7 +140,7 @@
 
 impl Drop for SilentRun {
     fn drop(&mut self) {
-        if self.is_ended {
+        if self.is_handed_back {
             return;
         }
         let mut tables = self.shared.tables();
--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -23,10 +23,11 @@
 use crate::{
     CallHead,
     admitted_call::{AdmittedCall, CallerRequest},
-    attempt::{Call, OpenedResponse, call_timeout, identify},
+    attempt::{Call, OpenedResponse, identify},
     budget_messages::ReservationRequest,
     budgets::{FULLY_RESERVED_RETRY_AFTER, ReservationError, reserve},
     call_record::{CallRecord, HistoryRead},
+    call_timeout::call_timeout,
     clock::as_ms,
     crash_detection::{decide_run, log_refused},
     kept_turn::KeptTurn,
--- a/crates/burdockroad-gateway/src/kept_turn.rs
+++ b/crates/burdockroad-gateway/src/kept_turn.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     CallHead,
-    attempt::call_timeout,
+    call_timeout::call_timeout,
     clock::unix_ms,
     refusal::{Refusal, TurnObstacle},
     shared::Shared,
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod budgets;
 mod call;
 mod call_record;
+mod call_timeout;
 mod clock;
 mod cold_endpoints;
 mod collected_reports;
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -39,8 +39,8 @@
         PeerCall::RangeUpdate {
             prefix,
             after,
-            packed_for,
-        } => return serve_update(&shared, &prefix, after, packed_for).await,
+            compressed_for,
+        } => return serve_update(&shared, &prefix, after, compressed_for).await,
         PeerCall::Reserve(request) => PeerResponse::Reservation(handle_reserve(&shared, request).await),
         PeerCall::StreamVersion { stream } => PeerResponse::StreamVersion(known_version(&shared, &stream)),
         PeerCall::ReturnTokens { program } => {
--- a/crates/burdockroad-gateway/src/peer_client.rs
+++ b/crates/burdockroad-gateway/src/peer_client.rs
@@ -43,8 +43,8 @@
 #[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum FetchPhase {
-    /// Being told to ask again.
-    Turn,
+    /// Waiting to be sent the update.
+    Queue,
     /// Connecting, and receiving the head of the response.
     Head,
     /// Receiving the body.
--- a/crates/burdockroad-gateway/src/peer_messages.rs
+++ b/crates/burdockroad-gateway/src/peer_messages.rs
@@ -34,10 +34,10 @@
         prefix: String,
         /// Revision up to which the requesting host has seen the range.
         after: Revision,
-        /// Requesting host, if it reads packed updates and asks again when it is told to; hosts of earlier
+        /// Requesting host, if it reads compressed updates and asks again when it is told to; hosts of earlier
         /// versions do not.
         #[serde(default, skip_serializing_if = "Option::is_none")]
-        packed_for: Option<HostId>,
+        compressed_for: Option<HostId>,
     },
     /// Reserves tokens of a program's budget.
     #[serde(rename = "Hold")]
@@ -73,9 +73,9 @@
     #[serde(rename = "RangeNews")]
     RangeUpdate(Option<RangeUpdateResponse>),
     /// Large update of the range.
-    PackedRangeUpdate {
+    CompressedRangeUpdate {
         /// [`RangeUpdate`] in compressed form.
-        deflated: Bytes,
+        compressed: Bytes,
     },
     /// The responding host sends other large updates first.
     RangeUpdateLater {
--- a/crates/burdockroad-gateway/src/relay.rs
+++ b/crates/burdockroad-gateway/src/relay.rs
@@ -148,7 +148,7 @@
             Ok(
                 PeerResponse::Turns(_)
                 | PeerResponse::RangeUpdate(_)
-                | PeerResponse::PackedRangeUpdate { .. }
+                | PeerResponse::CompressedRangeUpdate { .. }
                 | PeerResponse::RangeUpdateLater { .. }
                 | PeerResponse::Reservation(_)
                 | PeerResponse::StreamVersion(_)
--- a/crates/burdockroad-gateway/src/update_client.rs
+++ b/crates/burdockroad-gateway/src/update_client.rs
@@ -17,14 +17,14 @@
     peer_client::{FailedFetch, FetchPhase},
     peer_messages::{PeerCall, PeerResponse},
     shared::Shared,
-    update_message::{UpdateContent, encode_packed, unpack},
+    update_message::{UpdateContent, decompress, encode_compressed},
 };
 
 /// Time without any data after which a host counts as unresponsive.
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time after which a host no longer asks for an update that no host has sent.
-const TURN_TIME_MAX: Duration = Duration::from_millis(1500);
+const ASKING_TIME_MAX: Duration = Duration::from_millis(1500);
 
 /// Time after which an update is given up, also one that is being received.
 const UPDATE_TIME_MAX: Duration = Duration::from_secs(2);
@@ -33,7 +33,7 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Longest time after which a host asks again.
-const TURN_WAIT_MAX: Duration = Duration::from_millis(500);
+const ASK_AGAIN_MAX: Duration = Duration::from_millis(500);
 
 /// An update, and the address of the host that sent it.
 #[derive(Debug)]
@@ -68,7 +68,7 @@
     if let Ok(fetched) = timeout(UPDATE_TIME_MAX, asking).await {
         return fetched;
     }
-    log_no_turn(shared, prefix, watcher, begun_at);
+    log_not_sent(shared, prefix, watcher, begun_at);
     None
 }
 
@@ -80,7 +80,7 @@
 ) -> Option<FetchedUpdate> {
     let begun_at = Instant::now();
     let mut asked = watcher;
-    while begun_at.elapsed() < TURN_TIME_MAX {
+    while begun_at.elapsed() < ASKING_TIME_MAX {
         let asked_at = Instant::now();
         let answer = ask(shared, prefix, asked, after).await;
         let given_up = |phase, received_bytes| UpdateGivenUpLine {
@@ -96,7 +96,7 @@
                 return Some(FetchedUpdate { sender, update });
             }
             Answer::Later { wait, holder } => {
-                sleep(wait.min(TURN_WAIT_MAX)).await;
+                sleep(wait.min(ASK_AGAIN_MAX)).await;
                 asked = holder.unwrap_or(asked);
                 continue;
             }
@@ -112,16 +112,16 @@
         asked = watcher;
         sleep(RETRY_INTERVAL).await;
     }
-    log_no_turn(shared, prefix, watcher, begun_at);
+    log_not_sent(shared, prefix, watcher, begun_at);
     None
 }
 
 /// Logs that an update was not received until the end of the time for it.
-fn log_no_turn(shared: &Shared, prefix: &str, watcher: SocketAddr, begun_at: Instant) {
+fn log_not_sent(shared: &Shared, prefix: &str, watcher: SocketAddr, begun_at: Instant) {
     let line = UpdateGivenUpLine {
         prefix,
         host: watcher,
-        phase: FetchPhase::Turn,
+        phase: FetchPhase::Queue,
         received_bytes: 0,
         waited_ms: as_ms(begun_at.elapsed()),
     };
@@ -132,18 +132,18 @@
     let call = PeerCall::RangeUpdate {
         prefix: prefix.to_owned(),
         after,
-        packed_for: Some(shared.host.clone()),
+        compressed_for: Some(shared.host.clone()),
     };
     match shared.peer_client.fetch(address, &call, PROGRESS_TIMEOUT).await {
         Ok(PeerResponse::RangeUpdate(Some(response))) => Answer::Update(response.update),
-        Ok(PeerResponse::PackedRangeUpdate { deflated }) => match unpack(&deflated) {
+        Ok(PeerResponse::CompressedRangeUpdate { compressed }) => match decompress(&compressed) {
             Some(update) => {
-                keep_received(shared, prefix, &update, deflated);
+                keep_received(shared, prefix, &update, compressed);
                 Answer::Update(update)
             }
             None => Answer::Failed(FailedFetch {
                 phase: FetchPhase::Decoding,
-                received_bytes: deflated.len(),
+                received_bytes: compressed.len(),
             }),
         },
         Ok(PeerResponse::RangeUpdateLater { wait, holder }) => Answer::Later { wait, holder },
@@ -153,7 +153,7 @@
 }
 
 /// Keeps a received update in its compressed form, so that this host can hand it on without compressing it again.
-fn keep_received(shared: &Shared, prefix: &str, update: &RangeUpdate, deflated: Bytes) {
+fn keep_received(shared: &Shared, prefix: &str, update: &RangeUpdate, compressed: Bytes) {
     let RangeUpdate::Changes { changes, .. } = update else {
         return;
     };
@@ -161,7 +161,7 @@
         return;
     };
     let content = UpdateContent::of(prefix, last.revision(), update);
-    let Ok(encoded) = encode_packed(deflated) else {
+    let Ok(encoded) = encode_compressed(compressed) else {
         return;
     };
     let kept = shared.encoded_updates.lock();
--- a/crates/burdockroad-gateway/src/update_message.rs
+++ b/crates/burdockroad-gateway/src/update_message.rs
@@ -15,8 +15,8 @@
 /// Level of the compression, the fastest one: a configuration shrinks to a tenth of its size.
 const COMPRESSION_LEVEL: u8 = 1;
 
-/// Largest update that a host unpacks.
-const UNPACKED_MAX_BYTES: usize = 32 << 20;
+/// Largest update that a host decompresses.
+const DECOMPRESSED_MAX_BYTES: usize = 32 << 20;
 
 /// Number of encoded updates that are kept. Hosts that are behind have seen one of the last few changes.
 const KEPT_MAX: usize = 4;
@@ -25,19 +25,19 @@
 const KEPT_MAX_BYTES: usize = 1 << 20;
 
 /// Encodes the response that contains an update in compressed form.
-pub(crate) fn packed_response(update: &RangeUpdate) -> Result<Bytes, PeerError> {
-    let packed = compress_to_vec(&encode_message(update)?, COMPRESSION_LEVEL);
-    encode_packed(Bytes::from(packed))
+pub(crate) fn compressed_response(update: &RangeUpdate) -> Result<Bytes, PeerError> {
+    let compressed = compress_to_vec(&encode_message(update)?, COMPRESSION_LEVEL);
+    encode_compressed(Bytes::from(compressed))
 }
 
 /// Encodes the response that contains an update which is compressed already.
-pub(crate) fn encode_packed(deflated: Bytes) -> Result<Bytes, PeerError> {
-    encode_message(&PeerResponse::PackedRangeUpdate { deflated })
+pub(crate) fn encode_compressed(compressed: Bytes) -> Result<Bytes, PeerError> {
+    encode_message(&PeerResponse::CompressedRangeUpdate { compressed })
 }
 
 /// Decodes an update in compressed form; `None` if it is malformed.
-pub(crate) fn unpack(deflated: &[u8]) -> Option<RangeUpdate> {
-    let update = decompress_to_vec_with_limit(deflated, UNPACKED_MAX_BYTES).ok()?;
+pub(crate) fn decompress(compressed: &[u8]) -> Option<RangeUpdate> {
+    let update = decompress_to_vec_with_limit(compressed, DECOMPRESSED_MAX_BYTES).ok()?;
     ciborium::from_reader(&*update).ok()
 }
 
--- a/crates/burdockroad-gateway/src/update_server.rs
+++ b/crates/burdockroad-gateway/src/update_server.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use burdockroad::{HostId, gateway::UpdateTurn};
+use burdockroad::{HostId, gateway::UpdateReply};
 use burdockroad_daemon::platform::Revision;
 use bytes::Bytes;
 use http::Response;
@@ -21,19 +21,19 @@
     peer_messages::{PeerResponse, RangeUpdateResponse},
     response_body::ResponseBody,
     shared::Shared,
-    update_message::{UpdateContent, packed_response},
+    update_message::{UpdateContent, compressed_response},
 };
 
 /// Size of the keys and values from which an update counts as large. Smaller ones are sent at once.
 const LARGE_UPDATE_BYTES: usize = 16 << 10;
 
 /// Responds to another host that has seen a range up to `after`. A requester that is named by
-/// `packed_for` gets a large update in compressed form when it is its turn, or is told when and where to ask again.
+/// `compressed_for` gets a large update in compressed form when it is its turn, or is told when and where to ask again.
 pub(crate) async fn serve_update(
     shared: &Arc<Shared>,
     prefix: &str,
     after: Revision,
-    packed_for: Option<HostId>,
+    compressed_for: Option<HostId>,
 ) -> Response<ResponseBody> {
     let Some((response, last_change)) = range_update(shared, prefix, after) else {
         return message_response(&PeerResponse::RangeUpdate(None));
@@ -42,24 +42,24 @@
         return message_response(&PeerResponse::RangeUpdate(Some(response)));
     }
     let sent = SentUpdate::of(prefix, last_change, &response.update);
-    let Some(requester) = packed_for else {
+    let Some(requester) = compressed_for else {
         let encoded = encode_message(&PeerResponse::RangeUpdate(Some(response)));
         return match encoded {
             Ok(bytes) => send(shared, sent, bytes, Duration::ZERO),
             Err(_unencodable) => message_response(&PeerResponse::RangeUpdate(None)),
         };
     };
-    let Some(bytes) = packed_bytes(shared, &sent.content, &response.update) else {
+    let Some(bytes) = compressed_bytes(shared, &sent.content, &response.update) else {
         return message_response(&PeerResponse::RangeUpdate(None));
     };
-    match decide_turn(shared, &sent.content, bytes.len(), &requester) {
-        UpdateTurn::Send { wait } => {
+    match decide_reply(shared, &sent.content, bytes.len(), &requester) {
+        UpdateReply::Send { wait } => {
             if !wait.is_zero() {
                 sleep(wait).await;
             }
             send(shared, sent, bytes, wait)
         }
-        UpdateTurn::Later { wait, holder } => {
+        UpdateReply::Later { wait, holder } => {
             metrics::counter!("burdockroad_large_range_updates_deferred_total").increment(1);
             message_response(&PeerResponse::RangeUpdateLater { wait, holder })
         }
@@ -79,7 +79,7 @@
 }
 
 /// Returns the response with an update, which is encoded once for all hosts.
-fn packed_bytes(shared: &Shared, content: &UpdateContent, update: &RangeUpdate) -> Option<Bytes> {
+fn compressed_bytes(shared: &Shared, content: &UpdateContent, update: &RangeUpdate) -> Option<Bytes> {
     let mut encoded = shared
         .encoded_updates
         .lock()
@@ -87,12 +87,12 @@
     if let Some(bytes) = encoded.get(content) {
         return Some(bytes);
     }
-    let bytes = packed_response(update).ok()?;
+    let bytes = compressed_response(update).ok()?;
     encoded.insert(content.clone(), bytes.clone());
     Some(bytes)
 }
 
-fn decide_turn(shared: &Shared, content: &UpdateContent, bytes: usize, requester: &HostId) -> UpdateTurn {
+fn decide_reply(shared: &Shared, content: &UpdateContent, bytes: usize, requester: &HostId) -> UpdateReply {
     let address: Option<SocketAddr> = shared.peers.borrow().get(requester).map(|peer| peer.address);
     let mut pacer = shared.update_pacer.lock().unwrap_or_else(PoisonError::into_inner);
     pacer.decide(
--- a/crates/burdockroad/src/gateway/update_pacer.rs
+++ b/crates/burdockroad/src/gateway/update_pacer.rs
@@ -18,7 +18,7 @@
 const PACE_BYTES_PER_S: f64 = 1.25e6;
 
 /// Longest time for which a request waits for its turn. Requesters wait longer for the head of a response.
-const TURN_WAIT_MAX: Duration = Duration::from_millis(150);
+const QUEUE_TIME_MAX: Duration = Duration::from_millis(150);
 
 /// Time from the beginning of a transfer after which its receiver can usually hand the update on.
 const HANDOVER_TIME: Duration = Duration::from_millis(60);
@@ -28,7 +28,7 @@
 
 /// When a host hands a large update on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum UpdateTurn {
+pub enum UpdateReply {
     /// The update is sent after a wait.
     Send {
         /// Time left until the transfer may begin.
@@ -71,7 +71,7 @@
         bytes: usize,
         requester: Option<SocketAddr>,
         now: Instant,
-    ) -> UpdateTurn {
+    ) -> UpdateReply {
         let free_at = self.free_at.map_or(now, |free_at| free_at.max(now));
         let wait = free_at - now;
         let receivers = self.receivers.entry(prefix.to_owned()).or_default();
@@ -81,21 +81,21 @@
                 ..Receivers::default()
             };
         }
-        if wait <= TURN_WAIT_MAX {
+        if wait <= QUEUE_TIME_MAX {
             self.free_at = Some(free_at + transfer_time(bytes));
             if let Some(requester) = requester {
                 receivers.add(requester, free_at + HANDOVER_TIME);
             }
-            return UpdateTurn::Send { wait };
+            return UpdateReply::Send { wait };
         }
         match receivers.next_holder(requester) {
-            Some((holder, ready_at)) => UpdateTurn::Later {
+            Some((holder, ready_at)) => UpdateReply::Later {
                 wait: ready_at.saturating_duration_since(now),
                 holder: Some(holder),
             },
             // The requester comes back before the link is free, so that it is in use all the time.
-            None => UpdateTurn::Later {
-                wait: wait.saturating_sub(TURN_WAIT_MAX / 2),
+            None => UpdateReply::Later {
+                wait: wait.saturating_sub(QUEUE_TIME_MAX / 2),
                 holder: None,
             },
         }
--- a/crates/burdockroad/tests/gateway_update_pacer.rs
+++ b/crates/burdockroad/tests/gateway_update_pacer.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use burdockroad::gateway::{UpdatePacer, UpdateTurn};
+use burdockroad::gateway::{UpdatePacer, UpdateReply};
 
 const PREFIX: &str = "range/";
 
@@ -67,12 +67,12 @@
         }
         let turn = self.pacers[asked].decide(PREFIX, 7, UPDATE_BYTES as usize, Some(address(requester)), now);
         match turn {
-            UpdateTurn::Send { wait } => {
+            UpdateReply::Send { wait } => {
                 self.sent[asked] += 1;
                 self.has_update_at.insert(requester, now + wait + RECEIVE_TIME);
                 None
             }
-            UpdateTurn::Later { wait, holder } => {
+            UpdateReply::Later { wait, holder } => {
                 let holders = 0..self.pacers.len();
                 let next =
                     holder.and_then(|holder| holders.into_iter().find(|host| address(*host) == holder));
@@ -104,15 +104,15 @@
     let mut pacer = UpdatePacer::default();
     let mut now = Instant::now();
     let mut decide = |now| pacer.decide(PREFIX, 7, 1 << 20, None, now);
-    assert_eq!(decide(now), UpdateTurn::Send { wait: Duration::ZERO });
+    assert_eq!(decide(now), UpdateReply::Send { wait: Duration::ZERO });
     for _ in 0..2 {
-        let UpdateTurn::Later { wait, holder: None } = decide(now) else {
+        let UpdateReply::Later { wait, holder: None } = decide(now) else {
             panic!("expected a later turn at the same host");
         };
         assert!(wait < Duration::from_secs(1), "{wait:?}");
     }
     now += Duration::from_millis(800);
-    assert!(matches!(decide(now), UpdateTurn::Send { wait } if wait > Duration::ZERO));
+    assert!(matches!(decide(now), UpdateReply::Send { wait } if wait > Duration::ZERO));
 }
 
 #[test]
@@ -120,9 +120,9 @@
     let now = Instant::now();
     let mut pacer = UpdatePacer::default();
     let mut decide = |revision, host| pacer.decide(PREFIX, revision, 1 << 20, Some(address(host)), now);
-    assert_eq!(decide(7, 1), UpdateTurn::Send { wait: Duration::ZERO });
+    assert_eq!(decide(7, 1), UpdateReply::Send { wait: Duration::ZERO });
     let is_sent_on =
-        |turn| matches!(turn, UpdateTurn::Later { holder: Some(holder), .. } if holder == address(1));
+        |turn| matches!(turn, UpdateReply::Later { holder: Some(holder), .. } if holder == address(1));
     assert!(is_sent_on(decide(7, 2)));
     assert!(!is_sent_on(decide(7, 1)), "not to itself");
     assert!(!is_sent_on(decide(8, 2)), "the first host has an older update");
