Split the reservation of budgets by job

budgets.rs held four jobs: where a call reserves, requests to the budget owner, the wait in the ledger of this host, and the settlement. Each is a module of its own now, with imports downwards only. The code is moved, not changed.

--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -7,59 +7,42 @@
 //! While the store takes no writes, or when lost processes have reserved the rest of a budget, one call of a program may
 //! run on its [overdraft](crate::overdrafts).
 
+mod ledger_wait;
+mod local;
+mod owner;
+mod program_start;
+mod reservation;
+
 use std::{
     net::SocketAddr,
-    pin::pin,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
-use burdockroad::{
-    HostId, ProgramId,
-    gateway::{Readiness, StartDecision},
-    ownership::rendezvous_order,
+pub(crate) use self::{
+    local::reserve_locally,
+    owner::REMOTE_WAIT_MAX,
+    reservation::{Reservation, release},
+};
+use self::{
+    owner::{remote_budget_owner, reserve_at_owner},
+    reservation::ReservationSource,
 };
-use tokio::time::timeout;
-
 use crate::{
     budget_messages::{ReservationRequest, ReservationResponse},
-    overdrafts::{CLAIM_TIMEOUT, LostTokensDecision, take_overdraft, take_overdraft_for_lost_tokens},
-    peer_messages::{PeerCall, PeerResponse},
+    overdrafts::{CLAIM_TIMEOUT, take_overdraft},
     remote_reservation::LocalAccount,
-    reservations::refresh_budget,
     shared::Shared,
-    store_writes::{store_is_silent, store_writes_are_failing},
-    token_wait::TokenWait,
-    tokens_elsewhere::{LOST_TOKENS_WAIT, RECLAIM_TIME, is_short, record_shortage, request_tokens},
-    unreturned_tokens::log_unreturned,
 };
 
 /// Longest time that a call waits for its reservation.
 const RESERVATION_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Longest time that a reservation request of another host waits at the budget owner. After it, the owner
-/// responds [`FullyReserved`] or [`StoreTimeout`], and the other host repeats the request until
-/// [`RESERVATION_TIMEOUT`].
-///
-/// [`FullyReserved`]: ReservationResponse::FullyReserved
-/// [`StoreTimeout`]: ReservationResponse::StoreTimeout
-pub(crate) const REMOTE_WAIT_MAX: Duration = Duration::from_millis(200);
-
-/// Time added to [`REMOTE_WAIT_MAX`] to obtain the timeout of a request to the budget owner.
-const REMOTE_RESPONSE_MARGIN: Duration = Duration::from_millis(100);
-
-/// Interval at which a waiting call rechecks a budget whose tokens are all reserved.
-const BUDGET_RECHECK_INTERVAL: Duration = Duration::from_millis(80);
-
 /// `Retry-After` of a call of whose budget enough is left, but reserved for other calls.
 pub(crate) const FULLY_RESERVED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// `Retry-After` of a call that is refused because the store did not respond.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(1200);
 
-/// Time after the process start in which programs missing from the ledger may already be running.
-const PROGRAM_DISCOVERY_TIME: Duration = Duration::from_secs(3);
-
 /// Reason why tokens could not be reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReservationError {
@@ -84,30 +67,6 @@
     },
 }
 
-/// Tokens reserved for a call until [`release`] is called.
-#[derive(Debug)]
-pub(crate) struct Reservation {
-    call_id: String,
-    program: ProgramId,
-    max_tokens: u64,
-    /// Whether the call starts the program.
-    pub(crate) starts_program: bool,
-    source: ReservationSource,
-}
-
-/// Where the tokens of a call are counted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ReservationSource {
-    /// At this host.
-    ThisHost,
-    /// At this host, on the overdraft of the program.
-    Overdraft,
-    /// On the overdraft of the program that this host has claimed, and not in its ledger.
-    BeyondBudget,
-    /// At the budget owner with this address.
-    Owner(SocketAddr),
-}
-
 /// Reserves tokens of a program's budget for a call, at the budget owner if it responds, or on the program's
 /// overdraft if the store takes no writes.
 pub(crate) async fn reserve(
@@ -164,294 +123,3 @@
     };
     (response, source)
 }
-
-/// Settles a reservation: counts the used tokens as spent and returns the rest to the budget.
-pub(crate) fn release(shared: &Arc<Shared>, reservation: Reservation, used_tokens: u64) {
-    match reservation.source {
-        ReservationSource::ThisHost => settle_locally(shared, &reservation, used_tokens),
-        ReservationSource::Overdraft => {
-            settle_locally(shared, &reservation, used_tokens);
-            shared
-                .tables()
-                .overdrafts
-                .end_call(&reservation.program, used_tokens);
-        }
-        ReservationSource::BeyondBudget => {
-            shared
-                .tables()
-                .overdrafts
-                .end_call(&reservation.program, used_tokens);
-        }
-        ReservationSource::Owner(address) => {
-            let shared = Arc::clone(shared);
-            let call = PeerCall::Release {
-                call_id: reservation.call_id,
-                used_tokens,
-            };
-            tokio::spawn(async move {
-                // Without the release, the owner counts the whole reservation as used when it expires.
-                let response_timeout = REMOTE_WAIT_MAX + REMOTE_RESPONSE_MARGIN;
-                if shared
-                    .peer_client
-                    .call::<PeerResponse>(address, &call, response_timeout)
-                    .await
-                    .is_err()
-                {
-                    metrics::counter!("burdockroad_holds_unreleased_total").increment(1);
-                }
-            });
-        }
-    }
-}
-
-fn settle_locally(shared: &Shared, reservation: &Reservation, used_tokens: u64) {
-    shared.tables().ledger.settle(
-        &reservation.program,
-        reservation.max_tokens,
-        used_tokens,
-        Instant::now(),
-    );
-    shared.reservations_changed.notify_waiters();
-}
-
-impl ReservationRequest {
-    fn into_reservation(self, starts_program: bool, source: ReservationSource) -> Reservation {
-        Reservation {
-            call_id: self.call_id,
-            program: self.program,
-            max_tokens: self.max_tokens,
-            starts_program,
-            source,
-        }
-    }
-}
-
-/// Returns the address of a program's budget owner; `None` when this host owns the budget, or when the owner
-/// is not live. A host that is shutting down owns no budget.
-fn remote_budget_owner(shared: &Shared, program: &str) -> Option<SocketAddr> {
-    let peers = shared.peers.borrow();
-    let this = (!shared.is_stopping()).then(|| shared.host.clone());
-    let hosts = peers.keys().cloned().chain(this);
-    let first: HostId = rendezvous_order(program, hosts).into_iter().next()?;
-    if first == shared.host {
-        return None;
-    }
-    let is_live = shared.tables().rate_limiter.is_live(&first, Instant::now());
-    is_live
-        .then(|| peers.get(&first).map(|peer| peer.address))
-        .flatten()
-}
-
-/// Repeats the request to the owner until it reserves the tokens, refuses, or `deadline` passes. Returns
-/// `None` when the owner does not respond.
-async fn reserve_at_owner(
-    shared: &Shared,
-    remote_owner: SocketAddr,
-    request: &ReservationRequest,
-    deadline: Instant,
-) -> Option<ReservationResponse> {
-    loop {
-        let call = PeerCall::Reserve(request.clone());
-        let response_timeout = REMOTE_WAIT_MAX + REMOTE_RESPONSE_MARGIN;
-        let result = shared
-            .peer_client
-            .call(remote_owner, &call, response_timeout)
-            .await;
-        match result {
-            Ok(PeerResponse::Reservation(
-                response @ (ReservationResponse::FullyReserved | ReservationResponse::StoreTimeout),
-            )) => {
-                if Instant::now() >= deadline {
-                    return Some(response);
-                }
-            }
-            Ok(PeerResponse::Reservation(response)) => return Some(response),
-            Ok(_) | Err(_) => return None,
-        }
-    }
-}
-
-/// Returns the refusal of a request that would start a program which must not start now; `None` when the
-/// program has started or may start.
-fn check_program_start(shared: &Shared, request: &ReservationRequest) -> Option<ReservationResponse> {
-    let mut tables = shared.tables();
-    if tables.ledger.is_tracked(&request.program) {
-        return None;
-    }
-    let now = Instant::now();
-    let programs_discovered = now >= shared.started_at + PROGRAM_DISCOVERY_TIME;
-    if let Some(retry_after) = request.start_after.filter(|_| programs_discovered) {
-        return Some(ReservationResponse::OverRate(retry_after));
-    }
-    let start_decision = tables.start_gate.decide(
-        &request.program,
-        request.load_per_slot,
-        request.priority,
-        rand::random(),
-        now,
-    );
-    match start_decision {
-        StartDecision::Admitted => None,
-        StartDecision::Refused { retry_after } => Some(ReservationResponse::Deferred(retry_after)),
-    }
-}
-
-/// Guard that removes a waiting call from the ledger when dropped.
-#[derive(Debug)]
-struct WaitingCall<'a> {
-    shared: &'a Shared,
-    request: &'a ReservationRequest,
-}
-
-impl Drop for WaitingCall<'_> {
-    fn drop(&mut self) {
-        let request = self.request;
-        self.shared
-            .tables()
-            .ledger
-            .remove_waiter(&request.program, request.max_tokens);
-    }
-}
-
-/// The tokens that a call lacks are reserved by lost processes and count as spent.
-struct TokensLost;
-
-/// Reserves tokens in the ledger of this host, or on the program's overdraft if lost processes have reserved the rest of the
-/// budget. `owns_budget` says whether this host is the budget owner.
-pub(crate) async fn reserve_locally(
-    shared: &Shared,
-    request: &ReservationRequest,
-    owns_budget: bool,
-    deadline: Instant,
-) -> (ReservationResponse, LocalAccount) {
-    let mut wait = TokenWait::new();
-    let reserving = reserve_or_overdraw(shared, request, owns_budget, deadline, &mut wait);
-    let (response, account) = reserving.await;
-    wait.log(shared, request, owns_budget, response);
-    (response, account)
-}
-
-async fn reserve_or_overdraw(
-    shared: &Shared,
-    request: &ReservationRequest,
-    owns_budget: bool,
-    deadline: Instant,
-    wait: &mut TokenWait,
-) -> (ReservationResponse, LocalAccount) {
-    let until_lost = TokenDeadline {
-        lost_after: LOST_TOKENS_WAIT,
-        ends_at: deadline,
-    };
-    if let Ok(response) = reserve_in_ledger(shared, request, owns_budget, until_lost, wait).await {
-        return (response, LocalAccount::Ledger);
-    }
-    let time_left = deadline.saturating_duration_since(Instant::now());
-    let decision = take_overdraft_for_lost_tokens(shared, request, time_left).await;
-    if decision == LostTokensDecision::Granted {
-        let starts_program = false;
-        let response = ReservationResponse::Reserved { starts_program };
-        return (response, LocalAccount::BeyondBudget);
-    }
-    let until_reclaimed = TokenDeadline {
-        lost_after: RECLAIM_TIME,
-        ends_at: deadline,
-    };
-    let response = reserve_in_ledger(shared, request, owns_budget, until_reclaimed, wait)
-        .await
-        .unwrap_or_else(|TokensLost| without_lost_tokens(shared, request, decision));
-    (response, LocalAccount::Ledger)
-}
-
-/// Returns the response to a call that gets neither the tokens of lost processes nor the overdraft.
-fn without_lost_tokens(
-    shared: &Shared,
-    request: &ReservationRequest,
-    decision: LostTokensDecision,
-) -> ReservationResponse {
-    if decision != LostTokensDecision::Refused {
-        return ReservationResponse::FullyReserved;
-    }
-    log_unreturned(shared, &request.program);
-    ReservationResponse::BudgetExhausted
-}
-
-/// How long a call waits for tokens.
-#[derive(Clone, Copy, Debug)]
-struct TokenDeadline {
-    /// Time after which tokens of lost processes count as spent.
-    lost_after: Duration,
-    /// End of the wait for any tokens.
-    ends_at: Instant,
-}
-
-/// Reserves tokens in the ledger of this host.
-async fn reserve_in_ledger(
-    shared: &Shared,
-    request: &ReservationRequest,
-    owns_budget: bool,
-    deadline: TokenDeadline,
-    wait: &mut TokenWait,
-) -> Result<ReservationResponse, TokensLost> {
-    let program = &request.program;
-    if let Some(response) = check_program_start(shared, request) {
-        return Ok(response);
-    }
-    let starts_program = {
-        let mut tables = shared.tables();
-        let starts_program = !tables.ledger.is_tracked(program);
-        tables.ledger.add_waiter(
-            program,
-            request.budget_tokens,
-            request.max_tokens,
-            owns_budget,
-            Instant::now(),
-        );
-        starts_program
-    };
-    let _waiting_call = WaitingCall { shared, request };
-    // Whether the budget was read while the call waited.
-    let mut is_read = false;
-    loop {
-        let mut changed = pin!(shared.reservations_changed.notified());
-        changed.as_mut().enable();
-        let readiness = shared.tables().ledger.take(program, request.max_tokens);
-        wait.observe(readiness);
-        let time_left = deadline.ends_at.saturating_duration_since(Instant::now());
-        match readiness {
-            Readiness::Ready => return Ok(ReservationResponse::Reserved { starts_program }),
-            Readiness::Exhausted => return Ok(ReservationResponse::BudgetExhausted),
-            Readiness::AwaitTokens
-                if (is_read || time_left.is_zero()) && is_short(shared, program, deadline.lost_after) =>
-            {
-                return Err(TokensLost);
-            }
-            Readiness::AwaitTokens if time_left.is_zero() => return Ok(ReservationResponse::FullyReserved),
-            Readiness::AwaitWrite if store_writes_are_failing(shared) => {
-                return Ok(ReservationResponse::StoreUnavailable);
-            }
-            Readiness::AwaitWrite if time_left.is_zero() && store_is_silent(shared) => {
-                return Ok(ReservationResponse::StoreUnavailable);
-            }
-            Readiness::AwaitWrite if time_left.is_zero() => return Ok(ReservationResponse::StoreTimeout),
-            Readiness::AwaitTokens => {
-                record_shortage(shared, request);
-                // Calls that release tokens at this host send the notification. Tokens released by other
-                // hosts are visible only in the store.
-                let _ended = timeout(time_left.min(BUDGET_RECHECK_INTERVAL), changed).await;
-                let is_recheck_due = shared.tables().ledger.should_poll(program, Instant::now());
-                if is_recheck_due {
-                    wait.add_poll();
-                    request_tokens(shared, program).await;
-                    refresh_budget(shared, program).await;
-                    record_shortage(shared, request);
-                    is_read = true;
-                }
-            }
-            Readiness::AwaitWrite => {
-                shared.reservation_requested.notify_one();
-                // On a timeout, the next iteration returns the error.
-                let _ended = timeout(time_left, changed).await;
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/burdockroad-gateway/src/budgets/reservation.rs
@@ -0,0 +1,97 @@
+//! Tokens reserved for a call, from their reservation until they are settled.
+
+use std::{net::SocketAddr, sync::Arc, time::Instant};
+
+use burdockroad::ProgramId;
+
+use super::owner::{REMOTE_RESPONSE_MARGIN, REMOTE_WAIT_MAX};
+use crate::{
+    budget_messages::ReservationRequest,
+    peer_messages::{PeerCall, PeerResponse},
+    shared::Shared,
+};
+
+/// Tokens reserved for a call until [`release`] is called.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    call_id: String,
+    program: ProgramId,
+    max_tokens: u64,
+    /// Whether the call starts the program.
+    pub(crate) starts_program: bool,
+    source: ReservationSource,
+}
+
+/// Where the tokens of a call are counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReservationSource {
+    /// At this host.
+    ThisHost,
+    /// At this host, on the overdraft of the program.
+    Overdraft,
+    /// On the overdraft of the program that this host has claimed, and not in its ledger.
+    BeyondBudget,
+    /// At the budget owner with this address.
+    Owner(SocketAddr),
+}
+
+/// Settles a reservation: counts the used tokens as spent and returns the rest to the budget.
+pub(crate) fn release(shared: &Arc<Shared>, reservation: Reservation, used_tokens: u64) {
+    match reservation.source {
+        ReservationSource::ThisHost => settle_locally(shared, &reservation, used_tokens),
+        ReservationSource::Overdraft => {
+            settle_locally(shared, &reservation, used_tokens);
+            shared
+                .tables()
+                .overdrafts
+                .end_call(&reservation.program, used_tokens);
+        }
+        ReservationSource::BeyondBudget => {
+            shared
+                .tables()
+                .overdrafts
+                .end_call(&reservation.program, used_tokens);
+        }
+        ReservationSource::Owner(address) => {
+            let shared = Arc::clone(shared);
+            let call = PeerCall::Release {
+                call_id: reservation.call_id,
+                used_tokens,
+            };
+            tokio::spawn(async move {
+                // Without the release, the owner counts the whole reservation as used when it expires.
+                let response_timeout = REMOTE_WAIT_MAX + REMOTE_RESPONSE_MARGIN;
+                if shared
+                    .peer_client
+                    .call::<PeerResponse>(address, &call, response_timeout)
+                    .await
+                    .is_err()
+                {
+                    metrics::counter!("burdockroad_holds_unreleased_total").increment(1);
+                }
+            });
+        }
+    }
+}
+
+fn settle_locally(shared: &Shared, reservation: &Reservation, used_tokens: u64) {
+    shared.tables().ledger.settle(
+        &reservation.program,
+        reservation.max_tokens,
+        used_tokens,
+        Instant::now(),
+    );
+    shared.reservations_changed.notify_waiters();
+}
+
+impl ReservationRequest {
+    pub(super) fn into_reservation(self, starts_program: bool, source: ReservationSource) -> Reservation {
+        Reservation {
+            call_id: self.call_id,
+            program: self.program,
+            max_tokens: self.max_tokens,
+            starts_program,
+            source,
+        }
+    }
+}
