Split the client of the hosts that store turns by job

Reads of chains, writes of turns and probes of failing hosts are modules of their own. They import the client; the client imports none of them. The code is moved, not changed.

--- a/crates/burdockroad-gateway/src/kept_turn.rs
+++ b/crates/burdockroad-gateway/src/kept_turn.rs
@@ -14,7 +14,10 @@
     clock::unix_ms,
     refusal::{Refusal, TurnObstacle},
     shared::Shared,
-    turn_store::client::{History, HistoryError, HostsAtBegin},
+    turn_store::client::{
+        history::{History, HistoryError},
+        replication::HostsAtBegin,
+    },
 };
 
 /// Longest id of a turn that can exist.
--- /dev/null
+++ b/crates/burdockroad-gateway/src/turn_store/client/replication.rs
@@ -0,0 +1,118 @@
+//! Writes of turns to the hosts that store them.
+
+use std::{sync::Arc, time::Duration};
+
+use burdockroad::{
+    RegionId,
+    gateway::{Replication, Turn, renewals},
+};
+use tokio::time::{sleep, timeout};
+
+use super::TurnClient;
+use crate::{
+    clock::unix_ms,
+    turn_store::{
+        disk_hosts::STORE_TIMEOUT,
+        links::EncodedCall,
+        members::{TurnMembers, writable},
+        messages::TurnCall,
+        write::{TurnWrite, WriteEnd},
+    },
+};
+
+/// Interval at which a turn that too few hosts could store looks for registered hosts.
+const MEMBERS_CHECK_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Hosts that could store the turn of a call when the call began.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HostsAtBegin {
+    writable: usize,
+    /// Hosts that were being removed by then.
+    removed: usize,
+}
+
+impl TurnClient {
+    /// Returns the hosts that could store a turn now.
+    pub(crate) fn hosts_at_begin(&self) -> HostsAtBegin {
+        let state = self.lock();
+        HostsAtBegin {
+            writable: writable(&state.members).len(),
+            removed: state.removed.len(),
+        }
+    }
+
+    /// Returns the number of hosts that must be registered for a turn to be durable whose call began with these. The store
+    /// may have lost the entries of hosts meanwhile, but those that the operator removes do not come back.
+    fn replicas_min(&self, at_begin: HostsAtBegin) -> usize {
+        let removed = self.lock().removed.len().saturating_sub(at_begin.removed);
+        let left = at_begin.writable.saturating_sub(removed);
+        left.clamp(1, self.tolerated_losses + 1)
+    }
+
+    /// Returns whether enough hosts in allowed regions are left for a turn to be durable. A turn that is bound to
+    /// regions needs as many hosts there as any other turn.
+    pub(crate) fn can_store(&self, allowed_regions: Option<&[RegionId]>) -> bool {
+        let hosts = writable(&self.lock().members);
+        let replicas = hosts.len().clamp(1, self.tolerated_losses + 1);
+        let hosts = self.regions.allowed_hosts(hosts, allowed_regions);
+        if hosts.len() < replicas {
+            return false;
+        }
+        let health = self.disk_hosts.health();
+        let lost = hosts.iter().filter(|host| health.is_lost(&host.host)).count();
+        lost < hosts.len() && lost <= self.tolerated_losses
+    }
+
+    /// Stores a turn that continues `history` within the time that its caller has left. Waits until as many
+    /// hosts are registered as `at_begin`. Returns the number of replicas, or `None` when the turn is not durable.
+    pub(crate) async fn store(
+        &self,
+        turn: Turn,
+        history: &[Arc<Turn>],
+        storage_time: Duration,
+        at_begin: HostsAtBegin,
+        time_left: Duration,
+    ) -> Option<usize> {
+        let storage_time_ms = u64::try_from(storage_time.as_millis()).unwrap_or(u64::MAX);
+        let mut turns = renewals(history, &turn, unix_ms(), storage_time_ms);
+        turns.push(turn.clone());
+        let call = Arc::new(EncodedCall::new(TurnCall::Store(turns)).ok()?);
+        let (replication, members) = self.begin_replication(&turn);
+        let mut write = TurnWrite::new(replication, members, turn.allowed_regions.clone());
+        let running = timeout(time_left.min(STORE_TIMEOUT), async {
+            while write.hosts() < self.replicas_min(at_begin) {
+                // Hosts register again when the store has lost their entries.
+                sleep(MEMBERS_CHECK_INTERVAL).await;
+                let (replication, members) = self.begin_replication(&turn);
+                write.replace_hosts(replication, members);
+            }
+            write.run(&self.disk_hosts, &call).await
+        });
+        let time_over = if time_left < STORE_TIMEOUT {
+            WriteEnd::CallerTimeOver
+        } else {
+            WriteEnd::StoreTimeout
+        };
+        match running.await.map_err(|_elapsed| time_over) {
+            Ok(replicas) => {
+                self.lock().cache.insert(Arc::new(turn));
+                Some(replicas)
+            }
+            Err(end) => {
+                let line = write.line(&self.disk_hosts, &turn.key.turn, time_left, end);
+                self.log.line("turn_not_stored", &line);
+                None
+            }
+        }
+    }
+
+    /// Starts the replication of a turn to those hosts in allowed regions that store turns. Returns it with all hosts.
+    fn begin_replication(&self, turn: &Turn) -> (Replication, TurnMembers) {
+        let members = self.lock().members.clone();
+        let hosts = writable(&members);
+        let hosts = self.regions.allowed_hosts(hosts, turn.allowed_regions.as_deref());
+        let health = self.disk_hosts.health();
+        let replication = Replication::new(turn, &hosts, self.tolerated_losses, &health);
+        (replication, members)
+    }
+}
