Split the table of endpoints by job

placement.rs held the types of the callers, the table, the load, the runs that leave and the mean times, and its modules imported each other through it. It only names them now. The table, the load, the types and the cold endpoints are modules of their own, so that none imports upwards. The runs that leave are a type of their own; everything else is moved, not changed.

--- a/crates/burdockroad/src/gateway/placement/choice.rs
+++ b/crates/burdockroad/src/gateway/placement/choice.rs
@@ -2,7 +2,12 @@
 
 use std::time::Instant;
 
-use super::{EndpointTable, Placement, PlacementQuery, affinity::Affinity, row::EndpointRow};
+use super::{
+    affinity::Affinity,
+    query::{Placement, PlacementQuery},
+    row::EndpointRow,
+    table::EndpointTable,
+};
 
 /// A candidate for a call.
 #[derive(Debug)]
--- a/crates/burdockroad/src/gateway/placement/cold_start.rs
+++ b/crates/burdockroad/src/gateway/placement/cold_start.rs
@@ -9,16 +9,11 @@
     time::{Duration, Instant},
 };
 
-use super::{EndpointTable, row::EndpointRow};
 use crate::{gateway::ColdStart, ids::EndpointId};
 
 /// Longest time for which an endpoint counts as cold. Entries with a longer time are faulty.
 const COLD_TIME_MAX: Duration = Duration::from_mins(5);
 
-/// Reduction of the expected time of a cold endpoint without calls, as a fraction of the mean time. Only few
-/// hosts may send to it, and each of them has many other endpoints to choose from.
-const IDLE_PREFERENCE: f64 = 0.25;
-
 /// Why an endpoint counts as cold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ColdCause {
@@ -53,7 +48,7 @@
 /// Cold starts of all services, and the calls that cold endpoints could not take.
 #[derive(Debug, Default)]
 pub(super) struct ColdStarts {
-    by_service: HashMap<String, ColdStart>,
+    pub(super) by_service: HashMap<String, ColdStart>,
     /// Calls placed elsewhere because the preferred endpoint was cold, since they were last taken.
     pub(super) diverted_calls: u64,
 }
@@ -87,12 +82,12 @@
     }
 
     /// Replaces the time that the endpoint's last entry stated.
-    fn record_statement(&mut self, left: Duration, now: Instant) {
+    pub(super) fn record_statement(&mut self, left: Duration, now: Instant) {
         self.stated_until = Some(now + left.min(COLD_TIME_MAX));
     }
 
     /// Assumes that the endpoint is cold from now on, as after its start.
-    fn assume(&mut self, cause: ColdCause, now: Instant) {
+    pub(super) fn assume(&mut self, cause: ColdCause, now: Instant) {
         let Some(cold_start) = self.cold_start else {
             return;
         };
@@ -120,7 +115,7 @@
     }
 
     /// Returns the change since the last one that was taken; `None` if there is none.
-    fn take_change(&mut self, endpoint: &str, now: Instant) -> Option<ColdChange> {
+    pub(super) fn take_change(&mut self, endpoint: &str, now: Instant) -> Option<ColdChange> {
         let began = self.status(now);
         let is_changed = began.is_some() != self.was_cold;
         self.was_cold = began.is_some();
@@ -130,68 +125,3 @@
         })
     }
 }
-
-impl EndpointRow {
-    /// Returns a reduction of the expected time that lets a cold endpoint without calls warm up.
-    pub(super) fn warm_up_preference_ms(&self, service_mean_ms: f64, now: Instant) -> f64 {
-        let is_preferred = self.rate.cold.status(now).is_some() && self.load(now) == 0 && self.has_room();
-        if is_preferred {
-            service_mean_ms * IDLE_PREFERENCE
-        } else {
-            0.0
-        }
-    }
-}
-
-impl EndpointTable {
-    /// Sets the services whose endpoints start cold. It applies to the known endpoints, too.
-    pub fn set_cold_starts(&mut self, cold_starts: impl IntoIterator<Item = (String, ColdStart)>) {
-        self.cold_starts.by_service = cold_starts.into_iter().collect();
-        for row in self.rows.values_mut() {
-            let cold_start = self.cold_starts.get(&row.endpoint.service);
-            row.rate.cold.set_cold_start(cold_start);
-        }
-    }
-
-    /// Records the remaining cold time that an endpoint's entry states on its arrival. It replaces that of the
-    /// entry before.
-    pub fn record_cold_left(&mut self, id: &str, cold_left: Duration, now: Instant) {
-        if let Some(row) = self.rows.get_mut(id) {
-            row.rate.cold.record_statement(cold_left, now);
-            row.rate.update_limit(now);
-        }
-    }
-
-    /// Treats all endpoints of a failure domain as cold from now on, because its evacuation has ended.
-    pub fn assume_cold(&mut self, failure_domain: &str, now: Instant) {
-        let rows = self.rows.values_mut();
-        for row in rows.filter(|row| row.endpoint.failure_domain == failure_domain) {
-            row.rate.cold.assume(ColdCause::EvacuationEnded, now);
-            row.rate.update_limit(now);
-        }
-    }
-
-    /// Treats an endpoint as cold from now on, because it refused a connection.
-    pub fn record_refused_connection(&mut self, id: &str, now: Instant) {
-        if let Some(row) = self.rows.get_mut(id) {
-            row.rate.cold.assume(ColdCause::ConnectionRefused, now);
-            row.rate.update_limit(now);
-        }
-    }
-
-    /// Returns the endpoints that became cold or warm since the last call.
-    pub fn take_cold_changes(&mut self, now: Instant) -> Vec<ColdChange> {
-        let rows = self.rows.iter_mut();
-        rows.filter_map(|(id, row)| {
-            row.rate.update_limit(now);
-            row.rate.cold.take_change(id, now)
-        })
-        .collect()
-    }
-
-    /// Returns the number of calls that were placed elsewhere since the last call because the preferred endpoint
-    /// was cold.
-    pub fn take_calls_diverted_from_cold(&mut self) -> u64 {
-        std::mem::take(&mut self.cold_starts.diverted_calls)
-    }
-}
--- a/crates/burdockroad/src/gateway/placement/evacuated.rs
+++ b/crates/burdockroad/src/gateway/placement/evacuated.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::{Endpoint, EndpointTable};
+use super::{endpoint::Endpoint, table::EndpointTable};
 use crate::{
     gateway::evacuation::{EvacuationChange, EvacuationOrder, EvacuationStep},
     ids::{EndpointId, Revision},
--- a/crates/burdockroad/src/gateway/placement/paces.rs
+++ b/crates/burdockroad/src/gateway/placement/paces.rs
@@ -3,11 +3,12 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    EndpointTable, INITIAL_TIME_MS, PEER_LOAD_AGE_MAX, PaceChange,
     base_time::ServiceTimes,
     pace::{PaceReading, USUAL_PACE_PERCENT},
-    row::{EndpointRow, TIME_MIN_MS},
+    pace_change::PaceChange,
+    row::{EndpointRow, INITIAL_TIME_MS, PEER_LOAD_AGE_MAX, TIME_MIN_MS},
     spread::{Spread, SpreadEndpoint},
+    table::EndpointTable,
 };
 use crate::{gateway::dissemination::report_interval, ids::EndpointId};
 
--- a/crates/burdockroad/src/gateway/placement/rates.rs
+++ b/crates/burdockroad/src/gateway/placement/rates.rs
@@ -5,7 +5,10 @@
     time::{Duration, Instant},
 };
 
-use super::{EndpointTable, EndpointUsage, RateStatement};
+use super::{
+    endpoint_rate::{EndpointUsage, RateStatement},
+    table::EndpointTable,
+};
 use crate::ids::{EndpointId, HostId, RegionId, SoftwareVersion};
 
 impl EndpointTable {
--- a/crates/burdockroad/src/gateway/placement/region_filter.rs
+++ b/crates/burdockroad/src/gateway/placement/region_filter.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{EndpointTable, row::EndpointRow};
+use super::{row::EndpointRow, table::EndpointTable};
 use crate::{
     gateway::RegionMap,
     ids::{RegionId, SoftwareVersion},
--- a/crates/burdockroad/src/gateway/placement/row.rs
+++ b/crates/burdockroad/src/gateway/placement/row.rs
@@ -6,14 +6,21 @@
 };
 
 use super::{
-    Endpoint, INITIAL_TIME_MS, Outcome, PEER_LOAD_AGE_MAX, PlacementQuery, PromptPart,
     base_time::{ServiceTimes, retained_base_ms},
+    endpoint::{Endpoint, Outcome, PromptPart},
     endpoint_rate::EndpointRate,
     pace::EndpointPace,
+    query::PlacementQuery,
     spread::SpreadEndpoint,
 };
 use crate::ids::SoftwareVersion;
 
+/// Expected time to the first byte before the first sample, in milliseconds.
+pub(super) const INITIAL_TIME_MS: f64 = 100.0;
+
+/// Age from which a report of other hosts' calls at an endpoint is ignored.
+pub(super) const PEER_LOAD_AGE_MAX: Duration = Duration::from_millis(800);
+
 /// Weight of the latest sample in an endpoint's mean time to the first byte.
 const TIME_SMOOTHING: f64 = 0.15;
 
