Name the end of an attempt beside a silent run, in place of a flag

record_sent took a bare flag that said whether the call is at an endpoint or no longer there. Two functions say it now. Behaviour is unchanged.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -186,7 +186,7 @@
     fn end_attempt(&mut self, outcome: Outcome) -> Option<Endpoint> {
         let endpoint = self.current_endpoint.take()?;
         self.end_run(&endpoint.id);
-        self.record_sent(&endpoint.id, false);
+        self.record_not_at(&endpoint.id);
         let mut tables = self.shared.tables();
         tables.endpoints.end_call(&endpoint.id);
         tables
--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -75,7 +75,7 @@
         } else {
             HEAD_TIMEOUT.min(self.time_left())
         };
-        self.record_sent(&endpoint.id, true);
+        self.record_sent(&endpoint.id);
         let result = timeout(head_timeout, connection.sender.try_send_request(request)).await;
         match result {
             Err(_elapsed) => Err(Failure::Unknown),
@@ -93,7 +93,7 @@
             }
             Ok(Err(mut unsent)) => {
                 let request = unsent.take_message().ok_or(Failure::Unknown)?;
-                self.record_sent(&endpoint.id, false);
+                self.record_not_at(&endpoint.id);
                 Ok(SendOutcome::Unsent(request))
             }
         }
--- a/crates/burdockroad-gateway/src/attempt/silent_run.rs
+++ b/crates/burdockroad-gateway/src/attempt/silent_run.rs
@@ -98,11 +98,20 @@
         self.silent_endpoint = None;
     }
 
-    /// Records whether the call is being sent to an endpoint or is at the endpoint already.
-    pub(super) fn record_sent(&self, endpoint: &EndpointId, is_sent: bool) {
+    /// Records that the call is being sent to an endpoint.
+    pub(super) fn record_sent(&self, endpoint: &EndpointId) {
+        self.set_sent_elsewhere(endpoint, Some(Instant::now()));
+    }
+
+    /// Records that the call is not at an endpoint, because the attempt there ended or nothing of it was written.
+    pub(super) fn record_not_at(&self, endpoint: &EndpointId) {
+        self.set_sent_elsewhere(endpoint, None);
+    }
+
+    /// Tells the last silent run since when the call is at `endpoint`, if that is another one.
+    fn set_sent_elsewhere(&self, endpoint: &EndpointId, sent_at: Option<Instant>) {
         let silent_endpoint = self.silent_endpoint.as_ref();
         if let Some(silent) = silent_endpoint.filter(|silent| silent.id != *endpoint) {
-            let sent_at = is_sent.then(Instant::now);
             silent.sent_elsewhere_at.send_replace(sent_at);
         }
     }
