Call the resumption of streams by the field's word

go_on, go_on_beside and race said neither what goes on nor what is raced. The first two resume a stream, the third races a silent response with the one that resumes it; the counter and the log call it resumed already. Behaviour is unchanged.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -198,7 +198,7 @@
     /// Returns the endpoint of the next attempt; `None` when no endpoint can take the call.
     fn choose_endpoint(&mut self) -> Option<Placement> {
         let next_endpoint = self.next_endpoint.take();
-        if let Some(endpoint) = next_endpoint.filter(|endpoint| self.may_go_on_at(endpoint)) {
+        if let Some(endpoint) = next_endpoint.filter(|endpoint| self.may_resume_at(endpoint)) {
             return Some(Placement {
                 endpoint,
                 expected_ms: 0.0,
--- a/crates/burdockroad-gateway/src/attempt/stream_version.rs
+++ b/crates/burdockroad-gateway/src/attempt/stream_version.rs
@@ -85,7 +85,7 @@
 
     /// Returns whether an endpoint still runs the software version that began the stream. An endpoint may start
     /// again under its id with another version.
-    pub(super) fn may_go_on_at(&self, endpoint: &Endpoint) -> bool {
+    pub(super) fn may_resume_at(&self, endpoint: &Endpoint) -> bool {
         let Some(version) = &self.stream_version else {
             return true;
         };
--- a/crates/burdockroad-gateway/src/framing.rs
+++ b/crates/burdockroad-gateway/src/framing.rs
@@ -59,9 +59,9 @@
         }))
     }
 
-    /// Returns whether a response of type `next` may go on with a stream of this type. A stream without a type may
-    /// go on as an event stream.
-    pub(crate) fn may_go_on_as(&self, next: &Self) -> bool {
+    /// Returns whether a response of type `next` may resume a stream of this type. A stream without a type may
+    /// resume as an event stream.
+    pub(crate) fn may_resume_as(&self, next: &Self) -> bool {
         let expected = self.0.as_deref().unwrap_or(EVENT_STREAM);
         next.0.as_deref().is_none_or(|next| next == expected)
     }
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -13,7 +13,7 @@
 use tokio::{task::yield_now, time::timeout};
 
 use self::{
-    continuation::{go_on, go_on_beside, record_break},
+    continuation::{record_break, resume, resume_beside_silent},
     source::{Content, Source},
 };
 use crate::{
@@ -139,7 +139,7 @@
             Ok(content) => content,
             Err(cause) => {
                 let content;
-                (source, content) = self.go_on_after(source, cause).await?;
+                (source, content) = self.resume_after(source, cause).await?;
                 content
             }
         };
@@ -151,8 +151,8 @@
         Ok(content)
     }
 
-    /// Goes on with the stream after a response that broke off, or beside one that is silent.
-    async fn go_on_after(
+    /// Resumes the stream after a response that broke off, or beside one that is silent.
+    async fn resume_after(
         &mut self,
         source: Source,
         cause: StreamBreak,
@@ -162,14 +162,14 @@
             return Err(Refusal::DeadlineExceeded);
         }
         if cause == StreamBreak::NoData {
-            return go_on_beside(&mut self.call, source, &self.stream_type).await;
+            return resume_beside_silent(&mut self.call, source, &self.stream_type).await;
         }
         let events = source.events.clone();
         drop(source);
         if !self.call.record_broken_response() {
             return Err(Refusal::UnknownOutcome);
         }
-        go_on(&mut self.call, &events, &self.stream_type).await
+        resume(&mut self.call, &events, &self.stream_type).await
     }
 
     /// Stores the turn of the call before the caller sees the end of the stream, because a caller that has
--- a/crates/burdockroad-gateway/src/stream/continuation.rs
+++ b/crates/burdockroad-gateway/src/stream/continuation.rs
@@ -26,8 +26,8 @@
 /// Longest time for which a silent endpoint keeps the call after it was sent to another one.
 const OVERLAP_MAX: Duration = Duration::from_millis(250);
 
-/// Goes on with a stream at another response. Returns the response and what was read from it: events, or the end.
-pub(super) async fn go_on(
+/// Resumes a stream at another response. Returns the response and what was read from it: events, or the end.
+pub(super) async fn resume(
     call: &mut Call,
     events: &EventBuffer,
     stream_type: &MediaType,
@@ -62,14 +62,14 @@
     }
 }
 
-/// Goes on with a silent stream, at the response that has the next event first.
-pub(super) async fn go_on_beside(
+/// Resumes a silent stream, at the response that has the next event first.
+pub(super) async fn resume_beside_silent(
     call: &mut Call,
     source: Source,
     stream_type: &MediaType,
 ) -> Result<(Source, Content), Refusal> {
     let run = call.hold_silent_run()?;
-    let (source, content, run) = race(call, source, run, stream_type).await?;
+    let (source, content, run) = race_silent_with_resumed(call, source, run, stream_type).await?;
     match run {
         Some(run) => call.return_to(run),
         None => call.leave_silent_run(),
@@ -79,14 +79,14 @@
 
 /// Attempts the call again beside a silent response. Returns the response that goes on, what was read from it, and its
 /// run if it is the silent one.
-async fn race(
+async fn race_silent_with_resumed(
     call: &mut Call,
     mut silent: Source,
     mut run: SilentRun,
     stream_type: &MediaType,
 ) -> Result<(Source, Content, Option<SilentRun>), Refusal> {
     let events = silent.events.clone();
-    let mut next = pin!(go_on(call, &events, stream_type));
+    let mut next = pin!(resume(call, &events, stream_type));
     loop {
         let sent_elsewhere_at = *run.sent_elsewhere_at.borrow_and_update();
         tokio::select! {
--- a/crates/burdockroad-gateway/src/stream/source.rs
+++ b/crates/burdockroad-gateway/src/stream/source.rs
@@ -110,7 +110,7 @@
         if let Err(foreign) = self.events.check_bytes() {
             return Err(StreamBreak::ForeignBytes(foreign));
         }
-        if !stream_type.may_go_on_as(&self.response_type) {
+        if !stream_type.may_resume_as(&self.response_type) {
             return Err(StreamBreak::OtherMediaType);
         }
         match self.body.frame().await {
