Keep the waits between attempts in one module

The wait for capacity stood in the module of attempts, and two more waits, which it calls, in the module of silent runs. They are together now, and the condition that the silent run has ended has a name. Behaviour is unchanged.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 mod crash_suspect;
 mod exchange;
 mod failed_attempts;
+mod retry_waits;
 mod second_head;
 mod silent_run;
 mod stream_version;
@@ -24,7 +25,6 @@
 };
 use http::Response;
 use hyper::body::Incoming;
-use tokio::time::sleep;
 
 use self::{crash_suspect::Run, silent_run::SilentEndpoint};
 pub(crate) use self::{crash_suspect::identify, silent_run::SilentRun};
@@ -42,19 +42,9 @@
     time_error::record_time_error,
 };
 
-/// Backoff before the next attempt when all endpoints were full.
-const FULL_BACKOFF: Duration = Duration::from_millis(15);
-
 /// `Retry-After` when all endpoints are full.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// `Retry-After` when the service has no endpoint.
-const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
-
-/// `Retry-After` when the endpoints limit their rates and take calls from other hosts only, which a retry may
-/// reach.
-const OTHER_SENDERS_RETRY_AFTER: Duration = Duration::from_millis(100);
-
 /// Connections to one endpoint that each host may open, even if its share of the service's limit is lower.
 const CONNECTIONS_MIN: usize = 2;
 
@@ -227,39 +217,6 @@
         placement
     }
 
-    /// Waits when all endpoints were full, for [`FULL_BACKOFF`] or until their rates allow another call. Fails when
-    /// the call may have run, when the service has no endpoint, or when the call would then have taken longer than
-    /// a quarter of the route's latency objective or half of the time left.
-    async fn wait_for_capacity(&mut self) -> Result<(), Refusal> {
-        if self.retries.unknown > 0 {
-            return self.wait_after_silence().await;
-        }
-        let (is_usable, rate_wait) = {
-            let version = self.stream_version.as_ref();
-            let regions = self.allowed_regions();
-            let mut tables = self.shared.tables();
-            let rate_wait = tables
-                .endpoints
-                .rate_wait(&self.service, version, regions, Instant::now());
-            let is_usable = tables.endpoints.is_usable_in(regions, &self.service, version);
-            (is_usable, rate_wait)
-        };
-        if !is_usable {
-            return Err(Refusal::NoEndpoint(NO_ENDPOINT_RETRY_AFTER));
-        }
-        let Some(rate_wait) = rate_wait else {
-            return Err(Refusal::NoEndpoint(OTHER_SENDERS_RETRY_AFTER));
-        };
-        let wait = rate_wait.max(FULL_BACKOFF);
-        let max_wait = (self.route.objective / 4).min(self.time_left() / 2);
-        if self.started_at.elapsed() + wait > max_wait {
-            return Err(Refusal::NoEndpoint(rate_wait.max(FULL_RETRY_AFTER)));
-        }
-        self.attempted.clear();
-        sleep(wait).await;
-        Ok(())
-    }
-
     /// Makes one attempt at an endpoint and records its outcome.
     async fn attempt(
         &mut self,
--- a/crates/burdockroad-gateway/src/attempt/silent_run.rs
+++ b/crates/burdockroad-gateway/src/attempt/silent_run.rs
@@ -2,25 +2,18 @@
 //!
 //! Their connections stay open, because the endpoint may go on.
 
-use std::{
-    mem,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{mem, sync::Arc, time::Instant};
 
 use burdockroad::{
     EndpointId,
-    gateway::{Endpoint, Failure, Outcome},
+    gateway::{Endpoint, Outcome},
 };
 use serde::Serialize;
-use tokio::{sync::watch, time::sleep};
+use tokio::sync::watch;
 
 use super::{Call, Run};
 use crate::{call_record::CallRecord, refusal::Refusal, shared::Shared};
 
-/// Pause before a stream that its caller waits for is attempted again, after all endpoints have refused it.
-const REFUSED_PAUSE: Duration = Duration::from_millis(250);
-
 /// A run whose stream is silent. Dropping it ends the run; its connection is closed together with it.
 #[derive(Debug)]
 pub(crate) struct SilentRun {
@@ -98,6 +91,12 @@
         self.silent_endpoint = None;
     }
 
+    /// Returns whether the call has left an endpoint only because that was silent, and the run there has ended.
+    pub(super) fn has_left_silent_run(&self) -> bool {
+        let silent_endpoint = self.silent_endpoint.as_ref();
+        silent_endpoint.is_some_and(|silent| silent.sent_elsewhere_at.is_closed())
+    }
+
     /// Records that the call is being sent to an endpoint.
     pub(super) fn record_sent(&self, endpoint: &EndpointId) {
         self.set_sent_elsewhere(endpoint, Some(Instant::now()));
@@ -115,36 +114,6 @@
             silent.sent_elsewhere_at.send_replace(sent_at);
         }
     }
-
-    /// Waits before the next attempt of a call that no endpoint takes. Fails unless the call has left an endpoint only
-    /// because that was silent: otherwise its caller would learn nothing better by waiting.
-    pub(super) async fn wait_after_silence(&mut self) -> Result<(), Refusal> {
-        let silent_endpoint = self.silent_endpoint.as_ref();
-        if !silent_endpoint.is_some_and(|silent| silent.sent_elsewhere_at.is_closed()) {
-            return Err(self.give_up_refusal());
-        }
-        self.attempted.clear();
-        sleep(REFUSED_PAUSE.min(self.time_left())).await;
-        Ok(())
-    }
-
-    /// Waits before a call is sent again to an endpoint that has refused it, or to another one. Fails when the call may
-    /// not be sent again.
-    pub(super) async fn wait_after_refusal(
-        &mut self,
-        failure: Failure,
-        endpoint: &Endpoint,
-    ) -> Result<(), Refusal> {
-        let is_last_endpoint = self.retries.endpoints_run >= self.route.endpoints_max;
-        if failure != Failure::Full || is_last_endpoint && !self.possibly_ran_on.contains(&endpoint.id) {
-            return Err(self.give_up_refusal());
-        }
-        self.wait_after_silence().await?;
-        if is_last_endpoint {
-            self.next_endpoint = Some(endpoint.clone());
-        }
-        Ok(())
-    }
 }
 
 impl Drop for SilentRun {
