Break the last import circles among the modules of the endpoint table

The rate of an endpoint and its bucket imported each other for the type of a report, and the row and the spread for factors of the expected time. The types and the factors are modules of their own. Nothing else is changed.

--- a/crates/burdockroad/src/gateway/placement.rs
+++ b/crates/burdockroad/src/gateway/placement.rs
@@ -22,18 +22,20 @@
 mod paces;
 mod query;
 mod rate_bucket;
+mod rate_statement;
 mod rates;
 mod region_filter;
 mod row;
 mod service_times;
 mod spread;
 mod table;
+mod time_factors;
 
 pub use self::{
     cold_start::{ColdCause, ColdChange, ColdStatus},
     endpoint::{Endpoint, EndpointCalls, LoadReading, Outcome, PromptPart},
-    endpoint_rate::{EndpointUsage, RateStatement, StatedRate},
     paces::ReportedPace,
     query::{Placement, PlacementQuery},
+    rate_statement::{EndpointUsage, RateStatement, StatedRate},
     table::EndpointTable,
 };
--- a/crates/burdockroad/src/gateway/placement/rate_bucket.rs
+++ b/crates/burdockroad/src/gateway/placement/rate_bucket.rs
@@ -17,7 +17,7 @@
     time::{Duration, Instant},
 };
 
-use super::{endpoint_rate::EndpointUsage, fleet::Fleet};
+use super::{fleet::Fleet, rate_statement::EndpointUsage};
 use crate::{ids::HostId, ownership::rendezvous_order};
 
 /// Time for which an unused rate accrues.
--- a/crates/burdockroad/src/gateway/placement/rates.rs
+++ b/crates/burdockroad/src/gateway/placement/rates.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    endpoint_rate::{EndpointUsage, RateStatement},
+    rate_statement::{EndpointUsage, RateStatement},
     table::EndpointTable,
 };
 use crate::ids::{EndpointId, HostId, RegionId, SoftwareVersion};
--- a/crates/burdockroad/src/gateway/placement/row.rs
+++ b/crates/burdockroad/src/gateway/placement/row.rs
@@ -12,6 +12,7 @@
     pace::EndpointPace,
     query::PlacementQuery,
     spread::SpreadEndpoint,
+    time_factors::{CONGESTION_FACTOR, JITTER_FRACTION, QUEUE_FACTOR},
 };
 use crate::ids::SoftwareVersion;
 
@@ -31,18 +32,9 @@
 /// to an endpoint that was slow.
 const MEAN_HALF_LIFE: Duration = Duration::from_secs(3);
 
-/// Additional time of a call on an endpoint whose slots are all occupied, as a fraction of the mean time.
-pub(super) const CONGESTION_FACTOR: f64 = 0.25;
-
-/// Additional time of a call for each batch of queued calls, as a multiple of the mean time.
-pub(super) const QUEUE_FACTOR: f64 = 2.0;
-
 /// Time to compute one prompt token that the endpoint has not cached, in milliseconds.
 const PROMPT_TOKEN_MS: f64 = 0.008;
 
-/// Maximum random addition to the expected time, as a fraction of the endpoint's mean time.
-pub(super) const JITTER_FRACTION: f64 = 0.06;
-
 /// Additional time of a call to another failure domain, in milliseconds.
 const CROSS_DOMAIN_MS: f64 = 3.0;
 
--- a/crates/burdockroad/src/gateway/placement/spread.rs
+++ b/crates/burdockroad/src/gateway/placement/spread.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use super::row::{CONGESTION_FACTOR, JITTER_FRACTION, QUEUE_FACTOR};
+use super::time_factors::{CONGESTION_FACTOR, JITTER_FRACTION, QUEUE_FACTOR};
 
 /// Number of bisections that approximate the common time. The result is exact to a thousandth.
 const BISECTIONS: u32 = 14;
