--- a/crates/burdockroad-daemon/tests/config_watch.rs
+++ b/crates/burdockroad-daemon/tests/config_watch.rs
@@ -6,80 +6,21 @@
     time::{Duration, Instant},
 };
 
-use async_trait::async_trait;
 use burdockroad::config::{Freshness, VersionedDocument, key_hash};
 use burdockroad_daemon::{
     config_watch::{ConfigWatch, DOCUMENT_KEY, InForce},
-    peer::{
-        AdoptHandler, ForwardHandler, ForwardStream, GrantHandler, HeartbeatHandler, PeerClients,
-        PeerHandlers, SlotHandler, TailHandler, serve,
-    },
+    peer::{PeerClients, PeerHandlers, serve},
     platform::{Expected, Fault, HostState, KeyValue, ListedHost, MemoryKeyValue, Put},
 };
-use burdockroad_proto::peer::{
-    AcquireSlotRequest, AcquireSlotResponse, AdoptRequest, AdoptResponse, GrantRequest, GrantResponse,
-    HeartbeatRequest, HeartbeatResponse, ReleaseSlotRequest, ReleaseSlotResponse, ReplicateTailRequest,
-    ReplicateTailResponse, SealTailRequest, SealTailResponse,
-};
 use tokio::{net::TcpListener, time::sleep};
 
-/// Timeout of each condition that a test waits for.
-const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Peer handlers that return default responses. A host uses them for all requests except those for its
-/// document.
-#[derive(Debug)]
-struct StubHandlers;
-
-#[async_trait]
-impl HeartbeatHandler for StubHandlers {
-    async fn heartbeat(&self, _: HeartbeatRequest) -> HeartbeatResponse {
-        HeartbeatResponse::default()
-    }
-}
-
-#[async_trait]
-impl ForwardHandler for StubHandlers {
-    async fn forward(&self, _: burdockroad_proto::peer::ForwardRequest) -> ForwardStream {
-        Box::pin(futures_util::stream::empty())
-    }
-}
-
-#[async_trait]
-impl TailHandler for StubHandlers {
-    async fn replicate(&self, _: ReplicateTailRequest) -> ReplicateTailResponse {
-        ReplicateTailResponse::default()
-    }
-
-    async fn seal(&self, _: SealTailRequest) -> SealTailResponse {
-        SealTailResponse::default()
-    }
-}
+use crate::stub_handlers::StubHandlers;
 
-#[async_trait]
-impl AdoptHandler for StubHandlers {
-    async fn adopt(&self, _: AdoptRequest) -> AdoptResponse {
-        AdoptResponse::default()
-    }
-}
-
-#[async_trait]
-impl GrantHandler for StubHandlers {
-    async fn grant(&self, _: GrantRequest) -> GrantResponse {
-        GrantResponse::default()
-    }
-}
+#[path = "support/stub_handlers.rs"]
+mod stub_handlers;
 
-#[async_trait]
-impl SlotHandler for StubHandlers {
-    async fn acquire(&self, _: AcquireSlotRequest) -> AcquireSlotResponse {
-        AcquireSlotResponse::default()
-    }
-
-    async fn release(&self, _: ReleaseSlotRequest) -> ReleaseSlotResponse {
-        ReleaseSlotResponse::default()
-    }
-}
+/// Timeout of each condition that a test waits for.
+const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// One host: its document watch, its connection to the store, and the address of its peer server.
 struct Host {
--- a/crates/burdockroad-daemon/tests/fleet.rs
+++ b/crates/burdockroad-daemon/tests/fleet.rs
@@ -14,6 +14,8 @@
 mod peer_handlers;
 #[path = "fleet/programs.rs"]
 mod programs;
+#[path = "support/stub_handlers.rs"]
+mod stub_handlers;
 #[path = "fleet/tails.rs"]
 mod tails;
 #[path = "fleet/trees.rs"]
--- a/crates/burdockroad-daemon/tests/fleet/peer_handlers.rs
+++ b/crates/burdockroad-daemon/tests/fleet/peer_handlers.rs
@@ -2,25 +2,15 @@
 
 use std::{sync::Arc, time::Instant};
 
-use async_trait::async_trait;
 use burdockroad::HostId;
 use burdockroad_daemon::{
     config_watch::DocumentGossip,
-    peer::{
-        AdoptHandler, DocumentHandler, ForwardHandler, ForwardStream, GrantHandler, HeartbeatHandler,
-        PeerHandlers, SlotHandler, TailHandler,
-    },
+    peer::{AdoptHandler, HeartbeatHandler, PeerHandlers},
     platform::ListedHost,
 };
-use burdockroad_proto::peer::{
-    AcquireSlotRequest, AcquireSlotResponse, DocumentFreshness, FetchDocumentResponse, ForwardRequest,
-    GrantRequest, GrantResponse, ReleaseSlotRequest, ReleaseSlotResponse, ReplicateTailRequest,
-    ReplicateTailResponse, SealTailRequest, SealTailResponse,
-};
+use burdockroad_proto::peer::DocumentFreshness;
 
-/// Peer handlers that return default responses, and a document gossip that ignores its peers.
-#[derive(Debug)]
-pub struct StubHandlers;
+pub use crate::stub_handlers::StubHandlers;
 
 pub fn handlers(heartbeat: Arc<dyn HeartbeatHandler>, adopt: Arc<dyn AdoptHandler>) -> PeerHandlers {
     PeerHandlers {
@@ -34,6 +24,7 @@
     }
 }
 
+/// Document gossip that ignores its peers.
 impl DocumentGossip for StubHandlers {
     fn document_freshness(&self) -> DocumentFreshness {
         DocumentFreshness::default()
@@ -43,46 +34,3 @@
 
     fn observe_list(&self, _: &[ListedHost]) {}
 }
-
-#[async_trait]
-impl ForwardHandler for StubHandlers {
-    async fn forward(&self, _: ForwardRequest) -> ForwardStream {
-        Box::pin(futures_util::stream::empty())
-    }
-}
-
-#[async_trait]
-impl TailHandler for StubHandlers {
-    async fn replicate(&self, _: ReplicateTailRequest) -> ReplicateTailResponse {
-        ReplicateTailResponse::default()
-    }
-
-    async fn seal(&self, _: SealTailRequest) -> SealTailResponse {
-        SealTailResponse::default()
-    }
-}
-
-#[async_trait]
-impl DocumentHandler for StubHandlers {
-    async fn document(&self) -> FetchDocumentResponse {
-        FetchDocumentResponse::default()
-    }
-}
-
-#[async_trait]
-impl GrantHandler for StubHandlers {
-    async fn grant(&self, _: GrantRequest) -> GrantResponse {
-        GrantResponse::default()
-    }
-}
-
-#[async_trait]
-impl SlotHandler for StubHandlers {
-    async fn acquire(&self, _: AcquireSlotRequest) -> AcquireSlotResponse {
-        AcquireSlotResponse::default()
-    }
-
-    async fn release(&self, _: ReleaseSlotRequest) -> ReleaseSlotResponse {
-        ReleaseSlotResponse::default()
-    }
-}
