--- a/crates/burdockroad-daemon/src/settings/read.rs
+++ b/crates/burdockroad-daemon/src/settings/read.rs
@@ -32,15 +32,9 @@
 
 fn settings(reader: &mut Reader<'_>, node: &Node<'_>) -> Option<Settings> {
     let mut fields = Fields::open(reader, node)?;
-    let host_id = fields
-        .required(reader, "host_id")
-        .and_then(|node| reader.name(&node));
-    let failure_domain = fields
-        .required(reader, "failure_domain")
-        .and_then(|node| reader.name(&node));
-    let site = fields
-        .required(reader, "site")
-        .and_then(|node| reader.name(&node));
+    let host_id = required_name(reader, &mut fields, "host_id");
+    let failure_domain = required_name(reader, &mut fields, "failure_domain");
+    let site = required_name(reader, &mut fields, "site");
     let mut addresses = Vec::new();
     let caller_address = address(reader, &mut fields, "caller_address", &mut addresses);
     let peer_address = address(reader, &mut fields, "peer_address", &mut addresses);
@@ -160,12 +154,8 @@
 
 fn listed_host(reader: &mut Reader<'_>, node: &Node<'_>) -> Option<ListedHost> {
     let mut fields = Fields::open(reader, node)?;
-    let host_id = fields
-        .required(reader, "host_id")
-        .and_then(|node| reader.name(&node));
-    let failure_domain = fields
-        .required(reader, "failure_domain")
-        .and_then(|node| reader.name(&node));
+    let host_id = required_name(reader, &mut fields, "host_id");
+    let failure_domain = required_name(reader, &mut fields, "failure_domain");
     let peer_address = fields
         .optional("peer_address")
         .map_or(Some(String::new()), |node| reader.address(&node));
@@ -215,6 +205,11 @@
     })
 }
 
+fn required_name(reader: &mut Reader<'_>, fields: &mut Fields<'_>, name: &'static str) -> Option<String> {
+    let node = fields.required(reader, name)?;
+    reader.name(&node)
+}
+
 fn path(reader: &mut Reader<'_>, node: &Node<'_>) -> Option<PathBuf> {
     let text = reader.string(node)?;
     if text.is_empty() {
