--- a/crates/burdockroad-cli/src/commands.rs
+++ b/crates/burdockroad-cli/src/commands.rs
@@ -10,6 +10,7 @@
 mod program;
 mod route;
 
+use burdockroad::config::Document;
 use burdockroad_daemon::{
     platform::{SharedKeyValue, connect, connect_host_list},
     settings::{HostListSettings, StoreSettings},
@@ -17,6 +18,7 @@
 use serde_json::Value;
 
 use crate::{
+    apply::Base,
     args::{Command, Options},
     error::CliError,
     hosts::Hosts,
@@ -78,6 +80,12 @@
     Ok(connect(&settings)?)
 }
 
+/// Reads the stored document.
+async fn read_document(options: &Options) -> Result<Document, CliError> {
+    let store = open_store(options)?;
+    Ok(Base::read(store.as_ref()).await?.versioned.document)
+}
+
 /// Returns the hosts that the options or the host list name, or none if there are none.
 async fn find_hosts(options: &Options) -> Result<Option<Hosts>, CliError> {
     let Some(url) = &options.host_list else {
--- a/crates/burdockroad-cli/src/commands/account.rs
+++ b/crates/burdockroad-cli/src/commands/account.rs
@@ -3,17 +3,15 @@
 use serde_json::json;
 
 use crate::{
-    apply::Base,
     args::{Limits, Options},
-    commands::{change, open_store},
+    commands::{change, read_document},
     edit::Fields,
     error::CliError,
     report::Report,
 };
 
 pub(super) async fn list(options: &Options) -> Result<Report, CliError> {
-    let store = open_store(options)?;
-    let document = Base::read(store.as_ref()).await?.versioned.document;
+    let document = read_document(options).await?;
     let lines = document.accounts.iter().map(|account| {
         let valid_keys = account.keys.iter().filter(|key| !key.withdrawn).count();
         format!(
--- a/crates/burdockroad-cli/src/commands/domain.rs
+++ b/crates/burdockroad-cli/src/commands/domain.rs
@@ -7,9 +7,8 @@
 use serde_json::json;
 
 use crate::{
-    apply::Base,
     args::Options,
-    commands::{change, open_store},
+    commands::{change, read_document},
     error::CliError,
     report::Report,
 };
@@ -18,8 +17,7 @@
 const EVACUATED_DOMAINS: &str = "evacuated_domains";
 
 pub(super) async fn list(options: &Options) -> Result<Report, CliError> {
-    let store = open_store(options)?;
-    let document = Base::read(store.as_ref()).await?.versioned.document;
+    let document = read_document(options).await?;
     let mut lines = Vec::new();
     let mut domains = Vec::new();
     for domain in document.failure_domains() {
--- a/crates/burdockroad-cli/src/commands/endpoint.rs
+++ b/crates/burdockroad-cli/src/commands/endpoint.rs
@@ -3,17 +3,15 @@
 use serde_json::json;
 
 use crate::{
-    apply::Base,
     args::{EndpointOptions, Options, SiteWeight},
-    commands::{change, open_store},
+    commands::{change, read_document},
     edit::{Entity, Fields},
     error::CliError,
     report::Report,
 };
 
 pub(super) async fn list(options: &Options) -> Result<Report, CliError> {
-    let store = open_store(options)?;
-    let document = Base::read(store.as_ref()).await?.versioned.document;
+    let document = read_document(options).await?;
     let mut lines = Vec::new();
     for set in &document.endpoint_sets {
         lines.extend(set.endpoints.iter().map(|endpoint| {
--- a/crates/burdockroad-cli/src/commands/key.rs
+++ b/crates/burdockroad-cli/src/commands/key.rs
@@ -4,9 +4,8 @@
 use serde_json::json;
 
 use crate::{
-    apply::Base,
     args::Options,
-    commands::{change, open_store},
+    commands::{change, read_document},
     edit::Entity,
     error::CliError,
     report::Report,
@@ -70,8 +69,7 @@
 }
 
 pub(super) async fn list(options: &Options, account: Option<&str>) -> Result<Report, CliError> {
-    let store = open_store(options)?;
-    let document = Base::read(store.as_ref()).await?.versioned.document;
+    let document = read_document(options).await?;
     let mut lines = Vec::new();
     let mut keys = Vec::new();
     let accounts = document.accounts.iter();
--- a/crates/burdockroad-cli/src/commands/route.rs
+++ b/crates/burdockroad-cli/src/commands/route.rs
@@ -4,17 +4,15 @@
 use serde_json::json;
 
 use crate::{
-    apply::Base,
     args::{Options, RouteOptions},
-    commands::{change, open_store},
+    commands::{change, read_document},
     edit::Fields,
     error::CliError,
     report::Report,
 };
 
 pub(super) async fn list(options: &Options) -> Result<Report, CliError> {
-    let store = open_store(options)?;
-    let document = Base::read(store.as_ref()).await?.versioned.document;
+    let document = read_document(options).await?;
     let lines = document.routes.iter().map(|route| {
         let kind = match route.kind {
             RouteKind::Model => "model",
