--- a/crates/burdockroad/tests/gateway_turn_losses.rs
+++ b/crates/burdockroad/tests/gateway_turn_losses.rs
@@ -151,12 +151,8 @@
         let Some(position) = world.in_flight.iter().position(|host| *host == number) else {
             return;
         };
+        next.extend(Self::sync_step(world, number));
         let host = &world.hosts[number];
-        if host.is_running() && !host.has_turn {
-            let mut synced = world.clone();
-            synced.hosts[number].has_turn = true;
-            next.push(synced);
-        }
         if host.is_running() && host.has_turn {
             let mut replied = world.clone();
             replied.in_flight.remove(position);
@@ -182,17 +178,23 @@
         }
     }
 
+    /// Step of a host that writes the turn which is in flight to it to its disk.
+    fn sync_step(world: &World, number: usize) -> Option<World> {
+        let host = &world.hosts[number];
+        (host.is_running() && !host.has_turn).then(|| {
+            let mut synced = world.clone();
+            synced.hosts[number].has_turn = true;
+            synced
+        })
+    }
+
     /// Steps of a host that counts as lost while the turn is in flight to it.
     fn late_steps(&self, world: &World, number: usize, next: &mut Vec<World>) {
         let Some(position) = world.silent.iter().position(|host| *host == number) else {
             return;
         };
+        next.extend(Self::sync_step(world, number));
         let host = &world.hosts[number];
-        if host.is_running() && !host.has_turn {
-            let mut synced = world.clone();
-            synced.hosts[number].has_turn = true;
-            next.push(synced);
-        }
         if host.is_running() && host.has_turn {
             let mut replied = world.clone();
             replied.silent.remove(position);
