--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -73,7 +73,7 @@
     run: Run,
     /// Endpoint that is checked because a response of it is missing or broke off; `None` if there is none.
     checked_endpoint: Option<EndpointId>,
-    /// Software version that began the call's stream, which must go on there; `None` before its first event.
+    /// Software version that began the call's stream, which must continue there; `None` before its first event.
     stream_version: Option<SoftwareVersion>,
     /// Tokens of the program's budget reserved for the call.
     pub(crate) reservation: Option<Reservation>,
@@ -81,7 +81,7 @@
     next_endpoint: Option<Endpoint>,
     /// Whether an endpoint was chosen for the call before.
     was_placed: bool,
-    /// Endpoint at which the call's stream was silent last; `None` if it went on.
+    /// Endpoint at which the call's stream was silent last; `None` if it continued.
     silent_endpoint: Option<SilentEndpoint>,
 }
 
--- a/crates/burdockroad-gateway/src/attempt/silent_run.rs
+++ b/crates/burdockroad-gateway/src/attempt/silent_run.rs
@@ -1,6 +1,6 @@
 //! Runs whose streams are silent while the call is attempted again.
 //!
-//! Their connections stay open, because the endpoint may go on.
+//! Their connections stay open, because the endpoint may continue.
 
 use std::{mem, sync::Arc, time::Instant};
 
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Goes on with a silent run in place of the attempts beside it.
+    /// Continues a silent run in place of the attempts beside it.
     pub(crate) fn return_to(&mut self, mut silent_run: SilentRun) {
         self.end_attempt(Outcome::Abandoned);
         self.next_endpoint = None;
@@ -86,7 +86,7 @@
         self.shared.log.line("silent_stream_kept", &line);
     }
 
-    /// Records that the stream went on at another response than that of a silent run.
+    /// Records that the stream continued at another response than that of a silent run.
     pub(crate) fn leave_silent_run(&mut self) {
         self.silent_endpoint = None;
     }
@@ -129,7 +129,7 @@
     }
 }
 
-/// Log line of a silent stream that was kept, because it went on first or no other endpoint took the call.
+/// Log line of a silent stream that was kept, because it continued first or no other endpoint took the call.
 #[derive(Serialize)]
 struct SilentStreamKeptLine<'a> {
     id: &'a str,
--- a/crates/burdockroad-gateway/src/attempt/stream_version.rs
+++ b/crates/burdockroad-gateway/src/attempt/stream_version.rs
@@ -14,7 +14,7 @@
 };
 
 impl Call {
-    /// Determines the software version at which a stream that the caller takes up goes on.
+    /// Determines the software version at which a stream that the caller takes up continues.
     pub(crate) async fn find_stream_version(&mut self) -> Result<(), Refusal> {
         if self.head.last_event.is_none() || !self.route.kind.is_stream() || !self.route.kind.may_retry() {
             return Ok(());
--- a/crates/burdockroad-gateway/src/stream/continuation.rs
+++ b/crates/burdockroad-gateway/src/stream/continuation.rs
@@ -1,10 +1,10 @@
 //! Continuation of streams that broke off or are silent, at another response.
 //!
-//! A silent stream may still go on, so its connection stays open until another endpoint has the next event. Two endpoints
-//! must not work on one call for long, though. From the moment at which the call is sent to another endpoint, the silent
-//! stream is not read any more, and goes on only if that endpoint does not run the call. It is closed after
+//! A silent stream may still continue, so its connection stays open until another endpoint has the next event. Two
+//! endpoints must not work on one call for long, though. From the moment at which the call is sent to another endpoint,
+//! the silent stream is not read any more, and continues only if that endpoint does not run the call. It is closed after
 //! [`OVERLAP_MAX`] at the latest. A second attempt at the same endpoint is no such overlap: there, the response that has
-//! the next event first goes on.
+//! the next event first continues the stream.
 
 use std::{
     future::pending,
@@ -77,8 +77,8 @@
     Ok((source, content))
 }
 
-/// Attempts the call again beside a silent response. Returns the response that goes on, what was read from it, and its
-/// run if it is the silent one.
+/// Attempts the call again beside a silent response. Returns the response that continues, what was read from it, and
+/// its run if it is the silent one.
 async fn race_silent_with_resumed(
     call: &mut Call,
     mut silent: Source,
--- a/crates/burdockroad-gateway/src/stream/source.rs
+++ b/crates/burdockroad-gateway/src/stream/source.rs
@@ -41,7 +41,7 @@
 }
 
 impl Source {
-    /// Creates the source of a response, which goes on after `events`.
+    /// Creates the source of a response, which continues after `events`.
     pub(super) fn new(opened: OpenedResponse, events: EventBuffer) -> Self {
         Self {
             framing: opened.framing,
--- a/crates/burdockroad-gateway/src/stream_origins.rs
+++ b/crates/burdockroad-gateway/src/stream_origins.rs
@@ -205,7 +205,7 @@
     tables.stream_origins.version(stream, Instant::now()).cloned()
 }
 
-/// Returns what is known of the version at which a stream that a caller takes up has to go on.
+/// Returns what is known of the version at which a stream that a caller takes up has to continue.
 ///
 /// The holders of the stream are asked even while this host knows one version only, because another host may
 /// have learned of a second one earlier. The only version counts only if a check finds no other one
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -17,7 +17,7 @@
 //! * [`next_step`] selects the action after a failed attempt.
 //! * [`Quarantine`] finds requests that crash the endpoints that run them, and keeps them from endpoints.
 //! * [`EventBuffer`] splits an event stream into complete events.
-//! * [`StreamOrigins`] holds the software versions that streams began at, so that they go on at the same one.
+//! * [`StreamOrigins`] holds the software versions that streams began at, so that they continue at the same one.
 //! * [`UpdatePacer`] decides when a host hands a large update on, and which host a requester is sent on to.
 //! * [`Turn`] and the types around it keep the history of conversations on routes that ask for it.
 
--- a/crates/burdockroad/src/gateway/placement/query.rs
+++ b/crates/burdockroad/src/gateway/placement/query.rs
@@ -8,7 +8,7 @@
 pub struct PlacementQuery<'a> {
     /// Service that the call is for.
     pub service: &'a str,
-    /// Version of the endpoint's software, for a stream that goes on; `None` for a new call.
+    /// Version of the endpoint's software, for a stream that continues; `None` for a new call.
     pub software_version: Option<&'a SoftwareVersion>,
     /// Failure domain of this host.
     pub failure_domain: &'a str,
--- a/crates/burdockroad/src/gateway/placement/rates.rs
+++ b/crates/burdockroad/src/gateway/placement/rates.rs
@@ -56,7 +56,7 @@
     }
 
     /// Returns the time after which the rates of a service's endpoints let this host send another call; `None`
-    /// if they do not while they stay as they are. Streams of a version can go on at its endpoints only, and calls
+    /// if they do not while they stay as they are. Streams of a version can continue at its endpoints only, and calls
     /// that are bound to regions at endpoints there.
     pub fn rate_wait(
         &mut self,
--- a/crates/burdockroad/src/gateway/placement/region_filter.rs
+++ b/crates/burdockroad/src/gateway/placement/region_filter.rs
@@ -15,7 +15,7 @@
     }
 
     /// Returns whether a service has an endpoint in allowed regions that takes new calls, or that streams of a
-    /// version can go on at.
+    /// version can continue at.
     pub fn is_usable_in(
         &self,
         allowed: Option<&[RegionId]>,
--- a/crates/burdockroad/src/gateway/placement/table.rs
+++ b/crates/burdockroad/src/gateway/placement/table.rs
@@ -100,8 +100,8 @@
         self.rows.keys()
     }
 
-    /// Returns the number of a service's endpoints that take new calls, or that streams of a version can go
-    /// on at.
+    /// Returns the number of a service's endpoints that take new calls, or that streams of a version can
+    /// continue at.
     pub fn usable(&self, service: &str, version: Option<&SoftwareVersion>) -> usize {
         let rows = self.rows.values();
         rows.filter(|row| row.endpoint.service == service && row.takes_calls())
--- a/crates/burdockroad/src/gateway/quarantine.rs
+++ b/crates/burdockroad/src/gateway/quarantine.rs
@@ -129,7 +129,7 @@
     sends_left: u32,
 }
 
-/// Where the next report of this host goes on.
+/// Where the next report of this host continues.
 #[derive(Debug, Default)]
 struct SharedUpTo {
     crash: usize,
--- a/crates/burdockroad/src/gateway/stream_origin.rs
+++ b/crates/burdockroad/src/gateway/stream_origin.rs
@@ -1,6 +1,6 @@
 //! Software versions that streams began at.
 //!
-//! A caller may take a stream up at any host, and the stream may go on only at the version that began it. The
+//! A caller may take a stream up at any host, and the stream may continue only at the version that began it. The
 //! host that relays a stream's first event therefore sends the version to a few other hosts, the holders of the
 //! stream, which survive it and which every host can determine from the stream's id.
 
