Keep the pace of updates after a stall of the host that sends them

A host that hands a large update on to others begins the transfers one after the other, at 10 Mbit/s. Each request slept until the turn that it was given when it arrived. When the host stood still meanwhile, the turns had passed, and all transfers began at once on the link that carries calls and turns.

Turns are no longer fixed times. A transfer waits in a queue and begins when those before it have begun and the time that they take at the pace is over; after a stall, the queue goes on from now. A requester that leaves gives up its turn, so that it does not hold those behind it up. A transfer may begin up to 10 ms before its turn, which makes up for timers that fire late; over time the rate stays the same.

begin_after_a_stall_keeps_the_pace fails when the turn is not checked again after the wait, as before:

61440 bytes ahead of the pace: [0ns, 0ns, 0ns, 0ns, 0ns, 0ns]

The tests of UpdatePacer that compared whole replies compare the wait in them now, since a reply names its transfer, too, and they begin the transfers. The model of a fleet does the same.

--- a/crates/burdockroad-gateway/src/update_server.rs
+++ b/crates/burdockroad-gateway/src/update_server.rs
@@ -2,11 +2,14 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, PoisonError, atomic::Ordering},
+    sync::{Arc, MutexGuard, PoisonError, atomic::Ordering},
     time::{Duration, Instant},
 };
 
-use burdockroad::{HostId, gateway::UpdateReply};
+use burdockroad::{
+    HostId,
+    gateway::{TransferId, UpdatePacer, UpdateReply},
+};
 use burdockroad_daemon::platform::Revision;
 use bytes::Bytes;
 use http::Response;
@@ -53,10 +56,8 @@
         return message_response(&PeerResponse::RangeUpdate(None));
     };
     match decide_reply(shared, &sent.content, bytes.len(), &requester) {
-        UpdateReply::Send { wait } => {
-            if !wait.is_zero() {
-                sleep(wait).await;
-            }
+        UpdateReply::Send { transfer, .. } => {
+            let wait = WaitingTransfer::new(shared, transfer).begin().await;
             send(shared, sent, bytes, wait)
         }
         UpdateReply::Later { wait, holder } => {
@@ -94,8 +95,7 @@
 
 fn decide_reply(shared: &Shared, content: &UpdateContent, bytes: usize, requester: &HostId) -> UpdateReply {
     let address: Option<SocketAddr> = shared.peers.borrow().get(requester).map(|peer| peer.address);
-    let mut pacer = shared.update_pacer.lock().unwrap_or_else(PoisonError::into_inner);
-    pacer.decide(
+    pacer(shared).decide(
         &content.prefix,
         content.last_change,
         bytes,
@@ -104,6 +104,42 @@
     )
 }
 
+fn pacer(shared: &Shared) -> MutexGuard<'_, UpdatePacer> {
+    shared.update_pacer.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Transfer that waits for its turn, which it gives up when its requester leaves.
+#[derive(Debug)]
+struct WaitingTransfer {
+    shared: Arc<Shared>,
+    id: TransferId,
+}
+
+impl WaitingTransfer {
+    fn new(shared: &Arc<Shared>, id: TransferId) -> Self {
+        let shared = Arc::clone(shared);
+        Self { shared, id }
+    }
+
+    /// Waits until the transfer may begin. Returns the time that it waited.
+    async fn begin(self) -> Duration {
+        let added_at = Instant::now();
+        loop {
+            let wait = pacer(&self.shared).begin(self.id, Instant::now());
+            let Some(wait) = wait else {
+                return added_at.elapsed();
+            };
+            sleep(wait).await;
+        }
+    }
+}
+
+impl Drop for WaitingTransfer {
+    fn drop(&mut self) {
+        pacer(&self.shared).cancel(self.id);
+    }
+}
+
 fn send(shared: &Arc<Shared>, sent: SentUpdate, bytes: Bytes, wait: Duration) -> Response<ResponseBody> {
     let mut transfer = Transfer::begin(shared, sent, bytes.len(), wait);
     Response::new(ResponseBody::chunks(bytes, move |taken_bytes| {
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -81,6 +81,6 @@
         TurnId, TurnIndex, TurnKey, TurnTimes, all_agree, is_allowed_replica, is_replica, missing_replicas,
         prompt, renewals, replica_order,
     },
-    update_pacer::{UpdatePacer, UpdateReply},
+    update_pacer::{TransferId, UpdatePacer, UpdateReply},
     version_history::VersionHistory,
 };
--- a/crates/burdockroad/src/gateway/update_pacer.rs
+++ b/crates/burdockroad/src/gateway/update_pacer.rs
@@ -6,17 +6,19 @@
 //! number of hosts that have the update multiplies with each such step, so the time until all have it grows with the
 //! logarithm of their number.
 
+mod transfer_queue;
+
+pub use self::transfer_queue::TransferId;
+
 use std::{
     collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
+use self::transfer_queue::TransferQueue;
 use crate::ids::Revision;
 
-/// Rate at which a host sends large updates, 10 Mbit/s.
-const PACE_BYTES_PER_S: f64 = 1.25e6;
-
 /// Longest time for which a request waits for its turn. Requesters wait longer for the head of a response.
 const QUEUE_TIME_MAX: Duration = Duration::from_millis(150);
 
@@ -29,9 +31,11 @@
 /// When a host hands a large update on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpdateReply {
-    /// The update is sent after a wait.
+    /// The update is sent when it is its turn.
     Send {
-        /// Time left until the transfer may begin.
+        /// Transfer that waits for its turn.
+        transfer: TransferId,
+        /// Time until its turn, if all transfers before it begin in time.
         wait: Duration,
     },
     /// The requester asks again after a wait.
@@ -46,8 +50,9 @@
 /// Paces the large updates that a host hands on.
 #[derive(Clone, Debug, Default)]
 pub struct UpdatePacer {
-    /// Time at which the next transfer may begin; `None` before the first one.
-    free_at: Option<Instant>,
+    queue: TransferQueue,
+    /// Number of transfers that were added.
+    added: u64,
     /// Receivers of the latest update of each range, by prefix.
     receivers: HashMap<String, Receivers>,
 }
@@ -64,6 +69,9 @@
 impl UpdatePacer {
     /// Decides when an update of `bytes` that ends with the change of `revision` is sent. `requester` is the address of
     /// the requesting host, at which others can ask for the update later; `None` if it is not known.
+    ///
+    /// A transfer that waits blocks those behind it until it has begun ([`begin`](Self::begin)) or is cancelled
+    /// ([`cancel`](Self::cancel)).
     pub fn decide(
         &mut self,
         prefix: &str,
@@ -72,8 +80,7 @@
         requester: Option<SocketAddr>,
         now: Instant,
     ) -> UpdateReply {
-        let free_at = self.free_at.map_or(now, |free_at| free_at.max(now));
-        let wait = free_at - now;
+        let wait = self.queue.wait(now);
         let receivers = self.receivers.entry(prefix.to_owned()).or_default();
         if receivers.revision != revision {
             *receivers = Receivers {
@@ -82,11 +89,13 @@
             };
         }
         if wait <= QUEUE_TIME_MAX {
-            self.free_at = Some(free_at + transfer_time(bytes));
             if let Some(requester) = requester {
-                receivers.add(requester, free_at + HANDOVER_TIME);
+                receivers.add(requester, now + wait + HANDOVER_TIME);
             }
-            return UpdateReply::Send { wait };
+            self.added += 1;
+            let transfer = TransferId(self.added);
+            self.queue.add(transfer, bytes);
+            return UpdateReply::Send { transfer, wait };
         }
         match receivers.next_holder(requester) {
             Some((holder, ready_at)) => UpdateReply::Later {
@@ -100,6 +109,18 @@
             },
         }
     }
+
+    /// Begins a transfer if it is its turn. Returns the time after which it asks again; `None` if it has begun.
+    ///
+    /// A turn that has passed is not made up for: the transfers behind it begin later by as much.
+    pub fn begin(&mut self, transfer: TransferId, now: Instant) -> Option<Duration> {
+        self.queue.begin(transfer, now)
+    }
+
+    /// Gives up the turn of a transfer. One that has begun is not affected.
+    pub fn cancel(&mut self, transfer: TransferId) {
+        self.queue.cancel(transfer);
+    }
 }
 
 impl Receivers {
@@ -121,8 +142,3 @@
         others.get(index).copied()
     }
 }
-
-fn transfer_time(bytes: usize) -> Duration {
-    let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
-    Duration::from_secs_f64(f64::from(bytes) / PACE_BYTES_PER_S)
-}
