Ask another watcher for an update before reading the store

A host that got no data from a watcher for 400 ms, or no update in 1.5 s (2 s with the transfer), read the whole range from the store. All hosts that were behind had asked the same watcher, so all of them did so at the same moment.

A host now asks another watcher that has announced the change when the first one does not respond, lacks the update, or has not sent it in 0.8 to 1 s. It reads the store only when that one fails, too, or no other one is known: at a random time within 0.4 s, and no later than the time for asking ends. That time (1.2 to 1.5 s) and the time for the update as a whole (1.6 to 2 s) vary between hosts. A host that did not respond is not asked again for the same update. These decisions are UpdateSearch, which reads no clock. The log line of an update that was given up says whether the host reads the store now.

Tests that fail without one part of this, with what was seen:

- No spread, as before: "at most 1 of the reads in 100 ms" (all of them).
- No jitter of the times, as before: "1 in 100 ms".

Not met: in the model of 2,571 hosts, which needs 1.42 s for the update without a fault, 137 hosts still read the store when the first watcher is gone, between 1.2 and 1.5 s; the last host has the update after 1.80 s. The test covers 57 and 171 hosts.

--- a/crates/burdockroad-gateway/src/follow.rs
+++ b/crates/burdockroad-gateway/src/follow.rs
@@ -3,7 +3,7 @@
 //!
 //! A watcher's reports announce the revision of the last change that it has seen in each range. A host that
 //! is behind this revision fetches the changes from the watcher, or from a host that the watcher names, or
-//! reads the store when none of them responds. A host that receives no announcement watches the store itself.
+//! from another watcher, or reads the store when none of them responds. A host that receives no announcement watches the store itself.
 
 use std::{
     net::SocketAddr,
@@ -144,13 +144,12 @@
 async fn follow_watcher(shared: &Shared, subscriber: &mut dyn RangeSubscriber, after: Revision) -> Revision {
     let mut announced = pin!(shared.range_announced.notified());
     announced.as_mut().enable();
-    let announcement = shared.tables().announced_ranges.get(subscriber.prefix()).copied();
-    let Some(announcement) = announcement.filter(|announcement| announcement.last_change > after) else {
+    let Some(watcher) = watcher_ahead(shared, subscriber.prefix(), after) else {
         // After each wait, the caller rechecks whether this host should watch.
         let _ended = timeout(ROLE_CHECK_INTERVAL, announced).await;
         return after;
     };
-    if let Some(as_of) = fetch_updates(shared, subscriber, announcement.address, after).await {
+    if let Some(as_of) = fetch_updates(shared, subscriber, watcher, after).await {
         return as_of;
     }
     metrics::counter!("burdockroad_range_news_failed_total").increment(1);
@@ -168,14 +167,21 @@
     }
 }
 
+/// Returns the first watcher that announced the last change of a range, if that is newer than `after`.
+fn watcher_ahead(shared: &Shared, prefix: &str, after: Revision) -> Option<SocketAddr> {
+    let tables = shared.tables();
+    let announced = tables.announced_ranges.get(prefix)?;
+    (announced.last_change > after).then_some(announced.watcher)
+}
+
 /// Fetches the updates of a range from a watcher, or from a host that it names, and applies them.
 async fn fetch_updates(
     shared: &Shared,
     subscriber: &mut dyn RangeSubscriber,
-    address: SocketAddr,
+    watcher: SocketAddr,
     after: Revision,
 ) -> Option<Revision> {
-    let fetched = fetch_update(shared, subscriber.prefix(), address, after).await?;
+    let fetched = fetch_update(shared, subscriber.prefix(), watcher, after).await?;
     let source = UpdateSource::Host(fetched.sender);
     match fetched.update {
         RangeUpdate::Changes { changes, as_of } => {
--- a/crates/burdockroad-gateway/src/reports.rs
+++ b/crates/burdockroad-gateway/src/reports.rs
@@ -284,18 +284,14 @@
     fn record_ranges(&mut self, ranges: &[WireRange], address: SocketAddr, now: Instant) -> bool {
         let mut is_newer = false;
         for range in ranges {
-            let announced = AnnouncedRange {
-                address,
-                last_change: range.last_change,
-                announced_at: now,
-            };
-            match self.announced_ranges.get_mut(&range.prefix) {
-                Some(latest) if latest.last_change >= announced.last_change => latest.announced_at = now,
-                _ => {
-                    self.announced_ranges.insert(range.prefix.clone(), announced);
-                    is_newer = true;
-                }
+            let WireRange { prefix, last_change } = range;
+            if let Some(announced) = self.announced_ranges.get_mut(prefix) {
+                is_newer |= announced.record(address, *last_change, now);
+                continue;
             }
+            let announced = AnnouncedRange::new(address, *last_change, now);
+            self.announced_ranges.insert(prefix.clone(), announced);
+            is_newer = true;
         }
         is_newer
     }
--- a/crates/burdockroad-gateway/src/update_client.rs
+++ b/crates/burdockroad-gateway/src/update_client.rs
@@ -6,13 +6,15 @@
     time::{Duration, Instant},
 };
 
+use burdockroad::gateway::{SearchStep, UpdateSearch};
 use burdockroad_daemon::platform::Revision;
 use bytes::Bytes;
 use serde::Serialize;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout_at};
 
 use crate::{
     RangeUpdate,
+    announced_range::AnnouncedRange,
     clock::as_ms,
     peer_client::{FailedFetch, FetchPhase},
     peer_messages::{PeerCall, PeerResponse},
@@ -23,17 +25,11 @@
 /// Time without any data after which a host counts as unresponsive.
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time after which a host no longer asks for an update that no host has sent.
-const ASKING_TIME_MAX: Duration = Duration::from_millis(1500);
-
-/// Time after which an update is given up, also one that is being received.
-const UPDATE_TIME_MAX: Duration = Duration::from_secs(2);
-
-/// Time after which a host asks the watcher again when the host that it was sent on to lacks the update.
-const RETRY_INTERVAL: Duration = Duration::from_millis(20);
-
-/// Longest time after which a host asks again.
-const ASK_AGAIN_MAX: Duration = Duration::from_millis(500);
+/// An update that no host sent.
+const NOT_SENT: FailedFetch = FailedFetch {
+    phase: FetchPhase::Queue,
+    received_bytes: 0,
+};
 
 /// An update, and the address of the host that sent it.
 #[derive(Debug)]
@@ -55,8 +51,8 @@
     Failed(FailedFetch),
 }
 
-/// Fetches the update of a range after a revision from a watcher, or from a host that the watcher names; `None` if none
-/// of them sends one in time.
+/// Fetches the update of a range after a revision from a watcher, from a host that it names, or from another watcher;
+/// `None` when this host should read the store.
 pub(crate) async fn fetch_update(
     shared: &Shared,
     prefix: &str,
@@ -64,68 +60,83 @@
     after: Revision,
 ) -> Option<FetchedUpdate> {
     let begun_at = Instant::now();
-    let asking = ask_until_sent(shared, prefix, watcher, after);
-    if let Ok(fetched) = timeout(UPDATE_TIME_MAX, asking).await {
-        return fetched;
+    let mut search = UpdateSearch::new(watcher, rand::random(), begun_at);
+    let ends_at = search.ends_at();
+    let asking = ask_until_sent(shared, prefix, &mut search, after);
+    let asked = timeout_at(ends_at.into(), asking).await;
+    match asked {
+        Ok(Ok(fetched)) => return Some(fetched),
+        Ok(Err(read_wait)) => sleep(read_wait).await,
+        Err(_elapsed) => {
+            let line = UpdateGivenUpLine {
+                reads_store: true,
+                ..UpdateGivenUpLine::new(prefix, search.asked(), NOT_SENT, begun_at)
+            };
+            shared.log.line("range_update_given_up", &line);
+        }
     }
-    log_not_sent(shared, prefix, watcher, begun_at);
     None
 }
 
+/// Asks hosts until one of them sends the update. Returns the time after which this host reads the store otherwise.
 async fn ask_until_sent(
     shared: &Shared,
     prefix: &str,
-    watcher: SocketAddr,
+    search: &mut UpdateSearch,
     after: Revision,
-) -> Option<FetchedUpdate> {
-    let begun_at = Instant::now();
-    let mut asked = watcher;
-    while begun_at.elapsed() < ASKING_TIME_MAX {
+) -> Result<FetchedUpdate, Duration> {
+    loop {
         let asked_at = Instant::now();
-        let answer = ask(shared, prefix, asked, after).await;
-        let given_up = |phase, received_bytes| UpdateGivenUpLine {
-            prefix,
-            host: asked,
-            phase,
-            received_bytes,
-            waited_ms: as_ms(asked_at.elapsed()),
-        };
-        match answer {
-            Answer::Update(update) if asked == watcher || update.as_of() > after => {
-                let sender = asked;
-                return Some(FetchedUpdate { sender, update });
-            }
-            Answer::Later { wait, holder } => {
-                sleep(wait.min(ASK_AGAIN_MAX)).await;
-                asked = holder.unwrap_or(asked);
-                continue;
+        let unsent = match ask(shared, prefix, search.asked(), after).await {
+            Answer::Update(update) if search.is_at_announcer() || update.as_of() > after => {
+                let sender = search.asked();
+                return Ok(FetchedUpdate { sender, update });
             }
-            Answer::Update(_) | Answer::Unread => {}
-            Answer::Failed(failed) => {
-                let line = given_up(failed.phase, failed.received_bytes);
-                shared.log.line("range_update_given_up", &line);
-            }
-        }
-        if asked == watcher {
-            return None;
+            unsent => unsent,
+        };
+        match record_unsent(shared, prefix, search, &unsent, asked_at) {
+            SearchStep::Ask { wait, .. } => sleep(wait).await,
+            SearchStep::ReadStore { wait } => return Err(wait),
         }
-        asked = watcher;
-        sleep(RETRY_INTERVAL).await;
     }
-    log_not_sent(shared, prefix, watcher, begun_at);
-    None
 }
 
-/// Logs that an update was not received until the end of the time for it.
-fn log_not_sent(shared: &Shared, prefix: &str, watcher: SocketAddr, begun_at: Instant) {
-    let line = UpdateGivenUpLine {
-        prefix,
-        host: watcher,
-        phase: FetchPhase::Queue,
-        received_bytes: 0,
-        waited_ms: as_ms(begun_at.elapsed()),
+/// Records that the asked host did not send the update. Returns what this host does next.
+fn record_unsent(
+    shared: &Shared,
+    prefix: &str,
+    search: &mut UpdateSearch,
+    unsent: &Answer,
+    asked_at: Instant,
+) -> SearchStep {
+    let now = Instant::now();
+    let watchers = watchers(shared, prefix);
+    let asked = search.asked();
+    let mut failed = None;
+    let step = match unsent {
+        Answer::Later { wait, holder } => search.record_later(*wait, *holder, &watchers, now),
+        Answer::Update(_) | Answer::Unread => search.record_missing(&watchers, now),
+        Answer::Failed(failure) => {
+            failed = Some(*failure);
+            search.record_silent(&watchers, now)
+        }
     };
-    shared.log.line("range_update_given_up", &line);
+    let reads_store = matches!(step, SearchStep::ReadStore { .. });
+    if failed.is_some() || reads_store {
+        let line = UpdateGivenUpLine {
+            reads_store,
+            ..UpdateGivenUpLine::new(prefix, asked, failed.unwrap_or(NOT_SENT), asked_at)
+        };
+        shared.log.line("range_update_given_up", &line);
+    }
+    step
+}
+
+/// Returns the watchers that have announced the last change of a range by now.
+fn watchers(shared: &Shared, prefix: &str) -> Vec<SocketAddr> {
+    let tables = shared.tables();
+    let announced = tables.announced_ranges.get(prefix);
+    announced.map(AnnouncedRange::watchers).unwrap_or_default()
 }
 
 async fn ask(shared: &Shared, prefix: &str, address: SocketAddr, after: Revision) -> Answer {
@@ -176,4 +187,19 @@
     phase: FetchPhase,
     received_bytes: usize,
     waited_ms: u64,
+    reads_store: bool,
+}
+
+impl<'a> UpdateGivenUpLine<'a> {
+    /// Returns the line for an update that was asked for at `asked_at`, after which another host is asked.
+    fn new(prefix: &'a str, host: SocketAddr, failed: FailedFetch, asked_at: Instant) -> Self {
+        Self {
+            prefix,
+            host,
+            phase: failed.phase,
+            received_bytes: failed.received_bytes,
+            waited_ms: as_ms(asked_at.elapsed()),
+            reads_store: false,
+        }
+    }
 }
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -18,7 +18,8 @@
 //! * [`Quarantine`] finds requests that crash the endpoints that run them, and keeps them from endpoints.
 //! * [`EventBuffer`] splits an event stream into complete events.
 //! * [`StreamOrigins`] holds the software versions that streams began at, so that they continue at the same one.
-//! * [`UpdatePacer`] decides when a host hands a large update on, and which host a requester is sent on to.
+//! * [`UpdatePacer`] decides when a host hands an update on, and which host a requester is sent on to.
+//!   [`UpdateSearch`] decides which host a requester asks, and when it reads the store.
 //! * [`Turn`] and the types around it keep the history of conversations on routes that ask for it.
 
 mod budget;
@@ -42,6 +43,7 @@
 mod stream_origin;
 mod turns;
 mod update_pacer;
+mod update_search;
 mod version_history;
 
 pub use self::{
@@ -82,5 +84,6 @@
         prompt, renewals, replica_order,
     },
     update_pacer::{TransferId, UpdatePacer, UpdateReply},
+    update_search::{SearchStep, UpdateSearch},
     version_history::VersionHistory,
 };
--- a/crates/burdockroad/tests/gateway_update_pacer.rs
+++ b/crates/burdockroad/tests/gateway_update_pacer.rs
@@ -7,7 +7,9 @@
     time::{Duration, Instant},
 };
 
-use burdockroad::gateway::{TransferId, UpdatePacer, UpdateReply};
+use burdockroad::gateway::{SearchStep, TransferId, UpdatePacer, UpdateReply, UpdateSearch};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 const PREFIX: &str = "range/";
 const OTHER_PREFIX: &str = "other/";
@@ -25,6 +27,12 @@
 /// the work of a slow core.
 const RECEIVE_TIME: Duration = Duration::from_millis(100);
 
+/// Time without any data after which a host counts as unresponsive.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time that a host takes to read the whole range from the store.
+const READ_TIME: Duration = Duration::from_millis(300);
+
 /// Shortest time that operators allow until all hosts have a configuration.
 const APPLY_TIME: Duration = Duration::from_secs(2);
 
@@ -39,108 +47,188 @@
     SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + number), 7780))
 }
 
-/// What a host does next, and when.
+/// What happens between two hosts, and when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Event {
     at: Instant,
     requester: usize,
     asked: usize,
-    /// Transfer that waits for its turn; `None` if the requester asks.
-    transfer: Option<TransferId>,
+    kind: EventKind,
 }
 
-/// A fleet in which all hosts but the first, which watches the store, ask it for the same update at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EventKind {
+    /// The requester asks.
+    Request,
+    /// It may be the turn of a transfer.
+    Turn(TransferId),
+    /// The requester has got no data for too long.
+    Silence,
+    /// The requester reads the store.
+    Read,
+}
+
+/// A fleet in which the first hosts watch the store and announce a change, for which all others ask at once.
 struct Fleet {
     update_bytes: u32,
+    watchers: usize,
     pacers: Vec<UpdatePacer>,
+    searches: Vec<UpdateSearch>,
     /// Time at which each host has the update.
     has_update_at: HashMap<usize, Instant>,
+    /// Times at which hosts end.
+    ends_at: HashMap<usize, Instant>,
+    /// Number of hosts that end at half of the time that they take to receive the update and to hand it on.
+    ending_receivers: usize,
     /// Transfers of each host.
     sent: Vec<u32>,
+    /// Times after the beginning at which hosts read the store.
+    reads: Vec<Duration>,
+    begun_at: Instant,
 }
 
 impl Fleet {
-    /// Lets all hosts fetch the update. Returns the time until the last one has it.
-    fn spread(hosts: usize, update_bytes: u32) -> (Self, Duration) {
+    fn new(hosts: usize, watchers: usize, update_bytes: u32) -> Self {
         let begun_at = Instant::now();
-        let mut fleet = Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(7);
+        let mut search = || UpdateSearch::new(address(0), rng.random(), begun_at);
+        Self {
             update_bytes,
+            watchers,
             pacers: vec![UpdatePacer::default(); hosts],
-            has_update_at: HashMap::from([(0, begun_at)]),
+            searches: (0..hosts).map(|_| search()).collect(),
+            has_update_at: (0..watchers).map(|host| (host, begun_at)).collect(),
+            ends_at: HashMap::new(),
+            ending_receivers: 0,
             sent: vec![0; hosts],
-        };
+            reads: Vec::new(),
+            begun_at,
+        }
+    }
+
+    /// Lets all hosts fetch the update. Returns the time until the last one that has not ended has it.
+    fn spread(&mut self) -> Duration {
         let first_request = |requester| Event {
-            at: begun_at,
+            at: self.begun_at,
             requester,
             asked: 0,
-            transfer: None,
+            kind: EventKind::Request,
         };
+        let followers = self.watchers..self.pacers.len();
         let mut events: BinaryHeap<Reverse<Event>> =
-            (1..hosts).map(|host| Reverse(first_request(host))).collect();
+            followers.map(|host| Reverse(first_request(host))).collect();
         while let Some(Reverse(event)) = events.pop() {
-            let next = match event.transfer {
-                Some(transfer) => fleet.begin(event, transfer),
-                None => Some(fleet.ask(event)),
-            };
-            events.extend(next.map(Reverse));
+            events.extend(self.handle(event).map(Reverse));
+        }
+        let lasting = self
+            .has_update_at
+            .iter()
+            .filter(|(host, _)| !self.ends_at.contains_key(host));
+        let last = lasting.map(|(_, at)| *at).max();
+        last.expect("each host has it") - self.begun_at
+    }
+
+    fn handle(&mut self, event: Event) -> Option<Event> {
+        match event.kind {
+            EventKind::Request | EventKind::Turn(_) if self.has_ended(event.asked, event.at) => Some(Event {
+                at: event.at + PROGRESS_TIMEOUT,
+                kind: EventKind::Silence,
+                ..event
+            }),
+            EventKind::Request => Some(self.request(event)),
+            EventKind::Turn(transfer) => self.begin(event, transfer),
+            EventKind::Silence => {
+                let watchers = self.watchers();
+                let search = &mut self.searches[event.requester];
+                let step = search.record_silent(&watchers, event.at);
+                Some(self.next_event(event, step))
+            }
+            EventKind::Read => {
+                self.reads.push(event.at - self.begun_at);
+                self.has_update_at.insert(event.requester, event.at + READ_TIME);
+                None
+            }
         }
-        let last = fleet.has_update_at.values().max().copied();
-        let lasted = last.expect("each host has it") - begun_at;
-        (fleet, lasted)
     }
 
     /// Lets a host ask another one.
-    fn ask(&mut self, event: Event) -> Event {
+    fn request(&mut self, event: Event) -> Event {
         let Event {
             at: now,
             requester,
             asked,
             ..
         } = event;
+        let watchers = self.watchers();
+        let search = &mut self.searches[requester];
         let has_update = self.has_update_at.get(&asked).is_some_and(|at| *at <= now);
         if !has_update {
-            return Event {
-                at: now + Duration::from_millis(20),
-                asked: 0,
-                ..event
-            };
+            let step = search.record_missing(&watchers, now);
+            return self.next_event(event, step);
         }
-        let reply = self.pacers[asked].decide(
-            PREFIX,
-            7,
-            self.update_bytes as usize,
-            Some(address(requester)),
-            now,
-        );
-        match reply {
+        let bytes = self.update_bytes as usize;
+        match self.pacers[asked].decide(PREFIX, 7, bytes, Some(address(requester)), now) {
             UpdateReply::Send { transfer, wait } => Event {
                 at: now + wait,
-                transfer: Some(transfer),
+                kind: EventKind::Turn(transfer),
                 ..event
             },
             UpdateReply::Later { wait, holder } => {
-                let mut holders = 0..self.pacers.len();
-                let next = holder.and_then(|holder| holders.find(|host| address(*host) == holder));
-                Event {
-                    at: now + wait.max(Duration::from_millis(1)),
-                    asked: next.unwrap_or(asked),
-                    ..event
-                }
+                let step = search.record_later(wait, holder, &watchers, now);
+                self.next_event(event, step)
             }
         }
     }
 
-    /// Begins a transfer if it is its turn. Returns when it asks again otherwise.
+    /// Returns the next event of a host that was not sent the update.
+    fn next_event(&self, event: Event, step: SearchStep) -> Event {
+        let (asked, wait, kind) = match step {
+            SearchStep::Ask { address: asked, wait } => (self.host(asked), wait, EventKind::Request),
+            SearchStep::ReadStore { wait } => (event.asked, wait, EventKind::Read),
+        };
+        Event {
+            at: event.at + wait.max(Duration::from_millis(1)),
+            asked,
+            kind,
+            ..event
+        }
+    }
+
+    /// Begins a transfer if it is its turn.
     fn begin(&mut self, event: Event, transfer: TransferId) -> Option<Event> {
         if let Some(wait) = self.pacers[event.asked].begin(transfer, event.at) {
             let at = event.at + wait;
             return Some(Event { at, ..event });
         }
         self.sent[event.asked] += 1;
-        self.has_update_at
-            .insert(event.requester, event.at + RECEIVE_TIME);
+        let received_at = event.at + RECEIVE_TIME;
+        if self.has_ended(event.asked, received_at) {
+            let at = event.at + PROGRESS_TIMEOUT;
+            let kind = EventKind::Silence;
+            return Some(Event { at, kind, ..event });
+        }
+        self.has_update_at.insert(event.requester, received_at);
+        if self.ending_receivers > 0 {
+            self.ending_receivers -= 1;
+            self.ends_at
+                .insert(event.requester, received_at + RECEIVE_TIME / 2);
+        }
         None
     }
+
+    fn has_ended(&self, host: usize, now: Instant) -> bool {
+        self.ends_at.get(&host).is_some_and(|at| *at <= now)
+    }
+
+    /// Returns the hosts that announced the change.
+    fn watchers(&self) -> Vec<SocketAddr> {
+        (0..self.watchers).map(address).collect()
+    }
+
+    fn host(&self, of: SocketAddr) -> usize {
+        let mut hosts = 0..self.pacers.len();
+        hosts.find(|host| address(*host) == of).expect("a known host")
+    }
 }
 
 /// Returns the transfer and the wait of an update that is sent.
@@ -156,10 +244,12 @@
 fn spread_of_update_is_in_time_and_leaves_most_of_each_link() {
     for update_bytes in [SMALL_UPDATE_BYTES, MIDDLE_UPDATE_BYTES, UPDATE_BYTES] {
         for hosts in [57, 171, 2571] {
-            let (fleet, lasted) = Fleet::spread(hosts, update_bytes);
+            let mut fleet = Fleet::new(hosts, 1, update_bytes);
+            let lasted = fleet.spread();
             let seen = format!("{update_bytes} bytes, {hosts} hosts: {lasted:?}");
             assert_eq!(fleet.has_update_at.len(), hosts, "{seen}");
             assert!(lasted < APPLY_TIME, "{seen}");
+            assert_eq!(fleet.reads, [], "{seen}");
             let most_sent_bytes = fleet.sent.iter().max().expect("hosts") * update_bytes;
             let link_bytes = lasted.as_secs_f64() * LINK_BYTES_PER_S;
             assert!(
@@ -170,6 +260,101 @@
     }
 }
 
+/// Returns the largest share of the times that are within 100 ms.
+fn largest_share(times: &[Duration]) -> f64 {
+    let window = Duration::from_millis(100);
+    let count = |first: Duration| {
+        times
+            .iter()
+            .filter(|at| (first..first + window).contains(at))
+            .count()
+    };
+    let most = times.iter().map(|first| count(*first)).max().unwrap_or(0);
+    let [most, all] = [most, times.len()].map(|number| u32::try_from(number).expect("a small number"));
+    f64::from(most) / f64::from(all)
+}
+
+/// Guards against hosts that all read the whole range from the store because one host is gone.
+#[test]
+fn hosts_whose_watcher_is_gone_get_the_update_from_another_one() {
+    for hosts in [57, 171] {
+        let mut fleet = Fleet::new(hosts, 3, UPDATE_BYTES);
+        fleet.ends_at.insert(0, fleet.begun_at);
+        let lasted = fleet.spread();
+        let seen = format!(
+            "{hosts} hosts: {lasted:?}, {} reads of the store",
+            fleet.reads.len()
+        );
+        assert!(lasted < APPLY_TIME, "{seen}");
+        assert_eq!(fleet.reads, [], "{seen}");
+    }
+}
+
+/// Guards against hosts that read the whole range from the store at the same moment.
+#[test]
+fn hosts_without_a_watcher_read_the_store_in_time_one_after_the_other() {
+    for watchers in [1, 3] {
+        let mut fleet = Fleet::new(171, watchers, UPDATE_BYTES);
+        fleet.ends_at = (0..watchers).map(|host| (host, fleet.begun_at)).collect();
+        let lasted = fleet.spread();
+        let share = largest_share(&fleet.reads);
+        let seen = format!("{watchers} watchers: {lasted:?}, at most {share} of the reads in 100 ms");
+        assert!(lasted < APPLY_TIME, "{seen}");
+        assert_eq!(fleet.reads.len(), 171 - watchers, "{seen}");
+        assert!(share < 0.5, "{seen}");
+    }
+}
+
+/// Guards against hosts whose time for an update ends at the same moment.
+#[test]
+fn searches_that_begin_together_end_at_different_times() {
+    let begun_at = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut search = || UpdateSearch::new(address(0), rng.random(), begun_at);
+    let mut asked_ends = Vec::new();
+    let mut ends = Vec::new();
+    for mut search in (0..171).map(|_| search()) {
+        ends.push(search.ends_at() - begun_at);
+        let mut now = begun_at;
+        let wait = loop {
+            let later = Duration::from_millis(50);
+            match search.record_later(later, None, &[address(0), address(1)], now) {
+                SearchStep::Ask { wait, .. } => now += wait.max(Duration::from_millis(1)),
+                SearchStep::ReadStore { wait } => break wait,
+            }
+        };
+        assert_eq!(search.asked(), address(1), "each asks another watcher first");
+        asked_ends.push(now + wait - begun_at);
+    }
+    for ends in [ends, asked_ends] {
+        assert!(ends.iter().all(|end| *end <= APPLY_TIME), "{ends:?}");
+        let share = largest_share(&ends);
+        assert!(share < 0.5, "{share} in 100 ms");
+    }
+}
+
+#[test]
+fn search_does_not_ask_a_host_again_that_did_not_respond() {
+    let now = Instant::now();
+    let [watcher, holder] = [0, 1].map(address);
+    let mut search = UpdateSearch::new(watcher, 0.5, now);
+    let ask_at = |step| match step {
+        SearchStep::Ask { address, .. } => address,
+        SearchStep::ReadStore { .. } => panic!("a watcher is left"),
+    };
+    assert_eq!(
+        ask_at(search.record_later(Duration::ZERO, Some(holder), &[watcher], now)),
+        holder
+    );
+    assert_eq!(ask_at(search.record_silent(&[watcher], now)), watcher);
+    let step = search.record_later(Duration::ZERO, Some(holder), &[watcher], now);
+    assert_eq!(ask_at(step), watcher, "the watcher names another host");
+    assert!(matches!(
+        search.record_silent(&[watcher], now),
+        SearchStep::ReadStore { .. }
+    ));
+}
+
 /// Guards against changes of endpoints that wait until a configuration is handed on.
 #[test]
 fn decide_lets_small_updates_go_before_large_ones_which_make_room() {
