Test that a configuration arrives when hosts that have it stop

A requester that is sent on to a host which is gone waits 400 ms for it, and no test ended one.

To find these hosts, the log line of an update that was sent names the host that it was sent to.

--- a/crates/burdockroad-gateway/src/update_server.rs
+++ b/crates/burdockroad-gateway/src/update_server.rs
@@ -44,7 +44,10 @@
     let Some((response, last_change)) = range_update(shared, prefix, after) else {
         return message_response(&PeerResponse::RangeUpdate(None));
     };
-    let sent = SentUpdate::of(prefix, last_change, &response.update);
+    let sent = SentUpdate {
+        requester: compressed_for.clone(),
+        ..SentUpdate::of(prefix, last_change, &response.update)
+    };
     let Some(requester) = compressed_for else {
         return match encode_message(&PeerResponse::RangeUpdate(Some(response))) {
             Ok(bytes) => send(shared, sent, bytes, Duration::ZERO),
@@ -170,6 +173,8 @@
 #[derive(Debug)]
 struct SentUpdate {
     content: UpdateContent,
+    /// Requesting host; `None` if it has an earlier version.
+    requester: Option<HostId>,
     /// Number of changes; `None` for a snapshot.
     changes: Option<usize>,
     /// Size of the keys and values.
@@ -184,6 +189,7 @@
         };
         Self {
             content: UpdateContent::of(prefix, last_change, update),
+            requester: None,
             changes,
             size_bytes: update.size_bytes(),
         }
@@ -235,6 +241,7 @@
         self.shared.updates_under_way.fetch_sub(1, Ordering::Relaxed);
         let line = UpdateSentLine {
             prefix: &self.sent.content.prefix,
+            to: self.sent.requester.as_ref(),
             changes: self.sent.changes,
             size_bytes: self.sent.size_bytes,
             bytes: self.bytes,
@@ -250,6 +257,7 @@
 #[derive(Serialize)]
 struct UpdateSentLine<'a> {
     prefix: &'a str,
+    to: Option<&'a HostId>,
     changes: Option<usize>,
     size_bytes: usize,
     bytes: usize,
--- a/crates/burdockroad/tests/gateway_update_pacer.rs
+++ b/crates/burdockroad/tests/gateway_update_pacer.rs
@@ -290,6 +290,22 @@
     }
 }
 
+/// Guards against hosts that wait for holders which are gone, or read the store in their place.
+#[test]
+fn hosts_get_the_update_although_holders_end() {
+    for hosts in [57, 171] {
+        for ending in [1, 2, 4] {
+            let mut fleet = Fleet::new(hosts, 3, UPDATE_BYTES);
+            fleet.ending_receivers = ending;
+            let lasted = fleet.spread();
+            let reads = fleet.reads.len();
+            let seen = format!("{hosts} hosts, {ending} end: {lasted:?}, {reads} reads of the store");
+            assert!(lasted < APPLY_TIME, "{seen}");
+            assert_eq!(reads, 0, "{seen}");
+        }
+    }
+}
+
 /// Guards against hosts that read the whole range from the store at the same moment.
 #[test]
 fn hosts_without_a_watcher_read_the_store_in_time_one_after_the_other() {
