Name the counter of updates that a host gave up by what it counts

burdockroad_range_news_failed_total counted the updates of a range that a follower gave up before it read the store. It is burdockroad_range_updates_given_up_total now, as the log line range_update_given_up. Alerts on the old name must change.

--- a/crates/burdockroad-gateway/src/follow.rs
+++ b/crates/burdockroad-gateway/src/follow.rs
@@ -152,7 +152,7 @@
     if let Some(as_of) = fetch_updates(shared, subscriber, watcher, after).await {
         return as_of;
     }
-    metrics::counter!("burdockroad_range_news_failed_total").increment(1);
+    metrics::counter!("burdockroad_range_updates_given_up_total").increment(1);
     match poll_store(shared, subscriber, None).await {
         Ok(as_of) => as_of.unwrap_or(after),
         Err(error) => {
