Reserve tokens for each call, also for calls with one id

Four calls that one caller sent at once with the same id, through a host that does not own their program's budget, were all served from a budget that covers two. The budget owner knows the reservations of other hosts by call id, so that a repeated request reserves once, and took the second call for a repetition of the first. Nothing bounded their number.

The host that serves a call now draws a number for its reservation, and requests and releases carry it beside the call id.

--- a/crates/burdockroad-gateway/src/budget_messages.rs
+++ b/crates/burdockroad-gateway/src/budget_messages.rs
@@ -5,12 +5,17 @@
 use burdockroad::ProgramId;
 use serde::{Deserialize, Serialize};
 
+use crate::remote_reservation::RemoteReservationId;
+
 /// Request to reserve tokens for a call.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct ReservationRequest {
-    /// Id of the call, which identifies the reservation.
+    /// Id of the call.
     pub(crate) call_id: String,
+    /// Number that identifies the reservation beside the call id; 0 in requests of earlier versions.
+    #[serde(default)]
+    pub(crate) number: u64,
     /// Program whose budget the tokens are reserved from.
     pub(crate) program: ProgramId,
     /// Total budget of the program.
@@ -29,6 +34,16 @@
     pub(crate) time_left: Duration,
 }
 
+impl ReservationRequest {
+    /// Returns the identity of the reservation.
+    pub(crate) fn reservation_id(&self) -> RemoteReservationId {
+        RemoteReservationId {
+            call_id: self.call_id.clone(),
+            number: self.number,
+        }
+    }
+}
+
 /// Response to a [`ReservationRequest`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/burdockroad-gateway/src/budget_owner.rs
+++ b/crates/burdockroad-gateway/src/budget_owner.rs
@@ -7,7 +7,7 @@
 use crate::{
     budget_messages::{ReservationRequest, ReservationResponse},
     budgets::{REMOTE_WAIT_MAX, reserve_locally},
-    remote_reservation::{LocalAccount, RemoteReservation},
+    remote_reservation::{LocalAccount, RemoteReservation, RemoteReservationId},
     shared::{Shared, Tables},
 };
 
@@ -16,8 +16,9 @@
 
 /// Handles a reservation request of another host.
 pub(crate) async fn handle_reserve(shared: &Shared, request: ReservationRequest) -> ReservationResponse {
-    // Tokens are reserved only once for each call id.
-    if shared.tables().remote_reservations.contains_key(&request.call_id) {
+    // Tokens are reserved only once for a request that is repeated.
+    let id = request.reservation_id();
+    if shared.tables().remote_reservations.contains_key(&id) {
         return ReservationResponse::Reserved {
             starts_program: false,
         };
@@ -31,18 +32,15 @@
             account,
             expires_at: Instant::now() + request.time_left + RESERVATION_EXPIRY_MARGIN,
         };
-        shared
-            .tables()
-            .remote_reservations
-            .insert(request.call_id, reservation);
+        shared.tables().remote_reservations.insert(id, reservation);
     }
     response
 }
 
 /// Settles the reservation of another host's call.
-pub(crate) fn handle_release(shared: &Shared, call_id: &str, used_tokens: u64) {
+pub(crate) fn handle_release(shared: &Shared, id: &RemoteReservationId, used_tokens: u64) {
     let mut tables = shared.tables();
-    if let Some(reservation) = tables.remote_reservations.remove(call_id) {
+    if let Some(reservation) = tables.remote_reservations.remove(id) {
         settle(&mut tables, &reservation, used_tokens, Instant::now());
         drop(tables);
         shared.reservations_changed.notify_waiters();
--- a/crates/burdockroad-gateway/src/budgets/reservation.rs
+++ b/crates/burdockroad-gateway/src/budgets/reservation.rs
@@ -8,13 +8,14 @@
 use crate::{
     budget_messages::ReservationRequest,
     peer_messages::{PeerCall, PeerResponse},
+    remote_reservation::RemoteReservationId,
     shared::Shared,
 };
 
 /// Tokens reserved for a call until [`release`] is called.
 #[derive(Debug)]
 pub(crate) struct Reservation {
-    call_id: String,
+    id: RemoteReservationId,
     program: ProgramId,
     max_tokens: u64,
     /// Whether the call starts the program.
@@ -55,7 +56,8 @@
         ReservationSource::Owner(address) => {
             let shared = Arc::clone(shared);
             let call = PeerCall::Release {
-                call_id: reservation.call_id,
+                call_id: reservation.id.call_id,
+                number: reservation.id.number,
                 used_tokens,
             };
             tokio::spawn(async move {
@@ -87,7 +89,7 @@
 impl ReservationRequest {
     pub(super) fn into_reservation(self, starts_program: bool, source: ReservationSource) -> Reservation {
         Reservation {
-            call_id: self.call_id,
+            id: self.reservation_id(),
             program: self.program,
             max_tokens: self.max_tokens,
             starts_program,
--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -368,6 +368,7 @@
     call.record.load_per_slot = Some(load_per_slot);
     let request = ReservationRequest {
         call_id: call.head.call_id.clone(),
+        number: rand::random(),
         program: program.id.clone(),
         budget_tokens,
         max_tokens,
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -10,6 +10,7 @@
     message_server::{message_response, respond_to_message, serve_requests},
     peer_messages::{PeerCall, PeerResponse},
     relay::handle_store_call,
+    remote_reservation::RemoteReservationId,
     response_body::ResponseBody,
     shared::Shared,
     stream_origins::known_version,
@@ -47,8 +48,12 @@
             handle_return_tokens(&shared, &program);
             PeerResponse::Released
         }
-        PeerCall::Release { call_id, used_tokens } => {
-            handle_release(&shared, &call_id, used_tokens);
+        PeerCall::Release {
+            call_id,
+            number,
+            used_tokens,
+        } => {
+            handle_release(&shared, &RemoteReservationId { call_id, number }, used_tokens);
             PeerResponse::Released
         }
     };
--- a/crates/burdockroad-gateway/src/peer_messages.rs
+++ b/crates/burdockroad-gateway/src/peer_messages.rs
@@ -56,6 +56,9 @@
     Release {
         /// Id of the call that the tokens were reserved for.
         call_id: String,
+        /// Number of the reservation; 0 in messages of earlier versions.
+        #[serde(default)]
+        number: u64,
         /// Tokens that were sent to the caller.
         used_tokens: u64,
     },
--- a/crates/burdockroad-gateway/src/remote_reservation.rs
+++ b/crates/burdockroad-gateway/src/remote_reservation.rs
@@ -4,6 +4,15 @@
 
 use burdockroad::ProgramId;
 
+/// Identity of a reservation. Several calls may have one call id, but they share no reservation.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct RemoteReservationId {
+    /// Id of the call.
+    pub(crate) call_id: String,
+    /// Number that the host which serves the call has drawn.
+    pub(crate) number: u64,
+}
+
 /// Where this host counts the tokens of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LocalAccount {
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -22,11 +22,22 @@
 };
 
 use crate::{
-    DecisionLog, Dialect, HostOptions, RangeLog, announced_range::AnnouncedRange,
-    collected_reports::CollectedReports, crash_checks::CrashChecks, failed_polls::FailedPolls,
-    peer_client::PeerClient, peers::Peers, pool::ConnectionPool, range_view::RangeView, relay::RelayedStore,
-    remote_reservation::RemoteReservation, response_space::ResponseSpace, shutdown::Shutdown,
-    turn_store::client::TurnClient, unseen_versions::LastRead, update_message::EncodedUpdates,
+    DecisionLog, Dialect, HostOptions, RangeLog,
+    announced_range::AnnouncedRange,
+    collected_reports::CollectedReports,
+    crash_checks::CrashChecks,
+    failed_polls::FailedPolls,
+    peer_client::PeerClient,
+    peers::Peers,
+    pool::ConnectionPool,
+    range_view::RangeView,
+    relay::RelayedStore,
+    remote_reservation::{RemoteReservation, RemoteReservationId},
+    response_space::ResponseSpace,
+    shutdown::Shutdown,
+    turn_store::client::TurnClient,
+    unseen_versions::LastRead,
+    update_message::EncodedUpdates,
 };
 
 /// State of one host.
@@ -110,8 +121,8 @@
     pub(crate) writes_failing_since: Option<Instant>,
     /// Time at which the first budget write since the last successful one was sent; `None` if there is none.
     pub(crate) writes_unanswered_since: Option<Instant>,
-    /// Reservations for calls of other hosts, by call id.
-    pub(crate) remote_reservations: HashMap<String, RemoteReservation>,
+    /// Reservations for calls of other hosts.
+    pub(crate) remote_reservations: HashMap<RemoteReservationId, RemoteReservation>,
     /// Contents of the followed ranges, by prefix.
     pub(crate) range_logs: HashMap<String, RangeLog>,
     /// Time of the last response of the store for a range, by prefix.
