Return the tokens that a budget owner reserved for a call that never learned of it

Programs were told 402 although their budgets held further turns, when the response of the budget owner to a request for tokens was lost. The host that asked reserved the tokens once more itself, and nobody returned those at the owner. They expired as used after the call's time and 2 s.

The host that asked now releases a request without a response, also when its caller leaves while the request runs, and repeats a release until the owner responds, five times. A release may overtake the request: the owner remembers releases of unknown reservations for 10 s, and such a request reserves nothing. The host uses no grant that it has released, and the number of the reservation keeps a late release from freeing the tokens of another call.

tokens_of_a_lost_response_are_returned and turn_beyond_the_budget_is_left_when_its_grant_is_lost failed before, both with 402 in place of 200. gateway_remote_reservations tests the order of requests and releases.

--- a/crates/burdockroad-gateway/src/budget_messages.rs
+++ b/crates/burdockroad-gateway/src/budget_messages.rs
@@ -2,11 +2,9 @@
 
 use std::time::Duration;
 
-use burdockroad::ProgramId;
+use burdockroad::{ProgramId, gateway::RemoteReservationId};
 use serde::{Deserialize, Serialize};
 
-use crate::remote_reservation::RemoteReservationId;
-
 /// Request to reserve tokens for a call.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/burdockroad-gateway/src/budget_owner.rs
+++ b/crates/burdockroad-gateway/src/budget_owner.rs
@@ -2,13 +2,15 @@
 
 use std::time::{Duration, Instant};
 
-use burdockroad::ProgramId;
+use burdockroad::{
+    ProgramId,
+    gateway::{AddedReservation, LocalAccount, RemoteReservation, RemoteReservationId, RemoteReservations},
+};
 
 use crate::{
     budget_messages::{ReservationRequest, ReservationResponse},
     budgets::{REMOTE_WAIT_MAX, reserve_locally},
-    remote_reservation::{LocalAccount, RemoteReservation, RemoteReservationId},
-    shared::{Shared, Tables},
+    shared::Shared,
 };
 
 /// Time after a remote call's deadline at which its reserved tokens are counted as used.
@@ -16,45 +18,65 @@
 
 /// Handles a reservation request of another host.
 pub(crate) async fn handle_reserve(shared: &Shared, request: ReservationRequest) -> ReservationResponse {
-    // Tokens are reserved only once for a request that is repeated.
     let id = request.reservation_id();
-    if shared.tables().remote_reservations.contains_key(&id) {
-        return ReservationResponse::Reserved {
-            starts_program: false,
-        };
+    if let Some(response) = repeated_response(&shared.tables().remote_reservations, &id) {
+        return response;
     }
     let deadline = Instant::now() + REMOTE_WAIT_MAX;
     let (response, account) = reserve_locally(shared, &request, true, deadline).await;
-    if matches!(response, ReservationResponse::Reserved { .. }) {
-        let reservation = RemoteReservation {
-            program: request.program,
-            max_tokens: request.max_tokens,
-            account,
-            expires_at: Instant::now() + request.time_left + RESERVATION_EXPIRY_MARGIN,
-        };
-        shared.tables().remote_reservations.insert(id, reservation);
+    if !matches!(response, ReservationResponse::Reserved { .. }) {
+        return response;
+    }
+    let reservation = RemoteReservation {
+        program: request.program,
+        max_tokens: request.max_tokens,
+        account,
+        expires_at: Instant::now() + request.time_left + RESERVATION_EXPIRY_MARGIN,
+    };
+    let added = shared.tables().remote_reservations.add(id, reservation);
+    match added {
+        AddedReservation::Added => response,
+        AddedReservation::Released(reservation) => {
+            settle(shared, &reservation, 0);
+            ReservationResponse::FullyReserved
+        }
+    }
+}
+
+/// Returns the response to a request whose reservation was made or released before; `None` for a new one.
+fn repeated_response(
+    reservations: &RemoteReservations,
+    id: &RemoteReservationId,
+) -> Option<ReservationResponse> {
+    if reservations.contains(id) {
+        let starts_program = false;
+        return Some(ReservationResponse::Reserved { starts_program });
     }
-    response
+    reservations
+        .is_released(id)
+        .then_some(ReservationResponse::FullyReserved)
 }
 
 /// Settles the reservation of another host's call.
-pub(crate) fn handle_release(shared: &Shared, id: &RemoteReservationId, used_tokens: u64) {
-    let mut tables = shared.tables();
-    if let Some(reservation) = tables.remote_reservations.remove(id) {
-        settle(&mut tables, &reservation, used_tokens, Instant::now());
-        drop(tables);
-        shared.reservations_changed.notify_waiters();
+pub(crate) fn handle_release(shared: &Shared, id: RemoteReservationId, used_tokens: u64) {
+    let released = shared.tables().remote_reservations.release(id, Instant::now());
+    if let Some(reservation) = released {
+        settle(shared, &reservation, used_tokens);
     }
 }
 
-fn settle(tables: &mut Tables, reservation: &RemoteReservation, used_tokens: u64, now: Instant) {
+fn settle(shared: &Shared, reservation: &RemoteReservation, used_tokens: u64) {
     let program = &reservation.program;
+    let now = Instant::now();
+    let mut tables = shared.tables();
     match reservation.account {
         LocalAccount::Ledger => tables
             .ledger
             .settle(program, reservation.max_tokens, used_tokens, now),
         LocalAccount::BeyondBudget => tables.overdrafts.end_call(program, used_tokens),
     }
+    drop(tables);
+    shared.reservations_changed.notify_waiters();
 }
 
 /// Returns the tokens of a program that this host has reserved and does not use, because another host needs them.
@@ -65,12 +87,8 @@
 
 /// Counts remote reservations that were not released before their expiry as used.
 pub(crate) fn expire_remote_reservations(shared: &Shared, now: Instant) {
-    let mut tables = shared.tables();
-    let expired = tables
-        .remote_reservations
-        .extract_if(|_, reservation| reservation.expires_at <= now);
-    let expired: Vec<RemoteReservation> = expired.map(|(_, reservation)| reservation).collect();
+    let expired = shared.tables().remote_reservations.take_expired(now);
     for reservation in expired {
-        settle(&mut tables, &reservation, reservation.max_tokens, now);
+        settle(shared, &reservation, reservation.max_tokens);
     }
 }
--- a/crates/burdockroad-gateway/src/budgets.rs
+++ b/crates/burdockroad-gateway/src/budgets.rs
@@ -10,27 +10,27 @@
 mod ledger_wait;
 mod local;
 mod owner;
+mod owner_requests;
 mod program_start;
 mod reservation;
 
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
+use burdockroad::gateway::LocalAccount;
+
 pub(crate) use self::{
     local::reserve_locally,
     owner::REMOTE_WAIT_MAX,
     reservation::{Reservation, release},
 };
-use self::{
-    owner::{remote_budget_owner, reserve_at_owner},
-    reservation::ReservationSource,
-};
+use self::{owner::remote_budget_owner, owner_requests::reserve_at_owner, reservation::ReservationSource};
 use crate::{
     budget_messages::{ReservationRequest, ReservationResponse},
     overdrafts::{CLAIM_TIMEOUT, take_overdraft},
-    remote_reservation::LocalAccount,
     shared::Shared,
 };
 
@@ -70,7 +70,7 @@
 /// Reserves tokens of a program's budget for a call, at the budget owner if it responds, or on the program's
 /// overdraft if the store takes no writes.
 pub(crate) async fn reserve(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     request: ReservationRequest,
 ) -> Result<Reservation, ReservationError> {
     let remote_owner = remote_budget_owner(shared, &request.program);
@@ -103,7 +103,7 @@
 /// Reserves tokens at the budget owner, or at this host if the owner does not respond or times out. Returns the
 /// response and where the tokens are counted.
 async fn reserve_stored(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     request: &ReservationRequest,
     remote_owner: Option<SocketAddr>,
 ) -> (ReservationResponse, ReservationSource) {
--- a/crates/burdockroad-gateway/src/budgets/local.rs
+++ b/crates/burdockroad-gateway/src/budgets/local.rs
@@ -2,11 +2,12 @@
 
 use std::time::Instant;
 
+use burdockroad::gateway::LocalAccount;
+
 use super::ledger_wait::{TokenDeadline, TokensLost, reserve_in_ledger};
 use crate::{
     budget_messages::{ReservationRequest, ReservationResponse},
     overdrafts::{LostTokensDecision, take_overdraft_for_lost_tokens},
-    remote_reservation::LocalAccount,
     shared::Shared,
     token_wait::TokenWait,
     tokens_elsewhere::{LOST_TOKENS_WAIT, RECLAIM_TIME},
--- a/crates/burdockroad-gateway/src/budgets/reservation.rs
+++ b/crates/burdockroad-gateway/src/budgets/reservation.rs
@@ -2,15 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Instant};
 
-use burdockroad::ProgramId;
+use burdockroad::{ProgramId, gateway::RemoteReservationId};
 
-use super::owner::{REMOTE_RESPONSE_MARGIN, REMOTE_WAIT_MAX};
-use crate::{
-    budget_messages::ReservationRequest,
-    peer_messages::{PeerCall, PeerResponse},
-    remote_reservation::RemoteReservationId,
-    shared::Shared,
-};
+use super::owner_requests::release_at_owner;
+use crate::{budget_messages::ReservationRequest, shared::Shared};
 
 /// Tokens reserved for a call until [`release`] is called.
 #[derive(Debug)]
@@ -53,26 +48,7 @@
                 .overdrafts
                 .end_call(&reservation.program, used_tokens);
         }
-        ReservationSource::Owner(address) => {
-            let shared = Arc::clone(shared);
-            let call = PeerCall::Release {
-                call_id: reservation.id.call_id,
-                number: reservation.id.number,
-                used_tokens,
-            };
-            tokio::spawn(async move {
-                // Without the release, the owner counts the whole reservation as used when it expires.
-                let response_timeout = REMOTE_WAIT_MAX + REMOTE_RESPONSE_MARGIN;
-                if shared
-                    .peer_client
-                    .call::<PeerResponse>(address, &call, response_timeout)
-                    .await
-                    .is_err()
-                {
-                    metrics::counter!("burdockroad_holds_unreleased_total").increment(1);
-                }
-            });
-        }
+        ReservationSource::Owner(address) => release_at_owner(shared, address, reservation.id, used_tokens),
     }
 }
 
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -56,7 +56,6 @@
 mod refusal;
 mod registration;
 mod relay;
-mod remote_reservation;
 mod reports;
 mod reservations;
 mod response_body;
--- a/crates/burdockroad-gateway/src/peer.rs
+++ b/crates/burdockroad-gateway/src/peer.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use burdockroad::gateway::RemoteReservationId;
 use http::Response;
 use tokio::net::TcpListener;
 
@@ -10,7 +11,6 @@
     message_server::{message_response, respond_to_message, serve_requests},
     peer_messages::{PeerCall, PeerResponse},
     relay::handle_store_call,
-    remote_reservation::RemoteReservationId,
     response_body::ResponseBody,
     shared::Shared,
     stream_origins::known_version,
@@ -53,7 +53,7 @@
             number,
             used_tokens,
         } => {
-            handle_release(&shared, &RemoteReservationId { call_id, number }, used_tokens);
+            handle_release(&shared, RemoteReservationId { call_id, number }, used_tokens);
             PeerResponse::Released
         }
     };
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -11,8 +11,8 @@
     HostId, Incarnation,
     gateway::{
         Departures, Directory, EndpointReach, EndpointTable, Ledger, LedgerOptions, Overdrafts,
-        ProgramStartGate, Quarantine, RateLimiter, RegionMap, RunningPrograms, StreamOrigins, UnsentOrigins,
-        UpdatePacer, VersionHistory,
+        ProgramStartGate, Quarantine, RateLimiter, RegionMap, RemoteReservations, RunningPrograms,
+        StreamOrigins, UnsentOrigins, UpdatePacer, VersionHistory,
     },
 };
 use burdockroad_daemon::platform::Revision;
@@ -22,22 +22,11 @@
 };
 
 use crate::{
-    DecisionLog, Dialect, HostOptions, RangeLog,
-    announced_range::AnnouncedRange,
-    collected_reports::CollectedReports,
-    crash_checks::CrashChecks,
-    failed_polls::FailedPolls,
-    peer_client::PeerClient,
-    peers::Peers,
-    pool::ConnectionPool,
-    range_view::RangeView,
-    relay::RelayedStore,
-    remote_reservation::{RemoteReservation, RemoteReservationId},
-    response_space::ResponseSpace,
-    shutdown::Shutdown,
-    turn_store::client::TurnClient,
-    unseen_versions::LastRead,
-    update_message::EncodedUpdates,
+    DecisionLog, Dialect, HostOptions, RangeLog, announced_range::AnnouncedRange,
+    collected_reports::CollectedReports, crash_checks::CrashChecks, failed_polls::FailedPolls,
+    peer_client::PeerClient, peers::Peers, pool::ConnectionPool, range_view::RangeView, relay::RelayedStore,
+    response_space::ResponseSpace, shutdown::Shutdown, turn_store::client::TurnClient,
+    unseen_versions::LastRead, update_message::EncodedUpdates,
 };
 
 /// State of one host.
@@ -122,7 +111,7 @@
     /// Time at which the first budget write since the last successful one was sent; `None` if there is none.
     pub(crate) writes_unanswered_since: Option<Instant>,
     /// Reservations for calls of other hosts.
-    pub(crate) remote_reservations: HashMap<RemoteReservationId, RemoteReservation>,
+    pub(crate) remote_reservations: RemoteReservations,
     /// Contents of the followed ranges, by prefix.
     pub(crate) range_logs: HashMap<String, RangeLog>,
     /// Time of the last response of the store for a range, by prefix.
@@ -251,7 +240,7 @@
             failed_polls: None,
             writes_failing_since: None,
             writes_unanswered_since: None,
-            remote_reservations: HashMap::new(),
+            remote_reservations: RemoteReservations::default(),
             range_logs: HashMap::new(),
             range_responded_at: HashMap::new(),
             range_views: HashMap::new(),
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -48,8 +48,9 @@
 
 pub use self::{
     budget::{
-        BudgetWrite, ClaimOutcome, ClaimReply, HostReservation, Ledger, LedgerOptions, OverdraftDecision,
-        Overdrafts, Readiness, StoreResponse, StoredBudget, TokenUse, VersionedBudget, claim_account,
+        AddedReservation, BudgetWrite, ClaimOutcome, ClaimReply, HostReservation, Ledger, LedgerOptions,
+        LocalAccount, OverdraftDecision, Overdrafts, Readiness, RemoteReservation, RemoteReservationId,
+        RemoteReservations, StoreResponse, StoredBudget, TokenUse, VersionedBudget, claim_account,
         claim_record, decide_claim,
     },
     departures::{Departure, Departures},
--- a/crates/burdockroad/src/gateway/budget.rs
+++ b/crates/burdockroad/src/gateway/budget.rs
@@ -8,6 +8,7 @@
 
 mod overdraft;
 mod program_budget;
+mod remote_reservations;
 mod token_use;
 
 use std::{
@@ -19,6 +20,9 @@
     ClaimOutcome, ClaimReply, OverdraftDecision, Overdrafts, claim_account, claim_record, decide_claim,
 };
 use self::program_budget::ProgramBudget;
+pub use self::remote_reservations::{
+    AddedReservation, LocalAccount, RemoteReservation, RemoteReservationId, RemoteReservations,
+};
 pub use self::token_use::TokenUse;
 use crate::ids::{Incarnation, ProgramId};
 
