Leave the claim of an overdraft to the budget owner while it is live

A program whose other tokens were lost got 402 at a host to which the owner's grants of its overdraft were lost: that host claimed the overdraft itself, found the claim of the owner, and took the overdraft for used up, for good. Two hosts that claim at the same time both find the other's claim, so neither may use the overdraft.

A host that is not the owner now claims the overdraft only while the owner is not live. Until then it answers 503 with Retry-After. Price: while the owner reports but its responses are lost, and it has not claimed the overdraft, the turn waits, too, where it was served before.

program_is_refused_for_the_moment_while_grants_of_the_owner_are_lost failed before: "turn 1, left: 402, right: 503".

--- a/crates/burdockroad-gateway/src/budgets/local.rs
+++ b/crates/burdockroad-gateway/src/budgets/local.rs
@@ -4,7 +4,10 @@
 
 use burdockroad::gateway::LocalAccount;
 
-use super::ledger_wait::{TokenDeadline, TokensLost, reserve_in_ledger};
+use super::{
+    ledger_wait::{TokenDeadline, TokensLost, reserve_in_ledger},
+    owner::remote_budget_owner,
+};
 use crate::{
     budget_messages::{ReservationRequest, ReservationResponse},
     overdrafts::{LostTokensDecision, take_overdraft_for_lost_tokens},
@@ -44,7 +47,12 @@
         return (response, LocalAccount::Ledger);
     }
     let time_left = deadline.saturating_duration_since(Instant::now());
-    let decision = take_overdraft_for_lost_tokens(shared, request, time_left).await;
+    let decision = if owns_budget || remote_budget_owner(shared, &request.program).is_none() {
+        take_overdraft_for_lost_tokens(shared, request, time_left).await
+    } else {
+        // The owner is live. Its response that grants the overdraft may be lost.
+        LostTokensDecision::Unknown
+    };
     if decision == LostTokensDecision::Granted {
         let starts_program = false;
         let response = ReservationResponse::Reserved { starts_program };
