Send no further copies of a turn over a link that is full

Callers at a gateway host whose own link was full for a moment saw answers cut at their deadline, although their turns had ended in time. When a write had no response after 80 ms, the turn was sent to a further host in place of each slow one, and again in place of those; after 300 ms each of these calls was also sent through up to three other gateway hosts, all over the same link. So the load grew as the link fell behind.

Now, while no host has stored the turn, it goes to one further host at a time, at intervals that double, and to each only when that host has responded to a check and, if the check took long, some time later. Through another gateway host it goes only if a check on that way is faster than one on the own link. On a full link, checks wait in the same queue behind the turn, so the turn is stored first. When a host is dead, another one that has stored the turn shows that the link works, and the turn goes on after 80 ms as before; when the own link is cut, the check through another host is the faster one. No host counts as lost for it, and nothing ends a write earlier.

--- a/crates/burdockroad-gateway/src/turn_store/disk_hosts.rs
+++ b/crates/burdockroad-gateway/src/turn_store/disk_hosts.rs
@@ -6,6 +6,7 @@
 };
 
 use burdockroad::{HostId, gateway::TurnHostHealth};
+use tokio::time::sleep;
 
 use crate::{
     peer_client::PeerError,
@@ -20,6 +21,10 @@
 /// turn never counts beside the loss of another.
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest time for which a turn is held back after a check that took as long. On a full link, the check arrives right
+/// after the turns that were sent before it, and these are still written to the disks.
+const WRITE_WAIT_MAX: Duration = Duration::from_millis(80);
+
 /// The hosts that store turns.
 #[derive(Debug)]
 pub(super) struct DiskHosts {
@@ -88,6 +93,29 @@
         result
     }
 
+    /// Like [`store`](Self::store), but sends the turn only when the host has responded to a check, so that its copies do
+    /// not fill a link that is full already.
+    pub(super) async fn store_after_check(
+        &self,
+        destination: Destination<'_>,
+        call: &EncodedCall,
+    ) -> StoreResult {
+        let sent_at = Instant::now();
+        let checked = match EncodedCall::check() {
+            Ok(check) => self.call(destination, &check, STORE_TIMEOUT).await,
+            Err(error) => Err(error),
+        };
+        sleep(sent_at.elapsed().min(WRITE_WAIT_MAX)).await;
+        if checked.is_ok() && !call.is_settled() {
+            return self.store(destination, call).await;
+        }
+        metrics::counter!("burdockroad_turn_copies_withheld_total", "way" => "own").increment(1);
+        match checked {
+            Err(PeerError::Unreachable) => StoreResult::Unreachable,
+            Ok(_) | Err(PeerError::NoResponse) => StoreResult::NoResponse,
+        }
+    }
+
     /// Calls one host, and records its health.
     pub(super) async fn call(
         &self,
--- a/crates/burdockroad-gateway/src/turn_store/links.rs
+++ b/crates/burdockroad-gateway/src/turn_store/links.rs
@@ -4,12 +4,18 @@
 //! reach it. Its calls then go through a gateway host whose reports state that it reaches them. Each call may be
 //! repeated. If the own link does not respond, the call is sent on the link and through other gateway hosts, and the
 //! first response is used.
+//!
+//! The own link may also be full. All ways are slow then, and each copy of a turn makes them slower. Therefore, turns are
+//! sent through another gateway host only if a check on this way gets its response earlier than one on the own link.
 
 use std::{
     collections::HashMap,
     net::SocketAddr,
     pin::pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -51,6 +57,10 @@
 /// Maximum number of gateway hosts that pass one call on.
 const RELAYS_MAX: usize = 3;
 
+/// A check through another gateway host takes a way that is one host longer. The own link is not slower if it responds
+/// within the time of that check and this part of it.
+const LONGER_WAY_PART: u32 = 2;
+
 /// Links of a gateway host to the hosts that store turns.
 #[derive(Debug)]
 pub(crate) struct TurnHostLinks {
@@ -91,6 +101,8 @@
 pub(super) struct EncodedCall {
     call: TurnCall,
     message: Bytes,
+    /// Whether enough hosts have responded.
+    settled: AtomicBool,
 }
 
 impl<'a> Destination<'a> {
@@ -115,10 +127,42 @@
     /// Fails when the call cannot be encoded.
     pub(super) fn new(call: TurnCall) -> Result<Self, PeerError> {
         let message = encode_message(&call)?;
-        Ok(Self { call, message })
+        Ok(Self {
+            call,
+            message,
+            settled: AtomicBool::new(false),
+        })
+    }
+
+    /// Encodes a call that reads nothing from a disk.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the call cannot be encoded.
+    pub(super) fn check() -> Result<Self, PeerError> {
+        Self::new(check_call())
+    }
+
+    /// Records that enough hosts have responded. The call is sent to no further host.
+    pub(super) fn settle(&self) {
+        self.settled.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_settled(&self) -> bool {
+        self.settled.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether a copy of the call may fill a link.
+    fn may_be_large(&self) -> bool {
+        matches!(self.call, TurnCall::Store(_))
     }
 }
 
+/// Returns a call that reads nothing from a disk.
+fn check_call() -> TurnCall {
+    TurnCall::Missing(Vec::new())
+}
+
 impl TurnHostLinks {
     pub(super) fn new(
         failure_domain: String,
@@ -231,15 +275,21 @@
 
     /// Checks whether this host's own link to a host carries calls.
     async fn check(&self, destination: Destination<'_>) -> bool {
-        let call = TurnCall::Missing(Vec::new());
-        let calling = self
-            .peer_client
-            .call::<TurnResponse>(destination.address, &call, LINK_CHECK_TIMEOUT);
-        let responds = matches!(timeout(LINK_CHECK_TIMEOUT, calling).await, Ok(Ok(_)));
+        let calling = self.responds(destination, LINK_CHECK_TIMEOUT);
+        let responds = matches!(timeout(LINK_CHECK_TIMEOUT, calling).await, Ok(true));
         self.record_link(destination.host, responds);
         responds
     }
 
+    /// Returns whether a host responds to a check on this host's own link.
+    async fn responds(&self, destination: Destination<'_>, response_timeout: Duration) -> bool {
+        let check = check_call();
+        let response = self
+            .peer_client
+            .call::<TurnResponse>(destination.address, &check, response_timeout);
+        response.await.is_ok()
+    }
+
     /// Calls a host through other gateway hosts in allowed regions, the next one when the ones before do not respond in
     /// time. Returns `None` without a response.
     async fn call_through_hosts(
@@ -265,7 +315,8 @@
         }
     }
 
-    /// Calls a host through another gateway host. Returns `None` without a response.
+    /// Calls a host through another gateway host, with a large call only if that way is faster than the own link.
+    /// Returns `None` without a response.
     async fn call_through(
         &self,
         relay: SocketAddr,
@@ -273,10 +324,49 @@
         call: &EncodedCall,
         response_timeout: Duration,
     ) -> Option<TurnResponse> {
+        if call.may_be_large() {
+            let is_faster = self.is_faster(relay, destination, response_timeout).await;
+            if !is_faster || call.is_settled() {
+                metrics::counter!("burdockroad_turn_copies_withheld_total", "way" => "relay").increment(1);
+                return None;
+            }
+        }
         metrics::counter!("burdockroad_turn_calls_relayed_total").increment(1);
+        self.pass_through(relay, destination, call.call.clone(), response_timeout)
+            .await
+    }
+
+    /// Returns whether a check through another gateway host gets its response earlier than one on the own link.
+    async fn is_faster(
+        &self,
+        relay: SocketAddr,
+        destination: Destination<'_>,
+        response_timeout: Duration,
+    ) -> bool {
+        let sent_at = Instant::now();
+        let own_link = pin!(self.responds(destination, response_timeout));
+        let through_host = pin!(self.pass_through(relay, destination, check_call(), response_timeout));
+        match select(own_link, through_host).await {
+            Either::Left((true, _)) | Either::Right((None, _)) => false,
+            Either::Left((false, through_host)) => through_host.await.is_some(),
+            Either::Right((Some(_), own_link)) => {
+                let longer_way_time = sent_at.elapsed() / LONGER_WAY_PART;
+                !matches!(timeout(longer_way_time, own_link).await, Ok(true))
+            }
+        }
+    }
+
+    /// Sends a call to a host through another gateway host. Returns `None` without a response.
+    async fn pass_through(
+        &self,
+        relay: SocketAddr,
+        destination: Destination<'_>,
+        call: TurnCall,
+        response_timeout: Duration,
+    ) -> Option<TurnResponse> {
         let relayed = PeerCall::Turns {
             host: destination.host.clone(),
-            call: call.call.clone(),
+            call,
         };
         let response = self.peer_client.call(relay, &relayed, response_timeout).await;
         match response {
--- a/crates/burdockroad-gateway/src/turn_store/write.rs
+++ b/crates/burdockroad-gateway/src/turn_store/write.rs
@@ -52,6 +52,12 @@
     /// the call, and its turn must not be replaced by this one.
     replies: JoinSet<StoreReply>,
     started_at: Instant,
+    /// Number of slow hosts in whose place the turn is still to be sent to another host.
+    due_hedges: usize,
+    /// Time at which the turn may be sent to another host while no host has stored it.
+    next_hedge_at: Instant,
+    /// Interval from that time to the next one.
+    hedge_interval: Duration,
     /// Longest time by which a wait of [`HEDGE_DELAY`] ended late because this process did not run.
     longest_delay: Duration,
 }
@@ -80,7 +86,9 @@
     previous_result: Option<StoreResult>,
     /// Result of the current call; `None` while it is in flight.
     result: Option<StoreResult>,
-    /// Whether the turn was also sent to another host because this one is slow.
+    /// Time from which the host counts as slow.
+    slow_from: Instant,
+    /// Whether the turn was also sent, or is to be sent, to another host because this one is slow.
     hedged: bool,
     /// Whether the replication counts the host as lost. It may still respond.
     silent: bool,
@@ -106,6 +114,9 @@
             sent: Vec::new(),
             replies: JoinSet::new(),
             started_at: Instant::now(),
+            due_hedges: 0,
+            next_hedge_at: Instant::now(),
+            hedge_interval: HEDGE_DELAY,
             longest_delay: Duration::ZERO,
         }
     }
@@ -133,6 +144,7 @@
                 self.send(disk_hosts, host, true, call);
             }
             if self.replication.progress() == ReplicationProgress::Durable {
+                call.settle();
                 self.replies.detach_all();
                 return self.replication.replicas();
             }
@@ -184,6 +196,7 @@
             host,
             task,
             sent_at: Instant::now(),
+            slow_from: Instant::now() + HEDGE_DELAY,
             calls: previous.as_ref().map_or(0, |call| call.calls) + 1,
             previous_result: previous.and_then(|call| call.result),
             result: None,
@@ -202,12 +215,17 @@
     ) -> Id {
         let disk_hosts = Arc::clone(disk_hosts);
         let call = Arc::clone(call);
+        let is_checked = self.is_checked();
         let allowed_regions = self.allowed_regions.clone();
         let task = self.replies.spawn(async move {
             let result = match address {
                 Some(address) => {
                     let destination = Destination::new(&host, address, allowed_regions.as_deref());
-                    disk_hosts.store(destination, &call).await
+                    if is_checked {
+                        disk_hosts.store_after_check(destination, &call).await
+                    } else {
+                        disk_hosts.store(destination, &call).await
+                    }
                 }
                 None => StoreResult::Unreachable,
             };
@@ -223,19 +241,19 @@
 
     /// Records the hosts that do not respond in time, and sends the turn to others.
     fn record_slow_hosts(&mut self, disk_hosts: &Arc<DiskHosts>, call: &Arc<EncodedCall>) {
-        let mut extra_hosts = 0;
         let calls = self.sent.iter_mut().filter(|call| call.result.is_none());
         for call in calls.filter(|call| call.sent_at.elapsed() >= HEDGE_DELAY) {
             disk_hosts.record_silence(&call.host, call.sent_at);
-            if !std::mem::replace(&mut call.hedged, true) {
-                extra_hosts += 1;
+            if Instant::now() >= call.slow_from && !std::mem::replace(&mut call.hedged, true) {
+                self.due_hedges += 1;
             }
             if !call.silent && disk_hosts.is_lost(&call.host) {
                 call.silent = true;
                 self.replication.record_silent();
             }
         }
-        for _ in 0..extra_hosts {
+        while self.due_hedges > 0 && self.may_hedge() {
+            self.due_hedges -= 1;
             if let Some(host) = self.replication.next_extra_host() {
                 self.send(disk_hosts, host, false, call);
             } else if let Some(host) = self.replication.next_extra_lost_host() {
@@ -244,6 +262,38 @@
         }
     }
 
+    /// Returns whether the turn may be sent to one more host in place of a slow one. While no host has stored the turn, the
+    /// own link may be slow in place of the hosts, and the interval grows.
+    fn may_hedge(&mut self) -> bool {
+        if self.replication.replicas() > 0 {
+            return true;
+        }
+        if Instant::now() < self.next_hedge_at {
+            return false;
+        }
+        self.hedge_interval *= 2;
+        self.next_hedge_at = Instant::now() + self.hedge_interval;
+        true
+    }
+
+    /// Gives slow hosts the time to respond anew, because one of them was the first to respond: what was sent to the
+    /// others over a full link arrives soon after.
+    fn restart_hedges(&mut self) {
+        self.due_hedges = 0;
+        let slow_from = Instant::now() + HEDGE_DELAY;
+        for call in self.sent.iter_mut().filter(|call| call.hedged) {
+            call.hedged = false;
+            call.slow_from = slow_from;
+        }
+    }
+
+    /// Returns whether a host must respond to a check before the turn is sent to it. It must if other hosts are slow and none
+    /// has stored the turn, since the own link may be full.
+    fn is_checked(&self) -> bool {
+        let is_slow = |call: &HostCall| call.hedged && call.result.is_none();
+        self.replication.replicas() == 0 && self.sent.iter().any(is_slow)
+    }
+
     fn record_reply(&mut self, disk_hosts: &DiskHosts, reply: StoreReply) {
         let StoreReply { host, result } = reply;
         let call = self.sent.iter_mut().find(|call| call.host == host);
@@ -251,6 +301,7 @@
             return;
         };
         call.result = Some(result);
+        let was_slow = call.hedged;
         match (call.silent, result) {
             (true, StoreResult::Stored) => self.replication.record_late_stored(),
             (false, StoreResult::Stored) => self.replication.record_stored(),
@@ -263,6 +314,9 @@
                 }
             }
         }
+        if was_slow && result == StoreResult::Stored && self.replication.replicas() == 1 {
+            self.restart_hedges();
+        }
     }
 
     /// Returns the log line of a turn that was not stored. `caller_time_left` is the time that the caller had left when
