Keep the entry of a silent host that may have a turn alone

A caller that went on from a stored turn got 404 while the host with a disk that had the only replica stood still. Of two hosts with disks one is enough for a turn while the other counts as lost, and so it is in a region of two for a turn that is bound to it. When hosts that did not have the turn were enough later, because others had joined or others are in other regions, all agreed that they miss no turn without the silent host, and its entry was removed. Hosts that are all new agreed, too, though none had read the turns of the silent one.

A host now vouches only if twice as many hosts as may be lost, and one more, stored turns beside the silent one when it was met, and as many are left without it, both counted in the region of the silent host if it is in one. At least one host must have met it. Regions with too few hosts keep the entry until its lease ends, as all did before.

In gateway_gone_hosts_model, hosts that agree without evidence no longer cause a violation, because one must have met the silent host: there they now decide without all_agree, and the violation is found as before.

--- a/crates/burdockroad-gateway/src/turn_store/sync.rs
+++ b/crates/burdockroad-gateway/src/turn_store/sync.rs
@@ -129,6 +129,9 @@
         });
         let silent: Vec<(HostId, Duration)> = silent.collect();
         let is_writable = |(host, member): &&(HostId, TurnMember)| !member.leaving && reached.contains(host);
+        let mut writable: Vec<HostLocation> = others.iter().filter(is_writable).map(location).collect();
+        writable.push(self.state.location());
+        let locations: Vec<HostLocation> = others.iter().map(location).collect();
         let runs = reached.iter().map(|host| {
             let position = self.positions.get(host).copied().unwrap_or_default();
             (host.clone(), position.incarnation)
@@ -137,7 +140,9 @@
         let round = SyncRound {
             reached: &runs,
             silent: &silent,
-            writable: others.iter().filter(is_writable).count() + 1,
+            writable: &writable,
+            locations: &locations,
+            regions: &self.state.regions,
         };
         let is_new = self.state.is_new.get().is_some_and(|is_new| *is_new);
         let mut gone = self.state.lock_gone();
@@ -154,12 +159,7 @@
         let live = others
             .iter()
             .filter(|(host, member)| !member.leaving && !self.health.is_lost(host));
-        let mut live_hosts: Vec<HostLocation> = live
-            .map(|(host, member)| HostLocation {
-                host: host.clone(),
-                failure_domain: member.failure_domain.clone(),
-            })
-            .collect();
+        let mut live_hosts: Vec<HostLocation> = live.map(location).collect();
         live_hosts.push(self.state.location());
         if live_hosts != self.live_hosts {
             let hosts = live_hosts.len();
@@ -242,6 +242,13 @@
     }
 }
 
+fn location((host, member): &(HostId, TurnMember)) -> HostLocation {
+    HostLocation {
+        host: host.clone(),
+        failure_domain: member.failure_domain.clone(),
+    }
+}
+
 #[derive(Serialize)]
 struct LiveHostsLine {
     hosts: usize,
--- a/crates/burdockroad/src/gateway/regions.rs
+++ b/crates/burdockroad/src/gateway/regions.rs
@@ -20,13 +20,18 @@
         Self { region_of }
     }
 
+    /// Returns the region of a failure domain; `None` if it is in no region.
+    pub fn region_of(&self, failure_domain: &str) -> Option<&RegionId> {
+        self.region_of.get(failure_domain)
+    }
+
     /// Returns whether a failure domain is in one of the allowed regions. If any region is allowed (`None`), so is
     /// every failure domain; otherwise, one that is not in the map is in no region.
     pub fn allows(&self, failure_domain: &str, allowed: Option<&[RegionId]>) -> bool {
         let Some(allowed) = allowed else {
             return true;
         };
-        let region = self.region_of.get(failure_domain);
+        let region = self.region_of(failure_domain);
         region.is_some_and(|region| allowed.contains(region))
     }
 
--- a/crates/burdockroad/src/gateway/turns/gone_hosts.rs
+++ b/crates/burdockroad/src/gateway/turns/gone_hosts.rs
@@ -8,7 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{HostId, Incarnation};
+use crate::{
+    gateway::{HostLocation, RegionMap},
+    ids::{HostId, Incarnation},
+};
 
 /// Time for which a host must be silent to count as gone. A host that restarts is back sooner.
 const SILENCE_MIN: Duration = Duration::from_secs(4);
@@ -20,15 +23,37 @@
     pub reached: &'a [(HostId, Incarnation)],
     /// The other hosts, with the time for which they have been silent.
     pub silent: &'a [(HostId, Duration)],
-    /// Number of hosts that store new turns and were reached, with this one.
-    pub writable: usize,
+    /// Hosts that store new turns and were reached, with this one.
+    pub writable: &'a [HostLocation],
+    /// Failure domains of the hosts that were reached and of the silent ones.
+    pub locations: &'a [HostLocation],
+    /// Regions of the failure domains.
+    pub regions: &'a RegionMap,
+}
+
+impl SyncRound<'_> {
+    /// Returns the hosts with turns that may have been durable on fewer hosts than may be lost and one more, or that too
+    /// few others could store. A turn may be bound to the region of its host.
+    fn scarce_hosts(&self, tolerated_losses: usize) -> Vec<HostId> {
+        let is_scarce = |host: &&HostLocation| {
+            let region = self.regions.region_of(&host.failure_domain);
+            let is_near = |other: &&HostLocation| {
+                region.is_none() || self.regions.region_of(&other.failure_domain) == region
+            };
+            self.writable.iter().filter(is_near).count() <= 2 * tolerated_losses
+        };
+        let scarce = self.locations.iter().filter(is_scarce);
+        scarce.map(|host| host.host.clone()).collect()
+    }
 }
 
 /// Hosts without which a host misses no turn, as far as it knows.
 ///
-/// While at least twice as many hosts are left as may be lost, and one more, each durable turn is on as many hosts as
-/// may be lost and one more ([`Replication`](crate::gateway::Replication) spares no replica), so one of them is not
-/// gone. A host that restarted may have lost its disk, and the silent host may have the only other replica. So a host
+/// While at least twice as many hosts may store a turn as may be lost, and one more, each durable turn is on as many hosts
+/// as may be lost and one more ([`Replication`](crate::gateway::Replication) spares no replica), so one of them is not
+/// gone. This must have held in the region of the silent host when it was met, and must hold without it.
+///
+/// A host that restarted may have lost its disk, and the silent host may have the only other replica. So a host
 /// vouches for the absence only if it has met the silent host in this run, and no other host has restarted since. When
 /// all hosts that are left vouch, all turns are among them, and each has those that it should store.
 ///
@@ -37,6 +62,8 @@
 pub struct GoneHosts {
     /// Runs of the hosts in the last round that reached all hosts.
     met: BTreeMap<HostId, Incarnation>,
+    /// Hosts that may have had a turn alone in that round.
+    scarce: Vec<HostId>,
     gone: Vec<HostId>,
 }
 
@@ -46,14 +73,17 @@
         self.gone.clear();
         if round.silent.is_empty() {
             self.met = round.reached.iter().cloned().collect();
+            self.scarce = round.scarce_hosts(tolerated_losses);
             return;
         }
-        let enough_left = round.writable > 2 * tolerated_losses;
-        if round.silent.len() > tolerated_losses || !enough_left {
+        let scarce = round.scarce_hosts(tolerated_losses);
+        if round.silent.len() > tolerated_losses {
             return;
         }
         let is_gone = |(host, time): &(HostId, Duration)| {
-            *time >= SILENCE_MIN && (is_new || self.met.contains_key(host))
+            let is_known = is_new || self.met.contains_key(host);
+            let is_scarce = scarce.contains(host) || self.scarce.contains(host);
+            *time >= SILENCE_MIN && is_known && !is_scarce
         };
         let is_same_run =
             |(host, run): &(HostId, Incarnation)| self.met.get(host).is_none_or(|met| met == run);
@@ -94,8 +124,9 @@
 
 /// Returns whether all hosts that are left agree that a host is gone, each with its testimony.
 ///
-/// All must mean the same run of the gone host: one may not have noticed that it was back meanwhile. A new host agrees although it has not met the gone one, but not if another host has met both: turns may have been
-/// its to store then, and it has not copied them.
+/// All must mean the same run of the gone host: one may not have noticed that it was back meanwhile. A new host agrees
+/// although it has not met the gone one, but not if another host has met both: turns may have been its to store then, and
+/// it has not copied them. At least one host must have met the gone one: otherwise nobody has read its turns.
 pub fn all_agree(gone: &HostId, testimonies: &[(HostId, GoneTestimony)]) -> bool {
     let mut unmet = testimonies
         .iter()
@@ -110,7 +141,9 @@
     let mut runs = testimonies
         .iter()
         .filter_map(|(_, testimony)| testimony.met.get(gone));
-    let first_run = runs.next();
-    let is_same_run = runs.all(|run| Some(run) == first_run);
+    let Some(first_run) = runs.next() else {
+        return false;
+    };
+    let is_same_run = runs.all(|run| run == first_run);
     is_agreed && is_same_run && !unmet.any(|(host, _)| has_met_both(host))
 }
--- a/crates/burdockroad/tests/gateway_gone_hosts.rs
+++ b/crates/burdockroad/tests/gateway_gone_hosts.rs
@@ -1,10 +1,10 @@
 //! Tests of the decision that a host which stores turns is gone for good.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use burdockroad::{
     HostId, Incarnation,
-    gateway::{GoneHosts, GoneTestimony, SyncRound, all_agree},
+    gateway::{GoneHosts, GoneTestimony, HostLocation, RegionMap, SyncRound, all_agree},
 };
 
 const LONG: Duration = Duration::from_secs(10);
@@ -31,14 +31,33 @@
         .iter()
         .map(|(host, time)| ((*host).to_owned(), *time))
         .collect();
+    let located = reached.iter().map(|(host, _)| host);
+    let located = located.chain(silent.iter().map(|(host, _)| host));
+    let locations: Vec<HostLocation> = located.map(|host| location(host)).collect();
+    let writable = reached.iter().map(|(host, _)| location(host));
+    let writable: Vec<HostLocation> = writable.chain([location("this")]).collect();
     let round = SyncRound {
         reached: &reached,
         silent: &silent,
-        writable: reached.len() + 1,
+        writable: &writable,
+        locations: &locations,
+        regions: &RegionMap::new(HashMap::from([
+            ("far".to_owned(), "south".to_owned()),
+            ("near".to_owned(), "north".to_owned()),
+        ])),
     };
     hosts.record_round(round, 1, is_new);
 }
 
+/// Returns the location of a host; the names of those in another region begin with `far`.
+fn location(host: &str) -> HostLocation {
+    let failure_domain = if host.starts_with("far") { "far" } else { "near" };
+    HostLocation {
+        host: host.to_owned(),
+        failure_domain: failure_domain.to_owned(),
+    }
+}
+
 #[test]
 fn gone_host_is_one_that_was_met_and_is_silent_for_long_while_enough_are_left() {
     let mut hosts = GoneHosts::default();
@@ -104,6 +123,28 @@
     assert_eq!(hosts.gone(), ids(&["x"]));
 }
 
+/// A turn that is bound to a region of two hosts may be durable on one of them while the other is lost.
+#[test]
+fn gone_is_empty_while_too_few_hosts_are_left_in_the_region() {
+    let mut hosts = GoneHosts::default();
+    record(&mut hosts, &["b", "c", "far1", "far2"], &[], false);
+    record(&mut hosts, &["b", "c", "far2"], &[("far1", LONG)], false);
+    assert!(hosts.gone().is_empty());
+    let far_ones = ["far2", "far3", "far4"];
+    record(&mut hosts, &["b", "far1", "far2", "far3"], &[], false);
+    record(&mut hosts, &far_ones, &[("far1", LONG)], false);
+    assert_eq!(hosts.gone(), ids(&["far1"]));
+}
+
+/// A turn may have been durable on one of two hosts while the other was lost, before others joined.
+#[test]
+fn gone_is_empty_when_too_few_hosts_were_there_with_the_silent_one() {
+    let mut hosts = GoneHosts::default();
+    record(&mut hosts, &["x"], &[], false);
+    record(&mut hosts, &["new1", "new2"], &[("x", LONG)], false);
+    assert!(hosts.gone().is_empty());
+}
+
 fn testimony(host: &str, met: &[(&str, Incarnation)]) -> (HostId, GoneTestimony) {
     let met = met.iter().map(|(host, run)| ((*host).to_owned(), *run));
     let testimony = GoneTestimony {
@@ -135,3 +176,11 @@
     let c = ("c".to_owned(), GoneTestimony::default());
     assert!(!all_agree(&gone, &[b, c]));
 }
+
+/// Otherwise nobody has read the turns of the silent host.
+#[test]
+fn all_agree_is_false_when_no_host_has_met_the_silent_one() {
+    let gone = "x".to_owned();
+    let testimonies = ["new1", "new2", "new3"].map(|host| testimony(host, &[]));
+    assert!(!all_agree(&gone, &testimonies));
+}
--- a/crates/burdockroad/tests/gateway_gone_hosts_model.rs
+++ b/crates/burdockroad/tests/gateway_gone_hosts_model.rs
@@ -189,12 +189,15 @@
     }
 
     /// Returns whether all hosts that are left agree that the replaced host is gone.
-    fn all_agree(&self) -> bool {
+    fn all_agree(&self, agrees_without_evidence: bool) -> bool {
         let others: Vec<usize> = self.registered().filter(|number| *number != REPLACED).collect();
         let agrees = |number: &usize| self.hosts[*number].is_running() && self.hosts[*number].agrees;
         if !others.iter().all(agrees) {
             return false;
         }
+        if agrees_without_evidence {
+            return true;
+        }
         let testimonies = others.into_iter().map(|number| {
             let met = self.hosts[number].met.iter().enumerate();
             let met = met.filter_map(|(other, run)| Some((id(other), Incarnation::from((*run)?))));
@@ -239,10 +242,28 @@
     silent: &[(HostId, Duration)],
     is_new: bool,
 ) {
+    let locations = |hosts: &mut dyn Iterator<Item = &HostId>| -> Vec<HostLocation> {
+        let located = hosts.map(|host| HostLocation {
+            host: host.clone(),
+            failure_domain: host.clone(),
+        });
+        located.collect()
+    };
+    let others = &mut reached.iter().map(|(host, _)| host);
+    let mut writable = locations(others);
+    let silent_ones = &mut silent.iter().map(|(host, _)| host);
+    let silent_ones = locations(silent_ones);
+    let all: Vec<HostLocation> = writable.iter().cloned().chain(silent_ones).collect();
+    writable.push(HostLocation {
+        host: "this".to_owned(),
+        failure_domain: "this".to_owned(),
+    });
     let round = SyncRound {
         reached,
         silent,
-        writable: reached.len() + 1,
+        writable: &writable,
+        locations: &all,
+        regions: &RegionMap::default(),
     };
     gone.record_round(round, TOLERATED_LOSSES, is_new);
 }
@@ -284,7 +305,7 @@
         for number in 0..HOSTS {
             self.steps_of(world, number, &mut next);
         }
-        if !world.removed && world.all_agree() {
+        if !world.removed && world.all_agree(self.agrees_without_evidence) {
             let mut removed = *world;
             removed.removed = true;
             next.push(removed);
