--- a/crates/burdockroad-gateway/src/turn_store/write.rs
+++ b/crates/burdockroad-gateway/src/turn_store/write.rs
@@ -252,8 +252,7 @@
                 self.replication.record_silent();
             }
         }
-        while self.due_hedges > 0 && self.may_hedge() {
-            self.due_hedges -= 1;
+        while self.take_due_hedge() {
             if let Some(host) = self.replication.next_extra_host() {
                 self.send(disk_hosts, host, false, call);
             } else if let Some(host) = self.replication.next_extra_lost_host() {
@@ -262,17 +261,19 @@
         }
     }
 
-    /// Returns whether the turn may be sent to one more host in place of a slow one. While no host has stored the turn, the
-    /// own link may be slow in place of the hosts, and the interval grows.
-    fn may_hedge(&mut self) -> bool {
-        if self.replication.replicas() > 0 {
-            return true;
-        }
-        if Instant::now() < self.next_hedge_at {
+    /// Takes one of the slow hosts in whose place the turn is to be sent to another one; returns whether there is one now.
+    /// While no host has stored the turn, the own link may be slow in place of the hosts, and the interval grows.
+    fn take_due_hedge(&mut self) -> bool {
+        let now = Instant::now();
+        let has_replica = self.replication.replicas() > 0;
+        if self.due_hedges == 0 || (!has_replica && now < self.next_hedge_at) {
             return false;
         }
-        self.hedge_interval *= 2;
-        self.next_hedge_at = Instant::now() + self.hedge_interval;
+        if !has_replica {
+            self.hedge_interval *= 2;
+            self.next_hedge_at = now + self.hedge_interval;
+        }
+        self.due_hedges -= 1;
         true
     }
 
