review: case 1, lines of turns that no zone can continue after a planned restart

Cause: a host refuses to begin reading a chain at a turn whose own retention is over, though the turn is stored for its chain. Ruled out: the pause alone (TROUBLE=0 holds).

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import socketserver
+import struct
 import subprocess
 import sys
 import tempfile
@@ -51,6 +52,15 @@
             self.file.flush()
 
 
+def reset(connection):
+    """Breaks a connection off; with linger 0, its handler's close then resets it."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+
+
 class Handler(socketserver.StreamRequestHandler):
     """One HTTP/1.1 connection. `self.server.respond` answers each request."""
 
@@ -112,9 +122,9 @@
     allow_reuse_address = True
     request_queue_size = 512
 
-    def __init__(self, ip):
+    def __init__(self, ip, port=0):
         self.connections = set()
-        super().__init__((ip, 0), Handler)
+        super().__init__((ip, port), Handler)
         self.address = f"{ip}:{self.server_address[1]}"
         threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
 
@@ -132,6 +142,7 @@
         self.history = []
         self.leases = {}
         self.next_lease = 77000
+        self.is_down = False
         super().__init__(ip)
         threading.Thread(target=self.expire, daemon=True).start()
 
@@ -178,7 +189,17 @@
                 for lease in [lease for lease, (_, ends) in self.leases.items() if ends <= now]:
                     self.end_lease_locked(lease)
 
+    def set_down(self, is_down):
+        """Lets the store reset all connections, or serve again."""
+        self.is_down = is_down
+        if is_down:
+            for connection in list(self.connections):
+                reset(connection)
+
     def respond(self, connection, method, target, _headers, body):
+        if self.is_down:
+            reset(connection.connection)
+            return False
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         message = json.loads(body) if body else {}
@@ -244,17 +265,26 @@
 class ModelServer(HttpServer):
     """A server of a service: event streams on `/turn/`, plain answers elsewhere. It takes whatever it is sent."""
 
-    def __init__(self, ip, name, record, events=6, gap_s=0.01, work_s=0.02, slots=12):
-        self.name, self.record = name, record
+    def __init__(self, ip, name, record, events=6, gap_s=0.01, work_s=0.02, slots=12, version="v1", port=0):
+        self.name, self.record, self.version = name, record, version
+        self.born = int(time.time() * 1000)
         self.events, self.gap_s, self.work_s, self.slots = events, gap_s, work_s, slots
         self.lock = threading.Lock()
         self.runs = []
         self.running = 0
-        super().__init__(ip)
+        super().__init__(ip, port)
+
+    def stop(self):
+        """Ends the server: its address refuses connections, and the open ones are reset."""
+        self.record.line(f"server   {self.name} {self.version} ends")
+        self.shutdown()
+        self.server_close()
+        for connection in list(self.connections):
+            reset(connection)
 
     def entry(self, service, zone):
-        return {"service": service, "address": self.address, "zone": zone, "version": "v1", "slots": self.slots,
-                "state": "ready", "coldLeftMs": 0, "sequence": 1, "born": int(time.time() * 1000)}
+        return {"service": service, "address": self.address, "zone": zone, "version": self.version, "slots": self.slots,
+                "state": "ready", "coldLeftMs": 0, "sequence": 1, "born": self.born}
 
     def runs_of(self, call_id):
         with self.lock:
@@ -274,11 +304,11 @@
         if target == "/health":
             return connection.answer(200, b"", [("Burdockroad-Instance-Id", self.name)])
         run = {"id": call_id, "at": time.monotonic(), "method": method, "target": target, "headers": headers,
-               "body": body, "server": self.name, "sent": 0, "ended": False}
+               "body": body, "server": self.name, "version": self.version, "sent": 0, "ended": False}
         with self.lock:
             self.runs.append(run)
             self.running += 1
-        self.record.line(f"run      {self.name} {method} {target} id={call_id} body={len(body)}B")
+        self.record.line(f"run      {self.name} {self.version} {method} {target} id={call_id} body={len(body)}B")
         try:
             load = f"{self.running},0,{self.slots}"
             common += [("Burdockroad-Response-Signature", f"sig-{self.name}-{call_id}"),
@@ -470,9 +500,16 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free port below those that the system picks for connections."""
+    for _ in range(50):
+        port = random.randint(20000, 32000)
+        try:
+            with socket.socket() as probe:
+                probe.bind(("0.0.0.0", port))
+            return port
+        except OSError:
+            continue
+    raise CannotRun("no free port")
 
 
 def free_net():
