review: stand-ins keep their slots, idle time and headers; doses as the site file pairs them

The servers of all cases work on as many requests at once as they have slots, and the turn that is taken up carries the time that is left.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,8 +12,8 @@
 LINES = 40
 RETENTION_S = 60.0
 TRIES = 6
-# 1.7 x the time of the turns and their pauses.
-AIM_S = 110.0
+# 1.5 x the time of the turns and their pauses, 66 s.
+AIM_S = 99.0
 CONFIG = {
     "version": 7,
     "routes": [{"name": "title-history", "host": "desk.example", "prefix": "/turn/", "type": "streaming",
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -68,6 +68,8 @@
 
     def handle(self):
         self.server.connections.add(self.connection)
+        # A server closes a connection that is idle for the time that its `Keep-Alive` header states.
+        self.connection.settimeout(self.server.idle_s)
         try:
             while self.handle_one():
                 pass
@@ -121,6 +123,7 @@
     daemon_threads = True
     allow_reuse_address = True
     request_queue_size = 512
+    idle_s = None
 
     def __init__(self, ip, port=0):
         self.connections = set()
@@ -263,15 +266,19 @@
 
 
 class ModelServer(HttpServer):
-    """A server of a service: event streams on `/turn/`, plain answers elsewhere. It takes whatever it is sent."""
+    """A server of a service: event streams on `/turn/`, plain answers elsewhere. It works on `slots` requests at once, and
+    the others wait."""
+
+    idle_s = 20
 
     def __init__(self, ip, name, record, events=6, gap_s=0.01, work_s=0.02, slots=12, version="v1", port=0):
         self.name, self.record, self.version = name, record, version
         self.born = int(time.time() * 1000)
         self.events, self.gap_s, self.work_s, self.slots = events, gap_s, work_s, slots
         self.lock = threading.Lock()
+        self.free_slots = threading.Semaphore(slots)
         self.runs = []
-        self.running = 0
+        self.running = self.waiting = 0
         super().__init__(ip, port)
 
     def stop(self):
@@ -284,7 +291,8 @@
 
     def entry(self, service, zone):
         return {"service": service, "address": self.address, "zone": zone, "version": self.version, "slots": self.slots,
-                "state": "ready", "coldLeftMs": 0, "sequence": 1, "born": self.born}
+                "state": "ready", "coldLeftMs": 0, "stage": "both",
+                "models": [{"name": "m", "version": 1, "adapters": []}], "sequence": 1, "born": self.born}
 
     def runs_of(self, call_id):
         with self.lock:
@@ -303,18 +311,21 @@
                                                          ("Burdockroad-Instance-Id", self.name)])
         if target == "/health":
             return connection.answer(200, b"", [("Burdockroad-Instance-Id", self.name)])
+        with self.lock:
+            self.waiting += 1
+        self.free_slots.acquire()
         run = {"id": call_id, "at": time.monotonic(), "method": method, "target": target, "headers": headers,
                "body": body, "server": self.name, "version": self.version, "sent": 0, "ended": False}
         with self.lock:
-            self.runs.append(run)
+            self.waiting -= 1
             self.running += 1
+            self.runs.append(run)
         self.record.line(f"run      {self.name} {self.version} {method} {target} id={call_id} body={len(body)}B")
         try:
-            load = f"{self.running},0,{self.slots}"
             common += [("Burdockroad-Response-Signature", f"sig-{self.name}-{call_id}"),
-                       ("Burdockroad-Server-Load", load)]
+                       ("Burdockroad-Server-Load", f"{self.running},{self.waiting},{self.slots}")]
             if target.startswith("/turn/"):
-                return self.stream(connection, run, headers, common)
+                return self.stream(connection, run, headers, common + [("Burdockroad-Weight-Versions", "1")])
             time.sleep(self.work_s)
             connection.answer(200, f"done {call_id}".encode(), common)
             run["ended"] = True
@@ -322,6 +333,7 @@
         finally:
             with self.lock:
                 self.running -= 1
+            self.free_slots.release()
 
     def stream(self, connection, run, headers, common):
         first = int(headers.get("last-event-id", "0")) + 1
