Log which turn of a chain was not read, and what the hosts answered

Change: a line history_unread, a counter, and the replies that a lookup counts. No decision changes.

--- a/crates/burdockroad-gateway/src/turn_store/client/history.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client/history.rs
@@ -4,8 +4,9 @@
 
 use burdockroad::{
     RegionId,
-    gateway::{Lookup, LookupOutcome, LookupReply, Turn, TurnKey},
+    gateway::{Lookup, LookupOutcome, LookupReplies, LookupReply, Turn, TurnKey},
 };
+use serde::Serialize;
 
 use super::{READ_TIMEOUT, TurnClient};
 use crate::{
@@ -56,11 +57,14 @@
             if newest_first.len() >= HISTORY_MAX_TURNS {
                 return Err(HistoryError::Uncertain);
             }
-            let read = self.read_chain(&missing, allowed_regions).await;
-            let read = match read {
+            let read = match self.read_chain(&missing, allowed_regions).await {
+                Ok(read) => read,
                 // An ancestor of a turn that exists must exist, too.
-                Err(_) if !newest_first.is_empty() => return Err(HistoryError::Uncertain),
-                read => read?,
+                Err(unread) if unread.error == HistoryError::Uncertain || !newest_first.is_empty() => {
+                    self.log_unread(key, &missing, newest_first.len(), unread.replies);
+                    return Err(HistoryError::Uncertain);
+                }
+                Err(unread) => return Err(unread.error),
             };
             read_turns += read.len();
             newest_first.extend(read.into_iter().map(Arc::new));
@@ -92,7 +96,7 @@
         &self,
         key: &TurnKey,
         allowed_regions: Option<&[RegionId]>,
-    ) -> Result<Vec<Turn>, HistoryError> {
+    ) -> Result<Vec<Turn>, UnreadChain> {
         let is_allowed = |domain: &str| self.regions.allows(domain, allowed_regions);
         let read = self.read_chain_in(key, allowed_regions, is_allowed).await;
         let has_others = {
@@ -100,7 +104,7 @@
             hosts.iter().any(|host| !is_allowed(&host.failure_domain))
         };
         match read {
-            Err(HistoryError::Nonexistent) if has_others => {
+            Err(unread) if unread.error == HistoryError::Nonexistent && has_others => {
                 self.read_chain_in(key, allowed_regions, |domain| !is_allowed(domain))
                     .await
             }
@@ -114,13 +118,16 @@
         key: &TurnKey,
         allowed_regions: Option<&[RegionId]>,
         included: impl Fn(&str) -> bool,
-    ) -> Result<Vec<Turn>, HistoryError> {
+    ) -> Result<Vec<Turn>, UnreadChain> {
         let members = self.lock().members.clone();
         let mut hosts = readable(&members);
         hosts.retain(|host| included(&host.failure_domain));
         let mut lookup = Lookup::new(key, &self.failure_domain, &hosts, &self.disk_hosts.health());
         let call = TurnCall::ReadChain(key.clone());
-        let call = EncodedCall::new(call).map_err(|_unencodable| HistoryError::Uncertain)?;
+        let call = EncodedCall::new(call).map_err(|_unencodable| UnreadChain {
+            error: HistoryError::Uncertain,
+            replies: lookup.replies(),
+        })?;
         let mut chain = Vec::new();
         while let Some(host) = lookup.next_host() {
             let Some(member) = members.get(&host) else {
@@ -139,10 +146,45 @@
             };
             lookup.record(reply);
         }
-        match lookup.outcome() {
-            LookupOutcome::Found => Ok(chain),
-            LookupOutcome::Nonexistent => Err(HistoryError::Nonexistent),
-            LookupOutcome::Uncertain => Err(HistoryError::Uncertain),
-        }
+        let error = match lookup.outcome() {
+            LookupOutcome::Found => return Ok(chain),
+            LookupOutcome::Nonexistent => HistoryError::Nonexistent,
+            LookupOutcome::Uncertain => HistoryError::Uncertain,
+        };
+        Err(UnreadChain {
+            error,
+            replies: lookup.replies(),
+        })
     }
+
+    /// Logs that a turn of the chain that a call continues was not read.
+    fn log_unread(&self, named: &TurnKey, unread: &TurnKey, turns_read: usize, replies: LookupReplies) {
+        metrics::counter!("burdockroad_histories_unread_total").increment(1);
+        let line = HistoryUnreadLine {
+            turn: &named.turn,
+            unread_turn: &unread.turn,
+            turns_read,
+            replies,
+        };
+        self.log.line("history_unread", &line);
+    }
+}
+
+/// A turn that no host returned.
+struct UnreadChain {
+    error: HistoryError,
+    replies: LookupReplies,
+}
+
+/// Log line of a chain that was not read to its first turn.
+#[derive(Serialize)]
+struct HistoryUnreadLine<'a> {
+    /// The turn that the call names.
+    turn: &'a str,
+    /// The turn of its chain that was not read.
+    unread_turn: &'a str,
+    /// Number of newer turns of the chain that were read.
+    turns_read: usize,
+    #[serde(flatten)]
+    replies: LookupReplies,
 }
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -79,7 +79,7 @@
     store_contact::StoreOutage,
     stream_origin::{StreamId, StreamOrigins, UnsentOrigin, UnsentOrigins, stream_holders},
     turns::{
-        GoneHosts, GoneTestimony, IndexPage, IndexedTurn, Lookup, LookupOutcome, LookupReply,
+        GoneHosts, GoneTestimony, IndexPage, IndexedTurn, Lookup, LookupOutcome, LookupReplies, LookupReply,
         OutputCollector, Replication, ReplicationProgress, SyncRound, Turn, TurnCache, TurnHostHealth,
         TurnId, TurnIndex, TurnKey, TurnTimes, all_agree, is_allowed_replica, is_replica, missing_replicas,
         prompt, renewals, replica_order,
--- a/crates/burdockroad/src/gateway/turns.rs
+++ b/crates/burdockroad/src/gateway/turns.rs
@@ -29,7 +29,7 @@
     gone_hosts::{GoneHosts, GoneTestimony, SyncRound, all_agree},
     health::TurnHostHealth,
     index::{IndexPage, IndexedTurn, TurnIndex},
-    lookup::{Lookup, LookupOutcome, LookupReply},
+    lookup::{Lookup, LookupOutcome, LookupReplies, LookupReply},
     output::OutputCollector,
     replication::{
         Replication, ReplicationProgress, is_allowed_replica, is_replica, missing_replicas, replica_order,
--- a/crates/burdockroad/src/gateway/turns/lookup.rs
+++ b/crates/burdockroad/src/gateway/turns/lookup.rs
@@ -6,6 +6,8 @@
 
 use std::collections::VecDeque;
 
+use serde::Serialize;
+
 use crate::{
     gateway::{HostLocation, TurnHostHealth, TurnKey, replica_order},
     ids::HostId,
@@ -35,11 +37,26 @@
     Uncertain,
 }
 
+/// Number of hosts by their reply to a lookup.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct LookupReplies {
+    /// Hosts that do not have the turn, and have all turns that they should store.
+    pub absent_hosts: usize,
+    /// Hosts that do not have the turn, but may still have to copy it.
+    pub incomplete_hosts: usize,
+    /// Hosts that did not reply.
+    pub silent_hosts: usize,
+    /// Hosts that were not asked because they count as lost.
+    pub lost_hosts: usize,
+}
+
 /// Lookup of one turn at the hosts that may store it, one after the other.
 #[derive(Clone, Debug)]
 pub struct Lookup {
     untried: VecDeque<HostId>,
     outcome: LookupOutcome,
+    replies: LookupReplies,
 }
 
 impl Lookup {
@@ -53,7 +70,15 @@
         } else {
             LookupOutcome::Nonexistent
         };
-        Self { untried, outcome }
+        let replies = LookupReplies {
+            lost_hosts: lost.len(),
+            ..LookupReplies::default()
+        };
+        Self {
+            untried,
+            outcome,
+            replies,
+        }
     }
 
     /// Returns the next host to ask; `None` when the outcome is known.
@@ -68,11 +93,23 @@
     pub fn record(&mut self, reply: LookupReply) {
         match reply {
             LookupReply::Found => self.outcome = LookupOutcome::Found,
-            LookupReply::Absent => {}
-            LookupReply::Incomplete | LookupReply::NoReply => self.outcome = LookupOutcome::Uncertain,
+            LookupReply::Absent => self.replies.absent_hosts += 1,
+            LookupReply::Incomplete => {
+                self.replies.incomplete_hosts += 1;
+                self.outcome = LookupOutcome::Uncertain;
+            }
+            LookupReply::NoReply => {
+                self.replies.silent_hosts += 1;
+                self.outcome = LookupOutcome::Uncertain;
+            }
         }
     }
 
+    /// Returns how many hosts gave which reply so far.
+    pub fn replies(&self) -> LookupReplies {
+        self.replies
+    }
+
     /// Returns the outcome of the replies so far.
     pub fn outcome(&self) -> LookupOutcome {
         self.outcome
