Read the ancestors of a turn for as long as they are stored

Cause: hosts with disks refused to read a turn whose own retention was over. The check was meant for the turn that a call names, but ancestors are read with the same call. Change: the log returns turns while they are stored; the gateway host, which knows what the call names, checks the retention of that turn alone. Why it works: all paths that read on from an ancestor use this call, and each call's named turn passes the check at the gateway host.

--- a/crates/burdockroad-gateway/src/turn_store/host.rs
+++ b/crates/burdockroad-gateway/src/turn_store/host.rs
@@ -80,7 +80,7 @@
                     TurnResponse::NotStored
                 }
             },
-            TurnCall::ReadChain(key) => match self.log.read_chain(key, unix_ms()).await {
+            TurnCall::ReadChain(key) => match self.log.read_chain(key).await {
                 Ok(turns) if !turns.is_empty() => TurnResponse::Chain(turns),
                 Ok(_) => TurnResponse::Absent {
                     complete: self.complete.load(Ordering::Relaxed),
--- a/crates/burdockroad-gateway/src/turn_store/log.rs
+++ b/crates/burdockroad-gateway/src/turn_store/log.rs
@@ -60,7 +60,7 @@
 ///     output: "answer\n".into(),
 /// }])
 /// .await?;
-/// let chain = log.read_chain(key, 999).await?;
+/// let chain = log.read_chain(key).await?;
 /// assert_eq!(chain[0].output, "answer\n");
 /// # Ok(())
 /// # }
@@ -119,15 +119,15 @@
     }
 
     /// Reads the newest turns of the chain that ends with a turn, newest turn first, up to the first one that
-    /// is not in the log. Empty when the turn is not in the log or has expired.
+    /// is not in the log. Empty when the turn is not in the log.
+    ///
+    /// Turns that can no longer be continued by themselves are read, too, as long as they are stored: they may be
+    /// ancestors of the turn that a call continues.
     ///
     /// # Errors
     ///
     /// Fails when a record cannot be read.
-    pub async fn read_chain(&self, key: TurnKey, now_unix_ms: u64) -> io::Result<Vec<Turn>> {
-        if !self.lock().index.may_continue(&key, now_unix_ms) {
-            return Ok(Vec::new());
-        }
+    pub async fn read_chain(&self, key: TurnKey) -> io::Result<Vec<Turn>> {
         let inner = Arc::clone(&self.inner);
         blocking(move || inner.read_chain(key)).await
     }
--- a/crates/burdockroad/src/gateway/turns/index.rs
+++ b/crates/burdockroad/src/gateway/turns/index.rs
@@ -50,7 +50,6 @@
     root: TurnId,
     home_domain: String,
     allowed_regions: Option<Vec<RegionId>>,
-    expires_unix_ms: u64,
     stored_until_unix_ms: u64,
 }
 
@@ -79,7 +78,6 @@
             root: turn.root.clone(),
             home_domain: turn.home_domain.clone(),
             allowed_regions: turn.allowed_regions.clone(),
-            expires_unix_ms: turn.expires_unix_ms,
             stored_until_unix_ms: turn.stored_until_unix_ms,
         };
         self.entries.insert(turn.key.clone(), entry);
@@ -103,12 +101,6 @@
         turns.map(|key| key.turn.clone()).collect()
     }
 
-    /// Returns whether the turn may be continued: it is indexed and has not expired.
-    pub fn may_continue(&self, key: &TurnKey, now_unix_ms: u64) -> bool {
-        let entry = self.entries.get(key);
-        entry.is_some_and(|entry| entry.expires_unix_ms > now_unix_ms)
-    }
-
     /// Returns the location of a turn.
     pub fn location(&self, key: &TurnKey) -> Option<L> {
         self.entries.get(key).map(|entry| entry.location.clone())
