End responses whose bytes bring no content

Seen by callers: beside an endpoint that sends provisional responses or chunk sizes of zeros without end, calls to other endpoints were left without an answer or were late, and calls to it ended after their deadline. Memory stayed bounded. Cause: the HTTP library reads such bytes as fast as they arrive and passes nothing on, so no limit of a head, body or event counts them, and other tasks wait meanwhile. Why it works: whatever the library reads passes the counted connection, on the own link and through another host; the bound is far below what keeps a task busy.

--- a/crates/burdockroad-gateway/src/attempt.rs
+++ b/crates/burdockroad-gateway/src/attempt.rs
@@ -24,7 +24,6 @@
     },
 };
 use http::Response;
-use hyper::body::Incoming;
 
 use self::{crash_suspect::Run, silent_run::SilentEndpoint};
 pub(crate) use self::{crash_suspect::identify, silent_run::SilentRun};
@@ -34,6 +33,7 @@
     budgets::{Reservation, release},
     call_record::CallRecord,
     call_timeout::call_timeout,
+    content_meter::MeteredBody,
     framing::Framing,
     kept_turn::KeptTurn,
     pool::Connection,
@@ -88,7 +88,7 @@
 /// A response whose head has arrived.
 #[derive(Debug)]
 pub(crate) struct OpenedResponse {
-    pub(crate) response: Response<Incoming>,
+    pub(crate) response: Response<MeteredBody>,
     pub(crate) head: ResponseHead,
     pub(crate) framing: Framing,
     pub(crate) connection: Connection,
--- a/crates/burdockroad-gateway/src/attempt/exchange.rs
+++ b/crates/burdockroad-gateway/src/attempt/exchange.rs
@@ -1,6 +1,9 @@
 //! One exchange of a request and a response head with an endpoint.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use burdockroad::gateway::{Endpoint, Failure, LoadReading, NextStep, RateStatement};
 use bytes::Bytes;
@@ -14,7 +17,8 @@
     attribution::{Attribution, ConnectionUse},
 };
 use crate::{
-    EndpointPhase, ForwardHead, endpoint_path::connect_to_endpoint, framing::Framing, pool::Connection,
+    EndpointPhase, ForwardHead, content_meter::MeteredBody, endpoint_path::connect_to_endpoint,
+    framing::Framing, pool::Connection,
 };
 
 /// Timeout for the response head of a call that may be repeated. After it, the call is sent again. The last attempt has
@@ -76,7 +80,9 @@
             HEAD_TIMEOUT.min(self.time_left())
         };
         self.record_sent(&endpoint.id);
-        let result = timeout(head_timeout, connection.sender.try_send_request(request)).await;
+        connection.http.meter.begin_response();
+        let sending = connection.http.sender.try_send_request(request);
+        let result = timeout(head_timeout, sending).await;
         match result {
             Err(_elapsed) => Err(Failure::Unknown),
             Ok(Ok(response)) => {
@@ -84,9 +90,10 @@
                     .shared
                     .dialect
                     .read_response(response.status(), response.headers());
+                let meter = Arc::clone(&connection.http.meter);
                 Ok(SendOutcome::Responded(OpenedResponse {
                     framing: Framing::of(response.headers()),
-                    response,
+                    response: response.map(|body| MeteredBody::new(body, meter)),
                     head,
                     connection,
                 }))
--- a/crates/burdockroad-gateway/src/endpoint_path.rs
+++ b/crates/burdockroad-gateway/src/endpoint_path.rs
@@ -11,7 +11,6 @@
     EndpointId, HostId, RegionId,
     gateway::{Endpoint, Failure, RelayCandidate},
 };
-use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use tokio::{
     net::TcpStream,
@@ -85,11 +84,9 @@
     time_limit: Duration,
 ) -> Result<Connection, Failure> {
     let stream = open_own_link(shared, endpoint, time_limit).await?;
-    let sender = handshake(TokioIo::new(stream))
-        .await
-        .map_err(|_failed| Failure::Unreachable)?;
+    let http = handshake(stream).await.map_err(|_failed| Failure::Unreachable)?;
     Ok(Connection {
-        sender,
+        http,
         address: endpoint.address,
         through_host: None,
     })
@@ -123,10 +120,10 @@
     time_limit: Duration,
 ) -> Result<Connection, TunnelError> {
     let relay = choose_relay(shared, allowed_regions).ok_or(TunnelError::NoRelay)?;
-    let sender = tunnel::open(relay.address, &endpoint.id, time_limit).await?;
+    let http = tunnel::open(relay.address, &endpoint.id, time_limit).await?;
     metrics::counter!("burdockroad_tunnels_opened_total").increment(1);
     Ok(Connection {
-        sender,
+        http,
         address: endpoint.address,
         through_host: Some(relay.host),
     })
--- a/crates/burdockroad-gateway/src/framing.rs
+++ b/crates/burdockroad-gateway/src/framing.rs
@@ -74,6 +74,8 @@
     ConnectionFailed,
     /// No data arrived in time.
     NoData,
+    /// Too many bytes arrived that carry no content.
+    NoContent,
     /// An event is too long to be one.
     EventTooLong,
     /// Bytes arrived that are not the next event.
@@ -90,6 +92,7 @@
         match self {
             Self::ConnectionFailed => "connection_failed",
             Self::NoData => "no_data",
+            Self::NoContent => "no_content",
             Self::EventTooLong => "event_too_long",
             Self::ForeignBytes(ForeignBytes::NoEvent) => "no_event",
             Self::ForeignBytes(ForeignBytes::IdNotIncreasing) => "id_not_increasing",
--- a/crates/burdockroad-gateway/src/lib.rs
+++ b/crates/burdockroad-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod clock;
 mod cold_endpoints;
 mod collected_reports;
+mod content_meter;
 mod crash_checks;
 mod crash_detection;
 mod decision_log;
--- a/crates/burdockroad-gateway/src/peer_client.rs
+++ b/crates/burdockroad-gateway/src/peer_client.rs
@@ -124,7 +124,7 @@
         let key = address.to_string();
         let mut request = message_request(call);
         if let Some(mut connection) = self.pool.take(&key, address, Instant::now()) {
-            let result = timeout(response_timeout, connection.sender.try_send_request(request)).await;
+            let result = timeout(response_timeout, connection.http.sender.try_send_request(request)).await;
             match result {
                 Ok(Ok(response)) => return Ok((connection, response)),
                 Ok(Err(mut unsent)) => {
@@ -138,7 +138,7 @@
         }
         let connecting = connect(address, response_timeout).await;
         let mut connection = connecting.map_err(|_unreachable| PeerError::Unreachable)?;
-        let result = timeout(response_timeout, connection.sender.send_request(request)).await;
+        let result = timeout(response_timeout, connection.http.sender.send_request(request)).await;
         match result {
             Ok(Ok(response)) => Ok((connection, response)),
             Ok(Err(_)) | Err(_) => Err(PeerError::NoResponse),
--- a/crates/burdockroad-gateway/src/pool.rs
+++ b/crates/burdockroad-gateway/src/pool.rs
@@ -4,19 +4,22 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
 use burdockroad::{EndpointId, HostId};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{
-    client::conn::http1::{self, SendRequest},
-    rt::{Read, Write},
-};
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    time::timeout,
+};
+
+use crate::content_meter::{ContentMeter, MeteredConnection};
 
 /// Timeout for opening a connection. It is below the second after which TCP retransmits a lost packet of the
 /// handshake.
@@ -29,10 +32,18 @@
 /// Fraction of an endpoint's announced keep-alive time for which an idle connection is reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
 
-/// HTTP/1.1 connection. It carries one call at a time.
+/// HTTP/1.1 on an open connection.
 #[derive(Debug)]
-pub(crate) struct Connection {
+pub(crate) struct HttpConnection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Counts the incoming bytes.
+    pub(crate) meter: Arc<ContentMeter>,
+}
+
+/// Connection to an endpoint or another host. It carries one call at a time.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) http: HttpConnection,
     /// Address of the endpoint or host at its other end.
     pub(crate) address: SocketAddr,
     /// Host that opened the connection in place of this one; `None` on this host's own link.
@@ -59,7 +70,7 @@
         let connections = idle.get_mut(key)?;
         while let Some(last) = connections.pop() {
             let is_reusable = last.expires_at > now && last.connection.address == address;
-            if is_reusable && last.connection.sender.is_ready() {
+            if is_reusable && last.connection.http.sender.is_ready() {
                 return Some(last.connection);
             }
         }
@@ -76,7 +87,7 @@
         max_idle: usize,
         now: Instant,
     ) {
-        if connection.sender.is_closed() {
+        if connection.http.sender.is_closed() {
             return;
         }
         let idle_time = keep_alive.map_or(IDLE_MAX, |keep_alive_time| {
@@ -84,7 +95,7 @@
         });
         let mut idle = self.lock_idle();
         let connections = idle.entry(key.to_owned()).or_default();
-        connections.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
+        connections.retain(|idle| idle.expires_at > now && !idle.connection.http.sender.is_closed());
         if connections.len() < max_idle {
             connections.push(IdleConnection {
                 connection,
@@ -109,7 +120,7 @@
     pub(crate) fn remove_expired(&self, now: Instant) {
         let mut idle = self.lock_idle();
         for connections in idle.values_mut() {
-            connections.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
+            connections.retain(|idle| idle.expires_at > now && !idle.connection.http.sender.is_closed());
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
@@ -123,7 +134,7 @@
 pub(crate) async fn connect(address: SocketAddr, time_limit: Duration) -> io::Result<Connection> {
     let stream = connect_stream(address, time_limit).await?;
     Ok(Connection {
-        sender: handshake(TokioIo::new(stream)).await?,
+        http: handshake(stream).await?,
         address,
         through_host: None,
     })
@@ -141,13 +152,15 @@
 
 /// Starts HTTP/1.1 on an open connection.
 pub(crate) async fn handshake(
-    io: impl Read + Write + Unpin + Send + 'static,
-) -> io::Result<SendRequest<Full<Bytes>>> {
+    io: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+) -> io::Result<HttpConnection> {
+    let meter = Arc::new(ContentMeter::new());
+    let io = TokioIo::new(MeteredConnection::new(io, Arc::clone(&meter)));
     let handshake = http1::Builder::new().max_buf_size(32 << 10).handshake(io);
     let (sender, connection) = handshake.await.map_err(io::Error::other)?;
     tokio::spawn(async move {
         // The call that uses the connection receives its errors.
         let _ended = connection.await;
     });
-    Ok(sender)
+    Ok(HttpConnection { sender, meter })
 }
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -9,7 +9,6 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::{task::yield_now, time::timeout};
 
 use self::{
@@ -18,6 +17,7 @@
 };
 use crate::{
     attempt::{Call, OpenedResponse},
+    content_meter::MeteredBody,
     framing::{MediaType, StreamBreak},
     kept_turn::KeptTurn,
     refusal::Refusal,
@@ -30,12 +30,12 @@
 
 /// Reads a complete response body before the call's deadline. Returns `None` when the response breaks off, is
 /// longer than [`RESPONSE_MAX_BYTES`], or when this host has no room for it.
-pub(crate) async fn read_whole(call: &Call, body: Incoming) -> Option<Bytes> {
+pub(crate) async fn read_whole(call: &Call, body: MeteredBody) -> Option<Bytes> {
     let reading = read_bounded(&call.shared.response_space, body);
     timeout(call.time_left(), reading).await.ok().flatten()
 }
 
-async fn read_bounded(space: &ResponseSpace, mut body: Incoming) -> Option<Bytes> {
+async fn read_bounded(space: &ResponseSpace, mut body: MeteredBody) -> Option<Bytes> {
     let mut share = space.share();
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
--- a/crates/burdockroad-gateway/src/stream/source.rs
+++ b/crates/burdockroad-gateway/src/stream/source.rs
@@ -5,11 +5,11 @@
 use burdockroad::gateway::EventBuffer;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::{
     attempt::{Call, OpenedResponse},
+    content_meter::MeteredBody,
     framing::{Framing, MediaType, StreamBreak},
     pool::Connection,
 };
@@ -22,7 +22,7 @@
 
 /// A response that is being read. Dropping it before its end closes its connection.
 pub(super) struct Source {
-    body: Incoming,
+    body: MeteredBody,
     framing: Framing,
     response_type: MediaType,
     connection: Connection,
@@ -115,6 +115,7 @@
         }
         match self.body.frame().await {
             Some(Ok(frame)) => self.push(&frame.into_data().unwrap_or_default()),
+            Some(Err(_)) if self.body.is_without_content() => Err(StreamBreak::NoContent),
             Some(Err(_)) => Err(StreamBreak::ConnectionFailed),
             None => self.check_end(),
         }
--- a/crates/burdockroad-gateway/src/tunnel.rs
+++ b/crates/burdockroad-gateway/src/tunnel.rs
@@ -12,14 +12,14 @@
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
-    client::conn::http1::{self, SendRequest},
+    client::conn::http1,
     upgrade::{self, Upgraded},
 };
 use hyper_util::rt::TokioIo;
 use tokio::time::timeout;
 
 use crate::{
-    pool::{connect_stream, handshake},
+    pool::{HttpConnection, connect_stream, handshake},
     tunnel_frames::FramedConnection,
 };
 
@@ -48,14 +48,13 @@
     address: SocketAddr,
     endpoint: &str,
     time_limit: Duration,
-) -> Result<SendRequest<Full<Bytes>>, TunnelError> {
+) -> Result<HttpConnection, TunnelError> {
     let opening = async {
         let tunnel = request_tunnel(address, endpoint, time_limit).await?;
         let handshake = if tunnel.has_frames {
-            let connection = FramedConnection::new(TokioIo::new(tunnel.upgraded));
-            handshake(TokioIo::new(connection)).await
+            handshake(FramedConnection::new(TokioIo::new(tunnel.upgraded))).await
         } else {
-            handshake(tunnel.upgraded).await
+            handshake(TokioIo::new(tunnel.upgraded)).await
         };
         handshake.map_err(|_failed| TunnelError::NoRelay)
     };
