Count comments and empty lines towards the longest event

Seen by callers: a stream of empty lines or comments in place of events was passed on as a success that did not end, past the call's deadline. Cause: such blocks count as complete, so the bound of an event did not apply, and a timeout never fires while there is always something to read. Evidence: endless_event_ends_the_call_and_the_connection with empty lines did not end within nine minutes before; it passes now. Change: the bound of 256 KiB counts what follows the last event, short comments and empty lines with 64 bytes each. Why it works: only events set the count back, and a stream without them reaches the bound after 4096 blocks.

--- a/crates/burdockroad-gateway/src/stream/source.rs
+++ b/crates/burdockroad-gateway/src/stream/source.rs
@@ -14,7 +14,8 @@
     pool::Connection,
 };
 
-/// Longest event, in bytes. A longer one is not what an endpoint sends, and may have no end.
+/// Longest event, with the comments and empty lines before it, in bytes. A longer one is not what an endpoint sends, and may
+/// have no end.
 const EVENT_MAX_BYTES: usize = 256 << 10;
 
 /// Time without data after which a stream that may be repeated counts as silent.
@@ -124,7 +125,7 @@
     fn push(&mut self, data: &[u8]) -> Result<Content, StreamBreak> {
         self.has_output |= !data.is_empty();
         let ready = self.events.push(data);
-        if self.events.partial_bytes() > EVENT_MAX_BYTES {
+        if self.events.eventless_bytes() > EVENT_MAX_BYTES {
             return Err(StreamBreak::EventTooLong);
         }
         Ok(Content::Events(ready))
--- a/crates/burdockroad/src/gateway/events.rs
+++ b/crates/burdockroad/src/gateway/events.rs
@@ -7,6 +7,9 @@
 /// Id of a stream's first event.
 const FIRST_ID: u64 = 1;
 
+/// Bytes that a comment or an empty line counts for at least. Reading a shorter one takes as long.
+const EVENTLESS_BLOCK_MIN_BYTES: usize = 64;
+
 /// Part of a stream after which it broke off, although its response has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Truncation {
@@ -45,6 +48,8 @@
     last_id_of_response: Option<u64>,
     foreign: Option<ForeignBytes>,
     released: u64,
+    /// Bytes of the comments and empty lines since the last event, by [`EVENTLESS_BLOCK_MIN_BYTES`].
+    eventless_block_bytes: usize,
 }
 
 impl EventBuffer {
@@ -80,6 +85,7 @@
         self.scanned_bytes = 0;
         self.last_id_of_response = None;
         self.foreign = None;
+        self.eventless_block_bytes = 0;
     }
 
     /// Returns the number of bytes after the last complete event.
@@ -87,6 +93,22 @@
         self.pending.len()
     }
 
+    /// Returns the number of bytes after the last event. Comments and empty lines are no events; short ones count for 64
+    /// bytes each.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use burdockroad::gateway::EventBuffer;
+    ///
+    /// let mut buffer = EventBuffer::after(None);
+    /// buffer.push(b"id: 1\ndata: a\n\n: c\n\nid: 2");
+    /// assert_eq!(buffer.eventless_bytes(), 64 + 5);
+    /// ```
+    pub fn eventless_bytes(&self) -> usize {
+        self.eventless_block_bytes + self.pending.len()
+    }
+
     /// Checks that all bytes of the current response belong to the stream.
     ///
     /// # Errors
@@ -170,9 +192,13 @@
     fn release(&mut self, block: &[u8]) -> Result<bool, ForeignBytes> {
         let id = match read_block(block) {
             Block::Event { id } => id,
-            Block::Comment => return Ok(true),
+            Block::Comment => {
+                self.eventless_block_bytes += block.len().max(EVENTLESS_BLOCK_MIN_BYTES);
+                return Ok(true);
+            }
             Block::NoEvent => return Err(ForeignBytes::NoEvent),
         };
+        self.eventless_block_bytes = 0;
         if self.last_id_of_response.is_some_and(|last_id| id <= last_id) {
             return Err(ForeignBytes::IdNotIncreasing);
         }
