Copy turns that are stored for longer than the copy at hand

Seen by callers: nothing yet; read in the code by the review. A long conversation could lose its first turns before their retention ended, and be refused, once only hosts with older copies were left. Cause: a host that lists another's turns, and one that is being removed, compared names alone, so a turn that was stored again was not copied where a copy for a shorter time lay. Evidence: turn_that_was_renewed_is_missing_where_an_older_copy_lies failed with the comparison by name, and passes now. Change: listings and the call for missing turns tell until when a copy is stored; the time is compared. Earlier versions read and write these messages as before. Why it works: a renewed turn gets a new position in the index, so it is listed again, and is now fetched by each host that should store it.

--- a/crates/burdockroad-gateway/src/turn_store/host.rs
+++ b/crates/burdockroad-gateway/src/turn_store/host.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use burdockroad::gateway::TurnCopy;
 use burdockroad_daemon::platform::StoreError;
 use tokio::{net::TcpListener, time::sleep};
 
@@ -104,9 +105,9 @@
                     page: self.log.page(from, PAGE_MAX_TURNS),
                 }
             }
-            TurnCall::Missing(keys) => {
-                let missing = keys.into_iter().filter(|key| !self.log.contains(key));
-                TurnResponse::Missing(missing.collect())
+            TurnCall::Missing(copies) => {
+                let missing = copies.iter().filter(|copy| !self.log.outlasts(copy));
+                TurnResponse::Missing(missing.map(TurnCopy::key).collect())
             }
             TurnCall::StreamVersion { stream } => TurnResponse::StreamVersion(self.streams.version(&stream)),
             TurnCall::GoneHosts => TurnResponse::GoneHosts(self.lock_gone().testimony()),
--- a/crates/burdockroad-gateway/src/turn_store/log.rs
+++ b/crates/burdockroad-gateway/src/turn_store/log.rs
@@ -19,7 +19,7 @@
 
 use burdockroad::{
     AccountId,
-    gateway::{IndexPage, Turn, TurnId, TurnIndex, TurnKey},
+    gateway::{IndexPage, Turn, TurnCopy, TurnId, TurnIndex, TurnKey},
 };
 use tokio::{sync::oneshot, task::spawn_blocking};
 
@@ -147,6 +147,11 @@
         self.lock().index.contains(key)
     }
 
+    /// Returns whether the log has a turn for at least as long as another host's copy is stored.
+    pub fn outlasts(&self, copy: &TurnCopy) -> bool {
+        self.lock().index.outlasts(copy)
+    }
+
     /// Returns the ids of the turns of an account.
     pub fn turns_of(&self, account: &AccountId) -> Vec<TurnId> {
         self.lock().index.turns_of(account)
--- a/crates/burdockroad-gateway/src/turn_store/messages.rs
+++ b/crates/burdockroad-gateway/src/turn_store/messages.rs
@@ -2,7 +2,7 @@
 
 use burdockroad::{
     Incarnation, SoftwareVersion,
-    gateway::{GoneTestimony, IndexPage, StreamId, Turn, TurnId, TurnKey},
+    gateway::{GoneTestimony, IndexPage, StreamId, Turn, TurnCopy, TurnId, TurnKey},
 };
 use serde::{Deserialize, Serialize};
 
@@ -23,8 +23,8 @@
         /// Position in the index.
         from: u64,
     },
-    /// Asks which of these turns the host does not have.
-    Missing(Vec<TurnKey>),
+    /// Asks which of these copies' turns the host does not have for at least as long.
+    Missing(Vec<TurnCopy>),
     /// Requests the software version that began a stream.
     StreamVersion {
         /// Id of the stream.
@@ -60,7 +60,7 @@
         /// Turns and the position of the next page.
         page: IndexPage,
     },
-    /// The turns that the host does not have.
+    /// The turns that the host does not have for that long.
     Missing(Vec<TurnKey>),
     /// Version that began the stream; `None` if the host does not hold it.
     StreamVersion(Option<SoftwareVersion>),
--- a/crates/burdockroad-gateway/src/turn_store/removal.rs
+++ b/crates/burdockroad-gateway/src/turn_store/removal.rs
@@ -4,7 +4,7 @@
 
 use burdockroad::{
     HostId,
-    gateway::{HostLocation, IndexedTurn, RegionMap, TurnKey, is_allowed_replica},
+    gateway::{HostLocation, IndexedTurn, RegionMap, TurnCopy, is_allowed_replica},
 };
 use tokio::time::sleep;
 
@@ -55,12 +55,12 @@
         let Some(member) = members.get(&host.host) else {
             continue;
         };
-        let keys = keys_of(&host.host, turns, replicas + lost, &hosts, &state.regions);
-        if !keys.is_empty() && !copy_to(state, member, keys.clone()).await {
+        let copies = copies_for(&host.host, turns, replicas + lost, &hosts, &state.regions);
+        if !copies.is_empty() && !copy_to(state, member, copies.clone()).await {
             lost += 1;
             continue;
         }
-        unstored.retain(|turn| !keys.contains(&turn.key));
+        unstored.retain(|turn| !copies.contains(&turn.copy()));
     }
     // A turn whose regions have no other host stays here until it expires.
     unstored.retain(|turn| state.log.contains(&turn.key));
@@ -69,23 +69,23 @@
     unstored.is_empty() && lost <= state.tolerated_losses
 }
 
-/// Returns the turns that a host should store when this host is gone.
-fn keys_of(
+/// Returns this host's copies of the turns that another host should store when this host is gone.
+fn copies_for(
     host: &HostId,
     turns: &[IndexedTurn],
     replicas: usize,
     hosts: &[HostLocation],
     regions: &RegionMap,
-) -> Vec<TurnKey> {
+) -> Vec<TurnCopy> {
     let of_host = turns
         .iter()
         .filter(|turn| is_allowed_replica(host, turn, replicas, hosts, regions));
-    of_host.map(|turn| turn.key.clone()).collect()
+    of_host.map(IndexedTurn::copy).collect()
 }
 
-/// Copies the turns that a host does not have. Returns whether it has all of them now.
-async fn copy_to(state: &TurnHostState, member: &TurnMember, keys: Vec<TurnKey>) -> bool {
-    let call = TurnCall::Missing(keys);
+/// Copies the turns that a host does not have for as long as this host. Returns whether it has all of them now.
+async fn copy_to(state: &TurnHostState, member: &TurnMember, copies: Vec<TurnCopy>) -> bool {
+    let call = TurnCall::Missing(copies);
     let response = state.client.call(member.address, &call, CALL_TIMEOUT).await;
     let Ok(TurnResponse::Missing(mut missing)) = response else {
         return false;
--- a/crates/burdockroad-gateway/src/turn_store/sync.rs
+++ b/crates/burdockroad-gateway/src/turn_store/sync.rs
@@ -2,7 +2,8 @@
 //!
 //! A host lists the turns that each other host has stored since its last listing, and copies those that it
 //! should store but does not: after its disk was lost, after it was unreachable, and when it takes the place
-//! of another host. Turns never change, so copies need no comparison.
+//! of another host. Turns never change, but those of a long conversation are stored again for longer; such a copy replaces
+//! a shorter one.
 
 use std::{
     collections::HashMap,
@@ -212,7 +213,7 @@
             self.state.tolerated_losses + 1,
             &self.live_hosts,
             &self.state.regions,
-            |key| self.state.log.contains(key),
+            |turn| self.state.log.outlasts(&turn.copy()),
         );
         let mut missing: Vec<TurnKey> = missing.into_iter().cloned().collect();
         let mut copied = 0;
@@ -222,13 +223,13 @@
                 return Err(SyncError::NoResponse);
             };
             copied += turns.len();
-            let received = turns.len();
+            let received: Vec<TurnKey> = turns.iter().map(|turn| turn.key.clone()).collect();
             self.state.log.append(turns).await.map_err(|error| {
                 self.state.log_disk_error(&error);
                 SyncError::DiskFailed
             })?;
-            missing.retain(|key| !self.state.log.contains(key));
-            if received == 0 {
+            missing.retain(|key| !received.contains(key));
+            if received.is_empty() {
                 // The remaining turns have expired since they were listed.
                 break;
             }
--- a/crates/burdockroad-gateway/tests/turn_log.rs
+++ b/crates/burdockroad-gateway/tests/turn_log.rs
@@ -142,20 +142,20 @@
 async fn chain_in_several_parts_is_read_from_ancestors_that_have_expired_until_they_are_removed() {
     let folder = tempfile::tempdir().expect("a scratch folder");
     let (log, _) = TurnLog::open(folder.path()).expect("the log is opened");
-    let long = |id: &str, previous: Option<&str>| Turn {
+    let long_turn = |id: &str, previous: Option<&str>| Turn {
         expires_unix_ms: 1,
         input: Bytes::from(vec![b'i'; 300 << 10]),
         ..turn(id, previous)
     };
     for (id, previous) in [("1", None), ("2", Some("1")), ("3", Some("2"))] {
-        log.append(vec![long(id, previous)])
+        log.append(vec![long_turn(id, previous)])
             .await
             .expect("the turn is appended");
     }
     let newest = log.read_chain(key("3")).await.expect("the chain is read");
     assert_eq!(newest.len(), 2);
     let rest = log.read_chain(key("1")).await.expect("the chain is read");
-    assert_eq!(rest, [long("1", None)]);
+    assert_eq!(rest, [long_turn("1", None)]);
     log.remove_expired(2000).await.expect("the turns are removed");
     assert_eq!(log.read_chain(key("1")).await.expect("a result"), []);
 }
--- a/crates/burdockroad/src/gateway/turns.rs
+++ b/crates/burdockroad/src/gateway/turns.rs
@@ -28,7 +28,7 @@
     cache::TurnCache,
     gone_hosts::{GoneHosts, GoneTestimony, SyncRound, all_agree},
     health::TurnHostHealth,
-    index::{IndexPage, IndexedTurn, TurnIndex},
+    index::{IndexPage, IndexedTurn, TurnCopy, TurnIndex},
     lookup::{Lookup, LookupOutcome, LookupReplies, LookupReply},
     output::OutputCollector,
     replication::{
--- a/crates/burdockroad/src/gateway/turns/index.rs
+++ b/crates/burdockroad/src/gateway/turns/index.rs
@@ -22,6 +22,43 @@
     /// Regions in which the turn may be stored; `None` if it may be stored anywhere.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub allowed_regions: Option<Vec<RegionId>>,
+    /// Time until which the host stores the turn, in Unix milliseconds. Hosts of earlier versions do not list it.
+    #[serde(default)]
+    pub stored_until_unix_ms: u64,
+}
+
+impl IndexedTurn {
+    /// Returns the host's copy of the turn.
+    pub fn copy(&self) -> TurnCopy {
+        TurnCopy {
+            account: self.key.account.clone(),
+            turn: self.key.turn.clone(),
+            stored_until_unix_ms: self.stored_until_unix_ms,
+        }
+    }
+}
+
+/// Copy of a turn on a host's disk. Hosts of earlier versions read and write it as a [`TurnKey`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TurnCopy {
+    /// Account that the turn belongs to.
+    pub account: AccountId,
+    /// Id of the turn.
+    pub turn: TurnId,
+    /// Time until which the copy is stored, in Unix milliseconds; 0 if it is unknown.
+    #[serde(default)]
+    pub stored_until_unix_ms: u64,
+}
+
+impl TurnCopy {
+    /// Returns the name of the turn.
+    pub fn key(&self) -> TurnKey {
+        TurnKey {
+            account: self.account.clone(),
+            turn: self.turn.clone(),
+        }
+    }
 }
 
 /// Part of an index.
@@ -90,6 +127,13 @@
         self.entries.contains_key(key)
     }
 
+    /// Returns whether the turn is indexed and stored for at least as long as another host's copy. Turns of long conversations are
+    /// stored again, so copies of a turn may differ in that time.
+    pub fn outlasts(&self, copy: &TurnCopy) -> bool {
+        let entry = self.entries.get(&copy.key());
+        entry.is_some_and(|entry| entry.stored_until_unix_ms >= copy.stored_until_unix_ms)
+    }
+
     /// Returns the ids of the turns of an account.
     pub fn turns_of(&self, account: &AccountId) -> Vec<TurnId> {
         let first = TurnKey {
@@ -118,6 +162,7 @@
                     root: entry.root.clone(),
                     home_domain: entry.home_domain.clone(),
                     allowed_regions: entry.allowed_regions.clone(),
+                    stored_until_unix_ms: entry.stored_until_unix_ms,
                 });
             }
         }
--- a/crates/burdockroad/src/gateway/turns/replication.rs
+++ b/crates/burdockroad/src/gateway/turns/replication.rs
@@ -68,18 +68,18 @@
     is_replica(host, turn, replicas, &allowed)
 }
 
-/// Selects the turns of another host that `host` should store but does not.
+/// Selects the turns of another host that `host` should store but does not, or not for as long.
 pub fn missing_replicas<'a>(
     host: &HostId,
     listed: &'a [IndexedTurn],
     replicas: usize,
     hosts: &[HostLocation],
     regions: &RegionMap,
-    is_stored: impl Fn(&TurnKey) -> bool,
+    is_stored: impl Fn(&IndexedTurn) -> bool,
 ) -> Vec<&'a TurnKey> {
     let missing = listed
         .iter()
-        .filter(|turn| !is_stored(&turn.key) && is_allowed_replica(host, turn, replicas, hosts, regions));
+        .filter(|turn| !is_stored(turn) && is_allowed_replica(host, turn, replicas, hosts, regions));
     missing.map(|turn| &turn.key).collect()
 }
 
--- a/crates/burdockroad/tests/gateway_gone_hosts_model.rs
+++ b/crates/burdockroad/tests/gateway_gone_hosts_model.rs
@@ -132,6 +132,7 @@
         root: key().turn,
         home_domain: "d0".to_owned(),
         allowed_regions: None,
+        stored_until_unix_ms: 0,
     }];
     let replicas = TOLERATED_LOSSES + 1;
     let regions = RegionMap::default();
--- a/crates/burdockroad/tests/gateway_overdrafts.rs
+++ b/crates/burdockroad/tests/gateway_overdrafts.rs
@@ -69,6 +69,7 @@
         root: turn.root,
         home_domain: turn.home_domain,
         allowed_regions: turn.allowed_regions,
+        stored_until_unix_ms: 0,
     }
 }
 
--- a/crates/burdockroad/tests/gateway_regions.rs
+++ b/crates/burdockroad/tests/gateway_regions.rs
@@ -216,6 +216,7 @@
         root: number.to_string(),
         home_domain: "c".to_owned(),
         allowed_regions: allowed,
+        stored_until_unix_ms: 0,
     }
 }
 
--- a/crates/burdockroad/tests/gateway_turn_losses.rs
+++ b/crates/burdockroad/tests/gateway_turn_losses.rs
@@ -262,6 +262,7 @@
             root: self.turn.root.clone(),
             home_domain: self.turn.home_domain.clone(),
             allowed_regions: None,
+            stored_until_unix_ms: 0,
         }];
         let is_listed = (0..world.hosts.len())
             .any(|other| other != number && world.hosts[other].is_running() && world.hosts[other].has_turn);
--- a/crates/burdockroad/tests/gateway_turn_replicas.rs
+++ b/crates/burdockroad/tests/gateway_turn_replicas.rs
@@ -272,11 +272,12 @@
             root: number.to_string(),
             home_domain: "a".to_owned(),
             allowed_regions: None,
+            stored_until_unix_ms: 0,
         })
         .collect();
     let host = "h1".to_owned();
-    let missing = missing_replicas(&host, &listed, 2, &hosts, &RegionMap::default(), |key| {
-        key.turn.ends_with('0')
+    let missing = missing_replicas(&host, &listed, 2, &hosts, &RegionMap::default(), |turn| {
+        turn.key.turn.ends_with('0')
     });
     for turn in &listed {
         let expected = is_replica(&host, turn, 2, &hosts) && !turn.key.turn.ends_with('0');
--- a/crates/burdockroad/tests/gateway_turns.rs
+++ b/crates/burdockroad/tests/gateway_turns.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 use burdockroad::gateway::{
-    EventBuffer, OutputCollector, Turn, TurnCache, TurnIndex, TurnKey, prompt, renewals,
+    EventBuffer, HostLocation, IndexedTurn, OutputCollector, RegionMap, Turn, TurnCache, TurnCopy, TurnIndex,
+    TurnKey, missing_replicas, prompt, renewals,
 };
 use bytes::Bytes;
 use proptest::prelude::{Strategy, any, prop, prop_assert, prop_assert_eq, proptest};
@@ -170,3 +171,52 @@
     assert!(index.contains(&key("1")));
     assert_eq!(index.page(0, 10).turns.len(), 1);
 }
+
+/// Guards against a chain that is lost early: a turn that was stored again is copied to hosts that have a copy for a shorter time, by
+/// listings and when its host is removed.
+#[test]
+fn turn_that_was_renewed_is_missing_where_an_older_copy_lies() {
+    let renewed = Turn {
+        stored_until_unix_ms: 3000,
+        ..turn("1", None, b"", b"")
+    };
+    let mut index = TurnIndex::default();
+    index.insert(&turn("1", None, b"", b""), 10);
+    let mut renewed_index = TurnIndex::default();
+    renewed_index.insert(&renewed, 10);
+    let listed = renewed_index.page(0, 10).turns;
+    let hosts = [HostLocation {
+        host: "h".to_owned(),
+        failure_domain: "a".to_owned(),
+    }];
+    let missing_at = |index: &TurnIndex<i32>| {
+        let host = "h".to_owned();
+        let is_stored = |turn: &IndexedTurn| index.outlasts(&turn.copy());
+        missing_replicas(&host, &listed, 2, &hosts, &RegionMap::default(), is_stored).len()
+    };
+    assert_eq!(missing_at(&index), 1);
+    index.insert(&renewed, 20);
+    assert_eq!(missing_at(&index), 0);
+    assert!(renewed_index.outlasts(&index.page(0, 10).turns[0].copy()));
+}
+
+/// Hosts of two versions run side by side. The earlier one knows the names of turns alone.
+#[test]
+fn copy_of_a_turn_is_read_as_its_name_and_a_name_as_a_copy_of_unknown_time() {
+    let copy = TurnCopy {
+        account: "account".to_owned(),
+        turn: "1".to_owned(),
+        stored_until_unix_ms: 3000,
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&copy, &mut bytes).expect("an encoded copy");
+    let name: TurnKey = ciborium::from_reader(&*bytes).expect("a name");
+    assert_eq!(name, copy.key());
+    bytes.clear();
+    ciborium::into_writer(&name, &mut bytes).expect("an encoded name");
+    let copy: TurnCopy = ciborium::from_reader(&*bytes).expect("a copy");
+    assert_eq!(copy.stored_until_unix_ms, 0);
+    let mut index = TurnIndex::default();
+    index.insert(&turn("1", None, b"", b""), 10);
+    assert!(index.outlasts(&copy));
+}
