Bound the memory for the bodies of calls

Cause: the body of each call is kept whole until the call ends, in as many calls as there are. Only responses had a bound.

--- a/crates/burdockroad-gateway/src/admitted_call.rs
+++ b/crates/burdockroad-gateway/src/admitted_call.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
-use crate::{CallHead, call_record::CallRecord, kept_turn::KeptTurn};
+use crate::{CallHead, body_space::BodyShare, call_record::CallRecord, kept_turn::KeptTurn};
 
 /// A call that was admitted and whose body was read completely.
 #[derive(Debug)]
@@ -22,7 +22,7 @@
 }
 
 /// The caller's request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct CallerRequest {
     pub(crate) method: Method,
     pub(crate) target: Uri,
@@ -31,4 +31,7 @@
     pub(crate) body: Bytes,
     /// Body as the caller sent it. Another one than endpoints get if the call continues a turn.
     pub(crate) input: Bytes,
+    /// The body's share of the host's memory.
+    #[expect(dead_code, reason = "the memory is in use until the call has ended")]
+    pub(crate) share: BodyShare,
 }
--- a/crates/burdockroad-gateway/src/call.rs
+++ b/crates/burdockroad-gateway/src/call.rs
@@ -19,7 +19,7 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 
-use self::body::read_body;
+use self::body::{ReceivedBody, read_body};
 use crate::{
     CallHead,
     admitted_call::{AdmittedCall, CallerRequest},
@@ -50,10 +50,11 @@
         Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
     };
     let call_time = call_timeout(&head, &context.route);
-    let body = match read_body_until_stop(&shared, body, &context.limits, call_time).await {
-        Ok(body) => body,
+    let received = match read_body_until_stop(&shared, body, &context.limits, call_time).await {
+        Ok(received) => received,
         Err(refusal) => return refuse_unsent(&shared, Some(&head), refusal, started_at),
     };
+    let body = received.bytes;
     if !shared.shutdown.may_serve(started_at + call_time) {
         return refuse_unsent(&shared, Some(&head), Refusal::Stopping, started_at);
     }
@@ -74,6 +75,7 @@
         headers: parts.headers,
         body,
         input,
+        share: received.share,
     };
     let mut record = CallRecord::new(
         started_at,
@@ -252,8 +254,8 @@
     body: Incoming,
     limits: &CallerLimits,
     body_timeout: Duration,
-) -> Result<Bytes, Refusal> {
-    let reading = read_body(body, limits, body_timeout);
+) -> Result<ReceivedBody, Refusal> {
+    let reading = read_body(&shared.request_space, body, limits, body_timeout);
     let body = shared.shutdown.run_until_responses_are_due(reading).await;
     body.unwrap_or(Err(Refusal::Stopping))
 }
--- a/crates/burdockroad-gateway/src/misdirected.rs
+++ b/crates/burdockroad-gateway/src/misdirected.rs
@@ -3,22 +3,14 @@
 //! Another writer may register an endpoint with an address of a host. Without the refusal, the sending host would take
 //! this host's own answer for that of the endpoint.
 
-use std::{
-    net::{IpAddr, SocketAddr},
-    time::Duration,
-};
+use std::net::{IpAddr, SocketAddr};
 
 use burdockroad::gateway::Endpoint;
 use bytes::Bytes;
 use http::Response;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
-use crate::{Dialect, ForwardedHead, response_body::ResponseBody};
-
-/// Time for which the rest of a refused request is read. A connection that is closed before may lose the refusal.
-const BODY_TIMEOUT: Duration = Duration::from_secs(1);
+use crate::{Dialect, ForwardedHead, body_discard::discard, response_body::ResponseBody};
 
 /// Returns whether an endpoint is registered with `address`, at which a request arrived.
 pub(crate) fn is_registered_at(endpoint: &Endpoint, address: SocketAddr) -> bool {
@@ -37,13 +29,8 @@
     body: Incoming,
 ) -> Response<ResponseBody> {
     metrics::counter!("burdockroad_forwards_refused_total").increment(1);
-    // The sending host may have left, and then needs no response.
-    let _ended = timeout(BODY_TIMEOUT, discard(body)).await;
+    discard(body).await;
     let mut response = Response::new(ResponseBody::full(Bytes::new()));
     *response.status_mut() = dialect.write_wrong_endpoint(response.headers_mut(), &head.call_id);
     response
 }
-
-async fn discard(mut body: Incoming) {
-    while let Some(Ok(_frame)) = body.frame().await {}
-}
--- a/crates/burdockroad-gateway/src/refusal.rs
+++ b/crates/burdockroad-gateway/src/refusal.rs
@@ -10,6 +10,9 @@
 /// `Retry-After` of a host that is not ready or stops. It is short because another host can serve the caller.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// `Retry-After` when a host has no room for a body. Calls with large bodies end meanwhile, and other hosts may have room.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// `Retry-After` when the turn that a call continues cannot be read. A host that stores turns is asked again
 /// after this time, too.
 const TURN_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -56,6 +59,8 @@
     BodyTooLong,
     /// The body did not arrive completely or in time.
     BodyIncomplete,
+    /// The host has no room for the body beside those of other calls.
+    NoRoom,
     /// No route matches.
     NoRoute,
     /// The API key is missing or unknown.
@@ -99,6 +104,7 @@
             Self::InvalidHead(_) => "bad_head",
             Self::BodyTooLong => "body_too_long",
             Self::BodyIncomplete => "body_incomplete",
+            Self::NoRoom => "no_room",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::UnknownTurn => "unknown_turn",
@@ -132,6 +138,7 @@
         match self {
             Self::NotReady
             | Self::Stopping
+            | Self::NoRoom
             | Self::TurnUnavailable(_)
             | Self::UnknownStream
             | Self::NoReservation(_)
@@ -155,6 +162,7 @@
     pub(crate) fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NotReady | Self::Stopping => Some(NOT_READY_RETRY_AFTER),
+            Self::NoRoom => Some(NO_ROOM_RETRY_AFTER),
             Self::TurnUnavailable(_) => Some(TURN_RETRY_AFTER),
             Self::UnknownStream => Some(STREAM_RETRY_AFTER),
             Self::NoAllowedEndpoint => Some(NO_ALLOWED_ENDPOINT_RETRY_AFTER),
--- a/crates/burdockroad-gateway/src/shared.rs
+++ b/crates/burdockroad-gateway/src/shared.rs
@@ -22,11 +22,11 @@
 };
 
 use crate::{
-    DecisionLog, Dialect, HostOptions, RangeLog, announced_range::AnnouncedRange,
+    DecisionLog, Dialect, HostOptions, RangeLog, announced_range::AnnouncedRange, body_space::BodySpace,
     collected_reports::CollectedReports, crash_checks::CrashChecks, failed_polls::FailedPolls,
     peer_client::PeerClient, peers::Peers, pool::ConnectionPool, range_view::RangeView, relay::RelayedStore,
-    response_space::ResponseSpace, shutdown::Shutdown, turn_store::client::TurnClient,
-    unseen_versions::LastRead, update_message::EncodedUpdates,
+    shutdown::Shutdown, turn_store::client::TurnClient, unseen_versions::LastRead,
+    update_message::EncodedUpdates,
 };
 
 /// State of one host.
@@ -43,7 +43,10 @@
     pub(crate) store: Arc<RelayedStore>,
     pub(crate) log: DecisionLog,
     pub(crate) pool: ConnectionPool,
-    pub(crate) response_space: ResponseSpace,
+    /// Memory for the bodies of callers' requests.
+    pub(crate) request_space: Arc<BodySpace>,
+    /// Memory for the bodies of endpoints' responses.
+    pub(crate) response_space: Arc<BodySpace>,
     /// Socket for datagrams to and from other hosts.
     pub(crate) datagrams: Arc<UdpSocket>,
     /// Reports of hosts in this failure domain that this host sends to the others.
@@ -153,7 +156,8 @@
             dialect,
             store,
             pool: ConnectionPool::default(),
-            response_space: ResponseSpace::default(),
+            request_space: BodySpace::for_requests(),
+            response_space: BodySpace::for_responses(),
             datagrams,
             collected_reports: CollectedReports::default(),
             turns: Arc::new(TurnClient::new(
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -17,12 +17,12 @@
 };
 use crate::{
     attempt::{Call, OpenedResponse},
+    body_space::BodySpace,
     content_meter::MeteredBody,
     framing::{MediaType, StreamBreak},
     kept_turn::KeptTurn,
     refusal::Refusal,
     response_body::ResponseBody,
-    response_space::ResponseSpace,
 };
 
 /// Longest response that is read as a whole, in bytes.
@@ -35,7 +35,7 @@
     timeout(call.time_left(), reading).await.ok().flatten()
 }
 
-async fn read_bounded(space: &ResponseSpace, mut body: MeteredBody) -> Option<Bytes> {
+async fn read_bounded(space: &Arc<BodySpace>, mut body: MeteredBody) -> Option<Bytes> {
     let mut share = space.share();
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
