Wait for a host that is down before a removal completes

Cause: a host that did not respond counted as the loss that is tolerated, so the removal completed with each turn on one disk; but its disk is not lost, and it comes back without the turns. Change: only hosts that respond count. Others store the turns in their place; if there are too few, the host is waited for until three quarters of the order's time have passed. Why it works: when the removal completes before that, each turn is on as many disks as should store it.

--- a/crates/burdockroad-gateway/src/dialect.rs
+++ b/crates/burdockroad-gateway/src/dialect.rs
@@ -54,6 +54,9 @@
     /// Returns the key under which the operator orders the removal of a host.
     fn removal_order_key(&self, host: &str) -> String;
 
+    /// Decodes the time that the operator gives for a removal; `None` if the order states none.
+    fn read_removal_time(&self, value: &[u8]) -> Option<Duration>;
+
     /// Returns the key under which a host reports the progress of its removal.
     fn removal_status_key(&self, host: &str) -> String;
 
--- a/crates/burdockroad-gateway/src/disk_host.rs
+++ b/crates/burdockroad-gateway/src/disk_host.rs
@@ -70,6 +70,7 @@
         key: dialect.removal_order_key(&host),
         status_key: dialect.removal_status_key(&host),
         completed_status: Bytes::from(dialect.removal_completed_status()),
+        dialect,
         store,
         turns,
         log: log.clone(),
@@ -141,6 +142,7 @@
     status_key: String,
     /// Value that reports a completed removal.
     completed_status: Bytes,
+    dialect: Arc<dyn Dialect>,
     store: Arc<dyn SharedStore>,
     /// Turns of the host; `None` if it stores none.
     turns: Option<Arc<TurnHostState>>,
@@ -187,7 +189,8 @@
             return Ok(());
         }
         if let Some(turns) = &self.turns {
-            turns.leave().await;
+            let time_limit = self.dialect.read_removal_time(&order.value);
+            turns.leave(time_limit.unwrap_or_default()).await;
         }
         let write = ConditionalWrite {
             key: self.status_key.clone(),
--- a/crates/burdockroad-gateway/src/turn_store/host.rs
+++ b/crates/burdockroad-gateway/src/turn_store/host.rs
@@ -64,10 +64,11 @@
         Ok(())
     }
 
-    /// Refuses further turns, and returns when the other hosts have the turns of this host.
-    pub(crate) async fn leave(self: &Arc<Self>) {
+    /// Refuses further turns, and returns when the other hosts have the turns of this host. The operator gives `time_limit`
+    /// for that.
+    pub(crate) async fn leave(self: &Arc<Self>, time_limit: Duration) {
         self.membership.send_replace(Membership::Leaving);
-        copy_all_turns(self).await;
+        copy_all_turns(self, time_limit).await;
         self.membership.send_replace(Membership::Left);
     }
 
--- a/crates/burdockroad-gateway/src/turn_store/removal.rs
+++ b/crates/burdockroad-gateway/src/turn_store/removal.rs
@@ -1,6 +1,9 @@
 //! Copies all turns of a host that is being removed to other hosts.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use burdockroad::{
     HostId,
@@ -9,7 +12,7 @@
 use tokio::time::sleep;
 
 use super::{
-    members::{TurnMember, writable},
+    members::{TurnMember, TurnMembers, writable},
     messages::{TurnCall, TurnResponse},
     state::TurnHostState,
 };
@@ -20,53 +23,99 @@
 /// Interval before a host that did not store its turns is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Part of the time of a removal during which hosts that do not respond are waited for. The rest is for the copies to others.
+const WAIT_FRACTION: f64 = 0.75;
+
 /// Maximum number of turns in one call.
 const BATCH_MAX_TURNS: usize = 200;
 
-/// Copies the turns of this host until every other host has those that it should store in place of this one.
+/// Copies the turns of this host until the other hosts have those that they should store in place of this one.
 /// The host stores no further turns.
-pub(super) async fn copy_all_turns(state: &Arc<TurnHostState>) {
+///
+/// A host that does not respond may come back with its disk and without these turns, so it does not count as having them. It is
+/// waited for during most of `time_limit`, unless other hosts can store the turns in its place.
+pub(super) async fn copy_all_turns(state: &Arc<TurnHostState>, time_limit: Duration) {
+    let waits_until = Instant::now() + time_limit.mul_f64(WAIT_FRACTION);
     let mut from = 0;
     loop {
         let page = state.log.page(from, BATCH_MAX_TURNS);
         if page.turns.is_empty() {
             return;
         }
-        while !copy_page(state, &page.turns).await {
+        while !copy_page(state, &page.turns, waits_until).await {
             sleep(RETRY_INTERVAL).await;
         }
         from = page.next;
     }
 }
 
-/// Copies turns to the hosts that should store them. Returns whether every turn is on as many other hosts as
-/// needed, or on all of them if there are fewer.
-async fn copy_page(state: &TurnHostState, turns: &[IndexedTurn]) -> bool {
+/// Copies turns to the hosts that should store them. Returns whether enough other hosts have each of them.
+async fn copy_page(state: &TurnHostState, turns: &[IndexedTurn], waits_until: Instant) -> bool {
     let mut members = state.members();
     members.remove(&state.host);
     let hosts = writable(&members);
-    if hosts.is_empty() {
-        return false;
-    }
-    let replicas = state.tolerated_losses + 1;
-    let mut lost = 0;
-    let mut unstored = turns.to_vec();
-    for host in &hosts {
-        let Some(member) = members.get(&host.host) else {
-            continue;
+    let responding = copy_to_responding(state, &members, turns, hosts.clone()).await;
+    let lost = hosts.len() - responding.len();
+    let is_late = Instant::now() >= waits_until;
+    turns.iter().all(|turn| {
+        let allowed = |hosts: &[HostLocation]| {
+            let allowed = turn.allowed_regions.as_deref();
+            state.regions.allowed_hosts(hosts.to_vec(), allowed).len()
+        };
+        let replicas = Replicas {
+            stored: allowed(&responding).min(state.tolerated_losses + 1),
+            wanted: allowed(&hosts).min(state.tolerated_losses + 1),
+        };
+        // A turn whose regions have no other host stays here until it expires.
+        replicas.are_enough(is_late && lost <= state.tolerated_losses) || !state.log.contains(&turn.key)
+    })
+}
+
+/// Copies turns to those of `hosts` that respond, so that each turn is on as many of them as should store it. Returns these
+/// hosts.
+async fn copy_to_responding(
+    state: &TurnHostState,
+    members: &TurnMembers,
+    turns: &[IndexedTurn],
+    mut hosts: Vec<HostLocation>,
+) -> Vec<HostLocation> {
+    let mut next = 0;
+    while let Some(host) = hosts.get(next) {
+        let copies = copies_for(
+            &host.host,
+            turns,
+            state.tolerated_losses + 1,
+            &hosts,
+            &state.regions,
+        );
+        let is_copied = match members.get(&host.host) {
+            Some(member) => copy_to(state, member, copies).await,
+            None => false,
         };
-        let copies = copies_for(&host.host, turns, replicas + lost, &hosts, &state.regions);
-        if !copies.is_empty() && !copy_to(state, member, copies.clone()).await {
-            lost += 1;
-            continue;
+        if is_copied {
+            next += 1;
+        } else {
+            // Other hosts store the turns in place of this one, also those that were asked before.
+            hosts.remove(next);
+            next = 0;
         }
-        unstored.retain(|turn| !copies.contains(&turn.copy()));
     }
-    // A turn whose regions have no other host stays here until it expires.
-    unstored.retain(|turn| state.log.contains(&turn.key));
-    // A turn counts when at least one host has it and no more hosts are lost than tolerated. The others copy
-    // it as soon as they are back.
-    unstored.is_empty() && lost <= state.tolerated_losses
+    hosts
+}
+
+/// Replicas of a turn on other hosts.
+#[derive(Clone, Copy, Debug)]
+struct Replicas {
+    stored: usize,
+    /// Number of replicas that the turn should have.
+    wanted: usize,
+}
+
+impl Replicas {
+    /// Returns whether this host may go. One replica must do if `accepts_fewer`, because the others are lost.
+    fn are_enough(self, accepts_fewer: bool) -> bool {
+        self.stored > 0 && (self.stored >= self.wanted || accepts_fewer)
+    }
 }
 
 /// Returns this host's copies of the turns that another host should store when this host is gone.
@@ -85,6 +134,7 @@
 
 /// Copies the turns that a host does not have for as long as this host. Returns whether it has all of them now.
 async fn copy_to(state: &TurnHostState, member: &TurnMember, copies: Vec<TurnCopy>) -> bool {
+    // A host that should store none of the turns is asked, too: whether it responds counts.
     let call = TurnCall::Missing(copies);
     let response = state.client.call(member.address, &call, CALL_TIMEOUT).await;
     let Ok(TurnResponse::Missing(mut missing)) = response else {
