--- a/crates/burdockroad-gateway/src/call_record.rs
+++ b/crates/burdockroad-gateway/src/call_record.rs
@@ -37,6 +37,8 @@
     pub(crate) history: Option<HistoryRead>,
     /// Time until the call's turn was stored; `None` for calls whose turns the system does not keep.
     pub(crate) store_time: Option<Duration>,
+    /// Number of events in the call's stored turn; `None` until it is stored.
+    pub(crate) turn_events: Option<usize>,
     /// Time that the caller had left when the endpoint's stream ended or broke; `None` unless the call's turn is kept by
     /// the system and was cut.
     pub(crate) cut_turn_time_left: Option<Duration>,
@@ -242,6 +244,7 @@
                 history_ms: self.history.map(|history| as_ms(history.time)),
                 history_turns_read: self.history.map(|history| history.read_turns),
                 store_ms: self.store_time.map(as_ms),
+                turn_events: self.turn_events,
                 stream_end_left_ms: self.cut_turn_time_left.map(as_ms),
                 load_per_slot: self.load_per_slot.map(round_to_hundredths),
                 retry_after_ms: self.refusal.and_then(Refusal::retry_after).map(as_ms),
@@ -295,6 +298,9 @@
     history_turns_read: Option<usize>,
     #[serde(skip_serializing_if = "Option::is_none")]
     store_ms: Option<u64>,
+    /// Number of events in the stored turn.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    turn_events: Option<usize>,
     /// Time that the caller of a turn that was cut had left when the endpoint's stream ended.
     #[serde(skip_serializing_if = "Option::is_none")]
     stream_end_left_ms: Option<u64>,
--- a/crates/burdockroad-gateway/src/kept_turn.rs
+++ b/crates/burdockroad-gateway/src/kept_turn.rs
@@ -133,6 +133,11 @@
         self.output.push(events);
     }
 
+    /// Returns the number of events in the turn so far.
+    pub(crate) fn events(&self) -> usize {
+        self.output.events()
+    }
+
     /// Stores the turn within the time that the caller has left. Returns the number of replicas, or `None` when the turn
     /// is not durable.
     pub(crate) async fn store(self, shared: &Shared, time_left: Duration) -> Option<usize> {
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -178,6 +178,7 @@
         if let Some(kept_turn) = self.kept_turn.take() {
             let started_at = Instant::now();
             let time_left = self.call.time_left();
+            let events = kept_turn.events();
             let storing = kept_turn.store(&self.call.shared, time_left);
             let replicas = storing.await;
             self.call.record.store_time = Some(started_at.elapsed());
@@ -185,6 +186,7 @@
                 self.call.record.cut_turn_time_left = Some(time_left);
                 return Some(Err(self.break_off(Refusal::TurnNotStored).await));
             }
+            self.call.record.turn_events = Some(events);
             if let Some(time) = self
                 .call
                 .record
--- a/crates/burdockroad/src/gateway/turns/output.rs
+++ b/crates/burdockroad/src/gateway/turns/output.rs
@@ -4,6 +4,8 @@
 
 /// Collects the data of an event stream's events, each followed by a line feed.
 ///
+/// Events are those with an id; the ids of a stream's events count from 1.
+///
 /// # Example
 ///
 /// ```
@@ -12,6 +14,7 @@
 /// let mut collector = OutputCollector::default();
 /// collector.push(b"id: 1\ndata: first\n\n");
 /// collector.push(b"id: 2\ndata: second\n\n");
+/// assert_eq!(collector.events(), 2);
 /// assert_eq!(collector.finish(), "first\nsecond\n");
 /// ```
 #[derive(Debug, Default)]
@@ -19,6 +22,10 @@
     output: BytesMut,
     /// Data of the event whose lines are being read; `None` until its first data field.
     event_data: Option<BytesMut>,
+    /// Whether the event whose lines are being read has an id.
+    has_id: bool,
+    /// Lengths of the output after each event.
+    event_ends: Vec<usize>,
 }
 
 impl OutputCollector {
@@ -31,10 +38,17 @@
                 self.end_event();
             } else if let Some(data) = data_of(line) {
                 self.push_data(data);
+            } else if line.starts_with(b"id:") {
+                self.has_id = true;
             }
         }
     }
 
+    /// Returns the number of complete events.
+    pub fn events(&self) -> usize {
+        self.event_ends.len()
+    }
+
     /// Returns the output. The last event of the stream may lack the empty line.
     pub fn finish(mut self) -> Bytes {
         self.end_event();
@@ -56,6 +70,9 @@
             self.output.extend_from_slice(&data);
             self.output.extend_from_slice(b"\n");
         }
+        if std::mem::take(&mut self.has_id) {
+            self.event_ends.push(self.output.len());
+        }
     }
 }
 
