Make the record of a turn what its caller has received over all its attempts

A turn's record was made from what one host relayed; neither Last-Event-Id nor Resumes was looked at where the turn begins. Evidence: on the line 'call' of the take-up has last_event 3, events 3 and turn_events 3 where the caller had received 6, and the next prompt has just these three: the record is incomplete, the chain is read whole, and the killed host stored none. A take-up that cannot be tied to the stream (account, route, input, previous turn), or whose first events are not known for certain, gets 503 before it runs. It works because every attempt of a stream begins with what the caller had, whichever host it reaches, and no event reaches a caller before a host that outlives the relaying one has it. Routes without both fields pay nothing.

--- a/crates/burdockroad-gateway/src/kept_turn.rs
+++ b/crates/burdockroad-gateway/src/kept_turn.rs
@@ -1,13 +1,16 @@
 //! Turn of a conversation that the system keeps.
 
+mod relayed_events;
+
 use std::time::Duration;
 
 use burdockroad::{
     RegionId,
-    gateway::{Account, OutputCollector, Route, Turn, TurnKey, common_regions, prompt},
+    gateway::{Account, Route, Turn, TurnKey, common_regions, prompt},
 };
 use bytes::Bytes;
 
+use self::relayed_events::RelayedEvents;
 use crate::{
     CallHead,
     call_timeout::call_timeout,
@@ -30,6 +33,11 @@
 /// Additional storage time, because the clocks of hosts differ.
 const CLOCK_MARGIN: Duration = Duration::from_secs(10);
 
+/// Returns whether a caller takes a stream up of which it has received events.
+pub(crate) fn takes_stream_up(head: &CallHead) -> bool {
+    head.last_event.is_some_and(|last_event| last_event > 0)
+}
+
 /// A turn while its call is served.
 #[derive(Debug)]
 pub(crate) struct KeptTurn {
@@ -38,7 +46,7 @@
     /// Regions in which the call and its turn must stay.
     allowed_regions: Option<Vec<RegionId>>,
     input: Bytes,
-    output: OutputCollector,
+    events: RelayedEvents,
     retention: Duration,
     hosts_at_begin: HostsAtBegin,
 }
@@ -49,7 +57,8 @@
     /// # Errors
     ///
     /// Fails when the previous turn does not exist or cannot be read, when the call's own turn could not be stored, or
-    /// not within the caller's time, and when the call and its history have no allowed region in common.
+    /// not within the caller's time, when the call and its history have no allowed region in common, and when what the
+    /// caller has received of a stream that it takes up is not known.
     pub(crate) async fn begin(
         shared: &Shared,
         head: &CallHead,
@@ -64,10 +73,8 @@
         if !shared.turns.can_store(allowed_regions) {
             return Err(Refusal::TurnUnavailable(TurnObstacle::DiskHostsLost));
         }
-        if !shared
-            .turns
-            .may_be_served_in(&route.name, call_timeout(head, route))
-        {
+        let time = call_timeout(head, route);
+        if !takes_stream_up(head) && !shared.turns.may_be_served_in(&route.name, time) {
             return Err(Refusal::DeadlineExceededUnsent);
         }
         let key = |turn: &str| TurnKey {
@@ -99,12 +106,14 @@
         if of_history.is_some() && !shared.turns.can_store(common.as_deref()) {
             return Err(Refusal::TurnUnavailable(TurnObstacle::DiskHostsLost));
         }
+        let key = key(&head.call_id);
+        let events = RelayedEvents::begin(shared, head, route, &key, common.as_deref(), &input).await?;
         Ok(Self {
-            key: key(&head.call_id),
+            key,
             history,
             allowed_regions: common,
             input,
-            output: OutputCollector::default(),
+            events,
             retention: route.retention,
             hosts_at_begin: shared.turns.hosts_at_begin(),
         })
@@ -128,14 +137,14 @@
         self.allowed_regions.as_deref()
     }
 
-    /// Adds events that the caller receives.
-    pub(crate) fn push_events(&mut self, events: &[u8]) {
-        self.output.push(events);
+    /// Adds events that the caller is about to receive.
+    pub(crate) async fn push_events(&mut self, events: &[u8]) {
+        self.events.push(events).await;
     }
 
     /// Returns the number of events in the turn so far.
     pub(crate) fn events(&self) -> usize {
-        self.output.events()
+        self.events.count()
     }
 
     /// Stores the turn within the time that the caller has left. Returns the number of replicas, or `None` when the turn
@@ -157,7 +166,7 @@
             stored_until_unix_ms: ended_unix_ms.saturating_add(storage_ms),
             allowed_regions: self.allowed_regions,
             input: self.input,
-            output: self.output.finish(),
+            output: self.events.finish(),
             key: self.key,
         };
         let turns = &shared.turns;
--- a/crates/burdockroad-gateway/src/refusal.rs
+++ b/crates/burdockroad-gateway/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt::Write, time::Duration};
 
+use burdockroad::gateway::UnknownEvents;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 
@@ -17,7 +18,7 @@
 /// after this time, too.
 const TURN_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// `Retry-After` when the version of a stream is not known. Another host may know it.
+/// `Retry-After` when the version of a stream, or what its caller has received, is not known. Another host may know it.
 const STREAM_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// `Retry-After` when the service has no endpoint in the regions that the call is bound to. An endpoint may register
@@ -46,6 +47,37 @@
     }
 }
 
+/// Reason why the events that a caller has received before it takes a stream up cannot become a part of its turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EventsObstacle {
+    /// The route's streams may not be resumed.
+    NotResumable,
+    /// The caller does not name the attempt that began the stream.
+    Unnamed,
+    /// Most holders of the stream did not answer.
+    HoldersSilent,
+    /// The holders of the stream do not have them, or not for certain.
+    Unknown(UnknownEvents),
+    /// Too few holders know of the attempt that takes the stream up.
+    TakeUpNotHeld,
+}
+
+impl EventsObstacle {
+    /// Returns the name used in logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::NotResumable => "not_resumable",
+            Self::Unnamed => "unnamed",
+            Self::HoldersSilent => "holders_silent",
+            Self::Unknown(UnknownEvents::NotHeld) => "not_held",
+            Self::Unknown(UnknownEvents::OtherCall) => "other_call",
+            Self::Unknown(UnknownEvents::TooFew) => "too_few",
+            Self::Unknown(UnknownEvents::Ambiguous) => "ambiguous",
+            Self::TakeUpNotHeld => "take_up_not_held",
+        }
+    }
+}
+
 /// Reason why a call ends without an endpoint's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
@@ -73,6 +105,8 @@
     TurnNotStored,
     /// The software version that began the stream which the caller takes up is not known.
     UnknownStream,
+    /// The events that the caller has received before it takes its stream up cannot become a part of its turn.
+    EventsUnknown(EventsObstacle),
     /// The account exceeds its rate limit.
     OverRate(Duration),
     /// The program's budget has too few tokens left for the call.
@@ -111,6 +145,7 @@
             Self::TurnUnavailable(_) => "turn_unavailable",
             Self::TurnNotStored => "turn_not_stored",
             Self::UnknownStream => "unknown_stream",
+            Self::EventsUnknown(_) => "received_events_unknown",
             Self::OverRate(_) => "over_rate",
             Self::BudgetExhausted => "budget_spent",
             Self::NoReservation(_) => "no_reservation",
@@ -124,11 +159,12 @@
         }
     }
 
-    /// Returns what the log tells beside the name: the invalid header, or why a turn cannot be begun.
+    /// Returns what the log tells beside the name: the invalid header, or why a turn cannot be begun or gone on with.
     pub(crate) fn detail(self) -> Option<&'static str> {
         match self {
             Self::InvalidHead(field) => Some(field),
             Self::TurnUnavailable(obstacle) => Some(obstacle.name()),
+            Self::EventsUnknown(obstacle) => Some(obstacle.name()),
             _ => None,
         }
     }
@@ -141,6 +177,7 @@
             | Self::NoRoom
             | Self::TurnUnavailable(_)
             | Self::UnknownStream
+            | Self::EventsUnknown(_)
             | Self::NoReservation(_)
             | Self::NoEndpoint(_)
             | Self::NoAllowedEndpoint
@@ -164,7 +201,7 @@
             Self::NotReady | Self::Stopping => Some(NOT_READY_RETRY_AFTER),
             Self::NoRoom => Some(NO_ROOM_RETRY_AFTER),
             Self::TurnUnavailable(_) => Some(TURN_RETRY_AFTER),
-            Self::UnknownStream => Some(STREAM_RETRY_AFTER),
+            Self::UnknownStream | Self::EventsUnknown(_) => Some(STREAM_RETRY_AFTER),
             Self::NoAllowedEndpoint => Some(NO_ALLOWED_ENDPOINT_RETRY_AFTER),
             Self::OverRate(wait)
             | Self::NoReservation(wait)
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -20,7 +20,7 @@
     body_space::BodySpace,
     content_meter::MeteredBody,
     framing::{MediaType, StreamBreak},
-    kept_turn::KeptTurn,
+    kept_turn::{KeptTurn, takes_stream_up},
     refusal::Refusal,
     response_body::ResponseBody,
 };
@@ -125,7 +125,7 @@
             if !ready.is_empty() {
                 self.call.begin_stream();
                 if let Some(kept_turn) = &mut self.kept_turn {
-                    kept_turn.push_events(&ready);
+                    kept_turn.push_events(&ready).await;
                 }
                 return Some(Ok(ready));
             }
@@ -191,7 +191,7 @@
                 .call
                 .record
                 .attempt_time()
-                .filter(|_| self.call.record.resumed == 0)
+                .filter(|_| self.call.record.resumed == 0 && !takes_stream_up(&self.call.head))
             {
                 let turns = &self.call.shared.turns;
                 turns.record_turn_time(&self.call.route.name, time);
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -1,9 +1,11 @@
 //! Writes and reads turns at the hosts that store them.
 
+pub(crate) mod event_copies;
 pub(crate) mod history;
 mod probes;
 pub(crate) mod replication;
 mod state;
+pub(crate) mod stream_lookup;
 
 use std::{
     net::SocketAddr,
--- a/crates/burdockroad-gateway/src/turn_store/host.rs
+++ b/crates/burdockroad-gateway/src/turn_store/host.rs
@@ -113,6 +113,10 @@
             TurnCall::StreamVersion { stream } => TurnResponse::StreamVersion(self.streams.version(&stream)),
             TurnCall::GoneHosts => TurnResponse::GoneHosts(self.lock_gone().testimony()),
             TurnCall::Claim(claim) => self.store_claim(claim).await,
+            TurnCall::HoldEvents(part) => TurnResponse::EventsHeld {
+                events: self.streams.hold_events(part),
+            },
+            TurnCall::HeldEvents { stream } => TurnResponse::HeldEvents(self.streams.held_events(&stream)),
         }
     }
 
--- a/crates/burdockroad-gateway/src/turn_store/messages.rs
+++ b/crates/burdockroad-gateway/src/turn_store/messages.rs
@@ -2,7 +2,9 @@
 
 use burdockroad::{
     Incarnation, SoftwareVersion,
-    gateway::{GoneTestimony, IndexPage, StreamId, Turn, TurnCopy, TurnId, TurnKey},
+    gateway::{
+        GoneTestimony, IndexPage, StreamAttempt, StreamId, StreamPart, Turn, TurnCopy, TurnId, TurnKey,
+    },
 };
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +36,13 @@
     GoneHosts,
     /// Stores a claim, then lists all claims of its account.
     Claim(Turn),
+    /// Holds events of a stream in memory.
+    HoldEvents(StreamPart),
+    /// Requests the events of a stream that the host holds.
+    HeldEvents {
+        /// Account, and id of one of the caller's attempts.
+        stream: TurnKey,
+    },
 }
 
 /// Response to a [`TurnCall`].
@@ -73,4 +82,11 @@
         /// Whether the host has copied all turns that it should store.
         complete: bool,
     },
+    /// The host holds events of an attempt.
+    EventsHeld {
+        /// Number of the attempt's events that it holds.
+        events: usize,
+    },
+    /// Events of the attempts of a stream; empty if the host holds none.
+    HeldEvents(Vec<StreamAttempt>),
 }
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -80,8 +80,9 @@
     stream_origin::{StreamId, StreamOrigins, UnsentOrigin, UnsentOrigins, stream_holders},
     turns::{
         GoneHosts, GoneTestimony, IndexPage, IndexedTurn, Lookup, LookupOutcome, LookupReplies, LookupReply,
-        OutputCollector, Replication, ReplicationProgress, SyncRound, Turn, TurnCache, TurnCopy,
-        TurnHostHealth, TurnId, TurnIndex, TurnKey, TurnTimes, all_agree, is_allowed_replica, is_replica,
+        OutputCollector, ReceivedEvents, RelayedStreams, Replication, ReplicationProgress, StreamAttempt,
+        StreamCall, StreamLookup, StreamPart, SyncRound, Turn, TurnCache, TurnCopy, TurnHostHealth, TurnId,
+        TurnIndex, TurnKey, TurnTimes, UnknownEvents, all_agree, is_allowed_replica, is_replica,
         missing_replicas, prompt, renewals, replica_order,
     },
     update_pacer::{TransferId, UpdatePacer, UpdateReply},
--- a/crates/burdockroad/src/gateway/turns.rs
+++ b/crates/burdockroad/src/gateway/turns.rs
@@ -11,6 +11,8 @@
 //! * [`TurnTimes`] decides whether a turn could be served in the time that its caller has left.
 //! * [`TurnCache`] holds recent turns in memory, and [`prompt`] joins a chain of turns with the new input.
 //! * [`OutputCollector`] extracts a turn's output from its event stream.
+//! * [`RelayedStreams`] holds the events of streams that callers may take up, and [`StreamLookup`] decides which of
+//!   them a caller has received.
 //! * [`TurnIndex`] lists the turns on a host's disk, and [`missing_replicas`] selects those to copy from
 //!   another host.
 
@@ -20,6 +22,7 @@
 mod index;
 mod lookup;
 mod output;
+mod relayed_streams;
 mod replication;
 mod turn;
 mod turn_times;
@@ -31,6 +34,9 @@
     index::{IndexPage, IndexedTurn, TurnCopy, TurnIndex},
     lookup::{Lookup, LookupOutcome, LookupReplies, LookupReply},
     output::OutputCollector,
+    relayed_streams::{
+        ReceivedEvents, RelayedStreams, StreamAttempt, StreamCall, StreamLookup, StreamPart, UnknownEvents,
+    },
     replication::{
         Replication, ReplicationProgress, is_allowed_replica, is_replica, missing_replicas, replica_order,
     },
--- a/crates/burdockroad/src/gateway/turns/output.rs
+++ b/crates/burdockroad/src/gateway/turns/output.rs
@@ -29,6 +29,27 @@
 }
 
 impl OutputCollector {
+    /// Creates the collector of a stream that goes on after events with these outputs.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use burdockroad::gateway::OutputCollector;
+    ///
+    /// let mut collector = OutputCollector::after(&["first\n".into()]);
+    /// collector.push(b"id: 2\ndata: second\n\n");
+    /// assert_eq!(collector.outputs_from(1), ["second\n"]);
+    /// assert_eq!(collector.finish(), "first\nsecond\n");
+    /// ```
+    pub fn after(events: &[Bytes]) -> Self {
+        let mut collector = Self::default();
+        for output in events {
+            collector.output.extend_from_slice(output);
+            collector.event_ends.push(collector.output.len());
+        }
+        collector
+    }
+
     /// Adds complete events.
     pub fn push(&mut self, events: &[u8]) {
         for line in events.split_inclusive(|byte| *byte == b'\n') {
@@ -49,6 +70,21 @@
         self.event_ends.len()
     }
 
+    /// Returns the output of each complete event after the first `from` ones.
+    pub fn outputs_from(&self, from: usize) -> Vec<Bytes> {
+        let ends = self.event_ends.iter().skip(from);
+        let mut begin = match from {
+            0 => 0,
+            _ => self.event_ends.get(from - 1).copied().unwrap_or_default(),
+        };
+        let outputs = ends.map(|end| {
+            let output = Bytes::copy_from_slice(&self.output[begin..*end]);
+            begin = *end;
+            output
+        });
+        outputs.collect()
+    }
+
     /// Returns the output. The last event of the stream may lack the empty line.
     pub fn finish(mut self) -> Bytes {
         self.end_event();
