Write turns to the shared store that only one disk has because another host is down

A host that does not answer was taken for the tolerated loss of a disk, but it came back with its disk and without the turns, and the one replica was on the disk that was lost. It works because the store loses nothing that it acknowledged, so a turn survives whichever disk is lost, and service goes on with one host.

--- a/crates/burdockroad-gateway/src/kept_turn.rs
+++ b/crates/burdockroad-gateway/src/kept_turn.rs
@@ -2,7 +2,7 @@
 
 mod relayed_events;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use burdockroad::{
     RegionId,
@@ -19,7 +19,7 @@
     shared::Shared,
     turn_store::client::{
         history::{History, HistoryError},
-        replication::HostsAtBegin,
+        replication::{HostsAtBegin, TurnStorage},
     },
 };
 
@@ -38,6 +38,20 @@
     head.last_event.is_some_and(|last_event| last_event > 0)
 }
 
+/// Refuses a call whose turn could not be stored.
+fn check_storage(shared: &Shared, allowed_regions: Option<&[RegionId]>) -> Result<(), Refusal> {
+    let is_storable = match shared.turns.storage_for(allowed_regions) {
+        TurnStorage::Hosts => true,
+        TurnStorage::HostsAndSharedStore => !shared.tables().departures.is_store_outage(Instant::now()),
+        TurnStorage::None => false,
+    };
+    if is_storable {
+        Ok(())
+    } else {
+        Err(Refusal::TurnUnavailable(TurnObstacle::DiskHostsLost))
+    }
+}
+
 /// A turn while its call is served.
 #[derive(Debug)]
 pub(crate) struct KeptTurn {
@@ -70,9 +84,7 @@
         if shared.is_isolated() {
             return Err(Refusal::TurnUnavailable(TurnObstacle::Isolated));
         }
-        if !shared.turns.can_store(allowed_regions) {
-            return Err(Refusal::TurnUnavailable(TurnObstacle::DiskHostsLost));
-        }
+        check_storage(shared, allowed_regions)?;
         let time = call_timeout(head, route);
         if !takes_stream_up(head) && !shared.turns.may_be_served_in(&route.name, time) {
             return Err(Refusal::DeadlineExceededUnsent);
@@ -103,8 +115,8 @@
         if common.as_ref().is_some_and(Vec::is_empty) {
             return Err(Refusal::NoAllowedEndpoint);
         }
-        if of_history.is_some() && !shared.turns.can_store(common.as_deref()) {
-            return Err(Refusal::TurnUnavailable(TurnObstacle::DiskHostsLost));
+        if of_history.is_some() {
+            check_storage(shared, common.as_deref())?;
         }
         let key = key(&head.call_id);
         let events = RelayedEvents::begin(shared, head, route, &key, common.as_deref(), &input).await?;
--- a/crates/burdockroad-gateway/src/turn_store.rs
+++ b/crates/burdockroad-gateway/src/turn_store.rs
@@ -14,6 +14,7 @@
 pub(crate) mod members;
 pub(crate) mod messages;
 pub(crate) mod removal;
+mod shared_copies;
 pub(crate) mod state;
 pub(crate) mod stream_holder;
 pub(crate) mod sync;
--- a/crates/burdockroad-gateway/src/turn_store/client.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client.rs
@@ -20,13 +20,14 @@
 
 use self::state::ClientState;
 use crate::{
-    DecisionLog,
+    DecisionLog, SharedStore,
     peer_client::PeerClient,
     turn_store::{
         disk_hosts::{DiskHosts, STORE_TIMEOUT},
         links::TurnHostLinks,
         members::{TurnMember, TurnMembers, writable},
         messages::{TurnCall, TurnResponse},
+        shared_copies::SharedCopies,
     },
 };
 
@@ -41,6 +42,7 @@
     failure_domain: String,
     regions: Arc<RegionMap>,
     disk_hosts: Arc<DiskHosts>,
+    shared_copies: SharedCopies,
     log: DecisionLog,
     state: Mutex<ClientState>,
 }
@@ -51,6 +53,7 @@
         failure_domain: String,
         regions: Arc<RegionMap>,
         peer_client: Arc<PeerClient>,
+        store: Arc<dyn SharedStore>,
         log: DecisionLog,
     ) -> Self {
         let links = TurnHostLinks::new(
@@ -64,6 +67,7 @@
             failure_domain,
             regions,
             disk_hosts: Arc::new(DiskHosts::new(links)),
+            shared_copies: SharedCopies::new(store),
             log,
             state: Mutex::new(ClientState::new()),
         }
--- a/crates/burdockroad-gateway/src/turn_store/client/replication.rs
+++ b/crates/burdockroad-gateway/src/turn_store/client/replication.rs
@@ -1,11 +1,13 @@
 //! Writes of turns to the hosts that store them.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use burdockroad::{
     RegionId,
-    gateway::{Replication, Turn, renewals},
+    gateway::{Replication, ReplicationProgress, Turn, renewals},
 };
+use futures_util::future::select;
+use serde::Serialize;
 use tokio::time::{sleep, timeout};
 
 use super::TurnClient;
@@ -23,6 +25,9 @@
 /// Interval at which a turn that too few hosts could store looks for registered hosts.
 const MEMBERS_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Interval before copies that were not written to the shared store are written again.
+const COPY_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Hosts that could store the turn of a call when the call began.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HostsAtBegin {
@@ -31,6 +36,17 @@
     removed: usize,
 }
 
+/// Where a turn could be stored now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TurnStorage {
+    /// On hosts with disks.
+    Hosts,
+    /// On too few hosts with disks, and in the shared store.
+    HostsAndSharedStore,
+    /// Nowhere.
+    None,
+}
+
 impl TurnClient {
     /// Returns the hosts that could store a turn now.
     pub(crate) fn hosts_at_begin(&self) -> HostsAtBegin {
@@ -51,16 +67,23 @@
 
     /// Returns whether enough hosts in allowed regions are left for a turn to be durable. A turn that is bound to
     /// regions needs as many hosts there as any other turn.
-    pub(crate) fn can_store(&self, allowed_regions: Option<&[RegionId]>) -> bool {
+    pub(crate) fn storage_for(&self, allowed_regions: Option<&[RegionId]>) -> TurnStorage {
         let hosts = writable(&self.lock().members);
         let replicas = hosts.len().clamp(1, self.tolerated_losses + 1);
         let hosts = self.regions.allowed_hosts(hosts, allowed_regions);
         if hosts.len() < replicas {
-            return false;
+            return TurnStorage::None;
         }
         let health = self.disk_hosts.health();
         let lost = hosts.iter().filter(|host| health.is_lost(&host.host)).count();
-        lost < hosts.len() && lost <= self.tolerated_losses
+        let left = hosts.len() - lost;
+        if left == 0 || lost > self.tolerated_losses {
+            TurnStorage::None
+        } else if left < replicas && allowed_regions.is_none() {
+            TurnStorage::HostsAndSharedStore
+        } else {
+            TurnStorage::Hosts
+        }
     }
 
     /// Stores a turn that continues `history` within the time that its caller has left. Waits until as many
@@ -76,7 +99,7 @@
         let storage_time_ms = u64::try_from(storage_time.as_millis()).unwrap_or(u64::MAX);
         let mut turns = renewals(history, &turn, unix_ms(), storage_time_ms);
         turns.push(turn.clone());
-        let call = Arc::new(EncodedCall::new(TurnCall::Store(turns)).ok()?);
+        let call = Arc::new(EncodedCall::new(TurnCall::Store(turns.clone())).ok()?);
         let (replication, members) = self.begin_replication(&turn);
         let mut write = TurnWrite::new(replication, members, turn.allowed_regions.clone());
         let running = timeout(time_left.min(STORE_TIMEOUT), async {
@@ -86,7 +109,14 @@
                 let (replication, members) = self.begin_replication(&turn);
                 write.replace_hosts(replication, members);
             }
-            write.run(&self.disk_hosts, &call).await
+            let progress = write.run(&self.disk_hosts, &call, true).await;
+            // The shared store knows no regions, so a turn that is bound to some is not copied there.
+            if progress != ReplicationProgress::Durable && turn.allowed_regions.is_none() {
+                let copying = pin!(self.copy_to_shared_store(&turns, storage_time));
+                let storing = pin!(write.run(&self.disk_hosts, &call, false));
+                select(copying, storing).await;
+            }
+            write.finish(&call)
         });
         let time_over = if time_left < STORE_TIMEOUT {
             WriteEnd::CallerTimeOver
@@ -106,6 +136,15 @@
         }
     }
 
+    /// Writes copies of turns to the shared store, and tries again until they are there.
+    async fn copy_to_shared_store(&self, turns: &[Turn], storage_time: Duration) {
+        while let Err(error) = self.shared_copies.write(turns, storage_time).await {
+            let reason = error.to_string();
+            self.log.line("turn_copy_failed", &CopyFailedLine { reason });
+            sleep(COPY_RETRY_INTERVAL).await;
+        }
+    }
+
     /// Starts the replication of a turn to those hosts in allowed regions that store turns. Returns it with all hosts.
     fn begin_replication(&self, turn: &Turn) -> (Replication, TurnMembers) {
         let members = self.lock().members.clone();
@@ -116,3 +155,9 @@
         (replication, members)
     }
 }
+
+/// Log line of turns that could not be copied to the shared store.
+#[derive(Serialize)]
+struct CopyFailedLine {
+    reason: String,
+}
--- a/crates/burdockroad-gateway/src/turn_store/write.rs
+++ b/crates/burdockroad-gateway/src/turn_store/write.rs
@@ -132,9 +132,16 @@
         self.members = members;
     }
 
-    /// Sends an encoded call to as many hosts as must store the turn, and tries them again until the turn is durable.
-    /// Returns the number of replicas.
-    pub(super) async fn run(&mut self, disk_hosts: &Arc<DiskHosts>, call: &Arc<EncodedCall>) -> usize {
+    /// Sends an encoded call to as many hosts as must store the turn, and tries them again until the turn is durable. Returns
+    /// how it is.
+    ///
+    /// With `accepts_lost`, it is enough that the turn is durable if the disks of lost hosts are lost.
+    pub(super) async fn run(
+        &mut self,
+        disk_hosts: &Arc<DiskHosts>,
+        call: &Arc<EncodedCall>,
+        accepts_lost: bool,
+    ) -> ReplicationProgress {
         loop {
             self.record_slow_hosts(disk_hosts, call);
             while let Some(host) = self.replication.next_host() {
@@ -143,10 +150,12 @@
             while let Some(host) = self.replication.next_lost_host() {
                 self.send(disk_hosts, host, true, call);
             }
-            if self.replication.progress() == ReplicationProgress::Durable {
-                call.settle();
-                self.replies.detach_all();
-                return self.replication.replicas();
+            match self.replication.progress() {
+                ReplicationProgress::Durable => return ReplicationProgress::Durable,
+                ReplicationProgress::DurableIfDisksLost if accepts_lost => {
+                    return ReplicationProgress::DurableIfDisksLost;
+                }
+                _ => {}
             }
             let waiting_since = Instant::now();
             let ended = timeout(HEDGE_DELAY, self.next_reply()).await;
@@ -158,6 +167,13 @@
         }
     }
 
+    /// Ends the write of a turn that is durable, and returns the number of replicas. Calls in flight go on.
+    pub(super) fn finish(&mut self, call: &EncodedCall) -> usize {
+        call.settle();
+        self.replies.detach_all();
+        self.replication.replicas()
+    }
+
     /// Waits for the end of a call. A call whose task failed counts as one without a response.
     async fn next_reply(&mut self) -> StoreReply {
         loop {
--- a/crates/burdockroad/src/gateway/turns/replication.rs
+++ b/crates/burdockroad/src/gateway/turns/replication.rs
@@ -90,6 +90,9 @@
     Pending,
     /// The turn survives the tolerated losses.
     Durable,
+    /// The turn survives the tolerated losses only if the lost hosts have lost their disks. One that comes back with its
+    /// disk may not have the turn, and another disk may be lost instead. So the turn needs a copy elsewhere.
+    DurableIfDisksLost,
     /// There is no host that could store the turn.
     Failed,
 }
@@ -97,8 +100,8 @@
 /// Replication of one turn.
 ///
 /// A turn is durable when `tolerated_losses` + 1 hosts have stored it. When all other hosts are lost, one
-/// replica less is enough for each lost host, because that many fewer hosts may still be lost. A host that
-/// fails without being lost is tried again.
+/// replica less is enough for each lost host if its disk is lost, because that many fewer disks may still be lost. A host
+/// that fails without being lost is tried again.
 ///
 /// A host counts as lost at the gateway host that sends the turn, whose own link may be the cause. Lost hosts are not
 /// waited for while the turn can be durable without them. Otherwise they are tried repeatedly, and their responses
@@ -248,7 +251,7 @@
         }
         let lost = self.lost_hosts();
         if self.stored > 0 && lost <= tolerated && self.stored + lost > tolerated {
-            return ReplicationProgress::Durable;
+            return ReplicationProgress::DurableIfDisksLost;
         }
         if lost > 0 {
             return ReplicationProgress::Pending;
