Copy turns to the shared store that a removal would leave on one disk

After three quarters of the operator's time one replica counted as enough, because the host that was down was taken for the tolerated loss of a disk. Change: then the turns that fewer hosts have than should are copied to the shared store before the removal completes; they are read where no host returns them.

--- a/crates/burdockroad-gateway/src/disk_host.rs
+++ b/crates/burdockroad-gateway/src/disk_host.rs
@@ -115,7 +115,12 @@
         tolerated_losses: options.tolerated_losses,
         regions: RegionMap::new(options.regions),
     };
-    let state = Arc::new(TurnHostState::new(options, turn_log, log.clone()));
+    let state = Arc::new(TurnHostState::new(
+        options,
+        turn_log,
+        Arc::clone(store),
+        log.clone(),
+    ));
     state
         .start(listener, Arc::clone(dialect), store)
         .await
--- a/crates/burdockroad-gateway/src/turn_store/removal.rs
+++ b/crates/burdockroad-gateway/src/turn_store/removal.rs
@@ -7,7 +7,7 @@
 
 use burdockroad::{
     HostId,
-    gateway::{HostLocation, IndexedTurn, RegionMap, TurnCopy, is_allowed_replica},
+    gateway::{HostLocation, IndexedTurn, RegionMap, TurnCopy, TurnKey, is_allowed_replica},
 };
 use tokio::time::sleep;
 
@@ -16,6 +16,7 @@
     messages::{TurnCall, TurnResponse},
     state::TurnHostState,
 };
+use crate::clock::unix_ms;
 
 /// Timeout of a call to another host.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -33,7 +34,8 @@
 /// The host stores no further turns.
 ///
 /// A host that does not respond may come back with its disk and without these turns, so it does not count as having them. It is
-/// waited for during most of `time_limit`, unless other hosts can store the turns in its place.
+/// waited for during most of `time_limit`, unless other hosts can store the turns in its place. After that, copies in the shared
+/// store take the place of those that it should have.
 pub(super) async fn copy_all_turns(state: &Arc<TurnHostState>, time_limit: Duration) {
     let waits_until = Instant::now() + time_limit.mul_f64(WAIT_FRACTION);
     let mut from = 0;
@@ -49,26 +51,73 @@
     }
 }
 
-/// Copies turns to the hosts that should store them. Returns whether enough other hosts have each of them.
+/// Copies turns to the hosts that should store them. Returns whether enough other hosts have each of them, or a copy is in the
+/// shared store.
 async fn copy_page(state: &TurnHostState, turns: &[IndexedTurn], waits_until: Instant) -> bool {
     let mut members = state.members();
     members.remove(&state.host);
     let hosts = writable(&members);
     let responding = copy_to_responding(state, &members, turns, hosts.clone()).await;
     let lost = hosts.len() - responding.len();
-    let is_late = Instant::now() >= waits_until;
-    turns.iter().all(|turn| {
-        let allowed = |hosts: &[HostLocation]| {
-            let allowed = turn.allowed_regions.as_deref();
-            state.regions.allowed_hosts(hosts.to_vec(), allowed).len()
-        };
-        let replicas = Replicas {
-            stored: allowed(&responding).min(state.tolerated_losses + 1),
-            wanted: allowed(&hosts).min(state.tolerated_losses + 1),
-        };
+    let accepts_fewer = Instant::now() >= waits_until && lost <= state.tolerated_losses;
+    let mut short = Vec::new();
+    for turn in turns {
+        let replicas = replicas(state, turn, &responding, &hosts);
         // A turn whose regions have no other host stays here until it expires.
-        replicas.are_enough(is_late && lost <= state.tolerated_losses) || !state.log.contains(&turn.key)
-    })
+        if replicas.are_enough(accepts_fewer) || !state.log.contains(&turn.key) {
+            if replicas.stored < replicas.wanted {
+                short.push(turn);
+            }
+        } else {
+            return false;
+        }
+    }
+    copy_to_shared_store(state, &short).await
+}
+
+/// Returns how many of the hosts that respond have a turn, and how many of all hosts should.
+fn replicas(
+    state: &TurnHostState,
+    turn: &IndexedTurn,
+    responding: &[HostLocation],
+    hosts: &[HostLocation],
+) -> Replicas {
+    let allowed = |hosts: &[HostLocation]| {
+        let regions = turn.allowed_regions.as_deref();
+        let allowed = state.regions.allowed_hosts(hosts.to_vec(), regions);
+        allowed.len().min(state.tolerated_losses + 1)
+    };
+    Replicas {
+        stored: allowed(responding),
+        wanted: allowed(hosts),
+    }
+}
+
+/// Copies turns to the shared store that fewer hosts have than should. Returns whether the copies are there. The store knows
+/// no regions, so turns that are bound to some are left out.
+async fn copy_to_shared_store(state: &TurnHostState, turns: &[&IndexedTurn]) -> bool {
+    let unbound = turns.iter().filter(|turn| turn.allowed_regions.is_none());
+    let mut missing: Vec<TurnKey> = unbound.map(|turn| turn.key.clone()).collect();
+    while !missing.is_empty() {
+        let Ok(read) = state.log.read(missing.clone()).await else {
+            return false;
+        };
+        if read.is_empty() {
+            // The remaining turns have expired.
+            return true;
+        }
+        let now_unix_ms = unix_ms();
+        let longest_ms = read
+            .iter()
+            .map(|turn| turn.stored_until_unix_ms.saturating_sub(now_unix_ms))
+            .max();
+        let lifetime = Duration::from_millis(longest_ms.unwrap_or_default());
+        if state.shared_copies.write(&read, lifetime).await.is_err() {
+            return false;
+        }
+        missing.retain(|key| read.iter().all(|turn| turn.key != *key));
+    }
+    true
 }
 
 /// Copies turns to those of `hosts` that respond, so that each turn is on as many of them as should store it. Returns these
@@ -112,7 +161,7 @@
 }
 
 impl Replicas {
-    /// Returns whether this host may go. One replica must do if `accepts_fewer`, because the others are lost.
+    /// Returns whether the hosts have enough of them. One replica must do if `accepts_fewer`, beside a copy elsewhere.
     fn are_enough(self, accepts_fewer: bool) -> bool {
         self.stored > 0 && (self.stored >= self.wanted || accepts_fewer)
     }
--- a/crates/burdockroad-gateway/src/turn_store/state.rs
+++ b/crates/burdockroad-gateway/src/turn_store/state.rs
@@ -14,9 +14,11 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    DecisionLog,
+    DecisionLog, SharedStore,
     peer_client::PeerClient,
-    turn_store::{log::TurnLog, members::TurnMembers, stream_holder::StreamHolder},
+    turn_store::{
+        log::TurnLog, members::TurnMembers, shared_copies::SharedCopies, stream_holder::StreamHolder,
+    },
 };
 
 /// State of a host that stores turns.
@@ -30,6 +32,8 @@
     pub(super) regions: RegionMap,
     pub(super) log: TurnLog,
     pub(super) client: PeerClient,
+    /// Copies of turns that too few other hosts have.
+    pub(super) shared_copies: SharedCopies,
     pub(super) decisions: DecisionLog,
     /// Whether the other hosts' turns were copied since the start.
     pub(super) complete: AtomicBool,
@@ -71,7 +75,12 @@
 }
 
 impl TurnHostState {
-    pub(crate) fn new(options: TurnHostOptions, log: TurnLog, decisions: DecisionLog) -> Self {
+    pub(crate) fn new(
+        options: TurnHostOptions,
+        log: TurnLog,
+        store: Arc<dyn SharedStore>,
+        decisions: DecisionLog,
+    ) -> Self {
         Self {
             host: options.host,
             incarnation: options.incarnation,
@@ -81,6 +90,7 @@
             regions: options.regions,
             log,
             client: PeerClient::default(),
+            shared_copies: SharedCopies::new(store),
             decisions,
             complete: AtomicBool::new(false),
             registered: AtomicBool::new(false),
