Date responses of the store that waited while the host stood still by its begin

Cause: outage_does_not_end_at_a_host_that_wakes_during_it failed once: all hosts took an outage for ended that went on, so endpoints whose entries expire in it may be taken out of use too early. A response that waited in the socket of a host that stood still was dated when the host read it, and the host's report spread that. It works because what waited is dated no later than the begin of the standstill, and what is really new follows with the next calls.

--- a/crates/burdockroad-gateway/src/follow.rs
+++ b/crates/burdockroad-gateway/src/follow.rs
@@ -199,8 +199,11 @@
 }
 
 fn record_range_response(shared: &Shared, prefix: &str) {
-    let now = Instant::now();
-    shared.tables().range_responded_at.insert(prefix.to_owned(), now);
+    let arrived_at = shared.store.earliest_arrival();
+    shared
+        .tables()
+        .range_responded_at
+        .insert(prefix.to_owned(), arrived_at);
 }
 
 /// Records an update of a range, before it is applied.
