End streams at the deadline that always have further events

Cause: callers of an endpoint that sends events faster than they are read got them past their deadline, without end. Evidence: endless_events_end_at_the_deadline on the code before: not ended after 10 s with a deadline of 3 s. Change: the relay looks at the deadline before each read. It works because a read that does not wait is followed by the next look. Measured: the test fails before and passes now.

--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -114,6 +114,10 @@
                 Progress::AllRelayed => return self.store_turn().await,
                 Progress::Ended => return None,
             }
+            // A stream that always has further events would never wait, and so never see the deadline.
+            if self.call.time_left().is_zero() {
+                return Some(Err(self.break_off(Refusal::DeadlineExceeded).await));
+            }
             let ready = match self.read().await {
                 Ok(Content::Events(ready)) => ready,
                 Ok(Content::End) => {
