Break off streams of kept turns that become too long to be stored

Cause: the output of a turn that the system keeps was collected without a bound, so an endpoint that sends events without end filled the host's memory until the deadline, and the calls of others with it when the platform ends the process; the turn could not be stored at the end either. Evidence: endless_events_of_a_kept_turn_end_before_they_fill_the_memory on the commit before: the call went on until its deadline with 7581 events of 1 kB collected, in a debug build. It works because both bounds are checked before an event is relayed.

--- a/crates/burdockroad-gateway/src/kept_turn.rs
+++ b/crates/burdockroad-gateway/src/kept_turn.rs
@@ -150,8 +150,12 @@
     }
 
     /// Adds events that the caller is about to receive.
-    pub(crate) async fn push_events(&mut self, events: &[u8]) {
-        self.events.push(events).await;
+    ///
+    /// # Errors
+    ///
+    /// Fails when the turn has become too long to be stored.
+    pub(crate) async fn push_events(&mut self, events: &[u8]) -> Result<(), Refusal> {
+        self.events.push(events).await
     }
 
     /// Returns the number of events in the turn so far.
--- a/crates/burdockroad-gateway/src/kept_turn/relayed_events.rs
+++ b/crates/burdockroad-gateway/src/kept_turn/relayed_events.rs
@@ -12,6 +12,7 @@
 use super::takes_stream_up;
 use crate::{
     CallHead,
+    body_space::BodyShare,
     refusal::{EventsObstacle, Refusal},
     shared::Shared,
     turn_store::client::{
@@ -20,10 +21,16 @@
     },
 };
 
+/// Longest output of a turn, in bytes. With the longest input that operators usually allow, it fits into one message to a
+/// host with a disk.
+const OUTPUT_MAX_BYTES: usize = 3 << 20;
+
 /// Events of a turn, with those that the caller had received before it took the stream up.
 #[derive(Debug)]
 pub(super) struct RelayedEvents {
     output: OutputCollector,
+    /// Part of the host's memory for responses.
+    share: BodyShare,
     /// Copies for a caller that takes the stream up; `None` on routes whose streams may not be resumed.
     copies: Option<EventCopies>,
 }
@@ -43,12 +50,14 @@
         input: &[u8],
     ) -> Result<Self, Refusal> {
         let takes_up = takes_stream_up(head);
+        let share = shared.response_space.share();
         if !route.kind.may_retry() {
             if takes_up {
                 return Err(Refusal::EventsUnknown(EventsObstacle::NotResumable));
             }
             return Ok(Self {
                 output: OutputCollector::default(),
+                share,
                 copies: None,
             });
         }
@@ -64,6 +73,7 @@
         if !takes_up {
             return Ok(Self {
                 output: OutputCollector::default(),
+                share,
                 copies: Some(EventCopies::new(Arc::clone(&shared.turns), attempt)),
             });
         }
@@ -77,18 +87,28 @@
         }
         Ok(Self {
             output,
+            share,
             copies: Some(copies),
         })
     }
 
     /// Adds events that the caller is about to receive. Returns when they are at hand for a caller that takes the stream up,
     /// if that does not take long.
-    pub(super) async fn push(&mut self, events: &[u8]) {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the turn is too long, or the host has no room for it. It could not be stored.
+    pub(super) async fn push(&mut self, events: &[u8]) -> Result<(), Refusal> {
         let before = self.output.events();
         self.output.push(events);
+        let bytes = self.output.output_bytes();
+        if bytes > OUTPUT_MAX_BYTES || !self.share.grow_to(bytes) {
+            return Err(Refusal::TurnNotStored);
+        }
         if let Some(copies) = &mut self.copies {
             copies.push(self.output.outputs_from(before)).await;
         }
+        Ok(())
     }
 
     /// Returns the number of events.
--- a/crates/burdockroad-gateway/src/stream.rs
+++ b/crates/burdockroad-gateway/src/stream.rs
@@ -128,8 +128,10 @@
             };
             if !ready.is_empty() {
                 self.call.begin_stream();
-                if let Some(kept_turn) = &mut self.kept_turn {
-                    kept_turn.push_events(&ready).await;
+                if let Some(kept_turn) = &mut self.kept_turn
+                    && let Err(refusal) = kept_turn.push_events(&ready).await
+                {
+                    return Some(Err(self.break_off(refusal).await));
                 }
                 return Some(Ok(ready));
             }
--- a/crates/burdockroad/src/gateway/turns/output.rs
+++ b/crates/burdockroad/src/gateway/turns/output.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns the length of the output so far, in bytes.
+    pub fn output_bytes(&self) -> usize {
+        self.output.len() + self.event_data.as_ref().map_or(0, BytesMut::len)
+    }
+
     /// Returns the number of complete events.
     pub fn events(&self) -> usize {
         self.event_ends.len()
