--- a/crates/burdockroad-gateway/src/turn_store/removal.rs
+++ b/crates/burdockroad-gateway/src/turn_store/removal.rs
@@ -11,12 +11,14 @@
 };
 use tokio::time::sleep;
 
-use super::{
-    members::{TurnMember, TurnMembers, writable},
-    messages::{TurnCall, TurnResponse},
-    state::TurnHostState,
+use crate::{
+    clock::unix_ms,
+    turn_store::{
+        members::{TurnMember, TurnMembers, writable},
+        messages::{TurnCall, TurnResponse},
+        state::TurnHostState,
+    },
 };
-use crate::clock::unix_ms;
 
 /// Timeout of a call to another host.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
