--- a/crates/burdockroad-gateway/src/clock.rs
+++ b/crates/burdockroad-gateway/src/clock.rs
@@ -4,12 +4,8 @@
 
 /// Returns the time of day in Unix milliseconds.
 pub(crate) fn unix_ms() -> u64 {
-    u64::try_from(since_unix_epoch().as_millis()).unwrap_or(u64::MAX)
-}
-
-/// Returns the time of day as the time since the Unix epoch.
-pub(crate) fn since_unix_epoch() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Converts a duration to whole milliseconds for log lines.
--- a/crates/burdockroad-gateway/src/follow.rs
+++ b/crates/burdockroad-gateway/src/follow.rs
@@ -199,11 +199,8 @@
 }
 
 fn record_range_response(shared: &Shared, prefix: &str) {
-    let arrived_at = shared.store.earliest_arrival();
-    shared
-        .tables()
-        .range_responded_at
-        .insert(prefix.to_owned(), arrived_at);
+    let now = Instant::now();
+    shared.tables().range_responded_at.insert(prefix.to_owned(), now);
 }
 
 /// Records an update of a range, before it is applied.
--- a/crates/burdockroad-gateway/src/process.rs
+++ b/crates/burdockroad-gateway/src/process.rs
@@ -154,7 +154,6 @@
     tokio::spawn(keep_registered(clone_shared(), options.peer_address));
     tokio::spawn(serve_peers(clone_shared(), calls));
     tokio::spawn(Arc::clone(&shared.store).probe());
-    tokio::spawn(Arc::clone(&shared.store).watch_standstills());
     tokio::spawn(probe_own_link(clone_shared()));
     tokio::spawn(Arc::clone(&shared.turns).probe_failing_hosts());
     tokio::spawn(Arc::clone(&shared.turns).check_cut_links());
--- a/crates/burdockroad-gateway/src/relay.rs
+++ b/crates/burdockroad-gateway/src/relay.rs
@@ -11,14 +11,12 @@
 };
 
 use async_trait::async_trait;
-use burdockroad::gateway::Standstills;
 use burdockroad_daemon::platform::{Revision, StoreError};
 use serde::Serialize;
 use tokio::time::sleep;
 
 use crate::{
     Changes, ConditionalWrite, DecisionLog, LeaseId, RangeSnapshot, SharedStore, WriteOutcome,
-    clock::since_unix_epoch,
     peer_client::{PeerClient, PeerError},
     peer_messages::{PeerCall, PeerResponse},
     store_messages::{StoreCall, StoreCallResponse},
@@ -34,9 +32,6 @@
 /// Interval between two probes of a store that refuses this host.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Interval at which this process records that it runs.
-const TICK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Key prefix that is read to probe the store. No key has this prefix.
 const PROBE_PREFIX: &str = "burdockroad/none/";
 
@@ -49,7 +44,7 @@
     state: Mutex<State>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct State {
     /// Time of this host's last direct call that failed; `None` while the store serves this host.
     direct_call_failed_at: Option<Instant>,
@@ -57,8 +52,6 @@
     last_response_at: Option<Instant>,
     /// Hosts that the store serves, with the time at which they last reported this.
     served_peers: HashMap<SocketAddr, Instant>,
-    /// Standstills of this process, in which responses waited.
-    standstills: Standstills,
 }
 
 impl RelayedStore {
@@ -67,12 +60,7 @@
             direct,
             client,
             log,
-            state: Mutex::new(State {
-                direct_call_failed_at: None,
-                last_response_at: None,
-                served_peers: HashMap::new(),
-                standstills: Standstills::new(Instant::now(), since_unix_epoch()),
-            }),
+            state: Mutex::default(),
         }
     }
 
@@ -115,29 +103,10 @@
         }
     }
 
-    /// Records every [`TICK_INTERVAL`] that this process runs.
-    pub(crate) async fn watch_standstills(self: Arc<Self>) {
-        loop {
-            sleep(TICK_INTERVAL).await;
-            self.state().tick();
-        }
-    }
-
-    /// Returns the earliest time at which a response that has just been read may have arrived. It may have waited while this
-    /// process stood still.
-    pub(crate) fn earliest_arrival(&self) -> Instant {
-        let mut state = self.state();
-        state.tick();
-        state.standstills.earliest_arrival(Instant::now())
-    }
-
     /// Makes a call, and records when the store responds.
     async fn call(&self, call: StoreCall) -> Result<StoreCallResponse, StoreError> {
         let response = self.call_directly_or_through_peer(call).await?;
-        let arrived_at = self.earliest_arrival();
-        let mut state = self.state();
-        state.last_response_at = state.last_response_at.max(Some(arrived_at));
-        drop(state);
+        self.state().last_response_at = Some(Instant::now());
         Ok(response)
     }
 
@@ -232,18 +201,6 @@
     }
 }
 
-impl State {
-    /// Records that this process runs. Responses of before a suspension that the steady clock has not counted are older than
-    /// it tells.
-    fn tick(&mut self) {
-        let ended = self.standstills.tick(Instant::now(), since_unix_epoch());
-        if let Some(standstill) = ended {
-            let last_response_at = self.last_response_at;
-            self.last_response_at = last_response_at.and_then(|at| at.checked_sub(standstill.uncounted));
-        }
-    }
-}
-
 #[async_trait]
 impl SharedStore for RelayedStore {
     async fn read_range(&self, prefix: &str) -> Result<RangeSnapshot, StoreError> {
--- a/crates/burdockroad/src/gateway.rs
+++ b/crates/burdockroad/src/gateway.rs
@@ -17,7 +17,6 @@
 //! * [`next_step`] selects the action after a failed attempt.
 //! * [`Quarantine`] finds requests that crash the endpoints that run them, and keeps them from endpoints.
 //! * [`EventBuffer`] splits an event stream into complete events.
-//! * [`Standstills`] tells when this process stood still, so that what waited meanwhile is not taken for current.
 //! * [`StreamOrigins`] holds the software versions that streams began at, so that they continue at the same one.
 //! * [`UpdatePacer`] decides when a host hands an update on, and which host a requester is sent on to.
 //!   [`UpdateSearch`] decides which host a requester asks, and when it reads the store.
@@ -40,7 +39,6 @@
 mod report_batch;
 mod retry;
 mod running;
-mod standstill;
 mod store_contact;
 mod stream_origin;
 mod turns;
@@ -78,7 +76,6 @@
     report_batch::{join_reports, split_reports},
     retry::{Failure, NextStep, RetryState, next_step},
     running::RunningPrograms,
-    standstill::{Standstill, Standstills},
     store_contact::StoreOutage,
     stream_origin::{StreamId, StreamOrigins, UnsentOrigin, UnsentOrigins, stream_holders},
     turns::{
